--- /dev/null
+++ b/basilstream/base/clock/clock.hpp
@@ -0,0 +1,52 @@
+/// Time as an injected dependency, so that decisions run on a virtual clock.
+///
+///     auto time = manual_clock{};
+///     time.advance(std::chrono::seconds{3});
+///     time.now();
+#pragma once
+
+#include <chrono>
+
+namespace basilstream {
+
+using duration = std::chrono::nanoseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Tag of the time scale that every decision uses. Monotonic; its zero has no
+/// meaning outside one process.
+struct time_scale {};
+using time_point = std::chrono::time_point<time_scale, duration>;
+
+/// Source of the current time. Implementations are safe to call from several
+/// threads unless they say otherwise.
+class clock {
+public:
+    clock() = default;
+    clock(const clock&) = delete;
+    auto operator=(const clock&) -> clock& = delete;
+    virtual ~clock() = default;
+
+    /// Returns the current time; never less than an earlier answer.
+    [[nodiscard]] virtual auto now() const -> time_point = 0;
+};
+
+/// The machine's monotonic clock (CLOCK_MONOTONIC).
+class steady_clock final : public clock {
+public:
+    [[nodiscard]] auto now() const -> time_point override;
+};
+
+/// A clock that moves only when told. Not safe for concurrent use.
+class manual_clock final : public clock {
+public:
+    [[nodiscard]] auto now() const -> time_point override { return now_; }
+
+    /// Moves time forward by `step`, which must not be negative.
+    auto advance(duration step) -> void { now_ += step; }
+
+private:
+    time_point now_{};
+};
+
+} // namespace basilstream
--- /dev/null
+++ b/cmake/basilstream.cmake
@@ -0,0 +1,40 @@
+find_package(Threads REQUIRED)
+find_package(GTest REQUIRED)
+find_package(benchmark REQUIRED)
+
+# basilstream_library(NAME [DEPENDS target...])
+#
+# Makes library NAME from the sources of the current directory and its
+# internal/ directory, NAME_test from *_test.cpp and NAME_benchmark from
+# *_benchmark.cpp. *_main.cpp is left to the caller.
+function(basilstream_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp internal/*.cpp)
+  file(GLOB tests CONFIGURE_DEPENDS *_test.cpp internal/*_test.cpp)
+  file(GLOB benchmarks CONFIGURE_DEPENDS *_benchmark.cpp)
+  file(GLOB mains CONFIGURE_DEPENDS *_main.cpp)
+  foreach(other ${tests} ${benchmarks} ${mains})
+    list(REMOVE_ITEM sources ${other})
+  endforeach()
+  if(sources)
+    add_library(${name} STATIC ${sources})
+    target_include_directories(${name} PUBLIC ${CMAKE_SOURCE_DIR})
+    target_link_libraries(${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
+  else()
+    add_library(${name} INTERFACE)
+    target_include_directories(${name} INTERFACE ${CMAKE_SOURCE_DIR})
+    target_link_libraries(${name} INTERFACE ${ARG_DEPENDS} Threads::Threads)
+  endif()
+  if(tests)
+    add_executable(${name}_test ${tests})
+    target_link_libraries(${name}_test ${name} ${ARG_TEST_DEPENDS}
+                          GTest::gtest_main)
+    add_test(NAME ${name} COMMAND ${name}_test)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 900)
+  endif()
+  if(benchmarks)
+    add_executable(${name}_benchmark ${benchmarks})
+    target_link_libraries(${name}_benchmark ${name} ${ARG_TEST_DEPENDS}
+                          benchmark::benchmark_main)
+  endif()
+endfunction()
