--- /dev/null
+++ b/basilstream/transport/reactor/reactor.cpp
@@ -0,0 +1,199 @@
+#include "basilstream/transport/reactor/reactor.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/OS_NS_Thread.h>
+#include <ace/Reactor.h>
+#include <ace/Task.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "basilstream/transport/bounded_ring/bounded_ring.hpp"
+
+namespace basilstream::transport {
+namespace {
+
+// File descriptors one reactor can watch.
+constexpr auto max_handles = 8192U;
+
+// Runs a work item at each expiry of its timer.
+class timer_handler final : public ACE_Event_Handler {
+public:
+    timer_handler(work_item work, bool repeats,
+                  std::set<std::shared_ptr<timer_handler>>& owner)
+        : work_{std::move(work)}, repeats_{repeats}, owner_{owner} {}
+
+    auto handle_timeout(const ACE_Time_Value& /*now*/, const void* /*argument*/)
+        -> int override {
+        work_();
+        if (!repeats_) {
+            release();
+        }
+        return 0;
+    }
+
+private:
+    auto release() -> void {
+        for (auto entry = owner_.begin(); entry != owner_.end(); ++entry) {
+            if (entry->get() == this) {
+                // Destroys this object: nothing may follow.
+                owner_.erase(entry);
+                return;
+            }
+        }
+    }
+
+    work_item work_;
+    bool repeats_;
+    std::set<std::shared_ptr<timer_handler>>& owner_;
+};
+
+} // namespace
+
+class reactor_thread::implementation final : public ACE_Task_Base {
+public:
+    implementation(std::string name, std::size_t ring_capacity)
+        : name_{std::move(name)}, ring_{ring_capacity},
+          poll_{max_handles, true}, reactor_{&poll_}, wake_{*this} {
+        wake_.descriptor_ = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+        reactor_.register_handler(wake_.descriptor_, &wake_,
+                                  ACE_Event_Handler::READ_MASK);
+    }
+
+    ~implementation() override {
+        reactor_.remove_handler(wake_.descriptor_,
+                                ACE_Event_Handler::READ_MASK |
+                                    ACE_Event_Handler::DONT_CALL);
+        for (const auto& timer : timers_) {
+            reactor_.cancel_timer(timer.get());
+        }
+        ::close(wake_.descriptor_);
+    }
+
+    auto svc() -> int override {
+        ::pthread_setname_np(::pthread_self(), name_.substr(0, 15).c_str());
+        thread_id_.store(std::this_thread::get_id());
+        reactor_.owner(ACE_OS::thr_self());
+        while (!stopping_.load()) {
+            reactor_.handle_events();
+        }
+        run_posted();
+        return 0;
+    }
+
+    auto post(work_item&& work) -> bool {
+        if (stopping_.load() || !ring_.try_push(std::move(work))) {
+            return false;
+        }
+        wake();
+        return true;
+    }
+
+    auto add_timer(milliseconds delay, bool repeats, work_item work) -> void {
+        auto handler =
+            std::make_shared<timer_handler>(std::move(work), repeats, timers_);
+        auto value = ACE_Time_Value{};
+        value.msec(static_cast<long>(delay.count()));
+        timers_.insert(handler);
+        reactor_.schedule_timer(handler.get(), nullptr, value,
+                                repeats ? value : ACE_Time_Value::zero);
+    }
+
+    auto wake() -> void {
+        if (!signalled_.exchange(true)) {
+            const auto one = std::uint64_t{1};
+            [[maybe_unused]] const auto written =
+                ::write(wake_.descriptor_, &one, sizeof one);
+        }
+    }
+
+    auto run_posted() -> void {
+        signalled_.store(false);
+        ring_.drain([](work_item&& work) { work(); });
+    }
+
+    struct wake_handler final : ACE_Event_Handler {
+        explicit wake_handler(implementation& owner) : owner_{owner} {}
+        auto handle_input(ACE_HANDLE handle) -> int override {
+            auto count = std::uint64_t{0};
+            [[maybe_unused]] const auto bytes =
+                ::read(handle, &count, sizeof count);
+            owner_.run_posted();
+            return 0;
+        }
+        implementation& owner_;
+        int descriptor_ = -1;
+    };
+
+    std::string name_;
+    bounded_ring<work_item> ring_;
+    ACE_Dev_Poll_Reactor poll_;
+    ACE_Reactor reactor_;
+    wake_handler wake_;
+    std::set<std::shared_ptr<timer_handler>> timers_;
+    std::atomic<bool> signalled_{false};
+    std::atomic<bool> stopping_{false};
+    std::atomic<std::thread::id> thread_id_{};
+    bool started_ = false;
+};
+
+reactor_thread::reactor_thread(std::string name, std::size_t ring_capacity)
+    : implementation_{
+          std::make_unique<implementation>(std::move(name), ring_capacity)} {}
+
+reactor_thread::~reactor_thread() {
+    stop();
+}
+
+auto reactor_thread::start() -> void {
+    implementation_->started_ = true;
+    implementation_->activate();
+}
+
+auto reactor_thread::stop() -> void {
+    implementation_->stopping_.store(true);
+    implementation_->signalled_.store(false);
+    implementation_->wake();
+    if (std::exchange(implementation_->started_, false)) {
+        implementation_->wait();
+    }
+}
+
+auto reactor_thread::post(work_item work) -> bool {
+    return implementation_->post(std::move(work));
+}
+
+auto reactor_thread::post_wait(work_item work) -> bool {
+    // A refused push moves nothing.
+    // NOLINTNEXTLINE(bugprone-use-after-move)
+    while (!implementation_->post(std::move(work))) {
+        if (implementation_->stopping_.load()) {
+            return false;
+        }
+        std::this_thread::yield();
+    }
+    return true;
+}
+
+auto reactor_thread::every(milliseconds period, work_item work) -> void {
+    implementation_->add_timer(period, true, std::move(work));
+}
+
+auto reactor_thread::after(milliseconds delay, work_item work) -> void {
+    implementation_->add_timer(delay, false, std::move(work));
+}
+
+auto reactor_thread::reactor() -> ACE_Reactor& {
+    return implementation_->reactor_;
+}
+
+auto reactor_thread::on_thread() const -> bool {
+    return implementation_->thread_id_.load() == std::this_thread::get_id();
+}
+
+} // namespace basilstream::transport
