--- /dev/null
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -0,0 +1,265 @@
+/// Recognises requests that crash the runners that run them, and keeps them
+/// from running again.
+///
+/// Each daemon holds one `quarantine`. What it learns goes to the others as
+/// values: suspicions and clearances are gossiped over peers, marks go to the
+/// log, isolation requests go to the arbiter.
+///
+///     const auto print = make_fingerprint("acme", "acme/chat", prompt);
+///     switch (marks.check(print, now)) {
+///     case quarantine_verdict::quarantined:  // refuse with refusal(print,
+///     now) case quarantine_verdict::suspected:    // ask marks.arbiter() first
+///     case quarantine_verdict::clear:        // dispatch
+///     }
+///     marks.on_dispatch({print, request_id, runner, boot_id}, now);
+///     marks.on_finish(request_id, true, now);
+///
+/// A fingerprint in flight on a crashed runner is suspected. While suspected
+/// it runs only with a grant of the arbiter, one run at a time and no two
+/// suspects on one runner. A second crash quarantines it; a complete answer
+/// clears it. Not safe for concurrent use.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/error/error.hpp"
+
+namespace basilstream::coordination {
+
+/// Identifies equal requests, whoever sends them and through which daemon:
+/// XXH3 with 128 bits over organisation, model and prompt or body.
+struct fingerprint {
+    std::uint64_t high_ = 0;
+    std::uint64_t low_ = 0;
+    auto operator<=>(const fingerprint&) const = default;
+    /// Returns 32 hexadecimal digits.
+    [[nodiscard]] auto to_string() const -> std::string;
+};
+
+/// Returns the fingerprint of a request.
+[[nodiscard]] auto make_fingerprint(std::string_view organisation,
+                                    std::string_view model,
+                                    std::string_view body) -> fingerprint;
+
+/// Parses what fingerprint::to_string() returned.
+[[nodiscard]] auto parse_fingerprint(std::string_view digits)
+    -> std::optional<fingerprint>;
+
+/// What may be done with a request.
+enum class quarantine_verdict { clear, suspected, quarantined };
+
+/// A run of a request on a runner.
+struct fingerprint_run {
+    fingerprint fingerprint_;
+    std::string request_id_;
+    std::string runner_;
+    std::string boot_id_ = {};
+};
+
+/// A fingerprint was in flight on a runner that crashed. Gossiped.
+struct suspicion {
+    fingerprint fingerprint_;
+    std::string runner_;
+    std::string boot_id_;
+    /// Time since the crash was seen.
+    duration age_ = {};
+};
+
+/// A suspected fingerprint gave a complete answer: the crashes listed were
+/// not its doing. Gossiped.
+struct clearance {
+    fingerprint fingerprint_;
+    std::vector<suspicion> crashes_;
+};
+
+/// A fingerprint is quarantined. Written to the log.
+struct quarantine_mark {
+    fingerprint fingerprint_;
+    /// The crashed runners, for operators.
+    std::vector<std::string> runners_;
+};
+
+/// Asks the arbiter for leave to run a suspected fingerprint, or renews it.
+struct isolation_request {
+    fingerprint_run run_;
+    /// The daemon that asks.
+    std::string holder_;
+    /// What the holder knows, so that the arbiter knows no less.
+    std::vector<suspicion> crashes_;
+    /// Whether the run is in flight already.
+    bool renewal_ = false;
+};
+
+/// The arbiter's answer; refused_ is empty if granted.
+struct isolation_answer {
+    std::string request_id_;
+    std::optional<error> refused_;
+};
+
+/// Tells the arbiter that an isolated run ended.
+struct isolation_release {
+    std::string request_id_;
+};
+
+/// What poll() asks the caller to carry out: gossip a suspicion or a
+/// clearance, append a mark to the log, or send to arbiter().
+using quarantine_event = std::variant<suspicion, clearance, quarantine_mark,
+                                      isolation_request, isolation_release>;
+
+/// A quarantined or suspected fingerprint as operators see it.
+struct quarantine_entry {
+    fingerprint fingerprint_;
+    quarantine_verdict verdict_ = quarantine_verdict::clear;
+    std::vector<std::string> runners_;
+    duration remaining_ = {};
+};
+
+/// Settings of a quarantine.
+struct quarantine_settings {
+    /// How long a suspicion or a mark lasts.
+    duration suspicion_lifetime_ = std::chrono::minutes{10};
+    duration mark_lifetime_ = std::chrono::minutes{60};
+    /// Crashes of one runner closer than this are one crash seen twice.
+    duration same_crash_window_ = seconds{15};
+    /// How long a grant lasts without renewal; holders renew at a third.
+    duration grant_lifetime_ = seconds{30};
+    /// How long a new arbiter waits for renewals before its first grant.
+    duration takeover_delay_ = seconds{12};
+    /// Fingerprints remembered at most; the oldest suspicions go first.
+    std::size_t capacity_ = 65'536;
+    milliseconds retry_hint_{1000};
+};
+
+/// Checks by name. A test replaces one to show that its check can fail.
+struct quarantine_guards {
+    bool (*fingerprint_busy_)(bool granted) = [](bool granted) {
+        return granted;
+    };
+    bool (*runner_busy_)(bool granted) = [](bool granted) {
+        return granted;
+    };
+    bool (*taking_over_)(time_point now, time_point until) =
+        [](time_point now, time_point until) {
+            return now < until;
+        };
+};
+
+/// One daemon's knowledge of crashing requests.
+class quarantine {
+public:
+    /// `self` is the daemon's name among the members.
+    quarantine(quarantine_settings settings, std::string self,
+               quarantine_guards guards = {});
+
+    /// Takes in the members alive as this daemon sees them, itself included.
+    auto set_members(const std::vector<std::string>& members, time_point now)
+        -> void;
+    /// Returns the member that grants isolated runs: the highest rendezvous
+    /// weight among the members.
+    [[nodiscard]] auto arbiter() const -> const std::string& {
+        return arbiter_;
+    }
+
+    /// Returns what may be done with the fingerprint.
+    [[nodiscard]] auto check(const fingerprint& print, time_point now)
+        -> quarantine_verdict;
+    /// Returns the answer for a quarantined request: not_run, with a hint when
+    /// the mark expires.
+    [[nodiscard]] auto refusal(const fingerprint& print, time_point now) const
+        -> error;
+
+    /// Builds what to send to arbiter() for a suspected fingerprint. If the
+    /// arbiter is this daemon, pass it to on_isolation_request(). No answer
+    /// in time means not granted.
+    [[nodiscard]] auto ask(fingerprint_run run, time_point now) const
+        -> isolation_request;
+    /// As arbiter: decides on a run or takes in a renewal.
+    [[nodiscard]] auto on_isolation_request(const isolation_request& request,
+                                            time_point now) -> isolation_answer;
+    /// As arbiter: takes in the end of a run.
+    auto on_isolation_release(const isolation_release& release) -> void;
+
+    /// Tells of a run of this daemon, before its first byte is sent.
+    auto on_dispatch(const fingerprint_run& run, time_point now) -> void;
+    /// Tells of the end of a run other than by a crash of its runner.
+    /// `complete` if there was a whole answer.
+    auto on_finish(std::string_view request_id, bool complete, time_point now)
+        -> void;
+    /// Tells that a runner crashed: its process went away or its boot id
+    /// changed without its having left. Call it before the failure of the
+    /// runs on it is acted on.
+    auto on_crash(std::string_view runner, time_point now) -> void;
+
+    /// Takes in what a peer gossiped.
+    auto merge(const suspicion& heard, time_point now) -> void;
+    auto merge(const clearance& heard, time_point now) -> void;
+    /// Takes in a mark or an operator's lift read from the log.
+    auto apply(const quarantine_mark& mark, time_point now) -> void;
+    auto lift(const fingerprint& print, time_point now) -> void;
+
+    /// Returns what to carry out, and drops what has expired.
+    [[nodiscard]] auto poll(time_point now) -> std::vector<quarantine_event>;
+    /// Returns all entries that are not clear.
+    [[nodiscard]] auto list(time_point now) const
+        -> std::vector<quarantine_entry>;
+
+private:
+    struct crash {
+        std::string runner_;
+        std::string boot_id_;
+        time_point seen_;
+        /// Cleared crashes are kept so that late gossip does not count anew.
+        bool cleared_ = false;
+    };
+    struct record {
+        std::vector<crash> crashes_;
+        std::optional<time_point> marked_until_;
+        std::vector<std::string> marked_runners_;
+        time_point touched_;
+    };
+    struct grant {
+        fingerprint_run run_;
+        time_point until_;
+    };
+    struct own_run {
+        fingerprint_run run_;
+        bool isolated_ = false;
+        time_point renewed_;
+    };
+
+    static auto same_crash(const crash& left, const crash& right,
+                           duration window) -> bool;
+    auto add_crash(const fingerprint& print, const crash& seen, bool own)
+        -> bool;
+    auto open_crashes(const record& entry, time_point now) const -> std::size_t;
+    auto crashes_of(const fingerprint& print, time_point now) const
+        -> std::vector<suspicion>;
+    auto mark_if_due(const fingerprint& print, record& entry, time_point now)
+        -> void;
+    auto clear(const fingerprint& print, time_point now) -> void;
+    auto crash_run(const fingerprint_run& run, time_point now) -> void;
+    auto renew_own_runs(time_point now) -> void;
+    auto expire(time_point now) -> void;
+    auto refused_grant(error_code code, milliseconds hint,
+                       std::string detail) const -> error;
+
+    quarantine_settings settings_;
+    std::string self_;
+    quarantine_guards guards_;
+    std::string arbiter_;
+    time_point grants_from_{};
+    std::map<fingerprint, record> records_;
+    std::unordered_map<std::string, own_run> runs_;
+    std::unordered_map<std::string, grant> grants_;
+    std::vector<quarantine_event> events_;
+};
+
+} // namespace basilstream::coordination
