--- /dev/null
+++ b/basilstream/coordination/discovery/discovery.hpp
@@ -0,0 +1,176 @@
+/// Which addresses callers should use, and the ordered stop of a daemon.
+///
+///     auto directory = endpoint_directory{settings, random};
+///     directory.update(endpoints);
+///     directory.answer("zone-a");
+///
+///     auto drain = drain_controller{drain_settings{}};
+///     drain.request_stop(now);
+///     drain.tick(load, now);
+///
+/// Sans-I/O; not safe for concurrent use.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/error/error.hpp"
+#include "basilstream/base/name_table/name_table.hpp"
+#include "basilstream/base/random/random.hpp"
+
+namespace basilstream::coordination {
+
+/// A daemon's address for callers.
+struct endpoint {
+    std::string name_;
+    std::string address_;
+    std::string zone_;
+    /// False for a daemon that drains, is suspected or is not ready.
+    bool serving_ = true;
+    /// Requests in progress, from gossip; lags.
+    std::uint32_t load_ = 0;
+};
+
+/// Bounds of an answer.
+struct discovery_settings {
+    /// How long callers keep an answer.
+    milliseconds time_to_live_ = milliseconds{5000};
+    std::size_t max_addresses_ = 4;
+    /// Addresses of the nearest zone stand first while their mean load is at
+    /// most this many times the mean load of all.
+    double near_load_factor_ = 2.0;
+};
+
+/// What a caller is told.
+struct endpoint_answer {
+    std::vector<std::string> addresses_;
+    milliseconds time_to_live_{};
+};
+
+/// Chooses addresses for callers.
+class endpoint_directory {
+public:
+    endpoint_directory(discovery_settings settings, random_source& random);
+
+    /// Replaces the list of daemons.
+    auto update(std::vector<endpoint> endpoints) -> void;
+    /// Round-trip rank of zones as seen from `from`, nearest first; unnamed
+    /// zones come last.
+    auto set_distances(std::string from, std::vector<std::string> nearest)
+        -> void;
+    /// Returns addresses in the order in which the caller should try them:
+    /// a random order weighted by free load within a zone, near zones first.
+    /// An error (`unavailable`, `not_run`) when no daemon serves.
+    [[nodiscard]] auto answer(std::string_view caller_zone)
+        -> result<endpoint_answer>;
+
+private:
+    struct distance_row {
+        std::string from_;
+        std::vector<std::string> nearest_;
+    };
+    [[nodiscard]] auto rank(std::string_view from, std::string_view zone) const
+        -> std::size_t;
+    [[nodiscard]] auto near_is_overloaded(std::string_view zone) const -> bool;
+
+    discovery_settings settings_;
+    random_source& random_;
+    std::vector<endpoint> endpoints_;
+    std::vector<distance_row> distances_;
+};
+
+/// Phases of a graceful shutdown, in order.
+enum class drain_phase {
+    serving,
+    /// Out of the answers; still accepting from callers with an old answer.
+    withdrawn,
+    /// Owned shards are being handed over; still accepting.
+    handing_over,
+    /// New requests are refused as not run; requests in progress go on.
+    finishing,
+    /// The process may exit.
+    ended,
+};
+
+/// Names of phases, for status and logs.
+inline constexpr auto drain_phase_names =
+    name_table<drain_phase, 5>{{{{drain_phase::serving, "serving"},
+                                 {drain_phase::withdrawn, "withdrawn"},
+                                 {drain_phase::handing_over, "handing_over"},
+                                 {drain_phase::finishing, "finishing"},
+                                 {drain_phase::ended, "ended"}}}};
+
+/// Periods of a graceful shutdown.
+struct drain_settings {
+    /// Must be at least the time to live of the endpoint answers.
+    duration time_to_live_ = seconds{5};
+    /// Added for answers on their way and for members that lag.
+    duration margin_ = seconds{2};
+    /// A hand-over without an end (log outage) is given up after this time;
+    /// the successors then wait for the leases.
+    duration hand_over_timeout_ = seconds{10};
+};
+
+/// What the daemon has in hand.
+struct drain_load {
+    std::size_t requests_in_progress_ = 0;
+    bool owns_shards_ = false;
+};
+
+/// One order to the daemon, given once each.
+enum class drain_action {
+    /// Tell peers and stop naming itself in endpoint answers.
+    withdraw,
+    /// Release shards and order queues.
+    hand_over,
+    /// Refuse new requests as not run with a retry hint; close idle
+    /// connections.
+    stop_accepting,
+    /// Exit.
+    end,
+};
+
+/// Names of drain actions, for logs.
+inline constexpr auto drain_action_names = name_table<drain_action, 4>{
+    {{{drain_action::withdraw, "withdraw"},
+      {drain_action::hand_over, "hand_over"},
+      {drain_action::stop_accepting, "stop_accepting"},
+      {drain_action::end, "end"}}}};
+
+/// State machine of a graceful shutdown. A request in progress is never cut,
+/// however often a stop is requested.
+class drain_controller {
+public:
+    explicit drain_controller(drain_settings settings);
+
+    /// A stop was requested (SIGTERM). Further requests change nothing.
+    auto request_stop(time_point now) -> void;
+    /// Advances and returns the actions that became due, in order.
+    [[nodiscard]] auto tick(const drain_load& load, time_point now)
+        -> std::vector<drain_action>;
+    [[nodiscard]] auto phase() const -> drain_phase { return phase_; }
+    /// True while new requests of callers are accepted.
+    [[nodiscard]] auto accepting() const -> bool {
+        return phase_ < drain_phase::finishing;
+    }
+    [[nodiscard]] auto stop_requests() const -> std::uint32_t {
+        return stop_requests_;
+    }
+
+private:
+    auto enter(drain_phase phase, time_point now) -> void;
+    [[nodiscard]] auto may_advance(const drain_load& load, time_point now) const
+        -> bool;
+
+    drain_settings settings_;
+    drain_phase phase_ = drain_phase::serving;
+    time_point since_{};
+    std::uint32_t stop_requests_ = 0;
+};
+
+} // namespace basilstream::coordination
