--- /dev/null
+++ b/basilstream/coordination/placement/explain.cpp
@@ -0,0 +1,41 @@
+#include <array>
+#include <cstdio>
+
+#include "basilstream/coordination/placement/placement.hpp"
+
+namespace basilstream::coordination {
+namespace {
+
+auto weighed(double gain, double cost) -> std::string {
+    auto text = std::array<char, 96>{};
+    std::snprintf(text.data(), text.size(),
+                  "expected gain %.1f requests, price %.1f", gain, cost);
+    return text.data();
+}
+
+} // namespace
+
+auto explain(const placement_step& step) -> std::string {
+    const auto& resident = step.resident_;
+    auto line = std::string{placement_action_names.name_of(step.action_)};
+    line += " " + resident.model_;
+    if (!resident.adapter_.empty()) {
+        line += " adapter " + resident.adapter_;
+    }
+    line +=
+        " version " + resident.version_ + " on " + resident.runner_ + " for ";
+    line += placement_reason_names.name_of(step.reason_);
+    return line + ": " + weighed(step.gain_, step.cost_);
+}
+
+auto explain(const placement_rejection& rejection) -> std::string {
+    auto line = "not loaded: " + rejection.model_;
+    if (!rejection.runner_.empty()) {
+        line += " on " + rejection.runner_;
+    }
+    line += " for ";
+    line += rejection_reason_names.name_of(rejection.reason_);
+    return line + ": " + weighed(rejection.gain_, rejection.cost_);
+}
+
+} // namespace basilstream::coordination
