--- a/testing/engine/engine.hpp
+++ b/testing/engine/engine.hpp
@@ -238,12 +238,18 @@
 
     auto set_leaving(bool leaving) -> void { leaving_ = leaving; }
     auto set_report_lag(duration lag) -> void { settings_.report_lag_ = lag; }
+    auto set_checks_fencing(bool checks) -> void {
+        settings_.checks_fencing_ = checks;
+    }
     /// Makes every later batch step `factor` times as long.
     auto set_slowdown(double factor) -> void { slowdown_ = factor; }
 
     [[nodiscard]] auto settings() const -> const engine_settings& {
         return settings_;
     }
+    [[nodiscard]] auto highest_fencing() const -> std::uint64_t {
+        return highest_fencing_;
+    }
     [[nodiscard]] auto books() const -> const engine_books& { return books_; }
 
 private:
--- a/testing/program/program.cpp
+++ b/testing/program/program.cpp
@@ -44,11 +44,10 @@
     constexpr auto first_value = 256;
     auto table = std::vector<::option>{};
     for (const auto& entry : options) {
-        table.push_back({entry.name_.c_str(),
-                         entry.value_name_.empty() ? no_argument
-                                                   : required_argument,
-                         nullptr,
-                         first_value + static_cast<int>(table.size())});
+        table.push_back(
+            {entry.name_.c_str(),
+             entry.value_name_.empty() ? no_argument : required_argument,
+             nullptr, first_value + static_cast<int>(table.size())});
     }
     table.push_back({"help", no_argument, nullptr, 'h'});
     table.push_back({nullptr, 0, nullptr, 0});
@@ -105,8 +104,7 @@
             }};
 }
 
-auto switch_option(std::string name, std::string help, bool& target)
-    -> option {
+auto switch_option(std::string name, std::string help, bool& target) -> option {
     return {std::move(name), "", std::move(help),
             [&target](const std::string&) {
                 target = true;
@@ -136,6 +134,11 @@
     respond_json(reply, status, {{"error", code}, {"detail", detail}});
 }
 
+auto drop_answer(transport::http_exchange& reply) -> void {
+    reply.start(200, {});
+    reply.abort();
+}
+
 stand_in::stand_in(const std::string& name) : thread_{name, ring_capacity} {}
 
 stand_in::~stand_in() {
@@ -145,8 +148,7 @@
 
 auto stand_in::route(std::string method, std::string path,
                      route_handler handler) -> void {
-    routes_.push_back(
-        {std::move(method), std::move(path), std::move(handler)});
+    routes_.push_back({std::move(method), std::move(path), std::move(handler)});
 }
 
 auto stand_in::open(const std::string& address, std::uint16_t port) -> bool {
@@ -158,8 +160,8 @@
     auto opened = transport::http_server::open(
         options, [this](transport::http_request request,
                         const transport::http_exchange_ptr& reply) {
-            const auto posted = thread_.post(
-                [this, request = std::move(request), reply] {
+            const auto posted =
+                thread_.post([this, request = std::move(request), reply] {
                     handle(request, reply);
                 });
             if (!posted) {
--- a/testing/program/program.hpp
+++ b/testing/program/program.hpp
@@ -4,7 +4,8 @@
 ///     auto port = std::uint16_t{0};
 ///     const auto options = std::vector{
 ///         number_option("port", "N", "port; 0 picks one", port)};
-///     if (const auto status = parse_options(argc, argv, "A thing.", options)) {
+///     if (const auto status = parse_options(argc, argv, "A thing.", options))
+///     {
 ///         return *status;
 ///     }
 #pragma once
@@ -72,6 +73,9 @@
 auto respond_error(transport::http_exchange& reply, int status,
                    std::string_view code, std::string_view detail = {}) -> void;
 
+/// Loses the answer: breaks the connection with no whole answer on it.
+auto drop_answer(transport::http_exchange& reply) -> void;
+
 /// Handles a request on the stand-in's thread. It may throw
 /// `nlohmann::json::exception`, which answers 400.
 using route_handler = std::function<void(const transport::http_request&,
