--- a/basilstream/transport/http_client/http_client.cpp
+++ b/basilstream/transport/http_client/http_client.cpp
@@ -100,6 +100,11 @@
     return size * count;
 }
 
+auto refuse_socket(void* /*context*/, curlsocktype /*purpose*/,
+                   curl_sockaddr* /*address*/) -> curl_socket_t {
+    return CURL_SOCKET_BAD;
+}
+
 // Collects a whole answer.
 class collecting_sink final : public http_sink {
 public:
@@ -291,6 +296,7 @@
         open->sink_ = std::move(sink);
         open->easy_ = curl_easy_init();
         set_options(*open);
+        open->sink_->on_start(id);
         auto* easy = open->easy_;
         open_.emplace(id, std::move(open));
         curl_multi_add_handle(multi_, easy);
@@ -314,6 +320,11 @@
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &open);
         if (call.fresh_connection_) {
             curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
+                             call.keep_connection_ ? 0L : 1L);
+        }
+        if (call.reuse_only_) {
+            curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &refuse_socket);
             curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
         }
         for (const auto& [name, value] : call.headers_) {
--- a/basilstream/transport/http_client/http_client.hpp
+++ b/basilstream/transport/http_client/http_client.hpp
@@ -34,6 +34,12 @@
     /// when a reused connection turns out to be dead; a request that may not
     /// be repeated must therefore never use an old connection.
     bool fresh_connection_ = false;
+    /// Leaves the connection for `reuse_only_` calls instead of closing it.
+    /// Only with `fresh_connection_`.
+    bool keep_connection_ = false;
+    /// Uses a connection that is open already, or fails as not run; closes it
+    /// afterwards.
+    bool reuse_only_ = false;
     /// Step named in errors.
     step step_ = step::runner;
     /// Largest answer that `fetch` collects, in bytes.
@@ -54,6 +60,8 @@
     std::optional<error> error_;
 };
 
+using call_id = std::uint64_t;
+
 /// Receives a streamed answer on the client's thread. Must not block.
 class http_sink {
 public:
@@ -62,6 +70,8 @@
     auto operator=(const http_sink&) -> http_sink& = delete;
     virtual ~http_sink() = default;
 
+    /// The call is about to begin under this id, for `resume` and `cancel`.
+    virtual auto on_start(call_id /*call*/) -> void {}
     /// Status line and headers have arrived.
     virtual auto on_response(int status,
                              const std::map<std::string, std::string>& headers)
@@ -73,8 +83,6 @@
     virtual auto on_end(const call_end& end) -> void = 0;
 };
 
-using call_id = std::uint64_t;
-
 /// The client. All members are safe to call from any thread.
 class http_client {
 public:
--- a/basilstream/transport/http_client/http_client_test.cpp
+++ b/basilstream/transport/http_client/http_client_test.cpp
@@ -48,6 +48,27 @@
     EXPECT_EQ(reply.error().peer_, "127.0.0.1:1");
 }
 
+TEST(http_client, reuse_only_call_takes_the_kept_connection_and_no_other) {
+    auto peers = std::vector<std::string>{};
+    const auto server =
+        open_server([&](http_request request, http_exchange_ptr reply) {
+            peers.push_back(request.peer_);
+            reply->respond(200, {}, "");
+        });
+    auto client = http_client{"test"};
+    auto reuse = http_call{.url_ = url_of(*server, "/"), .reuse_only_ = true};
+    const auto unconnected = client.fetch_wait(reuse);
+    ASSERT_FALSE(unconnected);
+    EXPECT_EQ(unconnected.error().run_, run_status::not_run);
+    ASSERT_TRUE(client.fetch_wait({.url_ = url_of(*server, "/"),
+                                   .fresh_connection_ = true,
+                                   .keep_connection_ = true}));
+    ASSERT_TRUE(client.fetch_wait(reuse));
+    EXPECT_FALSE(client.fetch_wait(reuse));
+    ASSERT_EQ(peers.size(), 2U);
+    EXPECT_EQ(peers.front(), peers.back());
+}
+
 TEST(http_client, unanswered_request_has_unknown_outcome) {
     auto held = http_exchange_ptr{};
     const auto server = open_server([&](http_request, http_exchange_ptr reply) {
--- /dev/null
+++ b/basilstream/transport/peer_link/peer_link.cpp
@@ -0,0 +1,239 @@
+#include "basilstream/transport/peer_link/peer_link.hpp"
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <optional>
+#include <thread>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <zmq.hpp>
+
+#include "basilstream/transport/bounded_ring/bounded_ring.hpp"
+
+namespace basilstream::transport {
+namespace {
+
+// Messages received in one turn before the outgoing ring is served again.
+constexpr auto receive_batch = 256;
+constexpr auto poll_timeout = milliseconds{500};
+
+struct outgoing {
+    std::string address_;
+    std::string bytes_;
+};
+
+class zeromq_link final : public peer_link {
+public:
+    zeromq_link(const peer_link_options& options, peer_handler handler)
+        : options_{options}, handler_{std::move(handler)},
+          ring_{options.ring_capacity_}, context_{1},
+          router_{context_, zmq::socket_type::router},
+          wake_{::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)} {}
+
+    ~zeromq_link() override {
+        stopping_.store(true);
+        wake();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+        ::close(wake_);
+    }
+
+    auto bind() -> result<void> {
+        set_options(router_);
+        router_.set(zmq::sockopt::maxmsgsize,
+                    static_cast<std::int64_t>(options_.max_message_bytes_));
+        router_.set(zmq::sockopt::rcvhwm, options_.peer_queue_);
+        const auto wanted =
+            "tcp://" + options_.address_ + ":" +
+            (options_.port_ == 0 ? "*" : std::to_string(options_.port_));
+        try {
+            router_.bind(wanted);
+        } catch (const zmq::error_t& failure) {
+            return tl::unexpected(
+                error{error_code::unavailable, step::peer, wanted,
+                      std::string{"cannot bind: "} + failure.what()});
+        }
+        constexpr auto scheme = std::string_view{"tcp://"};
+        address_ =
+            router_.get(zmq::sockopt::last_endpoint).substr(scheme.size());
+        thread_ = std::thread{[this] {
+            run();
+        }};
+        return {};
+    }
+
+    [[nodiscard]] auto address() const -> const std::string& override {
+        return address_;
+    }
+
+    auto send(std::string address, std::string bytes) -> bool override {
+        if (!ring_.try_push({std::move(address), std::move(bytes)})) {
+            dropped_.fetch_add(1);
+            return false;
+        }
+        wake();
+        return true;
+    }
+
+    [[nodiscard]] auto statistics() const -> peer_link_statistics override {
+        return {messages_sent_.load(), bytes_sent_.load(),
+                messages_received_.load(), bytes_received_.load(),
+                dropped_.load()};
+    }
+
+private:
+    struct connection {
+        zmq::socket_t socket_;
+        time_point used_;
+    };
+
+    auto set_options(zmq::socket_t& socket) const -> void {
+        const auto timeout =
+            static_cast<int>(options_.heartbeat_timeout_.count());
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::heartbeat_ivl, timeout);
+        socket.set(zmq::sockopt::heartbeat_timeout, timeout);
+        socket.set(zmq::sockopt::heartbeat_ttl, 2 * timeout);
+    }
+
+    auto wake() -> void {
+        if (!signalled_.exchange(true)) {
+            const auto one = std::uint64_t{1};
+            [[maybe_unused]] const auto written =
+                ::write(wake_, &one, sizeof one);
+        }
+    }
+
+    auto run() -> void {
+        ::pthread_setname_np(::pthread_self(), "peers");
+        while (!stopping_.load()) {
+            auto items =
+                std::array{zmq::pollitem_t{router_.handle(), 0, ZMQ_POLLIN, 0},
+                           zmq::pollitem_t{nullptr, wake_, ZMQ_POLLIN, 0}};
+            zmq::poll(items, poll_timeout);
+            clear_wake();
+            send_waiting();
+            receive();
+            close_idle();
+        }
+        connections_.clear();
+    }
+
+    auto clear_wake() -> void {
+        auto count = std::uint64_t{0};
+        [[maybe_unused]] const auto bytes = ::read(wake_, &count, sizeof count);
+        signalled_.store(false);
+    }
+
+    auto send_waiting() -> void {
+        ring_.drain([this](outgoing&& message) { transmit(message); });
+    }
+
+    auto transmit(const outgoing& message) -> void {
+        auto& peer = connect(message.address_);
+        peer.used_ = clock_.now();
+        // The first frame is the sender's address: a connection does not show
+        // under which address its other end listens.
+        const auto sent = peer.socket_.send(zmq::buffer(address_),
+                                            zmq::send_flags::sndmore |
+                                                zmq::send_flags::dontwait);
+        if (!sent) {
+            dropped_.fetch_add(1);
+            return;
+        }
+        static_cast<void>(peer.socket_.send(zmq::buffer(message.bytes_),
+                                            zmq::send_flags::dontwait));
+        messages_sent_.fetch_add(1);
+        bytes_sent_.fetch_add(address_.size() + message.bytes_.size());
+    }
+
+    auto connect(const std::string& address) -> connection& {
+        const auto found = connections_.find(address);
+        if (found != connections_.end()) {
+            return found->second;
+        }
+        auto socket = zmq::socket_t{context_, zmq::socket_type::dealer};
+        set_options(socket);
+        socket.set(zmq::sockopt::sndhwm, options_.peer_queue_);
+        socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
+        try {
+            socket.connect("tcp://" + address);
+        } catch (const zmq::error_t&) {
+            // A malformed address: what is sent to it is dropped.
+            dropped_.fetch_add(1);
+        }
+        return connections_
+            .emplace(address, connection{std::move(socket), clock_.now()})
+            .first->second;
+    }
+
+    auto receive() -> void {
+        for (auto count = 0; count < receive_batch; ++count) {
+            auto frames = std::array<zmq::message_t, 3>{};
+            auto used = std::size_t{0};
+            auto more = true;
+            while (more) {
+                auto frame = zmq::message_t{};
+                if (!router_.recv(frame, zmq::recv_flags::dontwait)) {
+                    return;
+                }
+                more = frame.more();
+                if (used < frames.size()) {
+                    frames.at(used) = std::move(frame);
+                }
+                ++used;
+            }
+            if (used == frames.size()) {
+                deliver(frames.at(1), frames.at(2));
+            }
+        }
+    }
+
+    auto deliver(const zmq::message_t& from, const zmq::message_t& bytes)
+        -> void {
+        messages_received_.fetch_add(1);
+        bytes_received_.fetch_add(from.size() + bytes.size());
+        handler_(from.to_string(), bytes.to_string());
+    }
+
+    auto close_idle() -> void {
+        const auto oldest = clock_.now() - options_.idle_timeout_;
+        std::erase_if(connections_, [oldest](const auto& entry) {
+            return entry.second.used_ < oldest;
+        });
+    }
+
+    peer_link_options options_;
+    peer_handler handler_;
+    bounded_ring<outgoing> ring_;
+    steady_clock clock_;
+    zmq::context_t context_;
+    zmq::socket_t router_;
+    int wake_;
+    std::string address_;
+    std::map<std::string, connection> connections_;
+    std::atomic<bool> signalled_{false};
+    std::atomic<bool> stopping_{false};
+    std::atomic<std::uint64_t> messages_sent_{0};
+    std::atomic<std::uint64_t> bytes_sent_{0};
+    std::atomic<std::uint64_t> messages_received_{0};
+    std::atomic<std::uint64_t> bytes_received_{0};
+    std::atomic<std::uint64_t> dropped_{0};
+    std::thread thread_;
+};
+
+} // namespace
+
+auto peer_link::open(const peer_link_options& options, peer_handler handler)
+    -> result<std::unique_ptr<peer_link>> {
+    auto link = std::make_unique<zeromq_link>(options, std::move(handler));
+    if (auto bound = link->bind(); !bound) {
+        return tl::unexpected(bound.error());
+    }
+    return link;
+}
+
+} // namespace basilstream::transport
