--- /dev/null
+++ b/basilstream/daemon/completions/answer_stream.cpp
@@ -0,0 +1,175 @@
+#include "basilstream/daemon/completions/answer_stream.hpp"
+
+#include <cstdlib>
+
+namespace basilstream::daemon {
+namespace {
+
+using coordination::piece_verdict;
+
+constexpr auto status_ok = 200;
+// Text of a runner's error that is kept for logs.
+constexpr auto max_error_text = std::size_t{512};
+
+} // namespace
+
+answer_stream::answer_stream(protocol::answer_identity identity, bool stream,
+                             transport::http_exchange_ptr caller)
+    : checker_{{}, identity.request_id_}, identity_{std::move(identity)},
+      caller_{std::move(caller)}, writer_{identity_}, stream_{stream} {}
+
+auto answer_stream::deliver(std::string_view escaped_text) -> void {
+    if (stream_) {
+        writer_.append_token(pending_, escaped_text);
+    } else {
+        whole_text_.append(escaped_text);
+    }
+}
+
+auto answer_stream::flush() -> bool {
+    if (pending_.empty()) {
+        return true;
+    }
+    if (!started_) {
+        started_ = true;
+        caller_->start(status_ok, {{"Content-Type", "text/event-stream"},
+                                   {"Cache-Control", "no-store"},
+                                   {"X-Request-Id", identity_.request_id_}});
+    }
+    const auto state = caller_->write(pending_);
+    checker_.on_drained(checker_.buffered_bytes());
+    pending_.clear();
+    return state != transport::write_state::full;
+}
+
+auto answer_stream::finish(std::string_view reason) -> void {
+    if (stream_) {
+        writer_.append_finish(pending_, reason);
+        flush();
+        caller_->finish();
+        return;
+    }
+    caller_->respond(status_ok,
+                     {{"Content-Type", "application/json"},
+                      {"X-Request-Id", identity_.request_id_}},
+                     protocol::whole_answer(identity_, whole_text_, reason,
+                                            checker_.next_position()));
+}
+
+auto answer_stream::fail(const error& failure) -> void {
+    if (started_) {
+        caller_->write(protocol::stream_error(failure, identity_.request_id_));
+        caller_->abort();
+        return;
+    }
+    auto headers =
+        transport::header_list{{"Content-Type", "application/json"},
+                               {"X-Request-Id", identity_.request_id_}};
+    if (auto wait = protocol::retry_after_header(failure); !wait.empty()) {
+        headers.emplace_back("Retry-After", std::move(wait));
+    }
+    caller_->respond(http_status(failure.code_), std::move(headers),
+                     protocol::error_body(failure, identity_.request_id_));
+}
+
+attempt_sink::attempt_sink(std::shared_ptr<answer_stream> answer,
+                           const clock& time,
+                           std::function<void(attempt_end)> done)
+    : answer_{std::move(answer)}, clock_{time}, done_{std::move(done)},
+      began_{time.now()} {}
+
+auto attempt_sink::on_start(transport::call_id call) -> void {
+    answer_->call_.store(call);
+}
+
+auto attempt_sink::on_response(
+    int status, const std::map<std::string, std::string>& headers) -> void {
+    end_.status_ = status;
+    if (const auto found = headers.find("retry-after");
+        found != headers.end()) {
+        end_.retry_after_ =
+            seconds{std::strtol(found->second.c_str(), nullptr, 10)};
+    }
+}
+
+auto attempt_sink::on_data(std::string_view data) -> bool {
+    answer_->progress_.fetch_add(1, std::memory_order_relaxed);
+    if (end_.status_ != status_ok) {
+        if (end_.error_text_.size() < max_error_text) {
+            end_.error_text_.append(data);
+        }
+        return true;
+    }
+    if (end_.crossed_) {
+        return true;
+    }
+    const auto readable =
+        reader_.feed(data, [this](const protocol::engine_event& event) {
+            return on_event(event);
+        });
+    if (!readable) {
+        end_.crossed_ = !end_.finished_;
+    }
+    const auto keep_reading = answer_->flush();
+    answer_->held_back_.store(!keep_reading);
+    return keep_reading;
+}
+
+auto attempt_sink::on_event(const protocol::engine_event& event) -> bool {
+    const auto id = coordination::parse_piece_id(event.id_);
+    if (!id) {
+        return false;
+    }
+    if (event.finish_.empty()) {
+        return on_token(*id, event);
+    }
+    if (event.finish_ == "cancelled") {
+        return true;
+    }
+    if (answer_->checker_.on_finish(*id) == piece_verdict::finished) {
+        end_.finished_ = true;
+        finish_reason_ = event.finish_;
+    }
+    return true;
+}
+
+auto attempt_sink::on_token(const coordination::piece_id& id,
+                            const protocol::engine_event& event) -> bool {
+    switch (answer_->checker_.on_piece(id, event.escaped_text_.size())) {
+    case piece_verdict::deliver:
+        note_token();
+        answer_->deliver(event.escaped_text_);
+        return true;
+    case piece_verdict::finished:
+    case piece_verdict::late:
+    case piece_verdict::doubled:
+        return true;
+    case piece_verdict::crossed:
+    case piece_verdict::missing:
+    case piece_verdict::overflow:
+        return false;
+    }
+    return false;
+}
+
+auto attempt_sink::note_token() -> void {
+    last_ = clock_.now();
+    if (end_.tokens_++ == 0) {
+        first_ = last_;
+        end_.first_token_ = first_ - began_;
+    }
+}
+
+auto attempt_sink::on_end(const transport::call_end& end) -> void {
+    end_.broken_ = end.error_;
+    if (end_.tokens_ > 1) {
+        end_.token_interval_ = (last_ - first_) / (end_.tokens_ - 1);
+    }
+    answer_->checker_.on_attempt_end(answer_->checker_.attempt());
+    if (end_.finished_) {
+        answer_->finish(finish_reason_);
+    }
+    done_(std::move(end_));
+}
+
+} // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/daemon/completions/completions.hpp
@@ -0,0 +1,132 @@
+/// Completions from admission to the last token: routes, dispatches, retries,
+/// resumes, and ends each request with its whole answer or one typed error.
+///
+///     auto service = completions{context, settings, policy, fleet};
+///     service.submit(std::move(request));      // control thread
+///     service.tick();
+///
+/// Control thread only, unless stated otherwise.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "basilstream/coordination/admission/admission.hpp"
+#include "basilstream/coordination/liveness/liveness.hpp"
+#include "basilstream/coordination/quarantine/quarantine.hpp"
+#include "basilstream/coordination/retries/retries.hpp"
+#include "basilstream/coordination/routing/routing.hpp"
+#include "basilstream/daemon/completions/answer_stream.hpp"
+#include "basilstream/daemon/context/context.hpp"
+#include "basilstream/daemon/settings/settings.hpp"
+#include "basilstream/daemon/telemetry/telemetry.hpp"
+
+namespace basilstream::daemon {
+
+/// The decision modules that completions share with other parts.
+struct traffic_policy {
+    coordination::router& router_;
+    coordination::admission& admission_;
+    coordination::retry_policy& retries_;
+    coordination::quarantine& quarantine_;
+};
+
+/// What completions need to know of runners; `fleet` in the daemon.
+class runner_directory {
+public:
+    runner_directory() = default;
+    runner_directory(const runner_directory&) = delete;
+    auto operator=(const runner_directory&) -> runner_directory& = delete;
+    virtual ~runner_directory() = default;
+
+    /// Returns the first of `versions` that is ready on some runner, or the
+    /// first of all.
+    [[nodiscard]] virtual auto
+    serving_version(const std::string& model,
+                    const std::vector<std::string>& versions) const
+        -> std::string = 0;
+    /// Finds out whether the boot `boot_id` of a runner has ended, and calls
+    /// `done` on the control thread, after the quarantine has been told.
+    virtual auto check_crash(const std::string& runner,
+                             const std::string& boot_id,
+                             std::function<void(bool crashed)> done)
+        -> void = 0;
+};
+
+/// Asks another daemon's quarantine for leave to run a suspected request.
+using isolation_asker = std::function<void(
+    const coordination::fingerprint_run& run,
+    std::function<void(std::optional<error> refused)> answer)>;
+
+/// A checked and authenticated request.
+struct completion_request {
+    std::string request_id_;
+    std::string organisation_;
+    protocol::completion_call call_;
+    std::vector<std::string> versions_;
+    int priority_ = 0;
+    time_point arrived_;
+    /// Time for the whole answer, from arrival.
+    milliseconds deadline_{};
+    transport::http_exchange_ptr caller_;
+    std::int64_t unix_time_ = 0;
+    span span_;
+};
+
+/// The service.
+class completions {
+public:
+    completions(const context& base, const request_settings& settings,
+                traffic_policy policy, runner_directory& runners,
+                isolation_asker ask_isolation, telemetry& measured);
+    ~completions();
+
+    /// Takes a request over; its caller is answered in any case.
+    auto submit(completion_request request) -> void;
+    /// Advances queues, delays and deadlines; call every few milliseconds.
+    auto tick() -> void;
+    /// Requests without their final answer.
+    [[nodiscard]] auto open() const -> std::size_t { return open_.size(); }
+
+private:
+    struct active;
+    using active_ptr = std::shared_ptr<active>;
+
+    auto enqueue(const active_ptr& request) -> void;
+    auto act_on(coordination::admission_event event) -> void;
+    auto prepare_dispatch(const active_ptr& request, coordination::route chosen)
+        -> void;
+    auto dispatch(const active_ptr& request) -> void;
+    auto on_attempt_end(const active_ptr& request, attempt_end end) -> void;
+    auto settle_attempt(const active_ptr& request, const attempt_end& end,
+                        coordination::attempt_outcome outcome) -> void;
+    auto on_failed_attempt(const active_ptr& request, const attempt_end& end)
+        -> void;
+    auto retry_or_fail(const active_ptr& request, error failure) -> void;
+    auto fail(const active_ptr& request, error failure) -> void;
+    auto finish(const active_ptr& request) -> void;
+    auto on_caller_left(const active_ptr& request) -> void;
+    auto cancel_at_runner(const active_ptr& request) -> void;
+    auto check_silence() -> void;
+    auto check_deadlines() -> void;
+    auto start_due_retries() -> void;
+    static auto error_of(const active_ptr& request, const attempt_end& end)
+        -> error;
+
+    context base_;
+    request_settings settings_;
+    traffic_policy policy_;
+    runner_directory& runners_;
+    isolation_asker ask_isolation_;
+    telemetry& measured_;
+    coordination::connection_monitor monitor_;
+    std::unordered_map<std::string, active_ptr> open_;
+    std::multimap<time_point, active_ptr> delayed_;
+    time_point next_check_;
+};
+
+} // namespace basilstream::daemon
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -6,7 +6,7 @@
     libace-dev libzmq3-dev cppzmq-dev libprotobuf-dev libboost-dev
     libspdlog-dev libexpected-dev librapidcheck-dev libcurl4-openssl-dev
     libmicrohttpd-dev nlohmann-json3-dev libvalijson-dev libxxhash-dev libssl-dev
-    libopentracing-dev libgtest-dev libbenchmark-dev
+    libgtest-dev libbenchmark-dev
 )
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
     exit 0
