--- a/basilstream/state/machine/machine.hpp
+++ b/basilstream/state/machine/machine.hpp
@@ -129,6 +129,7 @@
 
     /// Returns the entry of `key`, or null.
     [[nodiscard]] auto find(const resident_key& key) const -> const resident*;
+    [[nodiscard]] auto find(const resident_key& key) -> resident*;
     /// Returns the bytes that a new load may take.
     [[nodiscard]] auto free_bytes() const -> std::uint64_t;
 };
@@ -181,8 +182,8 @@
     explicit machine(machine_guards guards = {},
                      log_offset window = duplicate_window);
 
-    /// Applies the record at `offset`, which must be next_offset() or, after
-    /// records the log no longer gives, above it. Never throws on any record.
+    /// Applies the record at `offset`, which must be next_offset(). Never
+    /// throws on any record.
     auto apply(log_offset offset, const envelope& entry) -> apply_outcome;
 
     /// Skips an offset whose payload could not be decoded.
