--- a/basilstream/coordination/log_client/appender.hpp
+++ b/basilstream/coordination/log_client/appender.hpp
@@ -68,13 +68,36 @@
     std::vector<state::envelope> records_;
 };
 
-/// Final fate of a submitted record, as read back from the log.
+/// What became of a submitted record.
+enum class append_fate {
+    /// Read back and judged.
+    judged,
+    /// It never took effect and never will.
+    never,
+    /// It may lie among records that this daemon skipped when it started over
+    /// from a snapshot. The state says what holds now.
+    unseen,
+};
+
+/// Names of fates.
+inline constexpr auto append_fate_names =
+    name_table<append_fate, 3>{{{{append_fate::judged, "judged"},
+                                 {append_fate::never, "never"},
+                                 {append_fate::unseen, "unseen"}}}};
+
+/// Final fate of a submitted record.
 struct append_resolution {
     state::record_id id_;
     append_purpose purpose_ = append_purpose::orders;
-    /// Nothing when it never took effect and never will.
+    append_fate fate_ = append_fate::judged;
+    /// Set when judged.
     std::optional<state::log_offset> offset_;
     state::apply_outcome outcome_;
+
+    /// Returns whether the record was read back and found valid.
+    [[nodiscard]] auto accepted() const -> bool {
+        return fate_ == append_fate::judged && outcome_.valid();
+    }
 };
 
 /// Token bucket on injected time.
@@ -129,8 +152,8 @@
     /// queues again what an accepted call did not leave in the log.
     auto on_position(state::log_offset next) -> void;
 
-    /// The reader starts over: what was accepted may lie in records that it
-    /// will not see, so everything unresolved is queued again.
+    /// The reader starts over from a snapshot and skips records: what was
+    /// sent may lie among them, so it is queued again.
     auto on_restart() -> void;
 
     /// Returns the fates that became known since the last call.
@@ -154,13 +177,15 @@
         state::envelope envelope_;
         std::size_t bytes_ = 0;
         bool queued_ = true;
+        // Whether records were skipped since it was first sent.
+        bool maybe_skipped_ = false;
         std::optional<state::log_offset> landed_;
     };
 
     auto gather(append_purpose purpose, time_point now, append_batch& batch,
                 std::size_t& bytes) -> void;
     auto requeue(const std::vector<state::record_id>& ids) -> void;
-    auto resolve(const state::record_id& id,
+    auto resolve(const state::record_id& id, append_fate fate,
                  std::optional<state::log_offset> offset,
                  state::apply_outcome outcome) -> void;
     auto back_off(std::optional<duration> retry_after, time_point now) -> void;
@@ -183,6 +208,10 @@
     std::uint32_t failures_ = 0;
 };
 
+/// Returns about how many bytes `item` takes on the wire.
+[[nodiscard]] auto estimated_size(const state::snapshot_item& item)
+    -> std::size_t;
+
 /// Returns about how many bytes `body` takes on the wire.
 [[nodiscard]] auto estimated_size(const state::record& body) -> std::size_t;
 
--- a/basilstream/coordination/log_client/replica.hpp
+++ b/basilstream/coordination/log_client/replica.hpp
@@ -96,6 +96,8 @@
     auto add(const state::snapshot_part& part) -> void;
     /// Forgets everything.
     auto clear() -> void;
+    /// Frees the content of the newest whole snapshot; it stays known.
+    auto drop_items() -> void;
 
     /// Returns the offset up to which the newest whole snapshot is complete.
     [[nodiscard]] auto newest() const -> std::optional<state::log_offset>;
@@ -112,6 +114,8 @@
         std::map<std::uint32_t, std::vector<state::snapshot_item>> parts_;
     };
 
+    auto drop_oldest() -> void;
+
     std::map<state::record_id, gathered> open_;
     std::optional<gathered> whole_;
 };
@@ -145,6 +149,14 @@
     /// A call failed or was not answered.
     auto on_failed(std::uint64_t ticket, time_point now) -> void;
 
+    /// Declares this replica's state to be the state at the log's head. Only
+    /// for operators, when every daemon is stranded after an outage longer
+    /// than the retention: the records that no daemon has read are lost. To be
+    /// called on the daemon with the highest position; its snapshot then
+    /// frees the others. Returns whether the replica was stranded with a
+    /// state.
+    auto rebase() -> bool;
+
     /// Returns whether the state is complete up to the end of the log that was
     /// seen at the start. Stays true through outages.
     [[nodiscard]] auto ready() const -> bool { return ready_; }
@@ -169,8 +181,9 @@
 
 private:
     auto take_ticket(std::uint64_t ticket) -> bool;
-    auto scan(const std::vector<log_entry>& entries, log_bounds bounds,
-              time_point now) -> void;
+    auto scan(const std::vector<log_entry>& entries, time_point now) -> void;
+    auto collect(const state::envelope& envelope) -> void;
+    auto settle_phase() -> void;
     auto apply(std::vector<log_entry>& entries) -> std::vector<applied_record>;
     auto finish_scan(time_point now) -> void;
     auto start_over() -> void;
--- a/basilstream/coordination/ownership/ownership.hpp
+++ b/basilstream/coordination/ownership/ownership.hpp
@@ -82,11 +82,14 @@
     auto poll_shard(const std::string& shard, const state::machine& state,
                     time_point now) -> void;
     auto poll_owned(const std::string& shard, shard_watch& watch,
-                    state::epoch epoch, time_point now) -> void;
+                    state::epoch epoch, state::log_offset position,
+                    time_point now) -> void;
     auto poll_foreign(const std::string& shard, shard_watch& watch,
-                      const state::shard_state& seen, time_point now) -> void;
+                      const state::shard_state& seen,
+                      state::log_offset position, time_point now) -> void;
     [[nodiscard]] auto rank(std::string_view shard) const -> std::size_t;
-    auto submit(shard_watch& watch, state::record body) -> void;
+    auto submit(shard_watch& watch, state::record body,
+                state::log_offset position) -> void;
 
     ownership_options options_;
     std::string daemon_;
@@ -95,7 +98,6 @@
     random_source* random_;
     std::vector<std::string> members_;
     std::map<std::string, shard_watch, std::less<>> watches_;
-    state::log_offset position_ = 0;
     bool was_current_ = false;
     bool stopping_ = false;
 };
--- a/basilstream/state/machine/machine.cpp
+++ b/basilstream/state/machine/machine.cpp
@@ -82,6 +82,10 @@
     }
 }
 
+auto machine::rebase(log_offset offset) -> void {
+    next_ = std::max(next_, offset);
+}
+
 auto machine::judge(log_offset offset, const envelope& entry) -> rejection {
     if (entry.written_at_ > offset) {
         return rejection::malformed;
--- a/basilstream/state/machine/machine.hpp
+++ b/basilstream/state/machine/machine.hpp
@@ -189,6 +189,10 @@
     /// Skips an offset whose payload could not be decoded.
     auto skip(log_offset offset) -> void;
 
+    /// Moves the position forward to `offset` although the records between
+    /// were not applied. Only for a log that has lost them everywhere.
+    auto rebase(log_offset offset) -> void;
+
     /// Returns the offset of the first record that was not applied.
     [[nodiscard]] auto next_offset() const -> log_offset { return next_; }
 
