--- /dev/null
+++ b/basilstream/coordination/orders/orders.cpp
@@ -0,0 +1,308 @@
+#include "basilstream/coordination/orders/orders.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilstream::coordination {
+namespace {
+
+auto is_load(state::order_action action) -> bool {
+    return action == state::order_action::load_model ||
+           action == state::order_action::load_adapter;
+}
+
+auto kind_of_load(state::order_action action) -> load_kind {
+    return action == state::order_action::load_model ? load_kind::model
+                                                     : load_kind::adapter;
+}
+
+auto find_finished(const runner_report& report, const state::record_id& id)
+    -> const reported_order* {
+    const auto found =
+        std::find_if(report.finished_.begin(), report.finished_.end(),
+                     [&](const auto& order) { return order.id_ == id; });
+    return found == report.finished_.end() ? nullptr : &*found;
+}
+
+auto find_resident(const runner_report& report, const state::resident_key& key)
+    -> const reported_resident* {
+    const auto found =
+        std::find_if(report.residents_.begin(), report.residents_.end(),
+                     [&](const auto& entry) { return entry.key_ == key; });
+    return found == report.residents_.end() ? nullptr : &*found;
+}
+
+// What the engine holds counts, not what it calls the order's end: a load is
+// done when the resident is ready, an unload when it is no longer there.
+auto result_of(const state::order_intent& intent,
+               const reported_order& finished, const runner_report& report)
+    -> state::order_result {
+    using phase = reported_resident::phase;
+    const auto succeeded = finished.outcome_ == reported_order::outcome::done;
+    if (intent.action_ == state::order_action::set_role) {
+        return succeeded ? state::order_result::done
+                         : state::order_result::failed;
+    }
+    const auto* held = find_resident(report, intent.resident_);
+    const auto load = is_load(intent.action_);
+    if (held == nullptr) {
+        return load ? state::order_result::failed : state::order_result::done;
+    }
+    if (held->phase_ == phase::ready) {
+        return load ? state::order_result::done : state::order_result::failed;
+    }
+    return state::order_result::failed_resident;
+}
+
+} // namespace
+
+order_executor::order_executor(executor_options options, load_permits& permits,
+                               appender& writer)
+    : options_{options}, permits_{&permits}, writer_{&writer} {}
+
+auto order_executor::set_wanted(wanted_placement wanted) -> void {
+    wanted_ = std::move(wanted);
+}
+
+auto order_executor::on_report(runner_sighting sighting) -> void {
+    auto& seen = runners_[sighting.runner_];
+    seen.gone_ = false;
+    const auto& known = seen.sighting_.report_;
+    if (known.boot_id_ == sighting.report_.boot_id_ &&
+        known.sequence_ > sighting.report_.sequence_) {
+        return;
+    }
+    if (seen.sighting_.requested_at_ <= sighting.requested_at_) {
+        seen.sighting_ = std::move(sighting);
+    }
+}
+
+auto order_executor::on_gone(std::string_view runner) -> void {
+    const auto found = runners_.find(runner);
+    if (found != runners_.end()) {
+        found->second.gone_ = true;
+    }
+}
+
+auto order_executor::on_answer(const state::record_id& order,
+                               order_answer answer, time_point now) -> void {
+    const auto found = attempts_.find(order);
+    if (found != attempts_.end() && answer == order_answer::accepted) {
+        // The engine may still lose it, so it is asked again, but rarely.
+        found->second.wait_ = options_.max_resend_;
+        found->second.next_ = now + options_.max_resend_;
+    }
+}
+
+auto order_executor::on_resolution(const append_resolution& resolution)
+    -> void {
+    const auto found = submitted_.find(resolution.id_);
+    if (found != submitted_.end()) {
+        subjects_.erase(found->second);
+        submitted_.erase(found);
+    }
+}
+
+auto order_executor::poll(const state::machine& state,
+                          const std::map<std::string, state::epoch>& held,
+                          bool current, time_point now)
+    -> std::vector<order_command> {
+    auto context = poll_context{state, held, now};
+    blocked_.clear();
+    forget_settled(context);
+    if (current) {
+        for (const auto& [name, seen] : runners_) {
+            poll_runner(context, seen);
+        }
+    }
+    return std::move(context.commands_);
+}
+
+// Drops what concerns orders that are settled or in another daemon's hands.
+auto order_executor::forget_settled(const poll_context& context) -> void {
+    const auto is_ours = [&](const state::record_id& id) {
+        const auto* order = context.state_.find_order(id);
+        return writer_->pending(id) ||
+               (order != nullptr &&
+                context.held_.contains(order->intent_.shard_));
+    };
+    std::erase_if(attempts_,
+                  [&](const auto& entry) { return !is_ours(entry.first); });
+    std::erase_if(permitted_, [&](const auto& entry) {
+        if (is_ours(entry.first)) {
+            return false;
+        }
+        permits_->release(entry.second, context.now_);
+        return true;
+    });
+}
+
+auto order_executor::poll_runner(poll_context& context, const seen_runner& seen)
+    -> void {
+    const auto& sighting = seen.sighting_;
+    const auto shard = context.held_.find(sighting.shard_);
+    if (shard == context.held_.end()) {
+        return;
+    }
+    const auto* runner = context.state_.find_runner(sighting.runner_);
+    if (seen.gone_) {
+        if (runner != nullptr && !runner->gone_) {
+            submit_once(context, "gone/" + runner->name_,
+                        state::runner_gone{sighting.shard_, shard->second,
+                                           runner->name_, runner->boot_id_});
+        }
+        return;
+    }
+    if (runner != nullptr && sighting.requested_at_ <= runner->boot_offset_) {
+        return;
+    }
+    if (runner == nullptr || runner->gone_ ||
+        runner->boot_id_ != sighting.report_.boot_id_) {
+        register_boot(context, sighting, shard->second);
+        return;
+    }
+    const auto owned = owned_runner{*runner, sighting.report_, shard->second};
+    settle_orders(context, owned);
+    adopt_foreign(context, owned);
+    send_orders(context, owned);
+    make_step(context, owned);
+}
+
+auto order_executor::register_boot(const poll_context& context,
+                                   const runner_sighting& sighting,
+                                   state::epoch epoch) -> void {
+    const auto* known = context.state_.find_runner(sighting.runner_);
+    const auto previous = known == nullptr ? std::string{} : known->boot_id_;
+    if (previous == sighting.report_.boot_id_) {
+        block(sighting.runner_, {}, "left for good in this boot; restart it");
+        return;
+    }
+    submit_once(context, "boot/" + sighting.runner_,
+                state::runner_boot{sighting.shard_, epoch, sighting.runner_,
+                                   sighting.address_, sighting.zone_,
+                                   sighting.report_.boot_id_, previous,
+                                   sighting.report_.memory_bytes_});
+}
+
+auto order_executor::settle_orders(const poll_context& context,
+                                   const owned_runner& runner) -> void {
+    for (const auto& id : runner.state_.open_orders_) {
+        const auto* finished = find_finished(runner.report_, id);
+        if (finished == nullptr) {
+            continue;
+        }
+        const auto& intent = context.state_.find_order(id)->intent_;
+        submit_once(
+            context, "outcome/" + to_string(id),
+            state::order_outcome{runner.state_.shard_, runner.epoch_, id,
+                                 result_of(intent, *finished, runner.report_),
+                                 finished->detail_});
+    }
+}
+
+auto order_executor::adopt_foreign(const poll_context& context,
+                                   const owned_runner& runner) -> void {
+    for (const auto& entry : runner.report_.residents_) {
+        if (runner.state_.find(entry.key_) == nullptr) {
+            submit_once(
+                context,
+                "seen/" + runner.state_.name_ + '/' + to_string(entry.key_),
+                state::resident_seen{
+                    runner.state_.shard_, runner.epoch_, runner.state_.name_,
+                    runner.state_.boot_id_, entry.key_, entry.bytes_});
+        }
+    }
+}
+
+auto order_executor::send_orders(poll_context& context,
+                                 const owned_runner& runner) -> void {
+    for (const auto& id : runner.state_.open_orders_) {
+        const auto& intent = context.state_.find_order(id)->intent_;
+        if (find_finished(runner.report_, id) == nullptr &&
+            permit(id, intent, context.now_)) {
+            send(context, id, intent, runner.epoch_);
+        }
+    }
+}
+
+auto order_executor::permit(const state::record_id& id,
+                            const state::order_intent& intent, time_point now)
+    -> bool {
+    if (!is_load(intent.action_) || permitted_.contains(id)) {
+        return true;
+    }
+    const auto kind = kind_of_load(intent.action_);
+    if (!permits_->try_acquire(kind, now)) {
+        return false;
+    }
+    permitted_.emplace(id, kind);
+    return true;
+}
+
+auto order_executor::send(poll_context& context, const state::record_id& id,
+                          const state::order_intent& intent, state::epoch epoch)
+    -> void {
+    auto& attempt = attempts_[id];
+    if (attempt.epoch_ != epoch) {
+        attempt = {context.now_, options_.resend_after_, epoch};
+    }
+    if (context.now_ < attempt.next_) {
+        return;
+    }
+    attempt.next_ = context.now_ + attempt.wait_;
+    attempt.wait_ = std::min(attempt.wait_ * 2, options_.max_resend_);
+    const auto* runner = context.state_.find_runner(intent.runner_);
+    context.commands_.push_back({id, epoch, intent.shard_, intent.runner_,
+                                 runner->address_, intent.boot_id_,
+                                 intent.action_, intent.resident_,
+                                 intent.bytes_, intent.role_});
+}
+
+auto order_executor::submit_once(const poll_context& context,
+                                 std::string subject, state::record body)
+    -> std::optional<state::record_id> {
+    if (subjects_.contains(subject)) {
+        return std::nullopt;
+    }
+    const auto id = writer_->submit(append_purpose::orders, std::move(body),
+                                    context.state_.next_offset());
+    if (!id) {
+        return std::nullopt;
+    }
+    subjects_.emplace(subject, *id);
+    submitted_.emplace(*id, std::move(subject));
+    return *id;
+}
+
+auto order_executor::submit_intent(poll_context& context,
+                                   const state::order_intent& intent) -> bool {
+    const auto kind = kind_of_load(intent.action_);
+    const auto load = is_load(intent.action_);
+    const auto subject = "intent/" + intent.runner_;
+    if (subjects_.contains(subject) ||
+        (load && !permits_->try_acquire(kind, context.now_))) {
+        return false;
+    }
+    const auto id = submit_once(context, subject, intent);
+    if (!id) {
+        if (load) {
+            permits_->release(kind, context.now_);
+        }
+        return false;
+    }
+    if (load) {
+        permitted_.emplace(*id, kind);
+    }
+    if (!options_.gate_.after_read_back_) {
+        send(context, *id, intent, intent.epoch_);
+    }
+    return true;
+}
+
+auto order_executor::block(std::string_view runner,
+                           const state::resident_key& key, std::string reason)
+    -> void {
+    blocked_.push_back({std::string{runner}, key, std::move(reason)});
+}
+
+} // namespace basilstream::coordination
--- a/basilstream/coordination/orders/orders.hpp
+++ b/basilstream/coordination/orders/orders.hpp
@@ -4,7 +4,7 @@
 ///
 ///     auto executor = order_executor{{}, permits, writer};
 ///     executor.set_wanted("r1", {{{"org/model", "", "v1"}, bytes}});
-///     executor.on_report("r1", "10.0.0.1:80", "muc-a", "muc", report, now);
+///     executor.on_report({"r1", "10.0.0.1:80", "muc-a", "muc", at, report});
 ///     for (auto& command : executor.poll(state, held, now)) { send(command); }
 #pragma once
 
@@ -21,6 +21,9 @@
 
 namespace basilstream::coordination {
 
+/// What a load fetches from the weight store.
+enum class load_kind { model, adapter };
+
 /// Limits of the weight store: loads a second and loads at once, over the
 /// whole deployment. Implementations are called from one thread.
 class load_permits {
@@ -32,9 +35,9 @@
 
     /// Returns whether a load may start at `now`; each success is matched by
     /// one release().
-    virtual auto try_acquire(time_point now) -> bool = 0;
+    virtual auto try_acquire(load_kind kind, time_point now) -> bool = 0;
     /// Ends a load that was admitted.
-    virtual auto release(time_point now) -> void = 0;
+    virtual auto release(load_kind kind, time_point now) -> void = 0;
 };
 
 /// A resident as an engine reports it.
@@ -63,6 +66,20 @@
     std::vector<reported_order> finished_;
 };
 
+/// A report with what the daemon knows of the runner that gave it.
+struct runner_sighting {
+    std::string runner_;
+    /// "IP:PORT".
+    std::string address_;
+    std::string zone_;
+    /// Shard to which the runner belongs.
+    std::string shard_;
+    /// Position of the state when the report was asked for. An older report
+    /// could name a boot that the state has already left behind.
+    state::log_offset requested_at_ = 0;
+    runner_report report_;
+};
+
 /// An order to send. It must travel only on a connection whose other end has
 /// shown `boot_id_` on that same connection; the transport opens no new
 /// connection for it. So an order can't reach a later boot of the engine.
@@ -142,10 +159,8 @@
     /// Replaces the wanted placement.
     auto set_wanted(wanted_placement wanted) -> void;
 
-    /// Takes a report of the runner called `runner`.
-    auto on_report(std::string_view runner, std::string_view address,
-                   std::string_view zone, std::string_view shard,
-                   runner_report report) -> void;
+    /// Takes a runner's report; older ones of the same boot are ignored.
+    auto on_report(runner_sighting sighting) -> void;
 
     /// The VM list no longer has the runner and nothing answers there.
     auto on_gone(std::string_view runner) -> void;
@@ -174,58 +189,73 @@
     }
 
 private:
-    struct seen_runner {
-        std::string address_;
-        std::string zone_;
-        std::string shard_;
-        runner_report report_;
-        bool gone_ = false;
-    };
     struct attempt {
         time_point next_{};
         duration wait_{};
         state::epoch epoch_ = 0;
-        bool accepted_ = false;
     };
+    struct seen_runner {
+        runner_sighting sighting_;
+        bool gone_ = false;
+    };
+    // What the steps of one poll share.
     struct poll_context {
-        const state::machine* state_ = nullptr;
-        const std::map<std::string, state::epoch>* held_ = nullptr;
-        time_point now_{};
-        std::vector<order_command> commands_;
+        const state::machine& state_;
+        const std::map<std::string, state::epoch>& held_;
+        time_point now_;
+        std::vector<order_command> commands_ = {};
+    };
+    // A runner whose shard this daemon owns.
+    struct owned_runner {
+        const state::runner_state& state_;
+        const runner_report& report_;
+        state::epoch epoch_ = 0;
     };
 
-    auto forget_settled(const state::machine& state, time_point now) -> void;
-    auto poll_runner(poll_context& context, const std::string& name,
-                     const seen_runner& seen) -> void;
-    auto settle_orders(poll_context& context, const state::runner_state& runner,
-                       const runner_report& report, state::epoch epoch) -> void;
-    auto adopt_foreign(poll_context& context, const state::runner_state& runner,
-                       const runner_report& report, state::epoch epoch) -> void;
-    auto send_orders(poll_context& context, const state::runner_state& runner,
-                     state::epoch epoch) -> void;
-    auto make_step(poll_context& context, const state::runner_state& runner,
-                   state::epoch epoch) -> void;
-    auto make_room(poll_context& context, const state::runner_state& runner,
-                   const wanted_resident& wanted, state::epoch epoch) -> bool;
-    auto make_detour(poll_context& context, const state::runner_state& runner,
+    auto forget_settled(const poll_context& context) -> void;
+    auto poll_runner(poll_context& context, const seen_runner& seen) -> void;
+    auto register_boot(const poll_context& context,
+                       const runner_sighting& sighting, state::epoch epoch)
+        -> void;
+    auto settle_orders(const poll_context& context, const owned_runner& runner)
+        -> void;
+    auto adopt_foreign(const poll_context& context, const owned_runner& runner)
+        -> void;
+    auto send_orders(poll_context& context, const owned_runner& runner) -> void;
+    auto send(poll_context& context, const state::record_id& id,
+              const state::order_intent& intent, state::epoch epoch) -> void;
+    auto permit(const state::record_id& id, const state::order_intent& intent,
+                time_point now) -> bool;
+
+    auto make_step(poll_context& context, const owned_runner& runner) -> void;
+    auto load_wanted(poll_context& context, const owned_runner& runner,
+                     const wanted_runner& wanted) -> bool;
+    auto make_room(poll_context& context, const owned_runner& runner,
+                   const wanted_resident& wanted) -> bool;
+    auto make_detour(poll_context& context, const owned_runner& runner,
                      const state::resident& blocking) -> bool;
-    auto unload_surplus(poll_context& context,
-                        const state::runner_state& runner, state::epoch epoch)
+    auto detour_of(const poll_context& context,
+                   const state::resident& blocking) const
+        -> std::optional<wanted_resident>;
+    auto fits_detour(const poll_context& context,
+                     const state::runner_state& other,
+                     const wanted_resident& extra) const -> bool;
+    auto unload_surplus(poll_context& context, const owned_runner& runner)
         -> bool;
     auto load(poll_context& context, const state::runner_state& runner,
               const wanted_resident& wanted, state::epoch epoch) -> bool;
-    auto unload(poll_context& context, const state::runner_state& runner,
-                const state::resident_key& key, state::epoch epoch) -> bool;
-    auto change_role(poll_context& context, const state::runner_state& runner,
-                     state::runner_role role, state::epoch epoch) -> bool;
-    auto submit_intent(poll_context& context, state::order_intent intent)
+    auto unload(poll_context& context, const owned_runner& runner,
+                const state::resident_key& key) -> bool;
+    auto submit_intent(poll_context& context, const state::order_intent& intent)
         -> bool;
-    auto submit_once(const std::string& subject, state::record body,
-                     const state::machine& state) -> bool;
+    auto submit_once(const poll_context& context, std::string subject,
+                     state::record body) -> std::optional<state::record_id>;
     auto is_wanted(std::string_view runner,
                    const state::resident_key& key) const -> bool;
     auto is_replaced(const state::machine& state,
                      const state::resident_key& key) const -> bool;
+    auto missing_bytes(const state::runner_state& runner) const
+        -> std::uint64_t;
     auto block(std::string_view runner, const state::resident_key& key,
                std::string reason) -> void;
 
@@ -237,9 +267,9 @@
     std::unordered_map<state::record_id, attempt, state::record_id_hash>
         attempts_;
     // Loads that hold a permit.
-    std::unordered_map<state::record_id, std::string, state::record_id_hash>
+    std::unordered_map<state::record_id, load_kind, state::record_id_hash>
         permitted_;
-    // Records in flight by subject, and back: one of a subject at a time.
+    // Records whose fate is open: one of a subject at a time.
     std::map<std::string, state::record_id, std::less<>> subjects_;
     std::unordered_map<state::record_id, std::string, state::record_id_hash>
         submitted_;
--- /dev/null
+++ b/basilstream/coordination/orders/steps.cpp
@@ -0,0 +1,294 @@
+// Choice of the next safe step of a runner towards the wanted placement.
+#include <algorithm>
+
+#include "basilstream/coordination/orders/orders.hpp"
+
+namespace basilstream::coordination {
+namespace {
+
+using state::resident;
+using state::resident_key;
+using state::resident_state;
+
+auto is_settled(const resident& entry) -> bool {
+    return entry.state_ != resident_state::loading &&
+           entry.state_ != resident_state::unloading;
+}
+
+auto base_of(const resident_key& adapter) -> resident_key {
+    return {adapter.model_, {}, adapter.version_};
+}
+
+auto is_ready(const state::runner_state& runner, const resident_key& key)
+    -> bool {
+    const auto* entry = runner.find(key);
+    return entry != nullptr && entry->state_ == resident_state::ready;
+}
+
+auto carries_adapters(const state::runner_state& runner,
+                      const resident_key& model) -> bool {
+    return model.adapter_.empty() &&
+           std::any_of(runner.residents_.begin(), runner.residents_.end(),
+                       [&](const auto& entry) {
+                           return !entry.key_.adapter_.empty() &&
+                                  base_of(entry.key_) == model;
+                       });
+}
+
+auto allows_zone(const state::model_resource& model, const std::string& zone)
+    -> bool {
+    return model.zones_.empty() ||
+           std::find(model.zones_.begin(), model.zones_.end(), zone) !=
+               model.zones_.end();
+}
+
+// Failed and foreign residents serve nobody and go first.
+auto serves_nobody(const resident& entry) -> bool {
+    return entry.state_ == resident_state::failed ||
+           entry.state_ == resident_state::foreign;
+}
+
+} // namespace
+
+auto order_executor::make_step(poll_context& context,
+                               const owned_runner& runner) -> void {
+    const auto wanted = wanted_.find(runner.state_.name_);
+    if (wanted == wanted_.end() ||
+        runner.state_.open_orders_.size() >= options_.orders_per_runner_) {
+        return;
+    }
+    if (wanted->second.role_ != runner.state_.role_) {
+        auto intent = state::order_intent{};
+        intent.shard_ = runner.state_.shard_;
+        intent.epoch_ = runner.epoch_;
+        intent.runner_ = runner.state_.name_;
+        intent.boot_id_ = runner.state_.boot_id_;
+        intent.action_ = state::order_action::set_role;
+        intent.role_ = wanted->second.role_;
+        if (runner.state_.open_orders_.empty() &&
+            submit_intent(context, intent)) {
+            return;
+        }
+    }
+    if (!load_wanted(context, runner, wanted->second)) {
+        unload_surplus(context, runner);
+    }
+}
+
+auto order_executor::load_wanted(poll_context& context,
+                                 const owned_runner& runner,
+                                 const wanted_runner& wanted) -> bool {
+    for (const auto& next : wanted.residents_) {
+        if (runner.state_.find(next.key_) != nullptr) {
+            continue;
+        }
+        if (!next.key_.adapter_.empty() &&
+            !is_ready(runner.state_, base_of(next.key_))) {
+            block(runner.state_.name_, next.key_, "its model is not ready");
+            continue;
+        }
+        if (next.bytes_ <= runner.state_.free_bytes()) {
+            if (!load(context, runner.state_, next, runner.epoch_)) {
+                block(runner.state_.name_, next.key_,
+                      "waits for a load permit or a log record");
+            }
+            return true;
+        }
+        return make_room(context, runner, next);
+    }
+    return false;
+}
+
+auto order_executor::make_room(poll_context& context,
+                               const owned_runner& runner,
+                               const wanted_resident& wanted) -> bool {
+    const resident* blocking = nullptr;
+    const resident* victim = nullptr;
+    for (const auto& entry : runner.state_.residents_) {
+        if (!is_settled(entry)) {
+            block(runner.state_.name_, wanted.key_, "waits for an open order");
+            return true;
+        }
+        if (is_wanted(runner.state_.name_, entry.key_) ||
+            carries_adapters(runner.state_, entry.key_)) {
+            continue;
+        }
+        if (context.state_.is_last_replica(runner.state_, entry.key_)) {
+            blocking = &entry;
+        } else if (victim == nullptr || serves_nobody(entry)) {
+            victim = &entry;
+        }
+    }
+    if (victim != nullptr) {
+        return unload(context, runner, victim->key_);
+    }
+    if (blocking != nullptr) {
+        block(runner.state_.name_, wanted.key_,
+              "waits for another replica of " + to_string(blocking->key_));
+        return make_detour(context, runner, *blocking);
+    }
+    block(runner.state_.name_, wanted.key_, "memory does not suffice");
+    return false;
+}
+
+// Loads a replacement of a last replica on another runner, so that its place
+// can be used without leaving the model unreachable.
+auto order_executor::make_detour(poll_context& context,
+                                 const owned_runner& runner,
+                                 const resident& blocking) -> bool {
+    const auto extra = detour_of(context, blocking);
+    if (!extra) {
+        return false;
+    }
+    for (const auto& place : context.state_.placements(extra->key_.model_)) {
+        if (place.key_ == extra->key_ &&
+            place.state_ == resident_state::loading) {
+            return true;
+        }
+    }
+    for (const auto& [name, seen] : runners_) {
+        const auto* other = context.state_.find_runner(name);
+        if (other == nullptr || other == &runner.state_ || seen.gone_ ||
+            !fits_detour(context, *other, *extra)) {
+            continue;
+        }
+        return load(context, *other, *extra, context.held_.at(other->shard_));
+    }
+    return false;
+}
+
+auto order_executor::detour_of(const poll_context& context,
+                               const resident& blocking) const
+    -> std::optional<wanted_resident> {
+    const auto* model = context.state_.find_model(blocking.key_.model_);
+    if (model == nullptr) {
+        return std::nullopt;
+    }
+    const auto declared =
+        std::find(model->versions_.begin(), model->versions_.end(),
+                  blocking.key_.version_) != model->versions_.end();
+    auto extra = wanted_resident{blocking.key_, blocking.bytes_};
+    if (!declared) {
+        extra.key_.version_ = model->versions_.front();
+        extra.bytes_ = extra.key_.adapter_.empty() ? model->memory_bytes_
+                                                   : blocking.bytes_;
+    }
+    return extra;
+}
+
+auto order_executor::fits_detour(const poll_context& context,
+                                 const state::runner_state& other,
+                                 const wanted_resident& extra) const -> bool {
+    const auto* model = context.state_.find_model(extra.key_.model_);
+    const auto needed = extra.bytes_ + missing_bytes(other);
+    return !other.gone_ && context.held_.contains(other.shard_) &&
+           other.role_ != state::runner_role::prefill &&
+           allows_zone(*model, other.zone_) &&
+           other.find(extra.key_) == nullptr &&
+           (extra.key_.adapter_.empty() ||
+            is_ready(other, base_of(extra.key_))) &&
+           needed <= other.free_bytes();
+}
+
+// Bytes of what the runner is still to load for the planner.
+auto order_executor::missing_bytes(const state::runner_state& runner) const
+    -> std::uint64_t {
+    const auto wanted = wanted_.find(runner.name_);
+    if (wanted == wanted_.end()) {
+        return 0;
+    }
+    auto sum = std::uint64_t{0};
+    for (const auto& next : wanted->second.residents_) {
+        sum += runner.find(next.key_) == nullptr ? next.bytes_ : 0;
+    }
+    return sum;
+}
+
+auto order_executor::unload_surplus(poll_context& context,
+                                    const owned_runner& runner) -> bool {
+    for (const auto& entry : runner.state_.residents_) {
+        const auto surplus = is_settled(entry) &&
+                             !is_wanted(runner.state_.name_, entry.key_) &&
+                             !carries_adapters(runner.state_, entry.key_);
+        if (!surplus ||
+            context.state_.is_last_replica(runner.state_, entry.key_)) {
+            continue;
+        }
+        if (serves_nobody(entry) || is_replaced(context.state_, entry.key_)) {
+            return unload(context, runner, entry.key_);
+        }
+    }
+    return false;
+}
+
+auto order_executor::load(poll_context& context,
+                          const state::runner_state& runner,
+                          const wanted_resident& wanted, state::epoch epoch)
+    -> bool {
+    auto intent = state::order_intent{};
+    intent.shard_ = runner.shard_;
+    intent.epoch_ = epoch;
+    intent.runner_ = runner.name_;
+    intent.boot_id_ = runner.boot_id_;
+    intent.action_ = wanted.key_.adapter_.empty()
+                         ? state::order_action::load_model
+                         : state::order_action::load_adapter;
+    intent.resident_ = wanted.key_;
+    intent.bytes_ = wanted.bytes_;
+    return submit_intent(context, intent);
+}
+
+auto order_executor::unload(poll_context& context, const owned_runner& runner,
+                            const resident_key& key) -> bool {
+    auto intent = state::order_intent{};
+    intent.shard_ = runner.state_.shard_;
+    intent.epoch_ = runner.epoch_;
+    intent.runner_ = runner.state_.name_;
+    intent.boot_id_ = runner.state_.boot_id_;
+    intent.action_ = key.adapter_.empty() ? state::order_action::unload_model
+                                          : state::order_action::unload_adapter;
+    intent.resident_ = key;
+    return submit_intent(context, intent);
+}
+
+auto order_executor::is_wanted(std::string_view runner,
+                               const resident_key& key) const -> bool {
+    const auto wanted = wanted_.find(runner);
+    if (wanted == wanted_.end()) {
+        return true;
+    }
+    const auto& all = wanted->second.residents_;
+    return std::any_of(all.begin(), all.end(),
+                       [&](const auto& next) { return next.key_ == key; });
+}
+
+// Returns whether everything that the planner wants of the same model or
+// adapter is ready, so that what it does not want may go.
+auto order_executor::is_replaced(const state::machine& state,
+                                 const resident_key& key) const -> bool {
+    if (state.find_model(key.model_) == nullptr) {
+        return true;
+    }
+    auto wanted_somewhere = false;
+    for (const auto& [name, wanted] : wanted_) {
+        const auto* runner = state.find_runner(name);
+        for (const auto& next : wanted.residents_) {
+            if (next.key_.model_ != key.model_ ||
+                next.key_.adapter_ != key.adapter_) {
+                continue;
+            }
+            wanted_somewhere = true;
+            if (runner == nullptr || !is_ready(*runner, next.key_)) {
+                return false;
+            }
+        }
+    }
+    const auto undeclared =
+        !key.adapter_.empty() &&
+        state.find_resource(
+            {state::resource_kind::adapter,
+             state::qualified_name(key.model_, key.adapter_)}) == nullptr;
+    return wanted_somewhere || undeclared;
+}
+
+} // namespace basilstream::coordination
--- a/basilstream/coordination/ownership/ownership.cpp
+++ b/basilstream/coordination/ownership/ownership.cpp
@@ -6,6 +6,9 @@
 namespace basilstream::coordination {
 namespace {
 
+// Daemons beyond this rank wait alike; their jitter keeps them apart.
+constexpr auto max_rank = std::size_t{8};
+
 // Weight of a daemon for a shard in rendezvous hashing (Thaler and
 // Ravishankar, 1998). FNV-1a with a final mix: the same on every machine.
 auto rendezvous_weight(std::string_view shard, std::string_view daemon)
@@ -51,6 +54,8 @@
         watches_[claim->shard_].seen_at_ = now;
     } else if (const auto* renewal = std::get_if<state::shard_renewal>(&body)) {
         watches_[renewal->shard_].seen_at_ = now;
+    } else if (const auto* release = std::get_if<state::shard_release>(&body)) {
+        watches_[release->shard_].seen_at_ = now;
     }
 }
 
@@ -127,10 +132,11 @@
 // Number of members that weigh more for the shard than this daemon.
 auto ownership::rank(std::string_view shard) const -> std::size_t {
     const auto own = rendezvous_weight(shard, daemon_);
-    return static_cast<std::size_t>(std::count_if(
+    const auto heavier = std::count_if(
         members_.begin(), members_.end(), [&](const auto& member) {
             return member != daemon_ && rendezvous_weight(shard, member) > own;
-        }));
+        });
+    return std::min(static_cast<std::size_t>(heavier), max_rank);
 }
 
 auto ownership::submit(shard_watch& watch, state::record body,
--- a/basilstream/coordination/ownership/ownership.hpp
+++ b/basilstream/coordination/ownership/ownership.hpp
@@ -35,6 +35,8 @@
 /// concurrent use.
 class ownership {
 public:
+    /// `daemon` names one start of a process and is never used again, so that
+    /// a restarted daemon doesn't take a former one's epoch for its own.
     /// `writer` and `random` must outlive this object.
     ownership(ownership_options options, std::string daemon,
               std::vector<std::string> shards, appender& writer,
--- a/basilstream/protocol/record_codec/internal/convert_snapshot.cpp
+++ b/basilstream/protocol/record_codec/internal/convert_snapshot.cpp
@@ -37,6 +37,7 @@
     to.set_memory_bytes(from.memory_bytes_);
     to.set_role(static_cast<std::uint32_t>(from.role_));
     to.set_gone(from.gone_);
+    to.set_boot_offset(from.boot_offset_);
     for (const auto& entry : from.residents_) {
         write_resident(entry, *to.add_residents());
     }
@@ -101,6 +102,7 @@
     item.boot_id_ = from.boot_id();
     item.memory_bytes_ = from.memory_bytes();
     item.gone_ = from.gone();
+    item.boot_offset_ = from.boot_offset();
     auto known = read_enum(from.role(), state::runner_role_names.rows_.size(),
                            item.role_);
     for (const auto& entry : from.residents()) {
--- a/basilstream/state/machine/ledger.cpp
+++ b/basilstream/state/machine/ledger.cpp
@@ -45,7 +45,7 @@
                                              : rejection::stale_boot;
 }
 
-auto machine::accept(log_offset /*offset*/, const record_id& /*id*/,
+auto machine::accept(log_offset offset, const record_id& /*id*/,
                      const runner_boot& body) -> rejection {
     if (body.runner_.empty() || body.boot_id_.empty()) {
         return rejection::malformed;
@@ -76,6 +76,7 @@
     runner.memory_bytes_ = body.memory_bytes_;
     runner.role_ = runner_role::mixed;
     runner.gone_ = false;
+    runner.boot_offset_ = offset;
     return rejection::none;
 }
 
--- a/basilstream/state/machine/machine.hpp
+++ b/basilstream/state/machine/machine.hpp
@@ -118,6 +118,9 @@
     std::uint64_t memory_bytes_ = 0;
     runner_role role_ = runner_role::mixed;
     bool gone_ = false;
+    /// Offset of the record that named this boot. A report says something
+    /// about the runner only when it was asked for after that record was read.
+    log_offset boot_offset_ = 0;
     /// Residents and unsettled loads; each counts its bytes.
     std::vector<resident> residents_;
     /// Sum of the bytes of ordered residents and unsettled loads.
--- a/basilstream/state/machine/snapshot.cpp
+++ b/basilstream/state/machine/snapshot.cpp
@@ -109,7 +109,7 @@
 auto add_item(digest_writer& out, const runner_item& item) -> void {
     out.add_all(item.name_, item.shard_, item.address_, item.zone_,
                 item.boot_id_, item.memory_bytes_, item.role_, item.gone_,
-                item.residents_.size());
+                item.boot_offset_, item.residents_.size());
     for (const auto& entry : item.residents_) {
         out.add_all(entry.key_, entry.bytes_, entry.state_, entry.load_order_);
     }
@@ -143,9 +143,10 @@
 }
 
 auto runner_item_of(const runner_state& runner) -> runner_item {
-    return {runner.name_, runner.shard_,   runner.address_,
-            runner.zone_, runner.boot_id_, runner.memory_bytes_,
-            runner.role_, runner.gone_,    runner.residents_};
+    return {runner.name_,     runner.shard_,   runner.address_,
+            runner.zone_,     runner.boot_id_, runner.memory_bytes_,
+            runner.role_,     runner.gone_,    runner.boot_offset_,
+            runner.residents_};
 }
 
 template <class Pointers, class Order>
@@ -294,6 +295,7 @@
         runner.memory_bytes_ = entry->memory_bytes_;
         runner.role_ = entry->role_;
         runner.gone_ = entry->gone_;
+        runner.boot_offset_ = entry->boot_offset_;
         for (const auto& held : entry->residents_) {
             add_resident(runner, held);
         }
--- a/basilstream/state/record/record.hpp
+++ b/basilstream/state/record/record.hpp
@@ -290,6 +290,8 @@
     runner_role role_ = runner_role::mixed;
     /// Whether this boot has left for good.
     bool gone_ = false;
+    /// Offset of the record that named this boot.
+    log_offset boot_offset_ = 0;
     std::vector<resident> residents_;
 };
 
