Route by prefix affinity, load bound and zone over a per-model index

Cause: every attempt needs a runner, and the inputs lag: load reports, cache events and the VM list. A scan over all runners would not scale to 1,700.

Change: a replica index by model. A leaving runner is also asserted against in the program.

--- /dev/null
+++ b/basilstream/coordination/routing/internal/replica_index.cpp
@@ -0,0 +1,45 @@
+#include "basilstream/coordination/routing/internal/replica_index.hpp"
+
+#include <algorithm>
+
+namespace basilstream::coordination::internal {
+
+auto runner_entry::load(time_point now, duration report_lifetime) const
+    -> double {
+    if (!foreign_) {
+        return in_flight_;
+    }
+    const auto age = std::max(now - foreign_->received_, duration{0});
+    if (age >= report_lifetime) {
+        return in_flight_;
+    }
+    const auto weight = 1.0 - static_cast<double>(age.count()) /
+                                  static_cast<double>(report_lifetime.count());
+    return in_flight_ + weight * foreign_->requests_;
+}
+
+auto prefix_set::insert(std::uint64_t hash, std::size_t capacity) -> void {
+    if (!hashes_.insert(hash).second) {
+        return;
+    }
+    order_.push_back(hash);
+    // An erased hash stays in the order until it comes up, so that erasing
+    // costs no search; the bound is on the order.
+    while (order_.size() > capacity) {
+        hashes_.erase(order_.front());
+        order_.pop_front();
+    }
+}
+
+auto prefix_set::clear() -> void {
+    hashes_.clear();
+    order_.clear();
+}
+
+auto replica::has_adapter(std::string_view adapter) const -> bool {
+    return adapter.empty() ||
+           std::find(resident_.adapters_.begin(), resident_.adapters_.end(),
+                     adapter) != resident_.adapters_.end();
+}
+
+} // namespace basilstream::coordination::internal
--- /dev/null
+++ b/basilstream/coordination/routing/routing.cpp
@@ -0,0 +1,240 @@
+#include "basilstream/coordination/routing/routing.hpp"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "basilstream/coordination/routing/internal/replica_index.hpp"
+
+namespace basilstream::coordination {
+namespace {
+
+using internal::replica;
+using internal::runner_entry;
+
+constexpr auto hashed_prefix_bytes = std::size_t{256};
+
+} // namespace
+
+router::router(router_settings settings, random_source& random,
+               router_guards guards)
+    : settings_{std::move(settings)}, random_{random}, guards_{guards} {}
+
+router::~router() = default;
+
+auto router::find(std::string_view runner) const -> runner_entry* {
+    const auto found = runners_.find(std::string{runner});
+    return found == runners_.end() ? nullptr : found->second.get();
+}
+
+auto router::update_runner(const runner_info& info) -> void {
+    auto& entry = runners_[info.name_];
+    auto old = replicas{};
+    if (!entry) {
+        entry = std::make_unique<runner_entry>();
+        entry->next_ejection_ = settings_.first_ejection_;
+    } else {
+        for (const auto& resident : entry->info_.residents_) {
+            auto& all = models_[resident.model_];
+            const auto same =
+                std::find_if(all.begin(), all.end(), [&](const replica& each) {
+                    return each.runner_ == entry.get();
+                });
+            if (same != all.end()) {
+                old.push_back(std::move(*same));
+            }
+        }
+        remove_from_index(*entry);
+    }
+    if (entry->info_.boot_id_ != info.boot_id_) {
+        // A restarted process starts empty and counts its reports anew.
+        old.clear();
+        entry->foreign_.reset();
+        entry->cache_sequence_ = 0;
+    }
+    entry->info_ = info;
+    entry->info_.slots_ = std::max(info.slots_, 1);
+    refresh_leaving(*entry);
+    add_to_index(*entry, old);
+}
+
+auto router::refresh_leaving(runner_entry& entry) -> void {
+    const auto& info = entry.info_;
+    const auto marked = leaving_.find(info.name_);
+    if (marked != leaving_.end()) {
+        if (marked->second.empty()) {
+            marked->second = info.boot_id_;
+        }
+        if (!info.boot_id_.empty() && marked->second != info.boot_id_) {
+            leaving_.erase(marked);
+        }
+    }
+    if (info.leaving_) {
+        leaving_[info.name_] = info.boot_id_;
+    }
+    entry.leaving_ = leaving_.contains(info.name_);
+}
+
+auto router::remove_runner(std::string_view runner) -> void {
+    leaving_.erase(std::string{runner});
+    if (auto* const entry = find(runner)) {
+        remove_from_index(*entry);
+        runners_.erase(std::string{runner});
+    }
+}
+
+auto router::mark_leaving(std::string_view runner) -> void {
+    auto* const entry = find(runner);
+    leaving_[std::string{runner}] =
+        entry == nullptr ? std::string{} : entry->info_.boot_id_;
+    if (entry != nullptr) {
+        entry->leaving_ = true;
+    }
+}
+
+auto router::remove_from_index(runner_entry& entry) -> void {
+    for (const auto& resident : entry.info_.residents_) {
+        const auto found = models_.find(resident.model_);
+        if (found == models_.end()) {
+            continue;
+        }
+        std::erase_if(found->second, [&](const replica& each) {
+            return each.runner_ == &entry;
+        });
+        if (found->second.empty()) {
+            models_.erase(found);
+        }
+    }
+}
+
+auto router::add_to_index(runner_entry& entry, replicas& old) -> void {
+    for (const auto& resident : entry.info_.residents_) {
+        auto added = replica{&entry, resident, {}};
+        for (auto& before : old) {
+            if (before.resident_.model_ == resident.model_) {
+                added.prefixes_ = std::move(before.prefixes_);
+            }
+        }
+        models_[resident.model_].push_back(std::move(added));
+    }
+}
+
+auto router::on_load_report(const load_report& report, time_point now) -> void {
+    auto* const entry = find(report.runner_);
+    if (entry == nullptr ||
+        (entry->foreign_ && report.sequence_ <= entry->foreign_->sequence_)) {
+        return;
+    }
+    const auto foreign = report.running_ + report.waiting_ - entry->in_flight_;
+    entry->foreign_ = {report.sequence_, std::max(foreign, 0), now};
+}
+
+auto router::on_cache_event(const cache_event& event) -> void {
+    auto* const entry = find(event.runner_);
+    if (entry == nullptr || event.sequence_ <= entry->cache_sequence_) {
+        return;
+    }
+    const auto gap = event.sequence_ != entry->cache_sequence_ + 1;
+    entry->cache_sequence_ = event.sequence_;
+    for (const auto& resident : entry->info_.residents_) {
+        for (auto& each : models_[resident.model_]) {
+            if (each.runner_ != entry) {
+                continue;
+            }
+            if (gap) {
+                each.prefixes_.clear();
+            }
+            if (resident.model_ != event.model_) {
+                continue;
+            }
+            if (event.stored_) {
+                each.prefixes_.insert(event.prefix_hash_,
+                                      settings_.prefixes_per_replica_);
+            } else {
+                each.prefixes_.erase(event.prefix_hash_);
+            }
+        }
+    }
+}
+
+auto router::set_concurrency_limit(std::string_view runner, int limit) -> void {
+    if (auto* const entry = find(runner)) {
+        entry->limit_ = limit;
+    }
+}
+
+auto router::begin(std::string_view runner) -> void {
+    if (auto* const entry = find(runner)) {
+        ++entry->in_flight_;
+    }
+}
+
+auto router::end(std::string_view runner) -> void {
+    auto* const entry = find(runner);
+    // The runner may have been removed and added again in between.
+    if (entry != nullptr && entry->in_flight_ > 0) {
+        --entry->in_flight_;
+    }
+}
+
+auto router::on_success(std::string_view runner) -> void {
+    if (auto* const entry = find(runner)) {
+        entry->failures_ = 0;
+        entry->next_ejection_ = settings_.first_ejection_;
+    }
+}
+
+auto router::on_failure(std::string_view runner, time_point now) -> void {
+    auto* const entry = find(runner);
+    if (entry == nullptr ||
+        ++entry->failures_ < settings_.failures_before_ejection_) {
+        return;
+    }
+    // One more failure after the ejection ejects it again, for longer.
+    entry->failures_ = settings_.failures_before_ejection_ - 1;
+    entry->ejected_until_ = now + entry->next_ejection_;
+    entry->next_ejection_ =
+        std::min(2 * entry->next_ejection_, settings_.longest_ejection_);
+}
+
+auto router::models_on(std::string_view runner) const
+    -> std::vector<std::string> {
+    auto names = std::vector<std::string>{};
+    if (const auto* const entry = find(runner)) {
+        for (const auto& resident : entry->info_.residents_) {
+            names.push_back(resident.model_);
+        }
+    }
+    return names;
+}
+
+auto router::in_flight(std::string_view runner) const -> int {
+    const auto* const entry = find(runner);
+    return entry == nullptr ? 0 : entry->in_flight_;
+}
+
+auto router::usable_replicas(std::string_view model) const -> int {
+    const auto found = models_.find(std::string{model});
+    if (found == models_.end()) {
+        return 0;
+    }
+    return static_cast<int>(std::count_if(
+        found->second.begin(), found->second.end(), [](const replica& each) {
+            return each.resident_.ready_ && !each.runner_->leaving_;
+        }));
+}
+
+auto router::size() const -> std::size_t {
+    return runners_.size();
+}
+
+auto prefix_hash(std::string_view prompt) -> std::uint64_t {
+    if (prompt.empty()) {
+        return 0;
+    }
+    const auto length = std::min(prompt.size(), hashed_prefix_bytes);
+    const auto hash = XXH3_64bits(prompt.data(), length);
+    return hash == 0 ? 1 : hash;
+}
+
+} // namespace basilstream::coordination
--- a/basilstream/coordination/routing/routing.hpp
+++ b/basilstream/coordination/routing/routing.hpp
@@ -15,14 +15,12 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -120,7 +118,7 @@
 
 /// What an attempt needs. The views must outlive the call of choose().
 struct route_request {
-    std::string_view model_;
+    std::string_view model_ = {};
     /// Empty means any version.
     std::string_view version_ = {};
     /// Empty means the base model.
@@ -163,6 +161,8 @@
     /// before affinity yields (consistent hashing with bounded loads; Mirrokni,
     /// Thorup and Zadimoghaddam, 2018).
     double load_factor_ = 1.25;
+    /// Below this share of its slots a replica always counts as within bound.
+    double relaxed_share_ = 0.5;
     /// The age at which a load report counts for nothing; it counts in full
     /// when new and proportionally less in between.
     duration report_lifetime_ = seconds{5};
@@ -252,23 +252,21 @@
 
 private:
     using entry_pointer = std::unique_ptr<internal::runner_entry>;
-    using candidates = std::vector<internal::candidate>;
+    using replicas = std::vector<internal::replica>;
 
     auto find(std::string_view runner) const -> internal::runner_entry*;
-    auto unindex(internal::runner_entry& entry) -> void;
-    auto index(internal::runner_entry& entry) -> void;
-    auto find_replica(std::string_view model,
-                      const internal::runner_entry& entry) const
-        -> internal::replica*;
-    auto hard_rejection(const internal::replica& replica,
-                        const route_request& request, time_point now,
-                        bool ignore_ejection) const
+    auto remove_from_index(internal::runner_entry& entry) -> void;
+    auto add_to_index(internal::runner_entry& entry, replicas& old) -> void;
+    auto refresh_leaving(internal::runner_entry& entry) -> void;
+    auto hard_rejection(const internal::replica& candidate,
+                        const route_request& request) const
         -> std::optional<rejection_reason>;
-    auto collect(std::vector<internal::replica>& replicas,
-                 const route_request& request, time_point now,
-                 bool ignore_ejection) -> void;
+    auto collect(const replicas& all, const route_request& request,
+                 time_point now) -> void;
+    auto drop_ejected(time_point now) -> void;
     auto grade(const route_request& request) -> void;
-    auto pick_by_affinity(std::uint64_t prefix_hash, unsigned tier) const
+    auto best_tier() const -> unsigned;
+    auto pick_by_affinity(const route_request& request, unsigned tier) const
         -> std::size_t;
     auto pick_by_load(unsigned tier) -> std::size_t;
     auto make_route(std::size_t chosen, const route_request& request) const
@@ -279,11 +277,12 @@
     random_source& random_;
     router_guards guards_;
     std::unordered_map<std::string, entry_pointer> runners_;
-    std::unordered_map<std::string, std::vector<internal::replica>> models_;
-    std::unordered_set<std::string> leaving_;
-    candidates candidates_;
+    std::unordered_map<std::string, replicas> models_;
+    // Names of leaving runners with their boot ids.
+    std::unordered_map<std::string, std::string> leaving_;
+    // Scratch of choose(), kept to save allocations.
+    std::vector<internal::candidate> candidates_;
     std::vector<rejected_candidate> rejected_;
-    std::vector<rejection_reason> reasons_;
 };
 
 /// Returns the hash of a prompt's first 256 bytes (XXH3, 64 bits), never 0
--- /dev/null
+++ b/basilstream/coordination/routing/routing_benchmark.cpp
@@ -0,0 +1,66 @@
+#include <benchmark/benchmark.h>
+
+#include "basilstream/coordination/routing/routing.hpp"
+
+namespace basilstream::coordination {
+namespace {
+
+constexpr auto replicas_per_model = 4;
+constexpr auto zones = 3;
+
+// One model for each five runners, each on four of them.
+auto fill(router& routes, int runners) -> int {
+    const auto models = std::max(runners / 5, 1);
+    for (auto index = 0; index < runners; ++index) {
+        auto info = runner_info{.name_ = "runner-" + std::to_string(index),
+                                .address_ = "127.0.0.1:1",
+                                .zone_ = std::to_string(index % zones),
+                                .boot_id_ = "boot",
+                                .slots_ = 16,
+                                .residents_ = {}};
+        for (auto model = 0; model < models; ++model) {
+            const auto distance = (index - model * 5 + runners) % runners;
+            if (distance < replicas_per_model) {
+                info.residents_.push_back({.model_ = std::to_string(model),
+                                           .version_ = "v1",
+                                           .adapters_ = {}});
+            }
+        }
+        routes.update_runner(info);
+    }
+    return models;
+}
+
+auto choose(benchmark::State& state, bool affinity) -> void {
+    auto random = seeded_random{1};
+    auto routes = router{{.zone_ = "0"}, random};
+    const auto models = fill(routes, static_cast<int>(state.range(0)));
+    auto names = std::vector<std::string>{};
+    for (auto model = 0; model < models; ++model) {
+        names.push_back(std::to_string(model));
+    }
+    while (state.KeepRunning()) {
+        const auto& model = names[random.below(names.size())];
+        auto answer =
+            routes.choose({.model_ = model,
+                           .prefix_hash_ = affinity ? random.next() | 1U : 0},
+                          {});
+        routes.begin(answer->runner_);
+        routes.end(answer->runner_);
+        benchmark::DoNotOptimize(answer);
+    }
+}
+
+auto route_by_affinity(benchmark::State& state) -> void {
+    choose(state, true);
+}
+
+auto route_by_load(benchmark::State& state) -> void {
+    choose(state, false);
+}
+
+BENCHMARK(route_by_affinity)->Arg(20)->Arg(90)->Arg(360)->Arg(1700);
+BENCHMARK(route_by_load)->Arg(20)->Arg(90)->Arg(360)->Arg(1700);
+
+} // namespace
+} // namespace basilstream::coordination
