--- /dev/null
+++ b/basilstream/coordination/placement/internal/flow.hpp
@@ -0,0 +1,41 @@
+/// Expected load of runners: spreads each model's demand over its replicas so
+/// that their utilisation is as even as possible, as the router does.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "basilstream/coordination/placement/internal/fleet.hpp"
+
+namespace basilstream::coordination::internal {
+
+/// Expected share of a runner's capacity whose requests miss their deadline at
+/// `utilisation`. Convex and smooth: zero while there is headroom, and all
+/// that exceeds the capacity beyond it.
+[[nodiscard]] auto lost_share(double utilisation) -> double;
+
+/// Derivative of `lost_share`.
+[[nodiscard]] auto marginal_loss(double utilisation) -> double;
+
+/// Other load and capacity of one runner to which demand may go.
+struct channel {
+    double other_ = 0;
+    double capacity_ = 0;
+    double flow_ = 0;
+};
+
+/// Spreads `demand` over `channels` so that the highest utilisation is as low
+/// as possible. Channels without capacity get nothing.
+auto fill(std::vector<channel>& channels, double demand) -> void;
+
+/// Sets the flow of every replica and runner. Replicas that load now count,
+/// those on leaving runners do not.
+auto balance(fleet& picture) -> void;
+
+/// Tokens per second lost on the runners of `model` now, and if a replica on
+/// `added` came and the one on `removed` went. Either may be `none`.
+[[nodiscard]] auto loss_change(const fleet& picture, std::size_t model,
+                               std::size_t added, std::size_t removed)
+    -> double;
+
+} // namespace basilstream::coordination::internal
