Give placement its own names beside routing

Cause: routing declares rejection_reason and internal::replica too; both in one program would have been one type with two layouts. Change: placement_rejection_reason, and namespace internal::placement for what is private. The 12 tests pass as before.

--- a/basilstream/coordination/placement/explain.cpp
+++ b/basilstream/coordination/placement/explain.cpp
@@ -34,7 +34,7 @@
         line += " on " + rejection.runner_;
     }
     line += " for ";
-    line += rejection_reason_names.name_of(rejection.reason_);
+    line += placement_rejection_reason_names.name_of(rejection.reason_);
     return line + ": " + weighed(rejection.gain_, rejection.cost_);
 }
 
--- a/basilstream/coordination/placement/internal/adapters.cpp
+++ b/basilstream/coordination/placement/internal/adapters.cpp
@@ -5,7 +5,7 @@
 
 #include "basilstream/coordination/placement/internal/draft.hpp"
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 namespace {
 
 // Adapters whose old version this plan unloads before the new one is there.
@@ -140,4 +140,4 @@
     }
 }
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/draft.cpp
+++ b/basilstream/coordination/placement/internal/draft.cpp
@@ -4,7 +4,7 @@
 
 #include "basilstream/coordination/placement/internal/flow.hpp"
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 namespace {
 
 struct evictable {
@@ -65,7 +65,8 @@
 }
 
 auto draft::reject(std::size_t model, std::size_t runner,
-                   rejection_reason reason, double gain, double cost) -> void {
+                   placement_rejection_reason reason, double gain, double cost)
+    -> void {
     auto one = placement_rejection{};
     one.model_ = fleet_.models_[model].declared_->name_;
     if (runner != none) {
@@ -134,4 +135,4 @@
     return result;
 }
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/draft.hpp
+++ b/basilstream/coordination/placement/internal/draft.hpp
@@ -9,7 +9,7 @@
 
 #include "basilstream/coordination/placement/internal/fleet.hpp"
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 
 /// What unloading a replica takes away, from least to most.
 enum class eviction_tier {
@@ -47,8 +47,9 @@
         -> void;
 
     /// Adds a load that was weighed and not taken.
-    auto reject(std::size_t model, std::size_t runner, rejection_reason reason,
-                double gain, double cost) -> void;
+    auto reject(std::size_t model, std::size_t runner,
+                placement_rejection_reason reason, double gain, double cost)
+        -> void;
 
     /// Returns what may be unloaded from `runner` up to `tier` so that `bytes`
     /// fit, resident since `before` or earlier; nothing when it doesn't fit.
@@ -83,4 +84,4 @@
 /// Starts the loads whose expected gain pays the move price.
 auto improve(draft& plan) -> void;
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/fleet.cpp
+++ b/basilstream/coordination/placement/internal/fleet.cpp
@@ -7,7 +7,7 @@
 #include <tuple>
 #include <utility>
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 namespace {
 
 template <class Item>
@@ -382,4 +382,4 @@
         }));
 }
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/fleet.hpp
+++ b/basilstream/coordination/placement/internal/fleet.hpp
@@ -8,7 +8,7 @@
 
 #include "basilstream/coordination/placement/placement.hpp"
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 
 /// One model in one version on one runner, with the adapters beside it.
 struct replica {
@@ -150,4 +150,4 @@
                                     const planner_settings& settings)
     -> std::vector<demand_estimate>;
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/flow.cpp
+++ b/basilstream/coordination/placement/internal/flow.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 namespace {
 
 // Utilisation at which queueing begins to cost deadlines.
@@ -147,4 +147,4 @@
     return after - before;
 }
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/flow.hpp
+++ b/basilstream/coordination/placement/internal/flow.hpp
@@ -7,7 +7,7 @@
 
 #include "basilstream/coordination/placement/internal/fleet.hpp"
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 
 /// Expected share of a runner's capacity whose requests miss their deadline at
 /// `utilisation`. Convex and smooth: zero while there is headroom, and all
@@ -38,4 +38,4 @@
                                std::size_t added, std::size_t removed)
     -> double;
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/improve.cpp
+++ b/basilstream/coordination/placement/internal/improve.cpp
@@ -4,7 +4,7 @@
 #include "basilstream/coordination/placement/internal/draft.hpp"
 #include "basilstream/coordination/placement/internal/flow.hpp"
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 namespace {
 
 // Candidates that one load is chosen from; the rest of the fleet isn't looked
@@ -99,11 +99,12 @@
             }
         }
         if (best.runner_ == none) {
-            plan_.reject(model, none, rejection_reason::no_memory, 0, 0);
+            plan_.reject(model, none, placement_rejection_reason::no_memory, 0,
+                         0);
         } else if (best.gain_ <= best.cost_) {
             plan_.reject(model, best.runner_,
-                         rejection_reason::gain_below_price, best.gain_,
-                         best.cost_);
+                         placement_rejection_reason::gain_below_price,
+                         best.gain_, best.cost_);
         } else if (best_.runner_ == none || best.surplus() > best_.surplus()) {
             best_ = best;
         }
@@ -140,11 +141,12 @@
     while (plan.fleet_.loading_ < plan.settings_.improvements_in_flight_) {
         balance(plan.fleet_);
         plan.rejections_.erase(
-            std::remove_if(plan.rejections_.begin(), plan.rejections_.end(),
-                           [](const placement_rejection& one) {
-                               return one.reason_ ==
-                                      rejection_reason::gain_below_price;
-                           }),
+            std::remove_if(
+                plan.rejections_.begin(), plan.rejections_.end(),
+                [](const placement_rejection& one) {
+                    return one.reason_ ==
+                           placement_rejection_reason::gain_below_price;
+                }),
             plan.rejections_.end());
         const auto best = chooser{plan}.run();
         if (best.runner_ == none) {
@@ -159,4 +161,4 @@
     }
 }
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/repair.cpp
+++ b/basilstream/coordination/placement/internal/repair.cpp
@@ -5,7 +5,7 @@
 
 #include "basilstream/coordination/placement/internal/draft.hpp"
 
-namespace basilstream::coordination::internal {
+namespace basilstream::coordination::internal::placement {
 namespace {
 
 // Relocations that one plan starts.
@@ -281,7 +281,8 @@
     auto relocations = surplus_loading(plan) ? relocations_per_plan : 0U;
     for (const auto& one : find_deficits(plan)) {
         if (plan.fleet_.loading_ >= plan.settings_.repairs_in_flight_) {
-            plan.reject(one.model_, none, rejection_reason::pacing, 0, 0);
+            plan.reject(one.model_, none, placement_rejection_reason::pacing, 0,
+                        0);
             plan.details_[one.model_] = "waits for other loads to end";
             complete = false;
             continue;
@@ -296,7 +297,8 @@
             plan.details_[one.model_] = "room is being made for a replica";
             continue;
         }
-        plan.reject(one.model_, none, rejection_reason::no_memory, 0, 0);
+        plan.reject(one.model_, none, placement_rejection_reason::no_memory, 0,
+                    0);
         plan.details_[one.model_] =
             "no runner of a further availability zone has the memory";
     }
@@ -326,4 +328,4 @@
     }
 }
 
-} // namespace basilstream::coordination::internal
+} // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/placement.hpp
+++ b/basilstream/coordination/placement/placement.hpp
@@ -184,7 +184,7 @@
 };
 
 /// Why a candidate was not taken.
-enum class rejection_reason {
+enum class placement_rejection_reason {
     gain_below_price,
     no_memory,
     pacing,
@@ -192,18 +192,19 @@
 };
 
 /// Names of rejection reasons, as `basilctl explain` prints them.
-inline constexpr auto rejection_reason_names = name_table<rejection_reason, 4>{
-    {{{rejection_reason::gain_below_price, "gain_below_price"},
-      {rejection_reason::no_memory, "no_memory"},
-      {rejection_reason::pacing, "pacing"},
-      {rejection_reason::recently_loaded, "recently_loaded"}}}};
+inline constexpr auto placement_rejection_reason_names =
+    name_table<placement_rejection_reason, 4>{
+        {{{placement_rejection_reason::gain_below_price, "gain_below_price"},
+          {placement_rejection_reason::no_memory, "no_memory"},
+          {placement_rejection_reason::pacing, "pacing"},
+          {placement_rejection_reason::recently_loaded, "recently_loaded"}}}};
 
 /// A load that was weighed and not taken.
 struct placement_rejection {
     std::string model_;
     /// Empty when no runner came into question.
     std::string runner_;
-    rejection_reason reason_ = rejection_reason::no_memory;
+    placement_rejection_reason reason_ = placement_rejection_reason::no_memory;
     double gain_ = 0;
     double cost_ = 0;
 };
--- a/basilstream/coordination/placement/placement_test.cpp
+++ b/basilstream/coordination/placement/placement_test.cpp
@@ -287,7 +287,7 @@
     EXPECT_EQ(thin, 2);
     EXPECT_TRUE(std::any_of(
         made.rejections_.begin(), made.rejections_.end(), [](const auto& one) {
-            return one.reason_ == rejection_reason::no_memory;
+            return one.reason_ == placement_rejection_reason::no_memory;
         }));
 }
 
@@ -338,12 +338,13 @@
         const auto extra = fleet.ready("org/model0") - 2;
         EXPECT_EQ(extra > 0, price == 1.0);
         const auto made = fleet.plan();
-        EXPECT_EQ(price != 1.0,
-                  std::any_of(made.rejections_.begin(), made.rejections_.end(),
-                              [](const auto& one) {
-                                  return one.reason_ ==
-                                         rejection_reason::gain_below_price;
-                              }));
+        EXPECT_EQ(
+            price != 1.0,
+            std::any_of(made.rejections_.begin(), made.rejections_.end(),
+                        [](const auto& one) {
+                            return one.reason_ ==
+                                   placement_rejection_reason::gain_below_price;
+                        }));
     }
 }
 
--- a/basilstream/coordination/placement/planner.cpp
+++ b/basilstream/coordination/placement/planner.cpp
@@ -54,7 +54,7 @@
     return result;
 }
 
-auto status_of(const internal::draft& plan, std::size_t index)
+auto status_of(const internal::placement::draft& plan, std::size_t index)
     -> placement_status {
     const auto& model = plan.fleet_.models_[index];
     const auto count = plan.fleet_.count(index);
@@ -73,10 +73,11 @@
     return result;
 }
 
-auto history_of(const internal::draft& plan) -> placement_history {
+auto history_of(const internal::placement::draft& plan) -> placement_history {
     auto result = placement_history{};
     result.planned_at_ = plan.input_.now_;
-    result.demands_ = internal::estimate_demands(plan.input_, plan.settings_);
+    result.demands_ =
+        internal::placement::estimate_demands(plan.input_, plan.settings_);
     for (const auto& one : plan.fleet_.replicas_) {
         if (!one.removed_) {
             result.residences_.push_back(
@@ -88,7 +89,7 @@
 }
 
 // Returns the steps of runners on which all steps fit one after the other.
-auto feasible_steps(const internal::draft& plan)
+auto feasible_steps(const internal::placement::draft& plan)
     -> std::vector<placement_step> {
     auto overfull = std::set<std::string_view>{};
     for (const auto& runner : plan.fleet_.runners_) {
@@ -116,19 +117,19 @@
 } // namespace
 
 auto planner::plan(const placement_input& input) const -> placement_plan {
-    auto work = internal::draft{input, settings_};
-    internal::balance(work.fleet_);
+    auto work = internal::placement::draft{input, settings_};
+    internal::placement::balance(work.fleet_);
     auto result = placement_plan{};
     for (const auto& runner : work.fleet_.runners_) {
         result.utilisations_.emplace_back(runner.declared_->name_,
                                           runner.utilisation());
     }
-    const auto repaired = internal::repair(work);
-    internal::retire(work);
+    const auto repaired = internal::placement::repair(work);
+    internal::placement::retire(work);
     if (repaired) {
-        internal::improve(work);
+        internal::placement::improve(work);
     }
-    internal::complete_adapters(work);
+    internal::placement::complete_adapters(work);
     for (auto index = std::size_t{0}; index < work.fleet_.models_.size();
          ++index) {
         result.statuses_.push_back(status_of(work, index));
