Admit by predicted answer time from bounded, fair queues

Cause: under overload a first-come-first-served queue fills with requests that miss their deadlines, and one organisation's burst takes the place of others.

Change: admission predicts the start from the queue and the model's running means and refuses at once, as not_run and with a jittered retry hint, what would be late. The queue is bounded; the organisation furthest over its weighted share loses its last request. Start-time fair queueing decides between organisations, priority and latest start within one. Each runner's concurrency limit rises by one over itself and falls by a fifth on a refusal for lack of a slot, on slow tokens or on requests waiting inside the runner.

--- a/basilstream/coordination/admission/admission.hpp
+++ b/basilstream/coordination/admission/admission.hpp
@@ -15,13 +15,12 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
-#include <utility>
 #include <vector>
 
 #include "basilstream/base/clock/clock.hpp"
@@ -34,9 +33,9 @@
 /// An attempt that asks for a runner. Values are owned: it may be queued.
 struct admission_request {
     /// Unique among the requests that this admission has in hand.
-    std::string request_id_;
-    std::string organisation_;
-    std::string model_;
+    std::string request_id_ = {};
+    std::string organisation_ = {};
+    std::string model_ = {};
     std::string version_ = {};
     std::string adapter_ = {};
     std::uint64_t prefix_hash_ = 0;
@@ -59,7 +58,7 @@
 /// An answer of submit(), or a terminal event out of poll().
 struct admission_event {
     admission_outcome outcome_ = admission_outcome::refused;
-    std::string request_id_;
+    std::string request_id_ = {};
     /// Set if admitted. The attempt is already counted on the runner.
     std::optional<route> route_ = {};
     /// Set if refused. Always not_run; retry_after_ says when to come back.
@@ -84,7 +83,7 @@
 
 /// The end of an admitted attempt, with what it showed.
 struct attempt_release {
-    std::string request_id_;
+    std::string request_id_ = {};
     attempt_outcome outcome_ = attempt_outcome::completed;
     /// From dispatch to the first token; nothing if there was none.
     std::optional<duration> first_token_ = {};
@@ -98,11 +97,13 @@
     /// Requests queued at most, over all organisations.
     std::size_t queue_capacity_ = 1024;
     /// Weight of each organisation; 1 for those not listed.
-    std::map<std::string, double> weights_;
+    std::map<std::string, double> weights_ = {};
     /// The time between tokens beyond which a runner counts as congested.
     duration token_interval_target_ = milliseconds{78};
     /// The time to the first token beyond which a runner counts as congested.
     duration first_token_target_ = milliseconds{1300};
+    /// The share of its slots that a new runner starts with.
+    double first_share_ = 0.5;
     /// The factor on a runner's concurrency limit when it is congested.
     double decrease_ = 0.8;
     /// Decreases of one runner are at least this far apart.
@@ -117,13 +118,16 @@
 
 /// Checks by name. A test replaces one to show that its check can fail.
 struct admission_guards {
+    bool (*known_)(bool in_hand) = [](bool in_hand) {
+        return in_hand;
+    };
     bool (*full_)(std::size_t queued, std::size_t capacity) =
         [](std::size_t queued, std::size_t capacity) {
             return queued > capacity;
         };
-    bool (*too_late_)(time_point predicted, time_point deadline) =
-        [](time_point predicted, time_point deadline) {
-            return predicted > deadline;
+    bool (*too_late_)(time_point start, time_point latest_start) =
+        [](time_point start, time_point latest_start) {
+            return start > latest_start;
         };
 };
 
@@ -153,42 +157,16 @@
 
 namespace internal {
 
-/// Running estimates of how one model serves.
+class fair_queue;
+struct queued_request;
+
+/// Running means of how one model serves.
 struct model_estimate {
     duration first_token_;
     duration token_interval_;
-    double mean_tokens_ = 0;
-    /// Mean time between two attempts' ends while requests were queued.
-    std::optional<duration> release_interval_ = {};
-    std::optional<time_point> last_release_ = {};
-};
-
-struct queued_request {
-    admission_request request_;
-    std::uint64_t order_ = 0;
-    time_point since_;
-    /// The latest start that may still meet the deadlines.
-    time_point latest_start_;
-};
-
-/// Orders by priority, then by latest start, then by arrival.
-struct queue_key {
-    int priority_ = 0;
-    time_point latest_start_;
-    std::uint64_t order_ = 0;
-    auto operator<(const queue_key& other) const -> bool;
-};
-
-/// The queue of one organisation for one model.
-using model_queue = std::map<queue_key, queued_request>;
-
-struct organisation_queue {
-    double weight_ = 1;
-    /// Virtual start time of the next dispatch (start-time fair queueing;
-    /// Goyal, Vin and Cheng, 1996).
-    double virtual_time_ = 0;
-    std::size_t size_ = 0;
-    std::unordered_map<std::string, model_queue> models_;
+    /// Tokens of an answer; 0 until one was complete.
+    double tokens_ = 0;
+    int running_ = 0;
 };
 
 } // namespace internal
@@ -198,6 +176,7 @@
 public:
     admission(admission_settings settings, router& routes,
               random_source& random, admission_guards guards = {});
+    ~admission();
 
     /// Tells of a runner that joined, or whose slots changed.
     auto set_runner(std::string_view runner, int slots) -> void;
@@ -207,12 +186,14 @@
     /// Tells that the runner reported requests waiting inside it.
     auto on_runner_waiting(std::string_view runner, int waiting, time_point now)
         -> void;
-    /// Tells that `model` may have gained a replica, so that queued requests
-    /// are tried again at the next poll().
+    /// Tells that `model` gained or lost a replica, or that one is leaving, so
+    /// that queued requests are admitted or answered at the next poll().
     auto on_replicas_changed(std::string_view model) -> void;
 
     /// Decides on a request. Refused: deadline_unreachable or overloaded with
-    /// a retry hint, or the router's error.
+    /// a retry hint, conflict if the id is in hand already, or the router's
+    /// error. While a model has no attempt running, its estimates refuse
+    /// nothing, so that they can be corrected.
     [[nodiscard]] auto submit(admission_request request, time_point now)
         -> admission_event;
 
@@ -227,10 +208,11 @@
     /// their deadline got out of reach, then requests admitted.
     [[nodiscard]] auto poll(time_point now) -> std::vector<admission_event>;
 
-    /// Returns when to call poll() at the latest, or nothing.
+    /// Returns when to call poll() at the latest, or nothing. It may be past:
+    /// submit() can push another request out of a full queue.
     [[nodiscard]] auto next_wakeup() const -> std::optional<time_point>;
 
-    [[nodiscard]] auto queued() const -> std::size_t { return where_.size(); }
+    [[nodiscard]] auto queued() const -> std::size_t;
     [[nodiscard]] auto in_flight() const -> std::size_t {
         return running_.size();
     }
@@ -243,59 +225,44 @@
         std::string model_;
         std::string runner_;
     };
-    struct queue_place {
-        std::string organisation_;
-        std::string model_;
-        internal::queue_key key_;
-    };
 
     auto estimate_of(const std::string& model) -> internal::model_estimate&;
-    auto service_time(const admission_request& request) -> duration;
+    auto expected_tokens(const admission_request& request) -> double;
     auto latest_start(const admission_request& request) -> time_point;
-    auto predicted_wait(const std::string& model, std::size_t ahead)
-        -> duration;
-    auto requests_ahead(const internal::organisation_queue& organisation,
-                        const std::string& model,
-                        const internal::queue_key& key) const -> std::size_t;
+    auto release_interval(const std::string& model) -> duration;
     auto route_for(const admission_request& request, time_point now)
         -> result<route>;
-    auto admit(admission_request request, route chosen, duration queued)
-        -> admission_event;
-    auto refuse(const admission_request& request, error reason, duration queued)
-        -> admission_event;
-    auto refuse_as(error_code code, const admission_request& request,
-                   duration wait, duration queued, std::string detail)
-        -> admission_event;
+    auto admit(const internal::queued_request& queued, route chosen,
+               time_point now) -> admission_event;
+    auto refuse(const internal::queued_request& queued, error reason,
+                time_point now) -> admission_event;
+    auto refuse_late(const internal::queued_request& queued, duration wait,
+                     time_point now) -> admission_event;
+    auto refuse_unroutable(const internal::queued_request& queued, error reason,
+                           time_point now) -> admission_event;
     auto retry_hint(duration wait) -> milliseconds;
-    auto enqueue(admission_request request, time_point now) -> admission_event;
-    auto take(const std::string& request_id) -> internal::queued_request;
-    auto evict_over_capacity(time_point now) -> void;
-    auto worst_request() const -> std::string;
-    auto expire(time_point now) -> void;
+    auto enqueue(internal::queued_request queued, time_point now)
+        -> admission_event;
+    auto refuse_expired(time_point now) -> void;
     auto dispatch_queued(time_point now) -> void;
-    auto next_organisation(const std::string& model) const
-        -> internal::organisation_queue*;
-    auto dispatch_model(const std::string& model, time_point now) -> bool;
-    auto learn(const running_attempt& attempt, const attempt_release& release,
-               time_point now) -> void;
-    auto adapt_limit(const running_attempt& attempt,
-                     const attempt_release& release, time_point now) -> void;
+    auto dispatch_first(const std::string& organisation,
+                        const std::string& model, time_point now) -> bool;
+    auto learn(const attempt_release& release,
+               internal::model_estimate& estimate) -> void;
+    auto adapt_limit(const std::string& runner, const attempt_release& release,
+                     time_point now) -> void;
 
     admission_settings settings_;
     router& routes_;
     random_source& random_;
     admission_guards guards_;
+    std::unique_ptr<internal::fair_queue> queue_;
     std::unordered_map<std::string, concurrency_limit> limits_;
     std::unordered_map<std::string, internal::model_estimate> estimates_;
-    std::map<std::string, internal::organisation_queue, std::less<>>
-        organisations_;
-    std::unordered_map<std::string, queue_place> where_;
     std::unordered_map<std::string, running_attempt> running_;
-    std::unordered_map<std::string, std::size_t> queued_by_model_;
-    std::set<std::pair<time_point, std::string>> expiries_;
+    // Models whose queues may move at the next poll().
     std::set<std::string> retry_models_;
     std::vector<admission_event> events_;
-    double virtual_time_ = 0;
     std::uint64_t next_order_ = 0;
 };
 
--- /dev/null
+++ b/basilstream/coordination/admission/admission_test.cpp
@@ -0,0 +1,329 @@
+#include "basilstream/coordination/admission/admission.hpp"
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include "basilstream/base/invariant/invariant.hpp"
+
+namespace basilstream::coordination {
+namespace {
+
+auto runner(const std::string& name, const std::string& model) -> runner_info {
+    return {
+        .name_ = name,
+        .address_ = name,
+        .zone_ = "a",
+        .slots_ = 2,
+        .residents_ = {{.model_ = model, .version_ = "v", .adapters_ = {}}}};
+}
+
+class admission_gate : public ::testing::Test {
+protected:
+    explicit admission_gate(admission_settings settings = {.queue_capacity_ = 4,
+                                                           .first_share_ = 1})
+        : gate_{std::move(settings), routes_, random_} {
+        routes_.update_runner(runner("r1", "m"));
+        gate_.set_runner("r1", 2);
+    }
+    auto submit(const std::string& id, admission_request request = {})
+        -> admission_outcome {
+        request.request_id_ = id;
+        request.model_ = "m";
+        last_ = gate_.submit(std::move(request), now_);
+        return last_.outcome_;
+    }
+    auto release(const std::string& id,
+                 attempt_outcome outcome = attempt_outcome::completed)
+        -> std::vector<admission_event> {
+        gate_.on_release({.request_id_ = id,
+                          .outcome_ = outcome,
+                          .first_token_ = milliseconds{100},
+                          .token_interval_ = milliseconds{10},
+                          .tokens_ = 90},
+                         now_);
+        return gate_.poll(now_);
+    }
+
+    seeded_random random_{1};
+    router routes_{{.zone_ = "a"}, random_};
+    admission gate_;
+    time_point now_{seconds{100}};
+    admission_event last_;
+};
+
+TEST_F(admission_gate, admits_to_the_limit_then_queues_by_priority) {
+    EXPECT_EQ(submit("1"), admission_outcome::admitted);
+    EXPECT_EQ(submit("2"), admission_outcome::admitted);
+    EXPECT_EQ(submit("3"), admission_outcome::queued);
+    EXPECT_EQ(submit("4", {.deadline_ = now_ + seconds{50}}),
+              admission_outcome::queued);
+    EXPECT_EQ(submit("5", {.priority_ = 1}), admission_outcome::queued);
+    EXPECT_EQ(submit("3"), admission_outcome::refused);
+    EXPECT_EQ(last_.error_->code_, error_code::conflict);
+    for (const auto& [ended, next] : std::map<std::string, std::string>{
+             {"1", "5"}, {"2", "4"}, {"5", "3"}}) {
+        const auto events = release(ended);
+        ASSERT_EQ(events.size(), 1U);
+        EXPECT_EQ(events[0].request_id_, next);
+        EXPECT_EQ(events[0].outcome_, admission_outcome::admitted);
+    }
+}
+
+TEST_F(admission_gate, refuses_at_once_what_cannot_meet_its_deadline) {
+    EXPECT_EQ(submit("1"), admission_outcome::admitted);
+    release("1");
+    EXPECT_EQ(submit("2"), admission_outcome::admitted);
+    // 100 ms to the first token and 90 tokens of about 20 ms.
+    EXPECT_EQ(submit("3", {.deadline_ = now_ + milliseconds{500}}),
+              admission_outcome::refused);
+    EXPECT_EQ(last_.error_->code_, error_code::deadline_unreachable);
+    EXPECT_EQ(last_.error_->run_, run_status::not_run);
+    EXPECT_GE(last_.error_->retry_after_, milliseconds{100});
+    EXPECT_EQ(submit("4", {.deadline_ = now_ + seconds{5}}),
+              admission_outcome::admitted);
+    // The first token alone is due early enough.
+    EXPECT_EQ(submit("5", {.first_token_deadline_ = now_ + seconds{3}}),
+              admission_outcome::queued);
+}
+
+TEST_F(admission_gate, answers_a_queued_request_when_its_start_is_too_late) {
+    EXPECT_EQ(submit("1"), admission_outcome::admitted);
+    EXPECT_EQ(submit("2"), admission_outcome::admitted);
+    EXPECT_EQ(submit("3", {.deadline_ = now_ + seconds{1}}),
+              admission_outcome::queued);
+    now_ = *gate_.next_wakeup();
+    EXPECT_LT(now_, time_point{seconds{101}});
+    const auto events = gate_.poll(now_);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].error_->code_, error_code::deadline_unreachable);
+    EXPECT_EQ(gate_.next_wakeup(), std::nullopt);
+}
+
+TEST_F(admission_gate, one_organisation_cannot_fill_the_queue_of_another) {
+    EXPECT_EQ(submit("1"), admission_outcome::admitted);
+    EXPECT_EQ(submit("2"), admission_outcome::admitted);
+    for (const auto* id : {"a1", "a2", "a3", "a4"}) {
+        EXPECT_EQ(submit(id, {.organisation_ = "a"}),
+                  admission_outcome::queued);
+    }
+    EXPECT_EQ(submit("a5", {.organisation_ = "a"}), admission_outcome::refused);
+    EXPECT_EQ(last_.error_->code_, error_code::overloaded);
+    EXPECT_EQ(submit("b1", {.organisation_ = "b"}), admission_outcome::queued);
+    auto events = gate_.poll(now_);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].request_id_, "a4");
+    EXPECT_EQ(release("1")[0].request_id_, "a1");
+    EXPECT_EQ(release("2")[0].request_id_, "b1");
+}
+
+TEST_F(admission_gate, the_limit_follows_what_the_runner_shows) {
+    EXPECT_EQ(submit("1"), admission_outcome::admitted);
+    EXPECT_EQ(submit("2"), admission_outcome::admitted);
+    release("1", attempt_outcome::no_slot);
+    EXPECT_EQ(gate_.limit_of("r1"), 1);
+    EXPECT_EQ(submit("3"), admission_outcome::queued);
+    EXPECT_EQ(release("2")[0].request_id_, "3");
+    for (auto id = 10; id < 13; ++id) {
+        submit(std::to_string(id));
+        release(id == 10 ? "3" : std::to_string(id - 1));
+    }
+    EXPECT_EQ(gate_.limit_of("r1"), 2);
+    now_ += seconds{1};
+    gate_.on_runner_waiting("r1", 3, now_);
+    EXPECT_EQ(gate_.limit_of("r1"), 1);
+}
+
+TEST_F(admission_gate, requests_for_a_lost_runner_are_answered) {
+    EXPECT_EQ(submit("1"), admission_outcome::admitted);
+    EXPECT_EQ(submit("2"), admission_outcome::admitted);
+    EXPECT_EQ(submit("3"), admission_outcome::queued);
+    routes_.remove_runner("r1");
+    gate_.remove_runner("r1");
+    const auto events = gate_.poll(now_);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].error_->run_, run_status::not_run);
+    EXPECT_EQ(release("1").size(), 0U);
+}
+
+TEST_F(admission_gate, requests_for_a_leaving_runner_are_answered_at_once) {
+    EXPECT_EQ(submit("1"), admission_outcome::admitted);
+    EXPECT_EQ(submit("2"), admission_outcome::admitted);
+    EXPECT_EQ(submit("3"), admission_outcome::queued);
+    routes_.mark_leaving("r1");
+    gate_.on_replicas_changed("m");
+    ASSERT_EQ(gate_.poll(now_).size(), 1U);
+}
+
+// One organisation of weight 3 and one of weight 1 keep the queue full.
+TEST(admission_fairness, follows_the_weights) {
+    auto random = seeded_random{1};
+    auto routes = router{{.zone_ = "a"}, random};
+    auto gate =
+        admission{{.weights_ = {{"a", 3}}, .first_share_ = 1}, routes, random};
+    routes.update_runner(runner("r1", "m"));
+    gate.set_runner("r1", 1);
+    auto admitted = std::map<std::string, int>{};
+    auto running = std::string{};
+    for (auto turn = 0; turn < 400; ++turn) {
+        const auto now = time_point{milliseconds{turn}};
+        for (const auto* organisation : {"a", "b"}) {
+            auto event =
+                gate.submit({.request_id_ = organisation + std::to_string(turn),
+                             .organisation_ = organisation,
+                             .model_ = "m"},
+                            now);
+            if (event.outcome_ == admission_outcome::admitted) {
+                running = event.request_id_;
+            }
+        }
+        gate.on_release({.request_id_ = running}, now);
+        for (const auto& event : gate.poll(now)) {
+            running = event.request_id_;
+            ++admitted[running.substr(0, 1)];
+        }
+    }
+    EXPECT_NEAR(admitted["a"], 300, 3);
+    EXPECT_NEAR(admitted["b"], 100, 3);
+}
+
+// What a caller of the gate sees of one request.
+enum class phase { open, running, ended };
+
+class random_callers {
+public:
+    random_callers(std::uint64_t seed, admission_guards guards)
+        : random_{seed}, routes_{{.zone_ = "a"}, random_},
+          gate_{{.queue_capacity_ = 8, .weights_ = {{"0", 2}}},
+                routes_,
+                random_,
+                guards} {}
+
+    auto finds_fault() -> bool {
+        const auto violations = invariant_violations();
+        for (auto step = 0; step < 1500 && !fault_; ++step) {
+            now_ += milliseconds{random_.below(60)};
+            act();
+            take(gate_.poll(now_));
+            fault_ = fault_ || gate_.queued() > 8;
+        }
+        drain();
+        return fault_ || invariant_violations() != violations;
+    }
+
+private:
+    auto act() -> void {
+        const auto name = "r" + std::to_string(random_.below(3));
+        const auto id = std::to_string(random_.below(400));
+        switch (random_.below(12)) {
+        case 0:
+            routes_.update_runner(
+                runner(name, "m" + std::to_string(random_.below(2))));
+            gate_.set_runner(name, 2);
+            break;
+        case 1:
+            if (random_.below(8) == 0) {
+                routes_.remove_runner(name);
+                gate_.remove_runner(name);
+            }
+            break;
+        case 2:
+            if (gate_.cancel(id)) {
+                phases_[id] = phase::ended;
+            }
+            break;
+        case 3:
+        case 4:
+            release(id);
+            break;
+        default:
+            submit(id);
+        }
+    }
+    auto submit(const std::string& id) -> void {
+        const auto known = phases_.find(id);
+        if (known != phases_.end() && known->second == phase::ended) {
+            return;
+        }
+        const auto repeat = known != phases_.end();
+        const auto event = gate_.submit(
+            {.request_id_ = id,
+             .organisation_ = std::to_string(random_.below(3)),
+             .model_ = "m" + std::to_string(random_.below(2)),
+             .priority_ = static_cast<int>(random_.below(3)),
+             .deadline_ = now_ + milliseconds{random_.below(2000)}},
+            now_);
+        if (repeat) {
+            fault_ = fault_ || !event.error_ ||
+                     event.error_->code_ != error_code::conflict;
+            return;
+        }
+        phases_[id] = phase::open;
+        if (event.outcome_ != admission_outcome::queued) {
+            take({event});
+        }
+    }
+    auto release(const std::string& id) -> void {
+        const auto found = phases_.find(id);
+        if (found != phases_.end() && found->second == phase::running) {
+            found->second = phase::ended;
+            const auto slow = random_.below(10) == 0;
+            gate_.on_release(
+                {.request_id_ = id,
+                 .outcome_ = static_cast<attempt_outcome>(random_.below(5)),
+                 .first_token_ = milliseconds{slow ? 2000 : 50}},
+                now_);
+        }
+    }
+    auto take(const std::vector<admission_event>& events) -> void {
+        for (const auto& event : events) {
+            auto& seen = phases_[event.request_id_];
+            fault_ = fault_ || seen != phase::open;
+            const auto admitted = event.outcome_ == admission_outcome::admitted;
+            fault_ = fault_ ||
+                     (!admitted && event.error_->run_ != run_status::not_run);
+            seen = admitted ? phase::running : phase::ended;
+        }
+    }
+    // Everybody is answered in the end, and nothing is left in hand.
+    auto drain() -> void {
+        now_ += seconds{10};
+        take(gate_.poll(now_));
+        for (auto& [id, seen] : phases_) {
+            fault_ = fault_ || seen == phase::open;
+            release(id);
+        }
+        fault_ = fault_ || gate_.queued() != 0 || gate_.in_flight() != 0;
+    }
+
+    seeded_random random_;
+    router routes_;
+    admission gate_;
+    time_point now_{seconds{1}};
+    std::map<std::string, phase> phases_;
+    bool fault_ = false;
+};
+
+TEST(admission_random, gives_each_request_one_terminal_answer) {
+    for (auto seed = std::uint64_t{0}; seed < 200; ++seed) {
+        ASSERT_FALSE((random_callers{seed, {}}.finds_fault())) << seed;
+    }
+}
+
+TEST(admission_random, finds_each_guard_switched_off) {
+    EXPECT_TRUE((random_callers{
+        1, {.known_ = [](bool) {
+            return false;
+        }}}.finds_fault()));
+    EXPECT_TRUE((random_callers{
+        1, {.full_ = [](std::size_t, std::size_t) {
+            return false;
+        }}}.finds_fault()));
+    EXPECT_TRUE((random_callers{
+        1, {.too_late_ = [](time_point, time_point) {
+            return false;
+        }}}.finds_fault()));
+}
+
+} // namespace
+} // namespace basilstream::coordination
--- /dev/null
+++ b/basilstream/coordination/admission/concurrency_limit.cpp
@@ -0,0 +1,39 @@
+#include <algorithm>
+
+#include "basilstream/coordination/admission/admission.hpp"
+
+namespace basilstream::coordination {
+
+concurrency_limit::concurrency_limit(const admission_settings& settings,
+                                     int slots)
+    : decrease_{settings.decrease_},
+      decrease_interval_{settings.decrease_interval_}, slots_{std::max(slots,
+                                                                       1)},
+      limit_{std::max(settings.first_share_ * slots_, 1.0)} {}
+
+auto concurrency_limit::set_slots(int slots) -> void {
+    slots_ = std::max(slots, 1);
+    limit_ = std::min(limit_, static_cast<double>(slots_));
+}
+
+auto concurrency_limit::on_success(int in_flight) -> void {
+    // A limit that is not reached has shown nothing.
+    if (in_flight < value()) {
+        return;
+    }
+    limit_ = std::min(limit_ + 1 / limit_, static_cast<double>(slots_));
+}
+
+auto concurrency_limit::on_congestion(time_point now) -> void {
+    if (last_decrease_ && now < *last_decrease_ + decrease_interval_) {
+        return;
+    }
+    last_decrease_ = now;
+    limit_ = std::max(limit_ * decrease_, 1.0);
+}
+
+auto concurrency_limit::value() const -> int {
+    return static_cast<int>(limit_);
+}
+
+} // namespace basilstream::coordination
--- /dev/null
+++ b/basilstream/coordination/admission/internal/fair_queue.cpp
@@ -0,0 +1,162 @@
+#include "basilstream/coordination/admission/internal/fair_queue.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace basilstream::coordination::internal {
+
+auto queue_key::operator<(const queue_key& other) const -> bool {
+    return std::tuple{-priority_, latest_start_, order_} <
+           std::tuple{-other.priority_, other.latest_start_, other.order_};
+}
+
+auto fair_queue::organisation(const std::string& name) -> organisation_queue& {
+    const auto [found, added] = organisations_.try_emplace(name);
+    if (added) {
+        const auto weight = weights_.find(name);
+        found->second.weight_ = weight == weights_.end() ? 1 : weight->second;
+    }
+    return found->second;
+}
+
+auto fair_queue::insert(queued_request queued) -> void {
+    const auto key = queue_key{queued};
+    const auto& request = queued.request_;
+    auto& owner = organisation(request.organisation_);
+    if (owner.size_ == 0) {
+        // An organisation that was idle has saved up no claim.
+        owner.virtual_time_ = std::max(owner.virtual_time_, virtual_time_);
+    }
+    ++owner.size_;
+    ++queued_by_model_[request.model_];
+    organisations_by_model_[request.model_].insert(request.organisation_);
+    latest_starts_.emplace(queued.latest_start_, request.request_id_);
+    places_.emplace(request.request_id_,
+                    place{request.organisation_, request.model_, key});
+    owner.models_[request.model_].emplace(key, std::move(queued));
+}
+
+// By value: the id may be part of the request that is taken out.
+auto fair_queue::take(std::string request_id) -> queued_request {
+    const auto found = places_.find(request_id);
+    const auto where = found->second;
+    places_.erase(found);
+    auto& owner = organisation(where.organisation_);
+    auto& queue = owner.models_[where.model_];
+    auto queued = std::move(queue.extract(where.key_).mapped());
+    latest_starts_.erase({queued.latest_start_, std::move(request_id)});
+    --owner.size_;
+    if (queue.empty()) {
+        owner.models_.erase(where.model_);
+        organisations_by_model_[where.model_].erase(where.organisation_);
+    }
+    if (--queued_by_model_[where.model_] == 0) {
+        queued_by_model_.erase(where.model_);
+        organisations_by_model_.erase(where.model_);
+    }
+    return queued;
+}
+
+auto fair_queue::queued_for(const std::string& model) const -> std::size_t {
+    const auto found = queued_by_model_.find(model);
+    return found == queued_by_model_.end() ? 0 : found->second;
+}
+
+auto fair_queue::find(const std::string& organisation,
+                      const std::string& model) const -> const model_queue* {
+    const auto owner = organisations_.find(organisation);
+    if (owner == organisations_.end()) {
+        return nullptr;
+    }
+    const auto queue = owner->second.models_.find(model);
+    return queue == owner->second.models_.end() ? nullptr : &queue->second;
+}
+
+auto fair_queue::queues_for(const std::string& model) const
+    -> std::vector<queue_name> {
+    auto names = std::vector<queue_name>{};
+    const auto found = organisations_by_model_.find(model);
+    if (found == organisations_by_model_.end()) {
+        return names;
+    }
+    for (const auto& organisation : found->second) {
+        names.push_back({organisation, model});
+    }
+    return names;
+}
+
+auto fair_queue::models() const -> std::vector<std::string> {
+    auto names = std::vector<std::string>{};
+    for (const auto& [model, organisations] : organisations_by_model_) {
+        names.push_back(model);
+    }
+    return names;
+}
+
+auto fair_queue::ahead_of(const queued_request& queued, double bound) const
+    -> double {
+    const auto& request = queued.request_;
+    const auto organisations = organisations_by_model_.find(request.model_);
+    if (organisations == organisations_by_model_.end()) {
+        return 0;
+    }
+    const auto weight_of = [&](const std::string& name) {
+        const auto weight = weights_.find(name);
+        return weight == weights_.end() ? 1.0 : weight->second;
+    };
+    const auto own_weight = weight_of(request.organisation_);
+    auto weights = own_weight;
+    for (const auto& name : organisations->second) {
+        weights += name == request.organisation_ ? 0 : weight_of(name);
+    }
+    const auto turns = weights / own_weight;
+    auto ahead = turns - 1;
+    if (const auto* const queue = find(request.organisation_, request.model_)) {
+        const auto key = queue_key{queued};
+        for (const auto& [other, entry] : *queue) {
+            if (!(other < key) || ahead >= bound) {
+                break;
+            }
+            ahead += turns;
+        }
+    }
+    const auto all = static_cast<double>(queued_for(request.model_));
+    return std::min({ahead, all, bound});
+}
+
+auto fair_queue::worst() const -> std::string {
+    const auto over_share = [](const auto& left, const auto& right) {
+        return static_cast<double>(left.second.size_) / left.second.weight_ <
+               static_cast<double>(right.second.size_) / right.second.weight_;
+    };
+    const auto longest = std::max_element(organisations_.begin(),
+                                          organisations_.end(), over_share);
+    const auto& models = longest->second.models_;
+    const auto later = [](const auto& left, const auto& right) {
+        return left.second.rbegin()->first < right.second.rbegin()->first;
+    };
+    const auto last = std::max_element(models.begin(), models.end(), later);
+    return last->second.rbegin()->second.request_.request_id_;
+}
+
+auto fair_queue::most_urgent() const
+    -> std::optional<std::pair<time_point, std::string>> {
+    if (latest_starts_.empty()) {
+        return std::nullopt;
+    }
+    return *latest_starts_.begin();
+}
+
+auto fair_queue::virtual_time(const std::string& organisation) const -> double {
+    const auto found = organisations_.find(organisation);
+    return found == organisations_.end() ? 0 : found->second.virtual_time_;
+}
+
+auto fair_queue::charge(const std::string& name, double cost) -> void {
+    auto& owner = organisation(name);
+    virtual_time_ = std::max(virtual_time_, owner.virtual_time_);
+    owner.virtual_time_ =
+        std::max(owner.virtual_time_, virtual_time_) + cost / owner.weight_;
+}
+
+} // namespace basilstream::coordination::internal
--- a/basilstream/coordination/routing/routing.cpp
+++ b/basilstream/coordination/routing/routing.cpp
@@ -224,6 +224,25 @@
         }));
 }
 
+auto router::has_room(std::string_view model) const -> bool {
+    const auto found = models_.find(std::string{model});
+    if (found == models_.end()) {
+        return true;
+    }
+    auto usable = false;
+    for (const auto& each : found->second) {
+        const auto& runner = *each.runner_;
+        if (!each.resident_.ready_ || runner.leaving_) {
+            continue;
+        }
+        if (!guards_.at_limit_(runner.in_flight_, runner.limit_)) {
+            return true;
+        }
+        usable = true;
+    }
+    return !usable;
+}
+
 auto router::size() const -> std::size_t {
     return runners_.size();
 }
--- a/basilstream/coordination/routing/routing.hpp
+++ b/basilstream/coordination/routing/routing.hpp
@@ -87,11 +87,11 @@
 
 /// What is known of a runner or of a plain service's backend server.
 struct runner_info {
-    std::string name_;
-    std::string address_;
-    std::string zone_;
+    std::string name_ = {};
+    std::string address_ = {};
+    std::string zone_ = {};
     /// Changes when the process was restarted; empty when not known.
-    std::string boot_id_;
+    std::string boot_id_ = {};
     /// Requests that it runs at once.
     int slots_ = 1;
     bool leaving_ = false;
@@ -247,6 +247,10 @@
     /// concurrency limits.
     [[nodiscard]] auto usable_replicas(std::string_view model) const -> int;
 
+    /// Returns false if every usable replica of `model` is at its limit, so
+    /// that choose() could only answer overloaded.
+    [[nodiscard]] auto has_room(std::string_view model) const -> bool;
+
     /// Returns the number of runners known.
     [[nodiscard]] auto size() const -> std::size_t;
 
