Wire callers, completions, services, fleet, control log and cluster

Cause: the whole path from a caller to a runner has to run in one daemon. Change: HTTP routes that check on the server's threads and decide on one control thread; streams written on the engine thread; VM list and report polls; membership over the peer link; plain services with claims. Conclusion: what is missing is placement, the claim log and main.

--- /dev/null
+++ b/basilstream/daemon/api/api.cpp
@@ -0,0 +1,435 @@
+#include "basilstream/daemon/api/api.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdlib>
+
+#include "basilstream/protocol/resources/resources.hpp"
+
+namespace basilstream::daemon {
+namespace {
+
+constexpr auto bearer = std::string_view{"Bearer "};
+constexpr auto services_path = std::string_view{"/services/"};
+constexpr auto max_deadline = milliseconds{3'600'000};
+constexpr auto max_key_length = std::size_t{256};
+// Hint of a refusal by a daemon that is starting, stopping or full.
+constexpr auto busy_hint = milliseconds{1000};
+// Headers of a caller that reach a plain service.
+constexpr auto forwarded_headers =
+    std::array{"accept", "content-type", "accept-language", "user-agent"};
+
+auto unix_seconds() -> std::int64_t {
+    return std::chrono::duration_cast<std::chrono::seconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+// Answers that need no state are the same whoever asks.
+auto json_header() -> transport::header_list {
+    return {{"Content-Type", "application/json"}};
+}
+
+auto query_string(const transport::http_request& request) -> std::string {
+    constexpr auto digits = std::string_view{"0123456789ABCDEF"};
+    const auto encode = [digits](const std::string& text) {
+        auto encoded = std::string{};
+        for (const auto letter : text) {
+            const auto code = static_cast<unsigned char>(letter);
+            if (std::isalnum(code) != 0 || letter == '-' || letter == '_' ||
+                letter == '.' || letter == '~') {
+                encoded.push_back(letter);
+            } else {
+                encoded.push_back('%');
+                encoded.push_back(digits[code >> 4U]);
+                encoded.push_back(digits[code & 0xfU]);
+            }
+        }
+        return encoded;
+    };
+    auto text = std::string{};
+    for (const auto& [name, value] : request.query_) {
+        text += text.empty() ? "?" : "&";
+        text += encode(name);
+        text += "=";
+        text += encode(value);
+    }
+    return text;
+}
+
+// A path that could leave the service's own tree, or break the request line.
+auto is_unsafe_path(std::string_view path) -> bool {
+    return std::any_of(path.begin(), path.end(),
+                       [](char letter) {
+                           return static_cast<unsigned char>(letter) <= ' ' ||
+                                  letter == '\x7f' || letter == '#' ||
+                                  letter == '?';
+                       }) ||
+           path.find("/../") != std::string_view::npos || path.ends_with("/..");
+}
+
+} // namespace
+
+// A request on its way from a route to the control thread.
+struct api::call {
+    transport::http_request request_;
+    transport::http_exchange_ptr reply_;
+    std::string id_;
+    time_point arrived_;
+    milliseconds deadline_{};
+    std::string token_hash_;
+    std::string organisation_;
+    protocol::completion_call completion_;
+    span span_;
+};
+
+api::api(const context& base, api_parts parts)
+    : base_{base}, parts_{parts}, id_seed_{base.random_.next()} {}
+
+auto api::handler() -> transport::http_handler {
+    return [this](transport::http_request request,
+                  transport::http_exchange_ptr reply) {
+        route(std::move(request), std::move(reply));
+    };
+}
+
+auto api::route(transport::http_request request,
+                transport::http_exchange_ptr reply) -> void {
+    static constexpr auto routes = std::array{
+        route_row{"POST", "/v1/completions", false, &api::text_completion},
+        route_row{"POST", "/v1/chat/completions", false, &api::chat_completion},
+        route_row{"GET", "/v1/models", false, &api::models},
+        route_row{"GET", "/v1/endpoints", false, &api::endpoints},
+        route_row{"GET", "/healthz", false, &api::health},
+        route_row{"GET", "/readyz", false, &api::readiness},
+        route_row{"GET", "/metrics", false, &api::metrics},
+        route_row{"*", services_path.data(), true, &api::service},
+    };
+    auto received = std::make_shared<call>();
+    received->arrived_ = base_.clock_.now();
+    received->reply_ = std::move(reply);
+    auto ids = seeded_random{id_seed_ + next_request_.fetch_add(1)};
+    received->id_ = make_id(ids);
+    received->request_ = std::move(request);
+    const auto& path = received->request_.path_;
+    auto known_path = false;
+    for (const auto& row : routes) {
+        if (row.prefix_ ? !path.starts_with(row.path_) : path != row.path_) {
+            continue;
+        }
+        known_path = true;
+        if (row.method_[0] == '*' ||
+            received->request_.method_ == row.method_) {
+            (this->*row.member_)(received);
+            return;
+        }
+    }
+    refuse(received,
+           {known_path ? error_code::invalid_argument : error_code::not_found,
+            step::caller,
+            {},
+            known_path ? "method not allowed here" : "no such path"});
+}
+
+auto api::refuse(const call_ptr& received, const error& failure) -> void {
+    auto headers = json_header();
+    headers.emplace_back("X-Request-Id", received->id_);
+    if (auto wait = protocol::retry_after_header(failure); !wait.empty()) {
+        headers.emplace_back("Retry-After", std::move(wait));
+    }
+    received->reply_->respond(http_status(failure.code_), std::move(headers),
+                              protocol::error_body(failure, received->id_));
+}
+
+auto api::post(const call_ptr& received, void (api::*member)(const call_ptr&))
+    -> void {
+    const auto taken = base_.control_.post(
+        [this, received, member] { (this->*member)(received); });
+    if (!taken) {
+        refuse(received, {error_code::overloaded,
+                          step::admission,
+                          {},
+                          "the daemon is busy",
+                          run_status::not_run,
+                          busy_hint});
+    }
+}
+
+auto api::text_completion(const call_ptr& received) -> void {
+    completion(received, protocol::completion_style::text);
+}
+
+auto api::chat_completion(const call_ptr& received) -> void {
+    completion(received, protocol::completion_style::chat);
+}
+
+auto api::completion(const call_ptr& received, protocol::completion_style style)
+    -> void {
+    auto parsed = protocol::parse_completion(received->request_.body_, style);
+    if (!parsed) {
+        refuse(received, parsed.error());
+        return;
+    }
+    received->completion_ = std::move(*parsed);
+    received->request_.body_ = {};
+    post(received, &api::start_completion);
+}
+
+auto api::service(const call_ptr& received) -> void {
+    if (is_unsafe_path(received->request_.path_)) {
+        refuse(received, {error_code::invalid_argument,
+                          step::caller,
+                          {},
+                          "path holds characters that are not allowed"});
+        return;
+    }
+    post(received, &api::start_service);
+}
+
+auto api::models(const call_ptr& received) -> void {
+    post(received, &api::answer_models);
+}
+
+auto api::endpoints(const call_ptr& received) -> void {
+    post(received, &api::answer_endpoints);
+}
+
+auto api::health(const call_ptr& received) -> void {
+    received->reply_->respond(200, json_header(), R"({"status":"ok"})");
+}
+
+auto api::readiness(const call_ptr& received) -> void {
+    post(received, &api::answer_readiness);
+}
+
+auto api::metrics(const call_ptr& received) -> void {
+    received->reply_->respond(200,
+                              {{"Content-Type", "text/plain; version=0.0.4"}},
+                              parts_.measured_.registry_.prometheus_text());
+}
+
+auto api::rebuild_tokens() -> void {
+    tokens_.clear();
+    for (const auto* entry : parts_.log_.state().resources()) {
+        const auto* organisation =
+            std::get_if<state::organisation_resource>(&entry->resource_);
+        if (organisation == nullptr) {
+            continue;
+        }
+        for (const auto& hash : organisation->token_hashes_) {
+            tokens_[hash] = organisation->name_;
+        }
+    }
+}
+
+auto api::ready() const -> bool {
+    return parts_.log_.ready() && parts_.fleet_.listed() && accepting_.load();
+}
+
+auto api::authenticate(const call_ptr& received) -> bool {
+    if (!ready()) {
+        refuse(received, {error_code::not_ready,
+                          step::admission,
+                          {},
+                          accepting_.load() ? "the daemon has no state yet"
+                                            : "the daemon is stopping",
+                          run_status::not_run,
+                          busy_hint});
+        return false;
+    }
+    const auto header = received->request_.header("authorization");
+    const auto found =
+        header.starts_with(bearer)
+            ? tokens_.find(protocol::token_hash(header.substr(bearer.size())))
+            : tokens_.end();
+    if (found == tokens_.end()) {
+        refuse(received, {error_code::unauthenticated,
+                          step::authentication,
+                          {},
+                          "a valid bearer token is required"});
+        return false;
+    }
+    received->organisation_ = found->second;
+    received->deadline_ = parts_.settings_.requests_.deadline_;
+    const auto deadline =
+        std::string{received->request_.header("x-request-deadline-ms")};
+    if (!deadline.empty()) {
+        char* end = nullptr;
+        const auto value = std::strtol(deadline.c_str(), &end, 10);
+        if (*end != '\0' || value < 1 || value > max_deadline.count()) {
+            refuse(received,
+                   {error_code::invalid_argument,
+                    step::caller,
+                    {},
+                    "X-Request-Deadline-Ms: an integer from 1 to 3600000"});
+            return false;
+        }
+        received->deadline_ = milliseconds{value};
+    }
+    const auto open = parts_.completions_.open() + parts_.services_.open();
+    if (open >= parts_.settings_.requests_.max_open_requests_) {
+        refuse(received, {error_code::overloaded,
+                          step::admission,
+                          {},
+                          "too many open requests",
+                          run_status::not_run,
+                          busy_hint});
+        return false;
+    }
+    received->span_ = parts_.measured_.traces_.start(
+        "caller", received->request_.header("traceparent"));
+    received->span_.tag("request_id", received->id_);
+    return true;
+}
+
+auto api::start_completion(const call_ptr& received) -> void {
+    if (!authenticate(received)) {
+        return;
+    }
+    auto& asked = received->completion_;
+    const auto* model = parts_.log_.state().find_model(asked.model_);
+    // Another organisation's model is as if it did not exist.
+    auto known =
+        model != nullptr && model->organisation_ == received->organisation_;
+    if (known && !asked.adapter_.empty()) {
+        known = parts_.log_.state().find_resource(
+                    {state::resource_kind::adapter,
+                     asked.model_ + "/" + asked.adapter_}) != nullptr;
+    }
+    if (!known) {
+        refuse(received,
+               {error_code::not_found,
+                step::routing,
+                {},
+                "no such model: " + asked.model_ +
+                    (asked.adapter_.empty() ? "" : ":" + asked.adapter_)});
+        return;
+    }
+    parts_.completions_.submit({.request_id_ = received->id_,
+                                .organisation_ = received->organisation_,
+                                .call_ = std::move(asked),
+                                .versions_ = model->versions_,
+                                .priority_ = model->priority_,
+                                .arrived_ = received->arrived_,
+                                .deadline_ = received->deadline_,
+                                .caller_ = received->reply_,
+                                .unix_time_ = unix_seconds(),
+                                .span_ = std::move(received->span_)});
+}
+
+auto api::start_service(const call_ptr& received) -> void {
+    if (!authenticate(received)) {
+        return;
+    }
+    auto& request = received->request_;
+    const auto rest =
+        std::string_view{request.path_}.substr(services_path.size());
+    const auto first = rest.find('/');
+    const auto second =
+        first == std::string_view::npos ? first : rest.find('/', first + 1);
+    const auto name = std::string{rest.substr(0, second)};
+    const auto* found = parts_.log_.state().find_resource(
+        {state::resource_kind::service, name});
+    const auto* declared =
+        found == nullptr
+            ? nullptr
+            : std::get_if<state::service_resource>(&found->resource_);
+    if (declared == nullptr ||
+        declared->organisation_ != received->organisation_) {
+        refuse(received, {error_code::not_found,
+                          step::routing,
+                          {},
+                          "no such service: " + name});
+        return;
+    }
+    const auto key = std::string{request.header("idempotency-key")};
+    if (key.size() > max_key_length) {
+        refuse(received, {error_code::invalid_argument,
+                          step::caller,
+                          {},
+                          "Idempotency-Key: at most 256 bytes"});
+        return;
+    }
+    const auto& once = declared->non_idempotent_methods_;
+    auto headers = transport::header_list{};
+    for (const auto* header : forwarded_headers) {
+        if (const auto value = request.header(header); !value.empty()) {
+            headers.emplace_back(header, value);
+        }
+    }
+    const auto target =
+        (second == std::string_view::npos ? std::string{"/"}
+                                          : std::string{rest.substr(second)}) +
+        query_string(request);
+    parts_.services_.submit(
+        {.request_id_ = received->id_,
+         .organisation_ = received->organisation_,
+         .service_ = name,
+         .method_ = request.method_,
+         .target_ = target,
+         .headers_ = std::move(headers),
+         .body_ = std::move(request.body_),
+         .idempotent_ =
+             std::find(once.begin(), once.end(), request.method_) == once.end(),
+         .idempotency_key_ = key,
+         .priority_ = declared->priority_,
+         .arrived_ = received->arrived_,
+         .deadline_ = received->deadline_,
+         .caller_ = received->reply_,
+         .span_ = std::move(received->span_)});
+}
+
+auto api::answer_models(const call_ptr& received) -> void {
+    if (!authenticate(received)) {
+        return;
+    }
+    auto lines = std::vector<protocol::model_line>{};
+    for (const auto* entry : parts_.log_.state().resources()) {
+        if (const auto* model =
+                std::get_if<state::model_resource>(&entry->resource_);
+            model != nullptr &&
+            model->organisation_ == received->organisation_) {
+            lines.push_back(
+                {state::full_name(entry->resource_), model->organisation_});
+        } else if (const auto* adapter =
+                       std::get_if<state::adapter_resource>(&entry->resource_);
+                   adapter != nullptr &&
+                   adapter->organisation_ == received->organisation_) {
+            lines.push_back({adapter->organisation_ + "/" + adapter->model_ +
+                                 ":" + adapter->name_,
+                             adapter->organisation_});
+        }
+    }
+    received->reply_->respond(200, json_header(), protocol::models_body(lines));
+}
+
+auto api::answer_endpoints(const call_ptr& received) -> void {
+    const auto answer = parts_.cluster_.endpoints(
+        std::string{received->request_.query("zone")});
+    if (!answer) {
+        refuse(received, answer.error());
+        return;
+    }
+    received->reply_->respond(
+        200, json_header(),
+        protocol::endpoints_body(answer->addresses_,
+                                 answer->time_to_live_.count()));
+}
+
+auto api::answer_readiness(const call_ptr& received) -> void {
+    if (ready()) {
+        received->reply_->respond(200, json_header(), R"({"status":"ready"})");
+        return;
+    }
+    refuse(received,
+           {error_code::not_ready,
+            step::state,
+            {},
+            "log: " + std::string{coordination::replica_phase_names.name_of(
+                          parts_.log_.phase())},
+            run_status::not_run,
+            busy_hint});
+}
+
+} // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/daemon/cluster/cluster.cpp
@@ -0,0 +1,184 @@
+#include "basilstream/daemon/cluster/cluster.hpp"
+
+#include <cstdlib>
+
+namespace basilstream::daemon {
+namespace {
+
+// How often a daemon tells the others its load.
+constexpr auto load_interval = seconds{5};
+constexpr auto max_endpoints = std::size_t{8};
+
+auto self_of(const daemon_settings& settings, std::string caller_address,
+             const transport::peer_link& link) -> coordination::member {
+    auto self = coordination::member{};
+    self.name_ = settings.name_;
+    self.peer_address_ = link.address();
+    self.caller_address_ = std::move(caller_address);
+    self.zone_ = settings.zone_;
+    return self;
+}
+
+auto directory_settings(const daemon_settings& settings)
+    -> coordination::discovery_settings {
+    auto made = coordination::discovery_settings{};
+    made.time_to_live_ = settings.endpoint_time_to_live_;
+    made.max_addresses_ = max_endpoints;
+    return made;
+}
+
+} // namespace
+
+cluster::cluster(const context& base, const daemon_settings& settings,
+                 std::string caller_address,
+                 std::unique_ptr<transport::peer_link> link)
+    : base_{base}, settings_{settings}, link_{std::move(link)},
+      membership_{{},
+                  self_of(settings, std::move(caller_address), *link_),
+                  base.random_},
+      directory_{directory_settings(settings), base.random_} {
+    for (const auto& seed : settings.peer_.seeds_) {
+        if (seed != link_->address()) {
+            membership_.add_seed(seed, base_.clock_.now());
+        }
+    }
+    payloads_[coordination::payload_kind::endpoint_load] =
+        [this](const coordination::gossip_payload& payload) {
+            loads_[payload.origin_] = static_cast<std::uint32_t>(
+                std::strtoul(payload.bytes_.c_str(), nullptr, 10));
+            update_endpoints();
+        };
+    update_endpoints();
+}
+
+auto cluster::on_channel(protocol::peer_channel channel,
+                         channel_handler handler) -> void {
+    channels_[channel] = std::move(handler);
+}
+
+auto cluster::on_payload(coordination::payload_kind kind,
+                         payload_handler handler) -> void {
+    payloads_[kind] = std::move(handler);
+}
+
+auto cluster::on_members(
+    std::function<void(const std::vector<std::string>&)> observer) -> void {
+    member_observers_.push_back(std::move(observer));
+}
+
+auto cluster::on_message(const std::string& from_address,
+                         const std::string& bytes) -> void {
+    const auto envelope = protocol::decode_envelope(bytes);
+    if (!envelope) {
+        base_.log_.failure(transport::log_level::debug, "peer message dropped",
+                           envelope.error());
+        return;
+    }
+    if (envelope->channel_ == protocol::peer_channel::membership) {
+        if (const auto message =
+                protocol::decode_membership(envelope->payload_)) {
+            membership_.on_message(from_address, *message, base_.clock_.now());
+        }
+        return;
+    }
+    const auto found = channels_.find(envelope->channel_);
+    if (found != channels_.end()) {
+        found->second(envelope->sender_, envelope->payload_);
+    }
+}
+
+auto cluster::tick() -> void {
+    const auto now = base_.clock_.now();
+    if (now >= next_load_) {
+        next_load_ = now + load_interval;
+        gossip(coordination::payload_kind::endpoint_load, "load",
+               std::to_string(own_load_));
+    }
+    membership_.tick(now);
+    for (auto& output : membership_.poll()) {
+        transmit(output.address_, protocol::peer_channel::membership,
+                 protocol::encode(output.message_));
+    }
+    for (const auto& payload : membership_.take_payloads()) {
+        const auto found = payloads_.find(payload.kind_);
+        if (found != payloads_.end()) {
+            found->second(payload);
+        }
+    }
+    if (membership_.take_changed()) {
+        update_endpoints();
+        const auto owners = membership_.owners();
+        for (const auto& observer : member_observers_) {
+            observer(owners);
+        }
+    }
+}
+
+auto cluster::transmit(const std::string& address,
+                       protocol::peer_channel channel, std::string bytes)
+    -> void {
+    link_->send(address, protocol::encode(protocol::peer_envelope{
+                             channel, settings_.name_, std::move(bytes)}));
+}
+
+auto cluster::send(const std::string& daemon, protocol::peer_channel channel,
+                   std::string bytes) -> bool {
+    const auto member = membership_.find(daemon);
+    if (!member) {
+        return false;
+    }
+    transmit(member->peer_address_, channel, std::move(bytes));
+    return true;
+}
+
+auto cluster::gossip(coordination::payload_kind kind, std::string key,
+                     std::string bytes) -> void {
+    if (!membership_.publish(kind, std::move(key), std::move(bytes),
+                             base_.clock_.now())) {
+        base_.log_.warning("gossip payload is too large");
+    }
+}
+
+auto cluster::take_listed(const std::vector<protocol::listed_vm>& entries)
+    -> void {
+    const auto now = base_.clock_.now();
+    for (const auto& entry : entries) {
+        if (entry.peer_address_.empty() ||
+            entry.peer_address_ == link_->address()) {
+            continue;
+        }
+        if (entry.leaving_) {
+            membership_.on_listed_leaving(entry.peer_address_, now);
+        } else {
+            membership_.add_seed(entry.peer_address_, now);
+        }
+    }
+}
+
+auto cluster::leave() -> void {
+    membership_.leave(base_.clock_.now());
+    update_endpoints();
+    tick();
+}
+
+auto cluster::set_load(std::size_t open_requests) -> void {
+    own_load_ = open_requests;
+}
+
+auto cluster::endpoints(const std::string& zone)
+    -> result<coordination::endpoint_answer> {
+    return directory_.answer(zone);
+}
+
+auto cluster::update_endpoints() -> void {
+    auto list = std::vector<coordination::endpoint>{};
+    for (const auto& member : membership_.members()) {
+        const auto load = loads_.find(member.name_);
+        list.push_back({member.name_, member.caller_address_, member.zone_,
+                        member.state_ == coordination::member_state::alive,
+                        load == loads_.end() ? 0U : load->second});
+    }
+    directory_.update(std::move(list));
+}
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/completions/completions.hpp
+++ b/basilstream/daemon/completions/completions.hpp
@@ -33,6 +33,9 @@
     coordination::admission& admission_;
     coordination::retry_policy& retries_;
     coordination::quarantine& quarantine_;
+    /// Has the admission polled soon, and its events acted on; to be called
+    /// after each release.
+    std::function<void()> poll_soon_;
 };
 
 /// What completions need to know of runners; `fleet` in the daemon.
@@ -87,7 +90,9 @@
 
     /// Takes a request over; its caller is answered in any case.
     auto submit(completion_request request) -> void;
-    /// Advances queues, delays and deadlines; call every few milliseconds.
+    /// Takes an admission event; one of another part's request is ignored.
+    auto act_on(coordination::admission_event event) -> void;
+    /// Advances delays and deadlines; call every few milliseconds.
     auto tick() -> void;
     /// Requests without their final answer.
     [[nodiscard]] auto open() const -> std::size_t { return open_.size(); }
@@ -97,7 +102,6 @@
     using active_ptr = std::shared_ptr<active>;
 
     auto enqueue(const active_ptr& request) -> void;
-    auto act_on(coordination::admission_event event) -> void;
     auto prepare_dispatch(const active_ptr& request, coordination::route chosen)
         -> void;
     auto dispatch(const active_ptr& request) -> void;
--- /dev/null
+++ b/basilstream/daemon/fleet/fleet.cpp
@@ -0,0 +1,398 @@
+#include "basilstream/daemon/fleet/fleet.hpp"
+
+#include <algorithm>
+
+namespace basilstream::daemon {
+namespace {
+
+constexpr auto list_timeout = milliseconds{2000};
+constexpr auto report_timeout = milliseconds{1000};
+constexpr auto crash_check_timeout = milliseconds{700};
+// Unanswered polls after which a runner counts as out of reach.
+constexpr auto polls_before_unreachable = 3;
+constexpr auto service_slots = 64;
+constexpr auto status_ok = 200;
+
+} // namespace
+
+auto service_route_name(std::string_view service) -> std::string {
+    return "service:" + std::string{service};
+}
+
+fleet::fleet(const context& base, const daemon_settings& settings,
+             traffic_policy policy)
+    : base_{base}, settings_{settings}, policy_{policy} {}
+
+auto fleet::on_report(std::function<void(const runner_view&)> observer)
+    -> void {
+    report_observers_.push_back(std::move(observer));
+}
+
+auto fleet::on_gone(std::function<void(const std::string&)> observer) -> void {
+    gone_observers_.push_back(std::move(observer));
+}
+
+auto fleet::on_entries(
+    std::function<void(const std::vector<protocol::listed_vm>&)> observer)
+    -> void {
+    entry_observers_.push_back(std::move(observer));
+}
+
+auto fleet::on_leaving(std::function<void(const std::string&)> observer)
+    -> void {
+    leaving_observers_.push_back(std::move(observer));
+}
+
+auto fleet::tick() -> void {
+    const auto now = base_.clock_.now();
+    if (now >= next_list_ && !list_in_flight_) {
+        poll_list();
+    }
+    for (auto& [name, runner] : runners_) {
+        if (now >= runner.next_poll_ && !runner.poll_in_flight_) {
+            poll_runner(runner);
+        }
+    }
+}
+
+auto fleet::poll_list() -> void {
+    list_in_flight_ = true;
+    const auto& platform = settings_.platform_;
+    base_.platform_.fetch(
+        {.url_ = platform.vm_list_url_ + platform.vm_list_path_,
+         .total_timeout_ = list_timeout,
+         .step_ = step::vm_list},
+        [this,
+         peer = platform.vm_list_url_](result<transport::http_reply> reply) {
+            auto listed = result<std::vector<protocol::listed_vm>>{};
+            if (!reply) {
+                listed = tl::unexpected(reply.error());
+            } else {
+                listed = protocol::parse_vm_list(reply->body_, peer);
+            }
+            base_.on_control([this, listed = std::move(listed)] {
+                list_in_flight_ = false;
+                next_list_ =
+                    base_.clock_.now() + settings_.platform_.vm_list_interval_;
+                if (listed) {
+                    take_list(*listed);
+                } else {
+                    // The last list stays in force through an outage.
+                    base_.log_.failure(transport::log_level::debug,
+                                       "VM list not read", listed.error());
+                }
+            });
+        });
+}
+
+auto fleet::take_list(const std::vector<protocol::listed_vm>& listed) -> void {
+    listed_ = true;
+    last_listed_ = base_.clock_.now();
+    auto names = std::set<std::string>{};
+    auto entries = std::vector<protocol::listed_vm>{};
+    for (const auto& vm : listed) {
+        names.insert(vm.name_);
+        switch (vm.kind_) {
+        case protocol::vm_kind::runner:
+            take_runner(vm);
+            break;
+        case protocol::vm_kind::service:
+            take_service(vm);
+            break;
+        case protocol::vm_kind::entry:
+            entries.push_back(vm);
+            break;
+        }
+    }
+    drop_unlisted(names);
+    for (const auto& observer : entry_observers_) {
+        observer(entries);
+    }
+}
+
+auto fleet::take_service(const protocol::listed_vm& vm) -> void {
+    services_[vm.name_] = vm;
+    policy_.router_.update_runner(
+        {.name_ = vm.name_,
+         .address_ = vm.address_,
+         .zone_ = vm.zone_,
+         .slots_ = service_slots,
+         .leaving_ = vm.leaving_,
+         .residents_ = {{.model_ = service_route_name(vm.service_)}}});
+    policy_.admission_.set_runner(vm.name_, service_slots);
+}
+
+auto fleet::take_runner(const protocol::listed_vm& vm) -> void {
+    auto& runner = runners_[vm.name_];
+    if (runner.vm_.address_ != vm.address_) {
+        runner = runner_view{};
+    }
+    runner.vm_ = vm;
+    if (vm.leaving_ && !runner.leaving_) {
+        mark_leaving(vm.name_);
+    }
+}
+
+auto fleet::drop_unlisted(const std::set<std::string>& listed) -> void {
+    for (auto entry = services_.begin(); entry != services_.end();) {
+        if (listed.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        policy_.router_.remove_runner(entry->first);
+        policy_.admission_.remove_runner(entry->first);
+        entry = services_.erase(entry);
+    }
+    for (auto entry = runners_.begin(); entry != runners_.end();) {
+        // The list lags: a runner that still answers is kept.
+        if (listed.contains(entry->first) || entry->second.reachable_) {
+            ++entry;
+            continue;
+        }
+        const auto name = entry->first;
+        policy_.router_.remove_runner(name);
+        policy_.admission_.remove_runner(name);
+        entry = runners_.erase(entry);
+        for (const auto& observer : gone_observers_) {
+            observer(name);
+        }
+    }
+    rebuild_versions();
+}
+
+auto fleet::mark_leaving(const std::string& runner) -> void {
+    const auto found = runners_.find(runner);
+    if (found != runners_.end() && !found->second.leaving_) {
+        found->second.leaving_ = true;
+        base_.log_.info("runner is leaving", {{"runner", runner}});
+        for (const auto& observer : leaving_observers_) {
+            observer(runner);
+        }
+    }
+    policy_.router_.mark_leaving(runner);
+}
+
+auto fleet::fetch_report(
+    const std::string& address, milliseconds timeout,
+    std::function<void(result<protocol::engine_report>)> done) -> void {
+    base_.platform_.fetch(
+        {.url_ = "http://" + address + "/v1/report",
+         .connect_timeout_ = timeout,
+         .total_timeout_ = timeout},
+        [this, address,
+         done = std::move(done)](result<transport::http_reply> reply) {
+            auto report = result<protocol::engine_report>{};
+            if (!reply) {
+                report = tl::unexpected(reply.error());
+            } else if (reply->status_ != status_ok) {
+                report = tl::unexpected(
+                    error{error_code::backend_error, step::runner, address,
+                          "status " + std::to_string(reply->status_)});
+            } else {
+                report = protocol::parse_report(reply->body_, address);
+            }
+            base_.on_control(
+                [done, report = std::move(report)] { done(report); });
+        });
+}
+
+auto fleet::poll_runner(runner_view& runner) -> void {
+    runner.poll_in_flight_ = true;
+    fetch_report(runner.vm_.address_, report_timeout,
+                 [this, name = runner.vm_.name_](
+                     result<protocol::engine_report> report) {
+                     take_report(name, std::move(report));
+                 });
+}
+
+auto fleet::take_report(const std::string& name,
+                        result<protocol::engine_report> report) -> void {
+    const auto found = runners_.find(name);
+    if (found == runners_.end()) {
+        return;
+    }
+    auto& runner = found->second;
+    const auto now = base_.clock_.now();
+    const auto interval = settings_.requests_.report_interval_;
+    runner.poll_in_flight_ = false;
+    // Spread over a tenth of the interval, so that daemons do not poll in step.
+    runner.next_poll_ =
+        now + interval +
+        milliseconds{base_.random_.below(
+            static_cast<std::uint64_t>(interval.count()) / 10 + 1)};
+    if (!report) {
+        on_poll_failed(runner, report.error());
+        return;
+    }
+    const auto restarted = runner.report_ &&
+                           runner.report_->boot_id_ != report->boot_id_ &&
+                           !runner.leaving_;
+    if (restarted) {
+        base_.log_.warning("runner restarted", {{"runner", name}});
+        policy_.quarantine_.on_crash(name, now);
+        runner.next_cache_event_ = 0;
+    }
+    runner.report_ = std::move(*report);
+    runner.reachable_ = true;
+    runner.failed_polls_ = 0;
+    if (runner.report_->leaving_) {
+        mark_leaving(name);
+    }
+    update_router(runner);
+    policy_.router_.on_load_report({.runner_ = name,
+                                    .sequence_ = runner.report_->sequence_,
+                                    .running_ = runner.report_->running_,
+                                    .waiting_ = runner.report_->waiting_},
+                                   now);
+    policy_.admission_.on_runner_waiting(name, runner.report_->waiting_, now);
+    for (const auto& observer : report_observers_) {
+        observer(runner);
+    }
+    poll_cache(runner);
+}
+
+auto fleet::on_poll_failed(runner_view& runner, const error& failure) -> void {
+    ++runner.failed_polls_;
+    const auto refused = failure.code_ == error_code::unavailable;
+    if (!runner.reachable_ ||
+        (!refused && runner.failed_polls_ < polls_before_unreachable)) {
+        return;
+    }
+    runner.reachable_ = false;
+    base_.log_.failure(transport::log_level::warning, "runner out of reach",
+                       failure);
+    if (refused && !runner.leaving_) {
+        policy_.quarantine_.on_crash(runner.vm_.name_, base_.clock_.now());
+    }
+    update_router(runner);
+}
+
+auto fleet::update_router(const runner_view& runner) -> void {
+    auto info = coordination::runner_info{};
+    info.name_ = runner.vm_.name_;
+    info.address_ = runner.vm_.address_;
+    info.zone_ = runner.vm_.zone_;
+    info.leaving_ = runner.leaving_;
+    auto models = std::set<std::string>{};
+    if (runner.report_) {
+        info.boot_id_ = runner.report_->boot_id_;
+        info.slots_ = std::max(runner.report_->slots_, 1);
+    }
+    if (runner.report_ && runner.reachable_) {
+        auto residents = std::map<std::pair<std::string, std::string>,
+                                  coordination::resident_model>{};
+        for (const auto& entry : runner.report_->residents_) {
+            auto& resident = residents[{entry.model_, entry.version_}];
+            resident.model_ = entry.model_;
+            resident.version_ = entry.version_;
+            if (entry.adapter_.empty()) {
+                resident.ready_ = entry.state_ == "ready";
+                models.insert(entry.model_);
+            } else if (entry.state_ == "ready") {
+                resident.adapters_.push_back(entry.adapter_);
+            }
+        }
+        for (auto& [key, resident] : residents) {
+            info.residents_.push_back(std::move(resident));
+        }
+    }
+    policy_.router_.update_runner(info);
+    policy_.admission_.set_runner(info.name_, info.slots_);
+    for (const auto& model : models) {
+        policy_.admission_.on_replicas_changed(model);
+    }
+    rebuild_versions();
+}
+
+auto fleet::rebuild_versions() -> void {
+    versions_.clear();
+    for (const auto& [name, runner] : runners_) {
+        if (!runner.reachable_ || runner.leaving_ || !runner.report_) {
+            continue;
+        }
+        for (const auto& resident : runner.report_->residents_) {
+            if (resident.adapter_.empty() && resident.state_ == "ready") {
+                versions_[resident.model_].insert(resident.version_);
+            }
+        }
+    }
+}
+
+auto fleet::serving_version(const std::string& model,
+                            const std::vector<std::string>& versions) const
+    -> std::string {
+    const auto found = versions_.find(model);
+    if (found == versions_.end()) {
+        return versions.empty() ? std::string{} : versions.front();
+    }
+    for (const auto& version : versions) {
+        if (found->second.contains(version)) {
+            return version;
+        }
+    }
+    // A version that is no longer declared still serves until the declared one
+    // is in place: the model stays reachable through its rollout.
+    return *found->second.begin();
+}
+
+auto fleet::check_crash(const std::string& runner, const std::string& boot_id,
+                        std::function<void(bool)> done) -> void {
+    const auto found = runners_.find(runner);
+    if (found == runners_.end()) {
+        done(false);
+        return;
+    }
+    fetch_report(
+        found->second.vm_.address_, crash_check_timeout,
+        [this, runner, boot_id,
+         done = std::move(done)](const result<protocol::engine_report>& seen) {
+            const auto view = runners_.find(runner);
+            const auto leaving =
+                view != runners_.end() && view->second.leaving_;
+            const auto refused =
+                !seen && seen.error().code_ == error_code::unavailable;
+            const auto restarted =
+                seen && !boot_id.empty() && seen->boot_id_ != boot_id;
+            const auto crashed = (refused || restarted) && !leaving;
+            if (crashed) {
+                policy_.quarantine_.on_crash(runner, base_.clock_.now());
+            }
+            if (refused && view != runners_.end() && view->second.reachable_) {
+                view->second.reachable_ = false;
+                update_router(view->second);
+            }
+            done(crashed);
+        });
+}
+
+auto fleet::poll_cache(const runner_view& runner) -> void {
+    const auto name = runner.vm_.name_;
+    base_.platform_.fetch(
+        {.url_ = "http://" + runner.vm_.address_ + "/v1/cache/events?from=" +
+                 std::to_string(runner.next_cache_event_),
+         .total_timeout_ = report_timeout},
+        [this, name,
+         peer = runner.vm_.address_](result<transport::http_reply> reply) {
+            if (!reply || reply->status_ != status_ok) {
+                return;
+            }
+            auto events = protocol::parse_cache_events(reply->body_, peer);
+            if (!events) {
+                return;
+            }
+            base_.on_control([this, name, events = std::move(*events)] {
+                const auto found = runners_.find(name);
+                if (found == runners_.end()) {
+                    return;
+                }
+                found->second.next_cache_event_ = events.next_;
+                for (const auto& event : events.events_) {
+                    policy_.router_.on_cache_event({name, event.sequence_,
+                                                    event.stored_, event.model_,
+                                                    event.prefix_hash_});
+                }
+            });
+        });
+}
+
+} // namespace basilstream::daemon
--- a/basilstream/transport/http_server/internal/exchange.cpp
+++ b/basilstream/transport/http_server/internal/exchange.cpp
@@ -143,10 +143,10 @@
     auto count = std::size_t{0};
     {
         const auto lock = std::lock_guard{mutex_};
-        if (phase_ == phase::aborted) {
+        count = std::min(size, buffer_.size() - consumed_);
+        if (count == 0 && phase_ == phase::aborted) {
             return MHD_CONTENT_READER_END_WITH_ERROR;
         }
-        count = std::min(size, buffer_.size() - consumed_);
         if (count == 0 && phase_ == phase::finished) {
             return MHD_CONTENT_READER_END_OF_STREAM;
         }
--- a/basilstream/transport/log_connection/log_connection.hpp
+++ b/basilstream/transport/log_connection/log_connection.hpp
@@ -28,7 +28,7 @@
     std::vector<log_payload> records_;
     /// Oldest retained offset.
     std::uint64_t first_offset_ = 0;
-    /// Read: offset after the last record read. Bounds: after the newest.
+    /// Offset after the newest record of the whole stream.
     std::uint64_t next_offset_ = 0;
     /// The offset asked for is below the retained head; no records are given.
     bool truncated_ = false;
