Weigh loads by the demand of now and evictions by a recent peak

Change: two estimates, the demand of now for what a load gains and a slowly forgotten peak for what an eviction loses.

--- a/basilstream/coordination/placement/internal/draft.cpp
+++ b/basilstream/coordination/placement/internal/draft.cpp
@@ -113,7 +113,8 @@
         if (!own || *own > tier || one.since_ > before) {
             continue;
         }
-        const auto loss = loss_change(fleet_, one.model_, none, runner);
+        const auto peak = fleet_.models_[one.model_].recent_peak_;
+        const auto loss = loss_change(fleet_, one.model_, peak, none, runner);
         choices.push_back({index, *own, loss});
     }
     std::sort(choices.begin(), choices.end(), cheaper);
--- a/basilstream/coordination/placement/internal/fleet.cpp
+++ b/basilstream/coordination/placement/internal/fleet.cpp
@@ -47,9 +47,16 @@
     return 1 - std::exp(-ratio);
 }
 
-auto follow(double& estimate, double measured, double rise, double fall)
-    -> void {
-    estimate += (measured - estimate) * (measured > estimate ? rise : fall);
+// Moves `known` towards the demand measured now.
+auto follow(demand_estimate& known, const placement_demand& now, double demand,
+            double peak) -> void {
+    known.tokens_per_second_ +=
+        (now.tokens_per_second_ - known.tokens_per_second_) * demand;
+    known.requests_per_second_ +=
+        (now.requests_per_second_ - known.requests_per_second_) * demand;
+    known.recent_peak_ +=
+        (known.tokens_per_second_ - known.recent_peak_) * peak;
+    known.recent_peak_ = std::max(known.recent_peak_, known.tokens_per_second_);
 }
 
 auto resident_before(const placement_resident* a, const placement_resident* b)
@@ -84,8 +91,8 @@
         measured[demand.model_] = &demand;
     }
     const auto elapsed = input.now_ - input.history_.planned_at_;
-    const auto rise = smoothing(elapsed, settings.rise_time_);
-    const auto fall = smoothing(elapsed, settings.fall_time_);
+    const auto demand = smoothing(elapsed, settings.demand_time_);
+    const auto peak = smoothing(elapsed, settings.peak_time_);
     auto result = std::vector<demand_estimate>{};
     for (const auto* model : sorted_by_name(input.models_)) {
         const auto at = measured.find(model->name_);
@@ -94,14 +101,12 @@
         auto known = estimates.find(model->name_);
         if (known == estimates.end()) {
             result.push_back({model->name_, now.tokens_per_second_,
-                              now.requests_per_second_});
+                              now.requests_per_second_,
+                              now.tokens_per_second_});
             continue;
         }
-        auto& estimate = known->second;
-        follow(estimate.tokens_per_second_, now.tokens_per_second_, rise, fall);
-        follow(estimate.requests_per_second_, now.requests_per_second_, rise,
-               fall);
-        result.push_back(estimate);
+        follow(known->second, now, demand, peak);
+        result.push_back(known->second);
     }
     return result;
 }
@@ -146,6 +151,7 @@
         const auto& estimate = estimates[models_.size()];
         view.tokens_per_second_ = estimate.tokens_per_second_;
         view.requests_per_second_ = estimate.requests_per_second_;
+        view.recent_peak_ = estimate.recent_peak_;
         const auto at = organisations.find(model->organisation_);
         if (at != organisations.end()) {
             view.weight_ = at->second->weight_;
--- a/basilstream/coordination/placement/internal/fleet.hpp
+++ b/basilstream/coordination/placement/internal/fleet.hpp
@@ -52,6 +52,7 @@
     const placement_model* declared_ = nullptr;
     double tokens_per_second_ = 0;
     double requests_per_second_ = 0;
+    double recent_peak_ = 0;
     double weight_ = 1;
     double move_price_ = 0;
     /// Memory of the model with all its adapters.
@@ -144,8 +145,7 @@
 /// Index that means "none".
 inline constexpr auto none = static_cast<std::size_t>(-1);
 
-/// Returns the demand estimates of this plan, sorted by model: they follow a
-/// rise quickly and a fall slowly.
+/// Returns the demand estimates of this plan, sorted by model.
 [[nodiscard]] auto estimate_demands(const placement_input& input,
                                     const planner_settings& settings)
     -> std::vector<demand_estimate>;
--- a/basilstream/coordination/placement/internal/flow.cpp
+++ b/basilstream/coordination/placement/internal/flow.cpp
@@ -25,6 +25,19 @@
     return one.capacity_ * lost_share((one.other_ + one.flow_) / one.capacity_);
 }
 
+// Loss with `demand` spread over `channels`; all of it when there are none.
+auto filled_loss(std::vector<channel>& channels, double demand) -> double {
+    if (channels.empty()) {
+        return demand;
+    }
+    fill(channels, demand);
+    auto total = 0.0;
+    for (const auto& one : channels) {
+        total += loss_of(one);
+    }
+    return total;
+}
+
 auto rebalance(fleet& picture, model_view& model) -> void {
     auto channels = std::vector<channel>{};
     auto served = std::vector<replica*>{};
@@ -107,44 +120,37 @@
     }
 }
 
-auto loss_change(const fleet& picture, std::size_t model, std::size_t added,
-                 std::size_t removed) -> double {
-    const auto& view = picture.models_[model];
-    auto channels = std::vector<channel>{};
-    auto before = 0.0;
-    auto after = 0.0;
-    for (const auto index : view.replicas_) {
+auto loss_change(const fleet& picture, std::size_t model, double demand,
+                 std::size_t added, std::size_t removed) -> double {
+    auto before = std::vector<channel>{};
+    auto after = std::vector<channel>{};
+    // Load of other models stays where it is, also on the runner left.
+    auto left_behind = 0.0;
+    for (const auto index : picture.models_[model].replicas_) {
         const auto& one = picture.replicas_[index];
         const auto& runner = picture.runners_[one.runner_];
         if (!serves(picture, one) ||
             runner.declared_->tokens_per_second_ <= 0) {
             continue;
         }
-        const auto now =
-            channel{runner.flow_ - one.flow_,
-                    runner.declared_->tokens_per_second_, one.flow_};
-        before += loss_of(now);
+        const auto now = channel{runner.flow_ - one.flow_,
+                                 runner.declared_->tokens_per_second_, 0};
+        before.push_back(now);
         if (one.runner_ == removed) {
-            after += loss_of({now.other_, now.capacity_, 0});
+            left_behind += loss_of(now);
         } else {
-            channels.push_back(now);
+            after.push_back(now);
         }
     }
+    auto gained_on = 0.0;
     if (added != none) {
         const auto& runner = picture.runners_[added];
-        const auto now =
-            channel{runner.flow_, runner.declared_->tokens_per_second_, 0};
-        before += loss_of(now);
-        channels.push_back(now);
-    }
-    if (channels.empty()) {
-        return view.tokens_per_second_ + after - before;
-    }
-    fill(channels, view.tokens_per_second_);
-    for (const auto& one : channels) {
-        after += loss_of(one);
+        after.push_back(
+            {runner.flow_, runner.declared_->tokens_per_second_, 0});
+        gained_on = loss_of(after.back());
     }
-    return after - before;
+    return filled_loss(after, demand) + left_behind -
+           filled_loss(before, demand) - gained_on;
 }
 
 } // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/flow.hpp
+++ b/basilstream/coordination/placement/internal/flow.hpp
@@ -32,10 +32,11 @@
 /// those on leaving runners do not.
 auto balance(fleet& picture) -> void;
 
-/// Tokens per second lost on the runners of `model` now, and if a replica on
-/// `added` came and the one on `removed` went. Either may be `none`.
+/// Change of the tokens per second lost on the runners of `model` if it had
+/// `demand` and a replica on `added` came and the one on `removed` went. Either
+/// may be `none`.
 [[nodiscard]] auto loss_change(const fleet& picture, std::size_t model,
-                               std::size_t added, std::size_t removed)
-    -> double;
+                               double demand, std::size_t added,
+                               std::size_t removed) -> double;
 
 } // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/improve.cpp
+++ b/basilstream/coordination/placement/internal/improve.cpp
@@ -123,7 +123,8 @@
         auto result = candidate{};
         result.model_ = model;
         result.runner_ = runner;
-        const auto change = loss_change(plan_.fleet_, model, runner, none);
+        const auto change = loss_change(plan_.fleet_, model,
+                                        view.tokens_per_second_, runner, none);
         result.gain_ = to_requests(plan_, view, -change - found->loss_);
         result.cost_ =
             std::max(view.move_price_, plan_.settings_.minimum_gain_);
--- a/basilstream/coordination/placement/placement.hpp
+++ b/basilstream/coordination/placement/placement.hpp
@@ -94,6 +94,8 @@
     std::string model_;
     double tokens_per_second_ = 0;
     double requests_per_second_ = 0;
+    /// Tokens per second of a recent burst; never less than the estimate.
+    double recent_peak_ = 0;
 };
 
 /// When a plan first saw a model on a runner.
@@ -243,10 +245,11 @@
     unsigned replicas_ = 2;
     /// Time over which a load has to earn its price.
     duration horizon_ = seconds{300};
-    /// Time constants of the demand estimate. Demand falls slowly in the
-    /// estimate, so that the pause between two bursts moves nothing.
-    duration rise_time_ = seconds{20};
-    duration fall_time_ = seconds{900};
+    /// Time constant of the demand estimate, which decides what a load gains.
+    duration demand_time_ = seconds{20};
+    /// Time constant with which a recent peak is forgotten. It decides what an
+    /// eviction loses, so that the pause between two bursts moves nothing.
+    duration peak_time_ = seconds{900};
     /// A model is not evicted for demand until it has been resident this long.
     duration minimum_residence_ = seconds{300};
     /// Loads in flight at once; fewer than the weight store's limit, so that a
--- a/bench/policy_benchmark/placement_policy.cpp
+++ b/bench/policy_benchmark/placement_policy.cpp
@@ -294,8 +294,8 @@
     case placement_kind::without_price:
         return std::make_unique<planned>(settings, false);
     case placement_kind::without_smoothing:
-        settings.rise_time_ = duration::zero();
-        settings.fall_time_ = duration::zero();
+        settings.demand_time_ = duration::zero();
+        settings.peak_time_ = duration::zero();
         break;
     case placement_kind::without_residence:
         settings.minimum_residence_ = duration::zero();
