--- a/basilstream/coordination/limits/limits.hpp
+++ b/basilstream/coordination/limits/limits.hpp
@@ -5,7 +5,8 @@
 ///     auto share = limit_holder{"entry-1/4f21", limit_settings{}};
 ///     share.define("loads_at_once", {.units_ = 25});
 ///     share.define("loads_per_second", {.units_ = 2, .hold_ = seconds{1}});
-///     auto loads = load_permits{share, "loads_at_once", "loads_per_second"};
+///     auto loads = weight_store_permits{share, "loads_at_once",
+///                                       "loads_per_second"};
 ///     if (const auto permit = loads.try_acquire(now)) {
 ///         // ... load ...
 ///         loads.release(*permit, now);
@@ -241,10 +242,10 @@
 /// Permits for loads from the weight store: one unit of the loads at once for
 /// the whole load, and one of the loads a second for its start. An empty rate
 /// limit name means there is none, as for adapters in flight.
-class load_permits {
+class weight_store_permits {
 public:
-    load_permits(limit_holder& holder, std::string at_once,
-                 std::string per_second);
+    weight_store_permits(limit_holder& holder, std::string at_once,
+                         std::string per_second);
 
     /// Takes both units or none.
     [[nodiscard]] auto try_acquire(time_point now) -> std::optional<permit_id>;
--- /dev/null
+++ b/basilstream/daemon/claim_log/claim_log.hpp
@@ -0,0 +1,84 @@
+/// Runs the claim service of this daemon: carries its appends and reads to the
+/// claim streams of the log and its messages to other daemons.
+///
+///     auto claims = claim_log{context, settings, connection, peers, id};
+///     claims.claim(request, {.permit_ = ..., .refuse_ = ...});
+///     claims.tick();
+///
+/// Control thread only.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "basilstream/coordination/claims/claims.hpp"
+#include "basilstream/daemon/cluster/cluster.hpp"
+#include "basilstream/daemon/context/context.hpp"
+#include "basilstream/daemon/services/services.hpp"
+#include "basilstream/daemon/settings/settings.hpp"
+#include "basilstream/transport/log_connection/log_connection.hpp"
+
+namespace basilstream::daemon {
+
+/// The claim service in the daemon.
+class claim_log final : public claim_desk {
+public:
+    /// `boot_id` is new for each start. `connection` and `peers` must outlive
+    /// this object.
+    claim_log(const context& base, const daemon_settings& settings,
+              transport::log_connection& connection, cluster& peers,
+              std::string boot_id);
+
+    auto claim(const service_request& request, callbacks then) -> void override;
+    auto finish(const std::string& request_id, int status,
+                std::string content_type, std::string body) -> void override;
+    auto lose(const std::string& request_id) -> void override;
+    auto abandon(const std::string& request_id) -> void override;
+    auto cancel(const std::string& request_id) -> bool override;
+
+    /// Sets the daemons that may own claim shards.
+    auto set_members(const std::vector<std::string>& members) -> void;
+    /// Advances timers and carries out what is due.
+    auto tick() -> void;
+    /// Hands every shard over; `idle` follows.
+    auto release_all() -> void;
+    [[nodiscard]] auto idle() const -> bool { return service_.idle(); }
+    [[nodiscard]] auto statistics() const -> coordination::claim_statistics {
+        return service_.statistics();
+    }
+
+private:
+    // One long poll at a time for each shard that is followed.
+    struct follower {
+        std::uint64_t from_ = 0;
+        // Tells the answers of a former follow apart.
+        std::uint64_t round_ = 0;
+        bool in_flight_ = false;
+        time_point not_before_;
+    };
+
+    auto carry_out() -> void;
+    auto act(coordination::append_output output) -> void;
+    auto act(const coordination::follow_output& output) -> void;
+    auto act(const coordination::unfollow_output& output) -> void;
+    auto act(const coordination::send_output& output) -> void;
+    auto act(const coordination::dispatch_output& output) -> void;
+    auto act(coordination::answer_output output) -> void;
+    auto read_due() -> void;
+    auto read_shard(std::uint32_t shard, follower& reader) -> void;
+    auto on_read(std::uint32_t shard, std::uint64_t round,
+                 const result<transport::log_read>& read) -> void;
+
+    context base_;
+    transport::log_connection& connection_;
+    cluster& peers_;
+    std::string name_;
+    coordination::claim_service service_;
+    std::unordered_map<std::string, callbacks> waiting_;
+    std::map<std::uint32_t, follower> followers_;
+    std::uint64_t next_round_ = 1;
+};
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/control_log/control_log.cpp
+++ b/basilstream/daemon/control_log/control_log.cpp
@@ -7,139 +7,144 @@
 
 constexpr auto control_stream = "control";
 
-auto appender_settings(const daemon_settings& settings)
-    -> coordination::appender_options {
-    auto options = coordination::appender_options{};
-    options.appends_per_second_ = settings.platform_.appends_per_second_;
+auto options_of(const daemon_settings& settings)
+    -> coordination::controller_options {
+    auto options = coordination::controller_options{};
+    options.appender_.appends_per_second_ =
+        settings.platform_.appends_per_second_;
     return options;
 }
 
 } // namespace
 
 control_log::control_log(const context& base, const daemon_settings& settings,
-                         transport::log_connection& connection)
-    : base_{base}, connection_{connection}, appender_{appender_settings(
-                                                          settings),
-                                                      base.random_},
-      replica_{{}, base.random_}, ownership_{{},
-                                             settings.name_,
-                                             settings.deployment_.shards_,
-                                             appender_,
-                                             base.random_},
-      snapshots_{{}, base.random_} {
-    ownership_.on_members({settings.name_});
-}
+                         std::string incarnation,
+                         transport::log_connection& connection,
+                         coordination::load_permits& permits)
+    : base_{base}, connection_{connection},
+      controller_{options_of(settings), std::move(incarnation),
+                  settings.deployment_.shards_, permits, base.random_} {}
 
 auto control_log::on_applied(applied_observer observer) -> void {
     applied_observers_.push_back(std::move(observer));
 }
 
-auto control_log::on_resolution(resolution_observer observer) -> void {
-    resolution_observers_.push_back(std::move(observer));
-}
-
 auto control_log::on_replaced(std::function<void()> observer) -> void {
     replaced_observers_.push_back(std::move(observer));
 }
 
-auto control_log::set_members(std::vector<std::string> members) -> void {
-    ownership_.on_members(std::move(members));
+auto control_log::send_orders_with(order_sender sender) -> void {
+    send_order_ = std::move(sender);
 }
 
 auto control_log::submit(coordination::append_purpose purpose,
-                         state::record body) -> result<state::record_id> {
-    return appender_.submit(purpose, std::move(body),
-                            replica_.state().next_offset());
+                         state::record body, resolution_handler done)
+    -> result<void> {
+    auto id = controller_.submit(purpose, std::move(body));
+    if (!id) {
+        return tl::unexpected(id.error());
+    }
+    waiting_.emplace(*id, std::move(done));
+    return {};
 }
 
 auto control_log::tick() -> void {
-    const auto now = base_.clock_.now();
-    start_reads();
-    if (replica_.ready()) {
-        ownership_.poll(replica_.state(), replica_.current(), now);
-        snapshots_.poll(replica_, appender_, !held().empty(), now);
+    const auto actions = controller_.poll(base_.clock_.now());
+    if (actions.read_) {
+        start_read(*actions.read_);
     }
-    start_appends();
-    if (replica_.ready() != was_ready_ ||
-        replica_.restarts() != seen_restarts_) {
-        was_ready_ = replica_.ready();
-        seen_restarts_ = replica_.restarts();
-        appender_.on_restart();
-        for (const auto& observer : replaced_observers_) {
-            observer();
-        }
+    if (actions.append_) {
+        start_append(*actions.append_);
     }
+    for (const auto& order : actions.orders_) {
+        send_order_(order);
+    }
+    resolve(actions.resolutions_);
+    notice_replacement();
 }
 
-auto control_log::start_reads() -> void {
-    while (const auto request = replica_.poll(base_.clock_.now())) {
-        const auto ticket = request->ticket_;
-        if (request->kind_ == coordination::read_request::kind::bounds) {
-            connection_.bounds(
-                control_stream,
-                [this, ticket](result<transport::log_read> read) {
-                    base_.on_control([this, ticket, read = std::move(read)] {
-                        on_bounds(ticket, read);
-                    });
-                });
-            continue;
-        }
-        connection_.read(
-            control_stream, request->from_, request->max_records_,
-            request->wait_, [this, ticket](result<transport::log_read> read) {
+auto control_log::notice_replacement() -> void {
+    const auto restarts = controller_.reader().restarts();
+    if (ready() == was_ready_ && restarts == seen_restarts_) {
+        return;
+    }
+    was_ready_ = ready();
+    seen_restarts_ = restarts;
+    for (const auto& observer : replaced_observers_) {
+        observer();
+    }
+}
+
+auto control_log::start_read(const coordination::read_request& request)
+    -> void {
+    const auto ticket = request.ticket_;
+    if (request.kind_ == coordination::read_request::kind::bounds) {
+        connection_.bounds(
+            control_stream, [this, ticket](result<transport::log_read> read) {
                 base_.on_control([this, ticket, read = std::move(read)] {
-                    on_records(ticket, read);
+                    on_bounds(ticket, read);
                 });
             });
+        return;
     }
+    connection_.read(
+        control_stream, request.from_, request.max_records_, request.wait_,
+        [this, ticket](result<transport::log_read> read) {
+            base_.on_control([this, ticket, read = std::move(read)] {
+                on_records(ticket, read);
+            });
+        });
 }
 
-auto control_log::start_appends() -> void {
-    while (const auto batch = appender_.poll(base_.clock_.now())) {
-        auto payloads = std::vector<std::string>{};
-        payloads.reserve(batch->records_.size());
-        for (const auto& record : batch->records_) {
-            payloads.push_back(protocol::encode_record(record));
-        }
-        connection_.append(
-            control_stream, payloads,
-            [this, ticket = batch->ticket_](result<std::uint64_t> offset) {
-                base_.on_control([this, ticket, offset = std::move(offset)] {
-                    if (offset) {
-                        appender_.on_accepted(ticket, *offset);
-                        return;
-                    }
+auto control_log::start_append(const coordination::append_batch& batch)
+    -> void {
+    auto payloads = std::vector<std::string>{};
+    payloads.reserve(batch.records_.size());
+    for (const auto& record : batch.records_) {
+        payloads.push_back(protocol::encode_record(record));
+    }
+    connection_.append(
+        control_stream, payloads,
+        [this, ticket = batch.ticket_](result<std::uint64_t> offset) {
+            base_.on_control([this, ticket, offset = std::move(offset)] {
+                if (offset) {
+                    controller_.on_append_accepted(ticket, *offset);
+                } else {
                     base_.log_.failure(transport::log_level::debug,
                                        "append failed", offset.error());
-                    appender_.on_failed(ticket, offset.error().retry_after_,
-                                        base_.clock_.now());
-                });
+                    controller_.on_append_failed(ticket,
+                                                 offset.error().retry_after_,
+                                                 base_.clock_.now());
+                }
+                tick();
             });
-    }
+        });
 }
 
 auto control_log::on_bounds(std::uint64_t ticket,
-                            result<transport::log_read> read) -> void {
+                            const result<transport::log_read>& read) -> void {
     const auto now = base_.clock_.now();
-    if (!read) {
+    if (read) {
+        controller_.on_bounds(ticket, {read->first_offset_, read->next_offset_},
+                              now);
+    } else {
         base_.log_.failure(transport::log_level::debug, "log read failed",
                            read.error());
-        replica_.on_failed(ticket, now);
-        return;
+        controller_.on_read_failed(ticket, now);
     }
-    replica_.on_bounds(ticket, {read->first_offset_, read->next_offset_}, now);
+    tick();
 }
 
 auto control_log::on_records(std::uint64_t ticket,
-                             result<transport::log_read> read) -> void {
+                             const result<transport::log_read>& read) -> void {
     const auto now = base_.clock_.now();
     if (!read) {
         base_.log_.failure(transport::log_level::debug, "log read failed",
                            read.error());
-        replica_.on_failed(ticket, now);
+        controller_.on_read_failed(ticket, now);
     } else if (read->truncated_) {
-        replica_.on_truncated(ticket, {read->first_offset_, read->next_offset_},
-                              now);
+        controller_.on_truncated(
+            ticket, {read->first_offset_, read->next_offset_}, now);
     } else {
         apply(ticket, *read);
     }
@@ -154,26 +159,24 @@
         entries.push_back(
             {record.offset_, protocol::decode_record(record.bytes_)});
     }
-    const auto now = base_.clock_.now();
-    const auto applied =
-        replica_.on_records(ticket, std::move(entries),
-                            {read.first_offset_, read.next_offset_}, now);
+    const auto applied = controller_.on_records(
+        ticket, std::move(entries), {read.first_offset_, read.next_offset_},
+        base_.clock_.now());
     for (const auto& record : applied) {
-        appender_.on_record(record.envelope_.id_, record.offset_,
-                            record.outcome_);
-        ownership_.on_applied(record, now);
         for (const auto& observer : applied_observers_) {
             observer(record);
         }
     }
-    appender_.on_position(replica_.state().next_offset());
-    resolve();
 }
 
-auto control_log::resolve() -> void {
-    for (const auto& resolution : appender_.take_resolutions()) {
-        for (const auto& observer : resolution_observers_) {
-            observer(resolution);
+auto control_log::resolve(
+    const std::vector<coordination::append_resolution>& fates) -> void {
+    for (const auto& fate : fates) {
+        const auto found = waiting_.find(fate.id_);
+        if (found != waiting_.end()) {
+            const auto done = std::move(found->second);
+            waiting_.erase(found);
+            done(fate);
         }
     }
 }
--- a/basilstream/daemon/control_log/control_log.hpp
+++ b/basilstream/daemon/control_log/control_log.hpp
@@ -1,9 +1,10 @@
-/// Keeps the daemon's replica of the control stream: moves bytes between the
-/// log service and the decisions of coordination/log_client and ownership.
+/// Keeps the daemon's replica of the control stream and its control side
+/// going: moves bytes between the log service, the engines' order interface
+/// and the decisions of coordination/control.
 ///
-///     auto log = control_log{context, settings, connection};
+///     auto log = control_log{context, settings, connection, permits, orders};
 ///     log.on_applied([](const coordination::applied_record& read) { ... });
-///     log.start();
+///     log.tick();
 ///     log.state().find_model("acme/chat");
 ///
 /// Control thread only.
@@ -12,83 +13,89 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
-#include "basilstream/coordination/log_client/log_client.hpp"
-#include "basilstream/coordination/ownership/ownership.hpp"
+#include "basilstream/coordination/control/control.hpp"
 #include "basilstream/daemon/context/context.hpp"
 #include "basilstream/daemon/settings/settings.hpp"
 #include "basilstream/transport/log_connection/log_connection.hpp"
 
 namespace basilstream::daemon {
 
-/// The control stream's client in the daemon.
+/// The control side in the daemon.
 class control_log {
 public:
     using applied_observer =
         std::function<void(const coordination::applied_record&)>;
-    using resolution_observer =
+    using resolution_handler =
         std::function<void(const coordination::append_resolution&)>;
+    using order_sender =
+        std::function<void(const coordination::order_command&)>;
 
+    /// `incarnation` names this start of the process and is never used again.
+    /// `permits` and `connection` must outlive this object.
     control_log(const context& base, const daemon_settings& settings,
-                transport::log_connection& connection);
+                std::string incarnation, transport::log_connection& connection,
+                coordination::load_permits& permits);
 
     /// Calls `observer` for each record applied, in order.
     auto on_applied(applied_observer observer) -> void;
-    /// Calls `observer` for the fate of each record submitted.
-    auto on_resolution(resolution_observer observer) -> void;
     /// Calls `observer` when the state was replaced by a snapshot or became
     /// ready: what was derived from it must be derived anew.
     auto on_replaced(std::function<void()> observer) -> void;
+    /// Sets what carries orders to runners.
+    auto send_orders_with(order_sender sender) -> void;
 
     /// Carries out what is due; call every few milliseconds.
     auto tick() -> void;
 
+    /// Submits a record; `done` learns its fate.
+    auto submit(coordination::append_purpose purpose, state::record body,
+                resolution_handler done) -> result<void>;
+
+    [[nodiscard]] auto controller() -> coordination::controller& {
+        return controller_;
+    }
     [[nodiscard]] auto state() const -> const state::machine& {
-        return replica_.state();
+        return controller_.state();
+    }
+    [[nodiscard]] auto ready() const -> bool { return controller_.ready(); }
+    [[nodiscard]] auto current() const -> bool {
+        return controller_.reader().current();
     }
-    [[nodiscard]] auto ready() const -> bool { return replica_.ready(); }
-    [[nodiscard]] auto current() const -> bool { return replica_.current(); }
     [[nodiscard]] auto phase() const -> coordination::replica_phase {
-        return replica_.phase();
+        return controller_.reader().phase();
     }
     [[nodiscard]] auto in_outage() const -> bool {
-        return appender_.in_outage();
+        return controller_.writer().in_outage();
     }
     /// The shards that this daemon owns, with their epochs.
     [[nodiscard]] auto held() const -> std::map<std::string, state::epoch> {
-        return ownership_.held(replica_.state());
-    }
-    [[nodiscard]] auto appender() -> coordination::appender& {
-        return appender_;
+        return controller_.held();
     }
-    /// Submits a record; its fate reaches the resolution observers.
-    auto submit(coordination::append_purpose purpose, state::record body)
-        -> result<state::record_id>;
-    /// Sets the daemons that may own shards.
-    auto set_members(std::vector<std::string> members) -> void;
-    /// Releases all shards and claims none any more.
-    auto release_shards() -> void { ownership_.stop(); }
 
 private:
-    auto start_reads() -> void;
-    auto start_appends() -> void;
-    auto on_bounds(std::uint64_t ticket, result<transport::log_read> read)
-        -> void;
-    auto on_records(std::uint64_t ticket, result<transport::log_read> read)
-        -> void;
+    auto start_read(const coordination::read_request& request) -> void;
+    auto start_append(const coordination::append_batch& batch) -> void;
+    auto on_bounds(std::uint64_t ticket,
+                   const result<transport::log_read>& read) -> void;
+    auto on_records(std::uint64_t ticket,
+                    const result<transport::log_read>& read) -> void;
     auto apply(std::uint64_t ticket, const transport::log_read& read) -> void;
-    auto resolve() -> void;
+    auto resolve(const std::vector<coordination::append_resolution>& fates)
+        -> void;
+    auto notice_replacement() -> void;
 
     context base_;
     transport::log_connection& connection_;
-    coordination::appender appender_;
-    coordination::replica replica_;
-    coordination::ownership ownership_;
-    coordination::snapshot_writer snapshots_;
+    coordination::controller controller_;
     std::vector<applied_observer> applied_observers_;
-    std::vector<resolution_observer> resolution_observers_;
     std::vector<std::function<void()>> replaced_observers_;
+    std::unordered_map<state::record_id, resolution_handler,
+                       state::record_id_hash>
+        waiting_;
+    order_sender send_order_;
     std::uint64_t seen_restarts_ = 0;
     bool was_ready_ = false;
 };
--- a/basilstream/daemon/fleet/fleet.cpp
+++ b/basilstream/daemon/fleet/fleet.cpp
@@ -20,8 +20,9 @@
 }
 
 fleet::fleet(const context& base, const daemon_settings& settings,
-             traffic_policy policy)
-    : base_{base}, settings_{settings}, policy_{policy} {}
+             traffic_policy policy, std::function<std::uint64_t()> log_position)
+    : base_{base}, settings_{settings}, policy_{std::move(policy)},
+      log_position_{std::move(log_position)} {}
 
 auto fleet::on_report(std::function<void(const runner_view&)> observer)
     -> void {
@@ -199,13 +200,13 @@
 auto fleet::poll_runner(runner_view& runner) -> void {
     runner.poll_in_flight_ = true;
     fetch_report(runner.vm_.address_, report_timeout,
-                 [this, name = runner.vm_.name_](
+                 [this, name = runner.vm_.name_, position = log_position_()](
                      result<protocol::engine_report> report) {
-                     take_report(name, std::move(report));
+                     take_report(name, position, std::move(report));
                  });
 }
 
-auto fleet::take_report(const std::string& name,
+auto fleet::take_report(const std::string& name, std::uint64_t requested_at,
                         result<protocol::engine_report> report) -> void {
     const auto found = runners_.find(name);
     if (found == runners_.end()) {
@@ -233,6 +234,7 @@
         runner.next_cache_event_ = 0;
     }
     runner.report_ = std::move(*report);
+    runner.requested_at_ = requested_at;
     runner.reachable_ = true;
     runner.failed_polls_ = 0;
     if (runner.report_->leaving_) {
--- a/basilstream/daemon/fleet/fleet.hpp
+++ b/basilstream/daemon/fleet/fleet.hpp
@@ -33,6 +33,9 @@
     bool poll_in_flight_ = false;
     time_point next_poll_;
     std::uint64_t next_cache_event_ = 0;
+    /// Offset of the control stream up to which this daemon had read when the
+    /// newest report was asked for.
+    std::uint64_t requested_at_ = 0;
 };
 
 /// Name under which the router knows a plain service.
@@ -41,8 +44,10 @@
 /// The fleet.
 class fleet final : public runner_directory {
 public:
+    /// `log_position` gives the offset up to which the control stream was
+    /// read.
     fleet(const context& base, const daemon_settings& settings,
-          traffic_policy policy);
+          traffic_policy policy, std::function<std::uint64_t()> log_position);
 
     /// Calls `observer` after each report of a runner.
     auto on_report(std::function<void(const runner_view&)> observer) -> void;
@@ -87,7 +92,7 @@
     auto take_runner(const protocol::listed_vm& vm) -> void;
     auto drop_unlisted(const std::set<std::string>& listed) -> void;
     auto poll_runner(runner_view& runner) -> void;
-    auto take_report(const std::string& name,
+    auto take_report(const std::string& name, std::uint64_t requested_at,
                      result<protocol::engine_report> report) -> void;
     auto on_poll_failed(runner_view& runner, const error& failure) -> void;
     auto poll_cache(const runner_view& runner) -> void;
@@ -100,6 +105,7 @@
     context base_;
     const daemon_settings& settings_;
     traffic_policy policy_;
+    std::function<std::uint64_t()> log_position_;
     std::map<std::string, runner_view> runners_;
     std::map<std::string, protocol::listed_vm> services_;
     // Ready versions by model.
