--- /dev/null
+++ b/basilstream/daemon/admin/admin.hpp
@@ -0,0 +1,60 @@
+/// The operators' HTTP routes of one daemon, read only: `GET /status`,
+/// `GET /explain?name=`, `GET /metrics`.
+///
+///     auto routes = admin{context, parts};
+///     http_server::open(options, routes.handler());
+///
+/// What operators change they change by records in the log (basilctl).
+#pragma once
+
+#include <string>
+
+#include "basilstream/coordination/discovery/discovery.hpp"
+#include "basilstream/daemon/api/api.hpp"
+#include "basilstream/daemon/claim_log/claim_log.hpp"
+#include "basilstream/daemon/placement_control/placement_control.hpp"
+#include "basilstream/protocol/json/json.hpp"
+
+namespace basilstream::daemon {
+
+/// What the status is read from.
+struct admin_parts {
+    const daemon_settings& settings_;
+    const api& api_;
+    control_log& log_;
+    fleet& fleet_;
+    cluster& cluster_;
+    completions& completions_;
+    services& services_;
+    claim_log& claims_;
+    placement_control& placement_;
+    coordination::quarantine& quarantine_;
+    coordination::admission& admission_;
+    const coordination::drain_controller& drain_;
+    telemetry& measured_;
+};
+
+/// The routes.
+class admin {
+public:
+    admin(const context& base, admin_parts parts);
+
+    /// The server's handler; valid as long as this object.
+    [[nodiscard]] auto handler() -> transport::http_handler;
+
+private:
+    // Control thread.
+    [[nodiscard]] auto status() const -> protocol::json;
+    [[nodiscard]] auto members() const -> protocol::json;
+    [[nodiscard]] auto models() const -> protocol::json;
+    [[nodiscard]] auto runners() const -> protocol::json;
+    [[nodiscard]] auto counters() const -> protocol::json;
+    [[nodiscard]] auto quarantined() const -> protocol::json;
+    auto answer(const transport::http_request& request,
+                const transport::http_exchange_ptr& reply) -> void;
+
+    context base_;
+    admin_parts parts_;
+};
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/claim_log/claim_log.cpp
+++ b/basilstream/daemon/claim_log/claim_log.cpp
@@ -140,7 +140,7 @@
         return;
     }
     // To itself, but not from within the service's own call.
-    base_.control_.post([this, message = output.message_] {
+    base_.on_control([this, message = output.message_] {
         service_.on_message(name_, message, base_.clock_.now());
         carry_out();
     });
--- a/basilstream/daemon/completions/completions.cpp
+++ b/basilstream/daemon/completions/completions.cpp
@@ -253,6 +253,8 @@
     monitor_.end(request->connection_, request->id());
     monitor_.close(request->connection_);
     measured_.tokens_.add(static_cast<std::uint64_t>(end.tokens_));
+    measured_.on_served_(request->request_.call_.model_,
+                         static_cast<std::uint64_t>(end.tokens_));
     if (end.first_token_ && !request->first_token_recorded_) {
         request->first_token_recorded_ = true;
         measured_.first_token_.record(base_.clock_.now() -
--- /dev/null
+++ b/basilstream/daemon/program/basilstreamd_main.cpp
@@ -0,0 +1,145 @@
+// basilstreamd: the daemon of an entry VM. Wiring of the command line only.
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include <ace/OS_NS_signal.h>
+#include <ace/Signal.h>
+#include <getopt.h>
+#include <pthread.h>
+
+#include "basilstream/daemon/program/program.hpp"
+
+namespace {
+
+using namespace basilstream;
+
+// Exit statuses, as documented in docs/operations/daemon.md.
+constexpr auto exit_ok = 0;
+constexpr auto exit_settings = 2;
+
+constexpr auto usage =
+    "usage: basilstreamd --config FILE [--check]\n"
+    "\n"
+    "  --config FILE  settings (JSON)\n"
+    "  --check        check the settings and exit\n"
+    "  --schema       print the settings' JSON Schema and exit\n"
+    "  --help         print this text and exit\n"
+    "  --version      print the version and exit\n"
+    "\n"
+    "SIGTERM or SIGINT begin a graceful shutdown: no request in progress is\n"
+    "cut off, also not by a second signal.\n"
+    "\n"
+    "exit status: 0 graceful shutdown or check passed, 2 bad settings, bad\n"
+    "command line or an address that is taken\n";
+
+struct command_line {
+    std::string config_;
+    bool check_ = false;
+    int exit_ = -1;
+};
+
+auto parse(int count, char** words) -> command_line {
+    static const auto options =
+        std::array{option{"config", required_argument, nullptr, 'c'},
+                   option{"check", no_argument, nullptr, 'k'},
+                   option{"schema", no_argument, nullptr, 's'},
+                   option{"help", no_argument, nullptr, 'h'},
+                   option{"version", no_argument, nullptr, 'v'},
+                   option{nullptr, 0, nullptr, 0}};
+    auto parsed = command_line{};
+    auto letter = 0;
+    while ((letter = getopt_long(count, words, "c:", options.data(),
+                                 nullptr)) != -1) {
+        switch (letter) {
+        case 'c':
+            parsed.config_ = optarg;
+            break;
+        case 'k':
+            parsed.check_ = true;
+            break;
+        case 's':
+            std::cout << daemon::settings_schema() << "\n";
+            parsed.exit_ = exit_ok;
+            return parsed;
+        case 'h':
+            std::cout << usage;
+            parsed.exit_ = exit_ok;
+            return parsed;
+        case 'v':
+            std::cout << "basilstreamd " << BASILSTREAM_VERSION << "\n";
+            parsed.exit_ = exit_ok;
+            return parsed;
+        default:
+            std::cerr << usage;
+            parsed.exit_ = exit_settings;
+            return parsed;
+        }
+    }
+    if (parsed.config_.empty() || optind < count) {
+        std::cerr << "basilstreamd: --config FILE is required\n" << usage;
+        parsed.exit_ = exit_settings;
+    }
+    return parsed;
+}
+
+// Blocks the signals in this thread and in all that it starts, so that only
+// wait_for_end() sees them.
+auto block_signals() -> ACE_Sig_Set {
+    auto signals = ACE_Sig_Set{};
+    signals.sig_add(SIGTERM);
+    signals.sig_add(SIGINT);
+    signals.sig_add(SIGUSR1);
+    ACE_OS::thr_sigsetmask(SIG_BLOCK, signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+// Passes stop signals on until the daemon has ended, which it tells by
+// SIGUSR1 to this thread.
+auto wait_for_end(ACE_Sig_Set& signals, daemon::program& running) -> void {
+    while (true) {
+        auto number = 0;
+        ACE_OS::sigwait(signals, &number);
+        if (number == SIGUSR1) {
+            return;
+        }
+        running.request_stop();
+    }
+}
+
+} // namespace
+
+auto main(int count, char** words) -> int {
+    const auto line = parse(count, words);
+    if (line.exit_ >= 0) {
+        return line.exit_;
+    }
+    const auto settings = daemon::load_settings(line.config_);
+    if (!settings) {
+        std::cerr << "basilstreamd: " << settings.error().peer_ << ": "
+                  << settings.error().detail_ << "\n";
+        return exit_settings;
+    }
+    if (line.check_) {
+        std::cout << line.config_ << ": settings are valid\n";
+        return exit_ok;
+    }
+    auto signals = block_signals();
+    const auto main_thread = ::pthread_self();
+    auto running = daemon::program::start(
+        *settings, [main_thread] { ::pthread_kill(main_thread, SIGUSR1); });
+    if (!running) {
+        std::cerr << "basilstreamd: " << line.config_ << ": "
+                  << running.error().detail_ << "\n";
+        return exit_settings;
+    }
+    std::cout << "listening callers=" << (*running)->caller_address()
+              << " admin=" << (*running)->admin_address()
+              << " peers=" << (*running)->peer_address() << std::endl;
+    wait_for_end(signals, **running);
+    return exit_ok;
+}
--- /dev/null
+++ b/basilstream/daemon/quarantine_link/quarantine_link.cpp
@@ -0,0 +1,201 @@
+#include "basilstream/daemon/quarantine_link/quarantine_link.hpp"
+
+#include <chrono>
+
+#include "basilstream/protocol/quarantine_codec/quarantine_codec.hpp"
+
+namespace basilstream::daemon {
+namespace {
+
+constexpr auto ask_timeout = milliseconds{500};
+constexpr auto retry_hint = milliseconds{1000};
+constexpr auto mark_lifetime = std::chrono::minutes{60};
+
+auto unix_milliseconds() -> std::uint64_t {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+}
+
+} // namespace
+
+quarantine_link::quarantine_link(const context& base,
+                                 const daemon_settings& settings,
+                                 coordination::quarantine& marks,
+                                 cluster& peers, control_log& log)
+    : base_{base}, name_{settings.name_}, marks_{marks}, peers_{peers},
+      log_{log} {
+    peers_.on_channel(
+        protocol::peer_channel::quarantine,
+        [this](const std::string& sender, const std::string& bytes) {
+            on_message(sender, bytes);
+        });
+    peers_.on_payload(coordination::payload_kind::quarantine_suspicion,
+                      [this](const coordination::gossip_payload& payload) {
+                          on_message(payload.origin_, payload.bytes_);
+                      });
+    peers_.on_members([this](const std::vector<std::string>& members) {
+        marks_.set_members(members, base_.clock_.now());
+    });
+    log_.on_applied(
+        [this](const coordination::applied_record& read) { on_applied(read); });
+    marks_.set_members({name_}, base_.clock_.now());
+}
+
+auto quarantine_link::ask(const coordination::fingerprint_run& run,
+                          answer_handler answer) -> void {
+    const auto now = base_.clock_.now();
+    const auto request = marks_.ask(run, now);
+    asked_[run.request_id_] = {std::move(answer), now + ask_timeout};
+    act(request);
+}
+
+auto quarantine_link::tick() -> void {
+    const auto now = base_.clock_.now();
+    for (const auto& event : marks_.poll(now)) {
+        std::visit([this](const auto& one) { act(one); }, event);
+    }
+    for (auto entry = asked_.begin(); entry != asked_.end();) {
+        if (now < entry->second.expires_) {
+            ++entry;
+            continue;
+        }
+        const auto expired = std::move(entry->second);
+        entry = asked_.erase(entry);
+        expired.answer_(error{error_code::unavailable, step::admission,
+                              marks_.arbiter(),
+                              "no leave to run a suspected request",
+                              run_status::not_run, retry_hint});
+    }
+}
+
+auto quarantine_link::act(const coordination::suspicion& event) -> void {
+    base_.log_.warning("request was in flight on a crashed backend server",
+                       {{"fingerprint", event.fingerprint_.to_string()},
+                        {"runner", event.runner_}});
+    peers_.gossip(coordination::payload_kind::quarantine_suspicion,
+                  event.fingerprint_.to_string() + event.runner_,
+                  protocol::encode_quarantine(event));
+}
+
+auto quarantine_link::act(const coordination::clearance& event) -> void {
+    peers_.gossip(coordination::payload_kind::quarantine_suspicion,
+                  event.fingerprint_.to_string() + "clear",
+                  protocol::encode_quarantine(event));
+}
+
+auto quarantine_link::act(const coordination::quarantine_mark& event) -> void {
+    auto detail = std::string{"crashed"};
+    for (const auto& runner : event.runners_) {
+        detail += " " + runner;
+    }
+    base_.log_.warning(
+        "request is quarantined",
+        {{"fingerprint", event.fingerprint_.to_string()}, {"detail", detail}});
+    const auto lifetime =
+        std::chrono::duration_cast<milliseconds>(mark_lifetime).count();
+    const auto submitted =
+        log_.submit(coordination::append_purpose::orders,
+                    state::quarantine_mark{
+                        .fingerprint_ = event.fingerprint_.to_string(),
+                        .detail_ = std::move(detail),
+                        .expires_at_ms_ = unix_milliseconds() +
+                                          static_cast<std::uint64_t>(lifetime)},
+                    [](const coordination::append_resolution&) {});
+    if (!submitted) {
+        base_.log_.failure(transport::log_level::warning,
+                           "quarantine mark not written", submitted.error());
+    }
+}
+
+auto quarantine_link::act(const coordination::isolation_request& event)
+    -> void {
+    if (marks_.arbiter() == name_) {
+        take_answer(marks_.on_isolation_request(event, base_.clock_.now()));
+        return;
+    }
+    peers_.send(marks_.arbiter(), protocol::peer_channel::quarantine,
+                protocol::encode_quarantine(event));
+}
+
+auto quarantine_link::act(const coordination::isolation_release& event)
+    -> void {
+    if (marks_.arbiter() == name_) {
+        marks_.on_isolation_release(event);
+        return;
+    }
+    peers_.send(marks_.arbiter(), protocol::peer_channel::quarantine,
+                protocol::encode_quarantine(event));
+}
+
+auto quarantine_link::on_message(const std::string& sender,
+                                 const std::string& bytes) -> void {
+    const auto message = protocol::decode_quarantine(bytes);
+    if (!message) {
+        return;
+    }
+    const auto now = base_.clock_.now();
+    if (const auto* heard = std::get_if<coordination::suspicion>(&*message)) {
+        marks_.merge(*heard, now);
+    } else if (const auto* cleared =
+                   std::get_if<coordination::clearance>(&*message)) {
+        marks_.merge(*cleared, now);
+    } else if (const auto* request =
+                   std::get_if<coordination::isolation_request>(&*message)) {
+        peers_.send(sender, protocol::peer_channel::quarantine,
+                    protocol::encode_quarantine(
+                        marks_.on_isolation_request(*request, now)));
+    } else if (const auto* answer =
+                   std::get_if<coordination::isolation_answer>(&*message)) {
+        take_answer(*answer);
+    } else if (const auto* release =
+                   std::get_if<coordination::isolation_release>(&*message)) {
+        marks_.on_isolation_release(*release);
+    }
+}
+
+auto quarantine_link::take_answer(const coordination::isolation_answer& answer)
+    -> void {
+    const auto found = asked_.find(answer.request_id_);
+    if (found == asked_.end()) {
+        // A renewal's answer, or one that came too late.
+        return;
+    }
+    const auto waiting = std::move(found->second);
+    asked_.erase(found);
+    waiting.answer_(answer.refused_);
+}
+
+auto quarantine_link::on_applied(const coordination::applied_record& read)
+    -> void {
+    if (!read.outcome_.valid()) {
+        return;
+    }
+    if (const auto* mark =
+            std::get_if<state::quarantine_mark>(&read.envelope_.body_)) {
+        apply_mark(*mark);
+    } else if (const auto* lifted =
+                   std::get_if<state::quarantine_lift>(&read.envelope_.body_)) {
+        if (const auto print =
+                coordination::parse_fingerprint(lifted->fingerprint_)) {
+            marks_.lift(*print, base_.clock_.now());
+        }
+    }
+}
+
+auto quarantine_link::apply_mark(const state::quarantine_mark& mark) -> void {
+    const auto print = coordination::parse_fingerprint(mark.fingerprint_);
+    if (print && mark.expires_at_ms_ > unix_milliseconds()) {
+        marks_.apply(coordination::quarantine_mark{*print, {mark.detail_}},
+                     base_.clock_.now());
+    }
+}
+
+auto quarantine_link::reload_marks() -> void {
+    for (const auto& [print, mark] : log_.state().quarantines()) {
+        apply_mark(mark);
+    }
+}
+
+} // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/daemon/quarantine_link/quarantine_link.hpp
@@ -0,0 +1,67 @@
+/// Joins this daemon's quarantine to the others': gossip of suspicions, marks
+/// in the log, and leave for isolated runs from the arbiter.
+///
+///     auto link = quarantine_link{context, settings, marks, peers, log};
+///     link.ask(run, [](const std::optional<error>& refused) { ... });
+///     link.tick();
+///
+/// Control thread only.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "basilstream/coordination/quarantine/quarantine.hpp"
+#include "basilstream/daemon/cluster/cluster.hpp"
+#include "basilstream/daemon/context/context.hpp"
+#include "basilstream/daemon/control_log/control_log.hpp"
+#include "basilstream/daemon/settings/settings.hpp"
+
+namespace basilstream::daemon {
+
+/// Carries out what the quarantine asks for.
+class quarantine_link {
+public:
+    using answer_handler = std::function<void(const std::optional<error>&)>;
+
+    quarantine_link(const context& base, const daemon_settings& settings,
+                    coordination::quarantine& marks, cluster& peers,
+                    control_log& log);
+
+    /// Asks the arbiter for leave to run a suspected request; no answer in
+    /// time counts as a refusal.
+    auto ask(const coordination::fingerprint_run& run, answer_handler answer)
+        -> void;
+    /// Carries out what is due; call every few milliseconds.
+    auto tick() -> void;
+    /// Takes the marks of the state anew, after it was replaced.
+    auto reload_marks() -> void;
+
+private:
+    struct pending_ask {
+        answer_handler answer_;
+        time_point expires_;
+    };
+
+    auto act(const coordination::suspicion& event) -> void;
+    auto act(const coordination::clearance& event) -> void;
+    auto act(const coordination::quarantine_mark& event) -> void;
+    auto act(const coordination::isolation_request& event) -> void;
+    auto act(const coordination::isolation_release& event) -> void;
+    auto on_message(const std::string& sender, const std::string& bytes)
+        -> void;
+    auto on_applied(const coordination::applied_record& read) -> void;
+    auto take_answer(const coordination::isolation_answer& answer) -> void;
+    auto apply_mark(const state::quarantine_mark& mark) -> void;
+
+    context base_;
+    std::string name_;
+    coordination::quarantine& marks_;
+    cluster& peers_;
+    control_log& log_;
+    std::map<std::string, pending_ask> asked_;
+};
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/telemetry/telemetry.hpp
+++ b/basilstream/daemon/telemetry/telemetry.hpp
@@ -4,6 +4,7 @@
 ///     measured.count_answer(error_code::overloaded);
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -23,6 +24,10 @@
     /// Counts a request that ended with an error.
     auto count_failure(error_code code) -> void;
 
+    /// Learns what each attempt of a model generated. Control thread.
+    std::function<void(const std::string& model, std::uint64_t tokens)>
+        on_served_ = [](const std::string&, std::uint64_t) {
+        };
     transport::metrics_registry& registry_;
     transport::tracer& traces_;
     transport::counter& requests_;
--- a/basilstream/transport/http_client/http_client.cpp
+++ b/basilstream/transport/http_client/http_client.cpp
@@ -163,12 +163,17 @@
     }
 
     ~implementation() override {
-        stopping_.store(true);
-        thread_.post_wait([this] { cancel_all(); });
-        thread_.stop();
+        stop();
         curl_multi_cleanup(multi_);
     }
 
+    auto stop() -> void {
+        if (!stopping_.exchange(true)) {
+            thread_.post_wait([this] { cancel_all(); });
+            thread_.stop();
+        }
+    }
+
     auto start(http_call call, std::shared_ptr<http_sink> sink) -> call_id {
         const auto id = next_id_.fetch_add(1);
         const auto refused = error{error_code::overloaded, call.step_,
@@ -422,6 +427,10 @@
 
 http_client::~http_client() = default;
 
+auto http_client::stop() -> void {
+    implementation_->stop();
+}
+
 auto http_client::start(http_call call, std::shared_ptr<http_sink> sink)
     -> call_id {
     return implementation_->start(std::move(call), std::move(sink));
--- a/basilstream/transport/http_client/http_client.hpp
+++ b/basilstream/transport/http_client/http_client.hpp
@@ -90,9 +90,13 @@
     explicit http_client(std::string name, std::size_t max_calls = 8192);
     http_client(const http_client&) = delete;
     auto operator=(const http_client&) -> http_client& = delete;
-    /// Ends open calls with `cancelled`.
+    /// Stops the client.
     ~http_client();
 
+    /// Ends open calls with `cancelled` and joins the thread; later calls end
+    /// at once with `overloaded`. Idempotent. Not from the client's thread.
+    auto stop() -> void;
+
     /// Starts a call with a streamed answer. `on_end` is always called, also
     /// when the call could not be started.
     auto start(http_call call, std::shared_ptr<http_sink> sink) -> call_id;
--- a/basilstream/transport/tracing/tracing.cpp
+++ b/basilstream/transport/tracing/tracing.cpp
@@ -61,6 +61,9 @@
     std::vector<std::pair<std::string, std::string>> tags_;
 };
 
+span::span() = default;
+span::span(span&&) noexcept = default;
+
 span::~span() {
     finish();
 }
--- a/basilstream/transport/tracing/tracing.hpp
+++ b/basilstream/transport/tracing/tracing.hpp
@@ -47,8 +47,8 @@
 /// safe for concurrent use.
 class span {
 public:
-    span() = default;
-    span(span&&) noexcept = default;
+    span();
+    span(span&&) noexcept;
     auto operator=(span&& other) noexcept -> span&;
     span(const span&) = delete;
     auto operator=(const span&) -> span& = delete;
