--- a/basilstream/coordination/control/control.cpp
+++ b/basilstream/coordination/control/control.cpp
@@ -102,8 +102,8 @@
     executor_.set_wanted(std::move(wanted));
 }
 
-auto controller::on_report(runner_sighting sighting) -> void {
-    executor_.on_report(std::move(sighting));
+auto controller::on_report(runner_sighting sighting, time_point now) -> void {
+    executor_.on_report(std::move(sighting), now);
 }
 
 auto controller::on_runner_gone(std::string_view runner) -> void {
--- a/basilstream/coordination/orders/orders.cpp
+++ b/basilstream/coordination/orders/orders.cpp
@@ -64,7 +64,8 @@
     wanted_ = std::move(wanted);
 }
 
-auto order_executor::on_report(runner_sighting sighting) -> void {
+auto order_executor::on_report(runner_sighting sighting, time_point now)
+    -> void {
     auto& seen = runners_[sighting.runner_];
     seen.gone_ = false;
     const auto& known = seen.sighting_.report_;
@@ -74,6 +75,7 @@
     }
     if (seen.sighting_.requested_at_ <= sighting.requested_at_) {
         seen.sighting_ = std::move(sighting);
+        seen.received_at_ = now;
     }
 }
 
--- a/basilstream/coordination/orders/orders.hpp
+++ b/basilstream/coordination/orders/orders.hpp
@@ -4,7 +4,8 @@
 ///
 ///     auto executor = order_executor{{}, permits, writer};
 ///     executor.set_wanted("r1", {{{"org/model", "", "v1"}, bytes}});
-///     executor.on_report({"r1", "10.0.0.1:80", "muc-a", "muc", at, report});
+///     executor.on_report({"r1", "10.0.0.1:80", "muc-a", "muc", at, report},
+///                        now);
 ///     for (auto& command : executor.poll(state, held, now)) { send(command); }
 #pragma once
 
@@ -137,6 +138,9 @@
     duration max_resend_ = std::chrono::seconds{30};
     /// Unsettled orders of one runner that the executor allows itself.
     std::size_t orders_per_runner_ = 4;
+    /// Age up to which another runner's report vouches that a replica is
+    /// ready there, so that one here may be unloaded.
+    duration witness_age_ = std::chrono::seconds{5};
     order_gate gate_ = {};
 };
 
@@ -160,7 +164,7 @@
     auto set_wanted(wanted_placement wanted) -> void;
 
     /// Takes a runner's report; older ones of the same boot are ignored.
-    auto on_report(runner_sighting sighting) -> void;
+    auto on_report(runner_sighting sighting, time_point now) -> void;
 
     /// The VM list no longer has the runner and nothing answers there.
     auto on_gone(std::string_view runner) -> void;
@@ -196,6 +200,7 @@
     };
     struct seen_runner {
         runner_sighting sighting_;
+        time_point received_at_{};
         bool gone_ = false;
     };
     // What the steps of one poll share.
@@ -250,6 +255,9 @@
         -> bool;
     auto submit_once(const poll_context& context, std::string subject,
                      state::record body) -> std::optional<state::record_id>;
+    auto is_expendable(const poll_context& context,
+                       const state::runner_state& runner,
+                       const state::resident& entry) const -> bool;
     auto is_wanted(std::string_view runner,
                    const state::resident_key& key) const -> bool;
     auto is_replaced(const state::machine& state,
--- a/basilstream/coordination/orders/steps.cpp
+++ b/basilstream/coordination/orders/steps.cpp
@@ -35,6 +35,24 @@
                        });
 }
 
+auto declares(const state::model_resource& model, const std::string& version)
+    -> bool {
+    return std::find(model.versions_.begin(), model.versions_.end(), version) !=
+           model.versions_.end();
+}
+
+auto reports_ready(const runner_report& report,
+                   const state::runner_state& runner, const resident_key& key)
+    -> bool {
+    return report.boot_id_ == runner.boot_id_ &&
+           std::any_of(report.residents_.begin(), report.residents_.end(),
+                       [&](const auto& entry) {
+                           return entry.key_ == key &&
+                                  entry.phase_ ==
+                                      reported_resident::phase::ready;
+                       });
+}
+
 auto allows_zone(const state::model_resource& model, const std::string& zone)
     -> bool {
     return model.zones_.empty() ||
@@ -109,11 +127,12 @@
             block(runner.state_.name_, wanted.key_, "waits for an open order");
             return true;
         }
-        if (is_wanted(runner.state_.name_, entry.key_) ||
-            carries_adapters(runner.state_, entry.key_)) {
+        const auto kept =
+            !serves_nobody(entry) && is_wanted(runner.state_.name_, entry.key_);
+        if (kept || carries_adapters(runner.state_, entry.key_)) {
             continue;
         }
-        if (context.state_.is_last_replica(runner.state_, entry.key_)) {
+        if (!is_expendable(context, runner.state_, entry)) {
             blocking = &entry;
         } else if (victim == nullptr || serves_nobody(entry)) {
             victim = &entry;
@@ -164,9 +183,7 @@
     if (model == nullptr) {
         return std::nullopt;
     }
-    const auto declared =
-        std::find(model->versions_.begin(), model->versions_.end(),
-                  blocking.key_.version_) != model->versions_.end();
+    const auto declared = declares(*model, blocking.key_.version_);
     auto extra = wanted_resident{blocking.key_, blocking.bytes_};
     if (!declared) {
         extra.key_.version_ = model->versions_.front();
@@ -207,11 +224,11 @@
 auto order_executor::unload_surplus(poll_context& context,
                                     const owned_runner& runner) -> bool {
     for (const auto& entry : runner.state_.residents_) {
-        const auto surplus = is_settled(entry) &&
-                             !is_wanted(runner.state_.name_, entry.key_) &&
+        const auto removable =
+            serves_nobody(entry) || !is_wanted(runner.state_.name_, entry.key_);
+        const auto surplus = removable && is_settled(entry) &&
                              !carries_adapters(runner.state_, entry.key_);
-        if (!surplus ||
-            context.state_.is_last_replica(runner.state_, entry.key_)) {
+        if (!surplus || !is_expendable(context, runner.state_, entry)) {
             continue;
         }
         if (serves_nobody(entry) || is_replaced(context.state_, entry.key_)) {
@@ -221,6 +238,36 @@
     return false;
 }
 
+// The state may not know yet that a runner has crashed, so a ready replica
+// elsewhere counts only with a fresh report that shows it.
+auto order_executor::is_expendable(const poll_context& context,
+                                   const state::runner_state& runner,
+                                   const resident& entry) const -> bool {
+    const auto& key = entry.key_;
+    if (serves_nobody(entry) ||
+        context.state_.find_model(key.model_) == nullptr) {
+        return true;
+    }
+    if (context.state_.is_last_replica(runner, key)) {
+        return false;
+    }
+    const auto any_version =
+        !declares(*context.state_.find_model(key.model_), key.version_);
+    const auto places = context.state_.placements(key.model_);
+    return std::any_of(places.begin(), places.end(), [&](const auto& place) {
+        const auto seen = runners_.find(place.runner_->name_);
+        return place.runner_ != &runner &&
+               place.key_.adapter_ == key.adapter_ &&
+               (any_version || place.key_.version_ == key.version_) &&
+               place.state_ == resident_state::ready &&
+               seen != runners_.end() && !seen->second.gone_ &&
+               context.now_ - seen->second.received_at_ <=
+                   options_.witness_age_ &&
+               reports_ready(seen->second.sighting_.report_, *place.runner_,
+                             place.key_);
+    });
+}
+
 auto order_executor::load(poll_context& context,
                           const state::runner_state& runner,
                           const wanted_resident& wanted, state::epoch epoch)
