Settle a load only by the resident that its own order brought

Change: an outcome and a witness compare the resident's order id. Conclusion: the engine's books decide by order id, never by name alone.

--- a/basilstream/coordination/orders/orders.cpp
+++ b/basilstream/coordination/orders/orders.cpp
@@ -24,27 +24,36 @@
     return found == report.finished_.end() ? nullptr : &*found;
 }
 
-auto find_resident(const runner_report& report, const state::resident_key& key)
+// Returns the reported resident that `loaded_by` brought; any order's when it
+// is zero, as for a foreign resident.
+auto find_resident(const runner_report& report, const state::resident_key& key,
+                   const state::record_id& loaded_by)
     -> const reported_resident* {
-    const auto found =
-        std::find_if(report.residents_.begin(), report.residents_.end(),
-                     [&](const auto& entry) { return entry.key_ == key; });
+    const auto any = loaded_by == state::record_id{};
+    const auto found = std::find_if(
+        report.residents_.begin(), report.residents_.end(),
+        [&](const auto& entry) {
+            return entry.key_ == key && (any || entry.order_ == loaded_by);
+        });
     return found == report.residents_.end() ? nullptr : &*found;
 }
 
 // What the engine holds counts, not what it calls the order's end: a load is
-// done when the resident is ready, an unload when it is no longer there.
-auto result_of(const state::order_intent& intent,
-               const reported_order& finished, const runner_report& report)
+// done when its resident is ready, an unload when the one it was for is gone.
+auto result_of(const state::open_order& order, const reported_order& finished,
+               const state::runner_state& runner, const runner_report& report)
     -> state::order_result {
     using phase = reported_resident::phase;
-    const auto succeeded = finished.outcome_ == reported_order::outcome::done;
+    const auto& intent = order.intent_;
     if (intent.action_ == state::order_action::set_role) {
-        return succeeded ? state::order_result::done
-                         : state::order_result::failed;
+        return finished.outcome_ == reported_order::outcome::done
+                   ? state::order_result::done
+                   : state::order_result::failed;
     }
-    const auto* held = find_resident(report, intent.resident_);
     const auto load = is_load(intent.action_);
+    const auto* entry = runner.find(intent.resident_);
+    const auto loaded_by = load ? order.id_ : entry->load_order_;
+    const auto* held = find_resident(report, intent.resident_, loaded_by);
     if (held == nullptr) {
         return load ? state::order_result::failed : state::order_result::done;
     }
@@ -193,12 +202,11 @@
         if (finished == nullptr) {
             continue;
         }
-        const auto& intent = context.state_.find_order(id)->intent_;
-        submit_once(
-            context, "outcome/" + to_string(id),
-            state::order_outcome{runner.state_.shard_, runner.epoch_, id,
-                                 result_of(intent, *finished, runner.report_),
-                                 finished->detail_});
+        const auto result = result_of(*context.state_.find_order(id), *finished,
+                                      runner.state_, runner.report_);
+        submit_once(context, "outcome/" + to_string(id),
+                    state::order_outcome{runner.state_.shard_, runner.epoch_,
+                                         id, result, finished->detail_});
     }
 }
 
--- a/basilstream/coordination/orders/steps.cpp
+++ b/basilstream/coordination/orders/steps.cpp
@@ -44,10 +44,12 @@
 auto reports_ready(const runner_report& report,
                    const state::runner_state& runner, const resident_key& key)
     -> bool {
+    const auto loaded_by = runner.find(key)->load_order_;
     return report.boot_id_ == runner.boot_id_ &&
            std::any_of(report.residents_.begin(), report.residents_.end(),
                        [&](const auto& entry) {
                            return entry.key_ == key &&
+                                  entry.order_ == loaded_by &&
                                   entry.phase_ ==
                                       reported_resident::phase::ready;
                        });
