Use spare memory for replicas ahead of a rise or an outage

Cause: memory stood empty until demand rose, and while the log is out nothing can be loaded; a rollout could not begin when all memory was taken, since the old version was never evictable before the new one was ready. While a rollout has not begun to serve, replicas of the old version count for its model.

--- a/basilstream/coordination/placement/internal/draft.cpp
+++ b/basilstream/coordination/placement/internal/draft.cpp
@@ -83,23 +83,23 @@
         return std::nullopt;
     }
     const auto rest = fleet_.count(one.model_, &one);
-    if (rest.ready_zones_ == 0) {
-        return std::nullopt;
-    }
-    if (!one.current_) {
-        return rest.current_ready_ > 0 ? std::optional{eviction_tier::obsolete}
-                                       : std::nullopt;
-    }
-    if (rest.current_ready_ == 0) {
+    if (rest.ready_ == 0) {
         return std::nullopt;
     }
     const auto wanted = fleet_.models_[one.model_].wanted_;
     const auto zones =
         std::min(settings_.replicas_, fleet_.reachable_zones(one.model_));
-    if (rest.current_ready_ >= wanted && rest.ready_zones_ >= zones) {
-        return eviction_tier::surplus;
+    const auto spread = rest.ready_zones_ >= zones;
+    if (!one.current_ && rest.current_ready_ > 0) {
+        return spread ? eviction_tier::obsolete : eviction_tier::redundant;
+    }
+    // While a rollout has not begun to serve, the old version counts.
+    const auto serving = one.current_ ? rest.current_ready_ : rest.ready_;
+    if (serving == 0) {
+        return std::nullopt;
     }
-    return eviction_tier::redundant;
+    return serving >= wanted && spread ? eviction_tier::surplus
+                                       : eviction_tier::redundant;
 }
 
 auto draft::find_eviction(std::size_t runner, std::uint64_t bytes,
--- a/basilstream/coordination/placement/internal/draft.hpp
+++ b/basilstream/coordination/placement/internal/draft.hpp
@@ -84,4 +84,8 @@
 /// Starts the loads whose expected gain pays the move price.
 auto improve(draft& plan) -> void;
 
+/// Loads replicas into memory that nothing needs while nothing else is loading.
+/// They can be evicted at any time.
+auto use_spare_memory(draft& plan) -> void;
+
 } // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/internal/fleet.cpp
+++ b/basilstream/coordination/placement/internal/fleet.cpp
@@ -294,6 +294,7 @@
         }
         const auto& zone = runners_[one.runner_].declared_->availability_zone_;
         ++result.staying_;
+        result.ready_ += ready ? 1 : 0;
         result.obsolete_ += one.current_ ? 0 : 1;
         if (ready) {
             add(ready_zones, zone);
--- a/basilstream/coordination/placement/internal/fleet.hpp
+++ b/basilstream/coordination/placement/internal/fleet.hpp
@@ -67,6 +67,8 @@
     unsigned ready_anywhere_ = 0;
     /// Any version on staying runners, loading or ready.
     unsigned staying_ = 0;
+    /// Any version on staying runners, ready now.
+    unsigned ready_ = 0;
     /// Wanted version on staying runners, loading or ready.
     unsigned current_ = 0;
     /// Wanted version on staying runners, ready now.
--- a/basilstream/coordination/placement/placement.hpp
+++ b/basilstream/coordination/placement/placement.hpp
@@ -148,6 +148,8 @@
     rollout,
     /// The expected gain pays the move price.
     demand,
+    /// Uses memory that nothing else needs, ahead of a rise or an outage.
+    spare,
     /// Makes room for a model that fits nowhere else.
     relocation,
     /// An adapter of a resident model was missing.
@@ -159,11 +161,12 @@
 };
 
 /// Names of reasons, as `basilctl explain` prints them.
-inline constexpr auto placement_reason_names = name_table<placement_reason, 8>{
+inline constexpr auto placement_reason_names = name_table<placement_reason, 9>{
     {{{placement_reason::unreachable, "unreachable"},
       {placement_reason::redundancy, "redundancy"},
       {placement_reason::rollout, "rollout"},
       {placement_reason::demand, "demand"},
+      {placement_reason::spare, "spare"},
       {placement_reason::relocation, "relocation"},
       {placement_reason::adapter, "adapter"},
       {placement_reason::eviction, "eviction"},
@@ -256,6 +259,8 @@
     /// repair finds room.
     unsigned repairs_in_flight_ = 12;
     unsigned improvements_in_flight_ = 4;
+    /// Spare replicas that one plan loads when it has nothing else to do.
+    unsigned spares_per_plan_ = 1;
     /// Adapter loads that one plan starts.
     unsigned adapters_per_plan_ = 64;
     /// Lower bound on a price: a load never starts for nothing.
--- a/basilstream/coordination/placement/planner.cpp
+++ b/basilstream/coordination/placement/planner.cpp
@@ -128,6 +128,7 @@
     internal::placement::retire(work);
     if (repaired) {
         internal::placement::improve(work);
+        internal::placement::use_spare_memory(work);
     }
     internal::placement::complete_adapters(work);
     for (auto index = std::size_t{0}; index < work.fleet_.models_.size();
--- a/bench/policy_benchmark/placement_policy.cpp
+++ b/bench/policy_benchmark/placement_policy.cpp
@@ -306,6 +306,9 @@
     case placement_kind::without_redundancy:
         settings.replicas_ = 1;
         break;
+    case placement_kind::without_spares:
+        settings.spares_per_plan_ = 0;
+        break;
     case placement_kind::ours:
         break;
     }
--- a/bench/policy_benchmark/placement_policy.hpp
+++ b/bench/policy_benchmark/placement_policy.hpp
@@ -33,6 +33,7 @@
     without_residence,
     without_demand,
     without_redundancy,
+    without_spares,
 };
 
 /// Returns a policy; ours with the settings of the daemon.
--- a/bench/policy_benchmark/policy_benchmark_main.cpp
+++ b/bench/policy_benchmark/policy_benchmark_main.cpp
@@ -17,7 +17,7 @@
             const auto tr = make_trace(tk, made, 1, secs, util, 20);
             for (auto pk :
                  {placement_kind::static_even, placement_kind::follow_demand,
-                  placement_kind::ours, placement_kind::without_price}) {
+                  placement_kind::ours, placement_kind::without_spares}) {
                 auto sim = simulation{
                     made, tr, {"", pk, traffic_kind::least_loaded, false}};
                 const auto f = sim.run();
