--- a/basilstream/state/machine/machine.hpp
+++ b/basilstream/state/machine/machine.hpp
@@ -118,6 +118,9 @@
     std::uint64_t memory_bytes_ = 0;
     runner_role role_ = runner_role::mixed;
     bool gone_ = false;
+    /// Offset of the record that named this boot. A report says something
+    /// about the runner only when it was asked for after that record was read.
+    log_offset boot_offset_ = 0;
     /// Residents and unsettled loads; each counts its bytes.
     std::vector<resident> residents_;
     /// Sum of the bytes of ordered residents and unsettled loads.
@@ -129,6 +132,7 @@
 
     /// Returns the entry of `key`, or null.
     [[nodiscard]] auto find(const resident_key& key) const -> const resident*;
+    [[nodiscard]] auto find(const resident_key& key) -> resident*;
     /// Returns the bytes that a new load may take.
     [[nodiscard]] auto free_bytes() const -> std::uint64_t;
 };
@@ -181,13 +185,17 @@
     explicit machine(machine_guards guards = {},
                      log_offset window = duplicate_window);
 
-    /// Applies the record at `offset`, which must be next_offset() or, after
-    /// records the log no longer gives, above it. Never throws on any record.
+    /// Applies the record at `offset`, which must be next_offset(). Never
+    /// throws on any record.
     auto apply(log_offset offset, const envelope& entry) -> apply_outcome;
 
     /// Skips an offset whose payload could not be decoded.
     auto skip(log_offset offset) -> void;
 
+    /// Moves the position forward to `offset` although the records between
+    /// were not applied. Only for a log that has lost them everywhere.
+    auto rebase(log_offset offset) -> void;
+
     /// Returns the offset of the first record that was not applied.
     [[nodiscard]] auto next_offset() const -> log_offset { return next_; }
 
