--- a/basilstream/coordination/placement/placement.hpp
+++ b/basilstream/coordination/placement/placement.hpp
@@ -94,6 +94,8 @@
     std::string model_;
     double tokens_per_second_ = 0;
     double requests_per_second_ = 0;
+    /// Tokens per second of a recent burst; never less than the estimate.
+    double recent_peak_ = 0;
 };
 
 /// When a plan first saw a model on a runner.
@@ -146,6 +148,8 @@
     rollout,
     /// The expected gain pays the move price.
     demand,
+    /// Uses memory that nothing else needs, ahead of a rise or an outage.
+    spare,
     /// Makes room for a model that fits nowhere else.
     relocation,
     /// An adapter of a resident model was missing.
@@ -157,11 +161,12 @@
 };
 
 /// Names of reasons, as `basilctl explain` prints them.
-inline constexpr auto placement_reason_names = name_table<placement_reason, 8>{
+inline constexpr auto placement_reason_names = name_table<placement_reason, 9>{
     {{{placement_reason::unreachable, "unreachable"},
       {placement_reason::redundancy, "redundancy"},
       {placement_reason::rollout, "rollout"},
       {placement_reason::demand, "demand"},
+      {placement_reason::spare, "spare"},
       {placement_reason::relocation, "relocation"},
       {placement_reason::adapter, "adapter"},
       {placement_reason::eviction, "eviction"},
@@ -184,7 +189,7 @@
 };
 
 /// Why a candidate was not taken.
-enum class rejection_reason {
+enum class placement_rejection_reason {
     gain_below_price,
     no_memory,
     pacing,
@@ -192,18 +197,19 @@
 };
 
 /// Names of rejection reasons, as `basilctl explain` prints them.
-inline constexpr auto rejection_reason_names = name_table<rejection_reason, 4>{
-    {{{rejection_reason::gain_below_price, "gain_below_price"},
-      {rejection_reason::no_memory, "no_memory"},
-      {rejection_reason::pacing, "pacing"},
-      {rejection_reason::recently_loaded, "recently_loaded"}}}};
+inline constexpr auto placement_rejection_reason_names =
+    name_table<placement_rejection_reason, 4>{
+        {{{placement_rejection_reason::gain_below_price, "gain_below_price"},
+          {placement_rejection_reason::no_memory, "no_memory"},
+          {placement_rejection_reason::pacing, "pacing"},
+          {placement_rejection_reason::recently_loaded, "recently_loaded"}}}};
 
 /// A load that was weighed and not taken.
 struct placement_rejection {
     std::string model_;
     /// Empty when no runner came into question.
     std::string runner_;
-    rejection_reason reason_ = rejection_reason::no_memory;
+    placement_rejection_reason reason_ = placement_rejection_reason::no_memory;
     double gain_ = 0;
     double cost_ = 0;
 };
@@ -242,16 +248,19 @@
     unsigned replicas_ = 2;
     /// Time over which a load has to earn its price.
     duration horizon_ = seconds{300};
-    /// Time constants of the demand estimate. Demand falls slowly in the
-    /// estimate, so that the pause between two bursts moves nothing.
-    duration rise_time_ = seconds{20};
-    duration fall_time_ = seconds{900};
+    /// Time constant of the demand estimate, which decides what a load gains.
+    duration demand_time_ = seconds{20};
+    /// Time constant with which a recent peak is forgotten. It decides what an
+    /// eviction loses, so that the pause between two bursts moves nothing.
+    duration peak_time_ = seconds{900};
     /// A model is not evicted for demand until it has been resident this long.
     duration minimum_residence_ = seconds{300};
     /// Loads in flight at once; fewer than the weight store's limit, so that a
     /// repair finds room.
     unsigned repairs_in_flight_ = 12;
     unsigned improvements_in_flight_ = 4;
+    /// Spare replicas that one plan loads when it has nothing else to do.
+    unsigned spares_per_plan_ = 1;
     /// Adapter loads that one plan starts.
     unsigned adapters_per_plan_ = 64;
     /// Lower bound on a price: a load never starts for nothing.
--- a/basilstream/transport/http_client/http_client.hpp
+++ b/basilstream/transport/http_client/http_client.hpp
@@ -34,6 +34,12 @@
     /// when a reused connection turns out to be dead; a request that may not
     /// be repeated must therefore never use an old connection.
     bool fresh_connection_ = false;
+    /// Leaves the connection for `reuse_only_` calls instead of closing it.
+    /// Only with `fresh_connection_`.
+    bool keep_connection_ = false;
+    /// Uses a connection that is open already, or fails as not run; closes it
+    /// afterwards.
+    bool reuse_only_ = false;
     /// Step named in errors.
     step step_ = step::runner;
     /// Largest answer that `fetch` collects, in bytes.
@@ -54,6 +60,8 @@
     std::optional<error> error_;
 };
 
+using call_id = std::uint64_t;
+
 /// Receives a streamed answer on the client's thread. Must not block.
 class http_sink {
 public:
@@ -62,6 +70,8 @@
     auto operator=(const http_sink&) -> http_sink& = delete;
     virtual ~http_sink() = default;
 
+    /// The call is about to begin under this id, for `resume` and `cancel`.
+    virtual auto on_start(call_id /*call*/) -> void {}
     /// Status line and headers have arrived.
     virtual auto on_response(int status,
                              const std::map<std::string, std::string>& headers)
@@ -73,8 +83,6 @@
     virtual auto on_end(const call_end& end) -> void = 0;
 };
 
-using call_id = std::uint64_t;
-
 /// The client. All members are safe to call from any thread.
 class http_client {
 public:
@@ -82,9 +90,13 @@
     explicit http_client(std::string name, std::size_t max_calls = 8192);
     http_client(const http_client&) = delete;
     auto operator=(const http_client&) -> http_client& = delete;
-    /// Ends open calls with `cancelled`.
+    /// Stops the client.
     ~http_client();
 
+    /// Ends open calls with `cancelled` and joins the thread; later calls end
+    /// at once with `overloaded`. Idempotent. Not from the client's thread.
+    auto stop() -> void;
+
     /// Starts a call with a streamed answer. `on_end` is always called, also
     /// when the call could not be started.
     auto start(http_call call, std::shared_ptr<http_sink> sink) -> call_id;
