Stand-ins: answer check as a library; adapters follow their model's version

Cause: the end-to-end tests check answers as basilload does; resources say that an adapter follows each version of its model, while the engine took any version. Change: testing/answer_check; the engine asks for the model at that version.

--- a/bench/load/load_generator.cpp
+++ b/bench/load/load_generator.cpp
@@ -10,18 +10,18 @@
 
 #include "basilstream/transport/http_client/http_client.hpp"
 #include "basilstream/transport/reactor/reactor.hpp"
-#include "bench/load/internal/answer_check.hpp"
 #include "bench/load/internal/endpoints.hpp"
 #include "bench/load/internal/latency.hpp"
 #include "bench/load/load.hpp"
+#include "testing/answer_check/answer_check.hpp"
 
 namespace basilstream::bench {
 namespace {
 
-using internal::answer_check;
-using internal::answer_format;
 using internal::latency_histogram;
 using nlohmann::json;
+using testing::answer_check;
+using testing::answer_format;
 
 constexpr auto ring_capacity = std::size_t{65536};
 constexpr auto spare_calls = std::size_t{16};
--- a/bench/load/load_test.cpp
+++ b/bench/load/load_test.cpp
@@ -2,14 +2,14 @@
 
 #include <gtest/gtest.h>
 
-#include "bench/load/internal/answer_check.hpp"
 #include "bench/load/internal/endpoints.hpp"
+#include "testing/answer_check/answer_check.hpp"
 
 namespace basilstream::bench {
 namespace {
 
-using internal::answer_check;
-using internal::answer_format;
+using testing::answer_check;
+using testing::answer_format;
 using testing::token_stream;
 
 const auto first = token_stream{{"o/m", "", "v1", "p"}};
--- a/bench/load/internal/answer_check.cpp
+++ b/testing/answer_check/answer_check.cpp
@@ -1,10 +1,10 @@
-#include "bench/load/internal/answer_check.hpp"
+#include "testing/answer_check/answer_check.hpp"
 
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
-namespace basilstream::bench::internal {
+namespace basilstream::testing {
 namespace {
 
 using nlohmann::json;
@@ -14,7 +14,7 @@
 } // namespace
 
 answer_check::answer_check(answer_format format,
-                           std::vector<testing::token_stream> candidates,
+                           std::vector<token_stream> candidates,
                            std::uint64_t max_tokens)
     : format_{format}, candidates_{std::move(candidates)}, max_tokens_{
                                                                max_tokens} {}
@@ -76,7 +76,7 @@
         tokens_ += letter == ' ' ? 1 : 0;
     }
     wrong_ = wrong_ || (finished_ && !text.empty());
-    std::erase_if(candidates_, [&](const testing::token_stream& candidate) {
+    std::erase_if(candidates_, [&](const token_stream& candidate) {
         return candidate.text(begin, tokens_) != text;
     });
     wrong_ = wrong_ || candidates_.empty();
@@ -85,7 +85,7 @@
 auto answer_check::take_finish(const std::string& finish) -> void {
     wrong_ = wrong_ || finished_;
     finished_ = true;
-    std::erase_if(candidates_, [&](const testing::token_stream& candidate) {
+    std::erase_if(candidates_, [&](const token_stream& candidate) {
         return candidate.count(max_tokens_) != tokens_ ||
                candidate.finish(max_tokens_) != finish;
     });
@@ -102,4 +102,4 @@
     return finished_ && ended_ ? "ok" : "short_answer";
 }
 
-} // namespace basilstream::bench::internal
+} // namespace basilstream::testing
--- a/testing/engine/engine_orders.cpp
+++ b/testing/engine/engine_orders.cpp
@@ -58,7 +58,7 @@
         return order_answer::accepted;
     }
     if (wanted.action_ == order_action::load_adapter &&
-        find_ready(wanted.model_, "", "") == nullptr) {
+        find_ready(wanted.model_, "", wanted.version_) == nullptr) {
         finish_order(wanted.order_id_, "failed", "model not resident");
         return order_answer::accepted;
     }
@@ -131,9 +131,9 @@
 auto engine::in_use(const resident& held) const -> bool {
     const auto uses = [&](const sequence& member) {
         return member.request_.model_ == held.model_ &&
+               member.version_ == held.version_ &&
                (held.adapter_.empty() ||
-                (member.request_.adapter_ == held.adapter_ &&
-                 member.version_ == held.version_));
+                member.request_.adapter_ == held.adapter_);
     };
     return std::any_of(running_.begin(), running_.end(), uses) ||
            std::any_of(waiting_.begin(), waiting_.end(), uses);
@@ -152,7 +152,7 @@
 
 auto engine::find_ready(const std::string& model, const std::string& adapter,
                         const std::string& version) -> resident* {
-    if (!adapter.empty() && find_ready(model, "", "") == nullptr) {
+    if (!adapter.empty() && find_ready(model, "", version) == nullptr) {
         return nullptr;
     }
     for (auto& held : residents_) {
