--- a/basilstream/coordination/orders/steps.cpp
+++ b/basilstream/coordination/orders/steps.cpp
@@ -240,8 +240,8 @@
     return false;
 }
 
-// The state may not know yet that a runner has crashed, so a ready replica
-// elsewhere counts only with a fresh report that shows it.
+// The state may not know yet that a runner has crashed, so another
+// ready replica counts only with a fresh report that shows it.
 auto order_executor::is_expendable(const poll_context& context,
                                    const state::runner_state& runner,
                                    const resident& entry) const -> bool {
@@ -258,8 +258,8 @@
     const auto places = context.state_.placements(key.model_);
     return std::any_of(places.begin(), places.end(), [&](const auto& place) {
         const auto seen = runners_.find(place.runner_->name_);
-        return place.runner_ != &runner &&
-               place.key_.adapter_ == key.adapter_ &&
+        const auto same = place.runner_ == &runner && place.key_ == key;
+        return !same && place.key_.adapter_ == key.adapter_ &&
                (any_version || place.key_.version_ == key.version_) &&
                place.state_ == resident_state::ready &&
                seen != runners_.end() && !seen->second.gone_ &&
--- a/basilstream/state/record/record.hpp
+++ b/basilstream/state/record/record.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -43,7 +44,11 @@
 
     friend auto operator==(const record_id&, const record_id&)
         -> bool = default;
-    friend auto operator<=>(const record_id&, const record_id&) = default;
+    friend auto operator<(const record_id& left, const record_id& right)
+        -> bool {
+        return std::tie(left.high_, left.low_) <
+               std::tie(right.high_, right.low_);
+    }
 };
 
 /// Hash of a record id; the id is random already.
@@ -100,7 +105,11 @@
 
     friend auto operator==(const resident_key&, const resident_key&)
         -> bool = default;
-    friend auto operator<=>(const resident_key&, const resident_key&) = default;
+    friend auto operator<(const resident_key& left, const resident_key& right)
+        -> bool {
+        return std::tie(left.model_, left.adapter_, left.version_) <
+               std::tie(right.model_, right.adapter_, right.version_);
+    }
 };
 
 /// Returns "organisation/model@version" or
--- a/basilstream/state/resource/resource.cpp
+++ b/basilstream/state/resource/resource.cpp
@@ -12,12 +12,12 @@
 }
 
 auto is_name(std::string_view text) -> bool {
-    return !text.empty() && text.size() <= resource_limits::max_name_length_ &&
+    return !text.empty() && text.size() <= max_name_length &&
            std::all_of(text.begin(), text.end(), is_name_character);
 }
 
 auto are_names(const std::vector<std::string>& texts) -> bool {
-    return texts.size() <= resource_limits::max_list_length_ &&
+    return texts.size() <= max_list_length &&
            std::all_of(texts.begin(), texts.end(),
                        [](const auto& text) { return is_name(text); });
 }
@@ -29,21 +29,21 @@
 }
 
 auto is_replica_count(std::uint32_t count) -> bool {
-    return count >= 1 && count <= resource_limits::max_replicas_;
+    return count >= 1 && count <= max_replicas;
 }
 
 auto defect_of(const organisation_resource& value) -> std::string {
     if (!is_name(value.name_)) {
         return "name is malformed";
     }
-    if (value.token_hashes_.size() > resource_limits::max_list_length_) {
+    if (value.token_hashes_.size() > max_list_length) {
         return "too many token hashes";
     }
     if (!std::all_of(value.token_hashes_.begin(), value.token_hashes_.end(),
                      is_token_hash)) {
         return "a token hash is not 64 lower-case hexadecimal digits";
     }
-    if (value.labels_.size() > resource_limits::max_list_length_) {
+    if (value.labels_.size() > max_list_length) {
         return "too many labels";
     }
     // The negated comparison refuses NaN as well.
@@ -91,8 +91,7 @@
     if (!are_names(value.zones_)) {
         return "availability zones are malformed";
     }
-    return value.non_idempotent_methods_.size() <=
-                   resource_limits::max_list_length_
+    return value.non_idempotent_methods_.size() <= max_list_length
                ? std::string{}
                : "too many methods";
 }
--- a/basilstream/state/resource/resource.hpp
+++ b/basilstream/state/resource/resource.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -120,18 +121,24 @@
 
     friend auto operator==(const resource_key&, const resource_key&)
         -> bool = default;
-    friend auto operator<=>(const resource_key&, const resource_key&) = default;
+    friend auto operator<(const resource_key& left, const resource_key& right)
+        -> bool {
+        return std::tie(left.kind_, left.name_) <
+               std::tie(right.kind_, right.name_);
+    }
 };
 
 /// Returns the key of `value`.
 [[nodiscard]] auto key_of(const resource& value) -> resource_key;
 
-/// Limits beyond which a resource is refused.
-struct resource_limits {
-    static constexpr std::size_t max_name_length_ = 64;
-    static constexpr std::size_t max_list_length_ = 64;
-    static constexpr std::uint32_t max_replicas_ = 64;
-};
+/// Longest name of a resource, in characters.
+inline constexpr auto max_name_length = std::size_t{64};
+
+/// Longest list within a resource.
+inline constexpr auto max_list_length = std::size_t{64};
+
+/// Most replicas that a resource may demand.
+inline constexpr auto max_replicas = std::uint32_t{64};
 
 /// Returns why `value` is malformed in one sentence, or an empty string when it
 /// is well formed. Names are 1 to 64 of [a-z0-9._-], and lists are bounded.
