--- a/basilstream/coordination/log_client/log_client_test.cpp
+++ b/basilstream/coordination/log_client/log_client_test.cpp
@@ -16,7 +16,7 @@
                                state::quarantine_mark{"f", "", "", "", 0}, 0);
     }
     // Puts a record into the log that the reader sees.
-    auto land(state::envelope entry) -> void { log_.push_back(entry); }
+    auto land(const state::envelope& entry) -> void { log_.push_back(entry); }
     auto land(state::record body) -> void {
         land({state::make_record_id(random_), first_ + log_.size(),
               std::move(body)});
--- a/basilstream/coordination/ownership/ownership_test.cpp
+++ b/basilstream/coordination/ownership/ownership_test.cpp
@@ -11,7 +11,7 @@
 // Daemons that share one log, which is read at once.
 class cluster {
 public:
-    cluster(std::size_t daemons, std::vector<std::string> shards) {
+    cluster(std::size_t daemons, const std::vector<std::string>& shards) {
         for (auto i = std::size_t{0}; i < daemons; ++i) {
             members_.push_back("d" + std::to_string(i));
         }
--- a/testing/state_soak/soak.hpp
+++ b/testing/state_soak/soak.hpp
@@ -5,6 +5,7 @@
 ///     report.violations_.empty();
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -21,6 +22,17 @@
     bool snapshots_ = true;
 };
 
+/// Which faults a run brings about.
+struct soak_faults {
+    /// Lost, late and doubled messages, pauses, failed loads.
+    bool messages_ = true;
+    bool log_outages_ = true;
+    bool daemon_stops_ = true;
+    bool runner_crashes_ = true;
+    /// Intents that no sound owner would append.
+    bool misbehaviour_ = true;
+};
+
 /// A run.
 struct soak_options {
     std::uint64_t seed_ = 1;
@@ -29,6 +41,9 @@
     std::size_t shards_ = 2;
     std::size_t runners_ = 6;
     soak_guards guards_ = {};
+    soak_faults faults_ = {};
+    /// Longest time that a message to or from the log takes.
+    std::chrono::milliseconds log_delay_{40};
     /// Ends the run at the first violation.
     bool stop_at_violation_ = true;
 };
@@ -38,6 +53,10 @@
     std::uint64_t steps_ = 0;
     double virtual_seconds_ = 0;
     std::map<std::string, std::uint64_t> counts_;
+    /// Durations in seconds by name, ascending: until a configuration is in
+    /// force on a daemon, until a killed owner's shard has a new one, until a
+    /// model that lost its only replica serves again.
+    std::map<std::string, std::vector<double>> durations_;
     /// "name: detail", in the order found.
     std::vector<std::string> violations_;
 };
--- a/testing/state_soak/world.cpp
+++ b/testing/state_soak/world.cpp
@@ -114,7 +114,8 @@
 }
 
 auto world::chance(double probability) -> bool {
-    return faults_ && random_.fraction() < probability;
+    return faults_ && options_.faults_.messages_ &&
+           random_.fraction() < probability;
 }
 
 auto world::violate(const std::string& name, const std::string& detail)
@@ -145,13 +146,8 @@
     }
     report_.virtual_seconds_ =
         std::chrono::duration<double>(clock_.now().time_since_epoch()).count();
-    std::sort(in_force_seconds_.begin(), in_force_seconds_.end());
-    for (const auto percent : {50, 99}) {
-        if (!in_force_seconds_.empty()) {
-            const auto at = in_force_seconds_.size() * percent / 100;
-            report_.counts_["in_force_p" + std::to_string(percent) + "_ms"] =
-                static_cast<std::uint64_t>(in_force_seconds_[at] * 1000);
-        }
+    for (auto& [name, values] : report_.durations_) {
+        std::sort(values.begin(), values.end());
     }
     return report_;
 }
@@ -256,7 +252,7 @@
 auto world::disturb_node() -> void {
     const auto index = random_.below(nodes_.size());
     auto& target = nodes_[index];
-    if (!faults_ || !target.control_) {
+    if (!faults_ || !options_.faults_.daemon_stops_ || !target.control_) {
         return;
     }
     if (random_.below(2) == 0) {
@@ -265,10 +261,20 @@
         return;
     }
     count("kills");
+    for (const auto& shard : shards_) {
+        if (oracle_.find_shard(shard).owner_ == target.name_) {
+            ownerless_since_[shard] = clock_.now();
+        }
+    }
     target.control_.reset();
     schedule(between({}, seconds{15}), [this, index] { start_node(index); });
 }
 
+auto world::measure(const std::string& name, time_point since) -> void {
+    report_.durations_[name].push_back(
+        std::chrono::duration<double>(clock_.now() - since).count());
+}
+
 auto world::check_digest(const node& checked) -> void {
     if (!checked.control_->ready()) {
         return;
--- a/testing/state_soak/world.hpp
+++ b/testing/state_soak/world.hpp
@@ -106,12 +106,14 @@
     auto ask_reports(std::size_t index) -> void;
     auto plan(std::size_t index) -> void;
     auto disturb_node() -> void;
+    auto measure(const std::string& name, time_point since) -> void;
     auto check_digest(const node& checked) -> void;
 
     // Log.
     auto append(std::size_t index, coordination::append_batch batch) -> void;
     auto store(const std::vector<state::envelope>& records)
         -> state::log_offset;
+    auto note_recovery(const state::record& body) -> void;
     auto store_one(std::optional<state::envelope> entry) -> state::log_offset;
     auto read(std::size_t index, coordination::read_request request) -> void;
     auto answer_read(std::size_t index, std::uint64_t incarnation,
@@ -128,6 +130,7 @@
                 const coordination::order_command& order) -> void;
     auto execute(fake_runner& runner, const coordination::order_command& order)
         -> coordination::order_answer;
+    [[nodiscard]] auto is_served(const std::string& model) const -> bool;
     auto start_runner(fake_runner& runner) -> void;
     auto note_loss(const fake_runner& runner) -> void;
     auto disturb_runner() -> void;
@@ -168,7 +171,9 @@
     bounded_memory<state::log_offset, state::rejection> verdicts_;
     bounded_memory<state::log_offset, time_point> put_times_;
     bounded_memory<state::log_offset, std::uint64_t> digests_;
-    std::vector<double> in_force_seconds_;
+    // Owners killed and models lost, until they are made good.
+    std::map<std::string, time_point> ownerless_since_;
+    std::map<std::string, time_point> unserved_since_;
 };
 
 /// Returns a placement for everything declared: sticky, in memory, the same
--- a/testing/state_soak/world_log.cpp
+++ b/testing/state_soak/world_log.cpp
@@ -9,7 +9,7 @@
 auto world::append(std::size_t index, coordination::append_batch batch)
     -> void {
     const auto incarnation = nodes_[index].incarnation_;
-    const auto travel = between(milliseconds{1}, milliseconds{40});
+    const auto travel = between(milliseconds{1}, options_.log_delay_);
     const auto arrives = !chance(0.02);
     const auto late = chance(0.02);
     const auto doubled = chance(0.01);
@@ -75,6 +75,9 @@
             }
         }
     }
+    if (verdict == state::rejection::none) {
+        note_recovery(entry->body_);
+    }
     constexpr auto sampled = state::log_offset{8};
     if (oracle_.next_offset() % sampled == 0) {
         digests_.insert(oracle_.next_offset(), oracle_.digest());
@@ -82,10 +85,30 @@
     return offset;
 }
 
+auto world::note_recovery(const state::record& body) -> void {
+    if (const auto* claim = std::get_if<state::shard_claim>(&body)) {
+        const auto lost = ownerless_since_.find(claim->shard_);
+        if (lost != ownerless_since_.end()) {
+            measure("takeover", lost->second);
+            ownerless_since_.erase(lost);
+        }
+    }
+    if (!std::holds_alternative<state::order_outcome>(body)) {
+        return;
+    }
+    std::erase_if(unserved_since_, [&](const auto& lost) {
+        const auto again = is_served(lost.first);
+        if (again) {
+            measure("reload", lost.second);
+        }
+        return again || oracle_.find_model(lost.first) == nullptr;
+    });
+}
+
 auto world::read(std::size_t index, coordination::read_request request)
     -> void {
     const auto incarnation = nodes_[index].incarnation_;
-    const auto travel = between(milliseconds{1}, milliseconds{40});
+    const auto travel = between(milliseconds{1}, options_.log_delay_);
     if (chance(0.01)) {
         return;
     }
@@ -94,7 +117,7 @@
 
 auto world::answer_read(std::size_t index, std::uint64_t incarnation,
                         coordination::read_request request) -> void {
-    const auto travel = between(milliseconds{1}, milliseconds{40});
+    const auto travel = between(milliseconds{1}, options_.log_delay_);
     const auto bounds = log_.bounds();
     const auto ticket = request.ticket_;
     if (log_.down_) {
@@ -135,9 +158,7 @@
         }
         const auto* accepted = put_times_.find(one.offset_);
         if (accepted != nullptr && was_ready) {
-            in_force_seconds_.push_back(
-                std::chrono::duration<double>(clock_.now() - *accepted)
-                    .count());
+            measure("in_force", *accepted);
         }
     }
     if (chance(0.01)) {
@@ -147,7 +168,7 @@
 }
 
 auto world::disturb_log() -> void {
-    if (!faults_ || log_.down_) {
+    if (!faults_ || !options_.faults_.log_outages_ || log_.down_) {
         return;
     }
     count("outages");
--- a/testing/state_soak/world_runners.cpp
+++ b/testing/state_soak/world_runners.cpp
@@ -126,6 +126,12 @@
     }
 }
 
+auto world::is_served(const std::string& model) const -> bool {
+    return std::any_of(
+        runners_.begin(), runners_.end(),
+        [&](const auto& runner) { return runner->serves(model); });
+}
+
 auto world::execute(fake_runner& runner,
                     const coordination::order_command& order)
     -> coordination::order_answer {
@@ -135,18 +141,13 @@
         violate("order_has_valid_intent", to_string(order.order_));
     }
     const auto& model = order.resident_.model_;
-    const auto serving = [&] {
-        return std::any_of(
-            runners_.begin(), runners_.end(),
-            [&](const auto& other) { return other->serves(model); });
-    };
-    const auto served = serving();
+    const auto served = is_served(model);
     auto began = false;
     const auto answer = runner.on_order(order, began);
     if (runner.ordered_bytes() > runner.memory_) {
         violate("engine_within_memory", runner.name_);
     }
-    if (served && !serving() && oracle_.find_model(model) != nullptr &&
+    if (served && !is_served(model) && oracle_.find_model(model) != nullptr &&
         intended != nullptr &&
         declared_since_[model]<*intended&& * intended - last_loss_[model]>
             knowledge_lag) {
@@ -190,7 +191,7 @@
 
 auto world::disturb_runner() -> void {
     auto& runner = *runners_[random_.below(runners_.size())];
-    if (!faults_ || !runner.up_) {
+    if (!faults_ || !options_.faults_.runner_crashes_ || !runner.up_) {
         return;
     }
     if (random_.below(4) == 0) {
@@ -209,6 +210,11 @@
     const auto vm_gone = random_.below(4) == 0;
     const auto keeps_running = vm_gone && random_.below(2) == 0;
     runner.up_ = keeps_running;
+    for (const auto& [model, since] : last_loss_) {
+        if (since == clock_.now() && !is_served(model)) {
+            unserved_since_.emplace(model, since);
+        }
+    }
     if (vm_gone) {
         for (auto i = std::size_t{0}; i < nodes_.size(); ++i) {
             to_node(i, nodes_[i].incarnation_, between({}, seconds{3}),
@@ -307,7 +313,8 @@
 // An owner of a faulty version appends intents that its executor would not.
 auto world::misbehave() -> void {
     auto* faulty = random_node();
-    if (!faults_ || faulty == nullptr || faulty->control_->held().empty()) {
+    if (!faults_ || !options_.faults_.misbehaviour_ || faulty == nullptr ||
+        faulty->control_->held().empty()) {
         return;
     }
     const auto& state = faulty->control_->state();
