Quarantine requests that crash the runners they run on

Cause: now and then one request crashes each backend server that runs it, and its caller sends it again through any daemon.

Change: a fingerprint in flight on a crashed runner is suspected on all daemons by gossip; a suspect runs only under a grant of one arbiter, one run at a time and no two suspects on one runner; a second crash marks it, a whole answer clears it. A mark from two crashes in company lasts two minutes instead of thirty, and any mark ends in a trial in isolation.

--- /dev/null
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -0,0 +1,400 @@
+#include "basilstream/coordination/quarantine/quarantine.hpp"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "basilstream/base/invariant/invariant.hpp"
+
+namespace basilstream::coordination {
+namespace {
+
+// Crashes of distinct backend servers that quarantine a fingerprint.
+constexpr auto crashes_to_quarantine = std::size_t{2};
+
+} // namespace
+
+quarantine::quarantine(quarantine_settings settings, std::string self,
+                       quarantine_guards guards)
+    : settings_{settings}, self_{std::move(self)}, guards_{guards},
+      arbiter_{self_} {}
+
+auto quarantine::set_members(const std::vector<std::string>& members,
+                             time_point now) -> void {
+    const auto weight = [](const std::string& name) {
+        return XXH3_64bits(name.data(), name.size());
+    };
+    const auto highest = std::max_element(
+        members.begin(), members.end(),
+        [&](const auto& left, const auto& right) {
+            return std::pair{weight(left), std::string_view{left}} <
+                   std::pair{weight(right), std::string_view{right}};
+        });
+    const auto next = highest == members.end() ? self_ : *highest;
+    const auto first = !members_known_;
+    members_known_ = true;
+    if (next == arbiter_ && !first) {
+        return;
+    }
+    arbiter_ = next;
+    if (arbiter_ == self_) {
+        grants_from_ = now + settings_.takeover_delay_;
+    }
+    // The new arbiter has to hear of the runs in flight.
+    for (auto& [id, own] : runs_) {
+        own.renewed_ = now - settings_.grant_lifetime_;
+    }
+}
+
+auto quarantine::same_crash(const crash& left, const crash& right) const
+    -> bool {
+    if (left.runner_ != right.runner_) {
+        return false;
+    }
+    const auto same_boot =
+        !left.boot_id_.empty() && left.boot_id_ == right.boot_id_;
+    const auto apart = left.seen_ > right.seen_ ? left.seen_ - right.seen_
+                                                : right.seen_ - left.seen_;
+    return same_boot || apart < settings_.same_crash_window_;
+}
+
+auto quarantine::open(const crash& seen, time_point now) const -> bool {
+    return !seen.cleared_ && now < seen.seen_ + settings_.suspicion_lifetime_;
+}
+
+auto quarantine::open_crashes(const record& entry, time_point now) const
+    -> std::size_t {
+    return static_cast<std::size_t>(
+        std::count_if(entry.crashes_.begin(), entry.crashes_.end(),
+                      [&](const crash& seen) { return open(seen, now); }));
+}
+
+auto quarantine::crashes_of(const fingerprint& print, time_point now) const
+    -> std::vector<suspicion> {
+    auto all = std::vector<suspicion>{};
+    const auto found = records_.find(print);
+    if (found == records_.end()) {
+        return all;
+    }
+    for (const auto& seen : found->second.crashes_) {
+        if (open(seen, now)) {
+            all.push_back({print, seen.runner_, seen.boot_id_, now - seen.seen_,
+                           seen.isolated_});
+        }
+    }
+    return all;
+}
+
+// Returns whether it is news.
+auto quarantine::add_crash(const fingerprint& print, crash seen, time_point now)
+    -> bool {
+    if (now >= seen.seen_ + settings_.suspicion_lifetime_) {
+        return false;
+    }
+    if (!records_.contains(print) && records_.size() >= settings_.capacity_) {
+        drop_oldest_suspicion();
+    }
+    auto& crashes = records_[print].crashes_;
+    const auto known =
+        std::find_if(crashes.begin(), crashes.end(), [&](const crash& other) {
+            return same_crash(other, seen);
+        });
+    if (known == crashes.end()) {
+        crashes.push_back(std::move(seen));
+        return true;
+    }
+    const auto confirmed = seen.isolated_ && !known->isolated_;
+    known->isolated_ = known->isolated_ || seen.isolated_;
+    return confirmed;
+}
+
+auto quarantine::mark_if_due(const fingerprint& print, record& entry,
+                             bool announce, time_point now) -> void {
+    const auto confirmed = std::any_of(
+        entry.crashes_.begin(), entry.crashes_.end(),
+        [&](const crash& seen) { return open(seen, now) && seen.isolated_; });
+    const auto marked = entry.marked_until_ && now < *entry.marked_until_;
+    if (open_crashes(entry, now) < crashes_to_quarantine ||
+        (marked && (entry.confirmed_ || !confirmed))) {
+        return;
+    }
+    entry.marked_until_ = now + (confirmed ? settings_.mark_lifetime_
+                                           : settings_.unconfirmed_lifetime_);
+    entry.confirmed_ = confirmed;
+    entry.marked_runners_.clear();
+    for (const auto& seen : entry.crashes_) {
+        if (open(seen, now)) {
+            entry.marked_runners_.push_back(seen.runner_);
+        }
+    }
+    if (announce) {
+        events_.emplace_back(
+            quarantine_mark{print, entry.marked_runners_, confirmed});
+    }
+}
+
+auto quarantine::check(const fingerprint& print, time_point now) const
+    -> quarantine_verdict {
+    const auto found = records_.find(print);
+    if (found == records_.end()) {
+        return quarantine_verdict::clear;
+    }
+    const auto& entry = found->second;
+    if (entry.marked_until_ && now < *entry.marked_until_) {
+        return quarantine_verdict::quarantined;
+    }
+    return open_crashes(entry, now) > 0 ? quarantine_verdict::suspected
+                                        : quarantine_verdict::clear;
+}
+
+auto quarantine::refusal_hint(const fingerprint& print, time_point now) const
+    -> std::optional<milliseconds> {
+    const auto found = records_.find(print);
+    if (found == records_.end() || !found->second.marked_until_) {
+        return settings_.retry_hint_;
+    }
+    return std::chrono::ceil<milliseconds>(*found->second.marked_until_ - now);
+}
+
+auto quarantine::refusal(const fingerprint& print, time_point now) const
+    -> error {
+    return {.code_ = error_code::quarantined,
+            .step_ = step::admission,
+            .peer_ = {},
+            .detail_ = "the request was running on backend servers that "
+                       "crashed; fingerprint " +
+                       print.to_string(),
+            .run_ = run_status::not_run,
+            .retry_after_ = refusal_hint(print, now)};
+}
+
+auto quarantine::on_dispatch(const fingerprint_run& run, time_point now)
+    -> bool {
+    const auto verdict = check(run.fingerprint_, now);
+    const auto grant = received_grants_.find(run.request_id_);
+    const auto granted = grant != received_grants_.end() && now < grant->second;
+    if (verdict == quarantine_verdict::quarantined ||
+        (verdict == quarantine_verdict::suspected && !granted)) {
+        drop_grant(run.request_id_);
+        return false;
+    }
+    received_grants_.erase(run.request_id_);
+    runs_[run.request_id_] = {run, granted, now};
+    return true;
+}
+
+auto quarantine::on_finish(std::string_view request_id, bool complete,
+                           time_point now) -> void {
+    const auto found = runs_.find(std::string{request_id});
+    if (found == runs_.end()) {
+        return;
+    }
+    const auto own = std::move(found->second);
+    runs_.erase(found);
+    if (own.isolated_) {
+        release_isolation(own.run_.request_id_, false);
+    }
+    if (complete) {
+        clear(own.run_.fingerprint_, now);
+    }
+}
+
+auto quarantine::clear(const fingerprint& print, time_point now) -> void {
+    if (check(print, now) != quarantine_verdict::suspected) {
+        return;
+    }
+    auto cleared = clearance{print, crashes_of(print, now)};
+    for (auto& seen : records_[print].crashes_) {
+        seen.cleared_ = true;
+    }
+    announce(std::move(cleared), now);
+}
+
+auto quarantine::count_crash(const fingerprint_run& run, bool isolated,
+                             time_point seen, time_point now) -> void {
+    const auto& print = run.fingerprint_;
+    announce(suspicion{print, run.runner_, run.boot_id_, now - seen, isolated},
+             now);
+    if (add_crash(print, {run.runner_, run.boot_id_, seen, isolated}, now)) {
+        mark_if_due(print, records_[print], true, now);
+    }
+}
+
+auto quarantine::on_crash(std::string_view runner, time_point now) -> void {
+    auto own = std::vector<own_run>{};
+    for (const auto& [id, run] : runs_) {
+        if (run.run_.runner_ == runner) {
+            own.push_back(run);
+        }
+    }
+    for (const auto& each : own) {
+        runs_.erase(each.run_.request_id_);
+        count_crash(each.run_, each.isolated_, now, now);
+        if (each.isolated_) {
+            release_isolation(each.run_.request_id_, true);
+        }
+    }
+    // The holder of a granted run knows whether it ended before, but it may be
+    // gone, or its message lost.
+    for (auto& [id, each] : grants_) {
+        if (each.run_.runner_ == runner && !each.crashed_) {
+            each.crashed_ = now;
+        }
+    }
+}
+
+auto quarantine::announce(std::variant<suspicion, clearance> gossip,
+                          time_point now) -> void {
+    announcements_.push_back(
+        {std::move(gossip), now, now, settings_.announcements_});
+}
+
+auto quarantine::repeat_announcements(time_point now) -> void {
+    for (auto& each : announcements_) {
+        if (now < each.next_) {
+            continue;
+        }
+        each.next_ = now + settings_.announcement_interval_;
+        --each.left_;
+        const auto age = now - each.since_;
+        if (auto crash = std::get_if<suspicion>(&each.gossip_)) {
+            auto sent = *crash;
+            sent.age_ += age;
+            events_.emplace_back(std::move(sent));
+        } else {
+            auto sent = std::get<clearance>(each.gossip_);
+            for (auto& cleared : sent.crashes_) {
+                cleared.age_ += age;
+            }
+            events_.emplace_back(std::move(sent));
+        }
+    }
+    std::erase_if(announcements_,
+                  [](const auto& each) { return each.left_ <= 0; });
+}
+
+auto quarantine::merge(const suspicion& heard, time_point now) -> void {
+    const auto seen =
+        crash{heard.runner_, heard.boot_id_, now - heard.age_, heard.isolated_};
+    if (add_crash(heard.fingerprint_, seen, now)) {
+        mark_if_due(heard.fingerprint_, records_[heard.fingerprint_],
+                    arbiter_ == self_, now);
+    }
+}
+
+auto quarantine::merge(const clearance& heard, time_point now) -> void {
+    if (check(heard.fingerprint_, now) == quarantine_verdict::quarantined) {
+        return;
+    }
+    for (const auto& crash : heard.crashes_) {
+        const auto seen =
+            quarantine::crash{crash.runner_, crash.boot_id_, now - crash.age_};
+        add_crash(heard.fingerprint_, seen, now);
+        for (auto& known : records_[heard.fingerprint_].crashes_) {
+            known.cleared_ = known.cleared_ || same_crash(known, seen);
+        }
+    }
+}
+
+auto quarantine::apply(const quarantine_mark& mark, time_point now) -> void {
+    auto& entry = records_[mark.fingerprint_];
+    entry.confirmed_ = mark.confirmed_;
+    entry.marked_until_ =
+        now + (mark.confirmed_ ? settings_.mark_lifetime_
+                               : settings_.unconfirmed_lifetime_);
+    entry.marked_runners_ = mark.runners_;
+}
+
+auto quarantine::lift(const fingerprint& print, time_point) -> void {
+    const auto found = records_.find(print);
+    if (found == records_.end()) {
+        return;
+    }
+    found->second.marked_until_.reset();
+    // Kept as cleared, so that late gossip does not count them anew.
+    for (auto& seen : found->second.crashes_) {
+        seen.cleared_ = true;
+    }
+}
+
+auto quarantine::drop_oldest_suspicion() -> void {
+    auto oldest = records_.end();
+    for (auto each = records_.begin(); each != records_.end(); ++each) {
+        const auto& entry = each->second;
+        if (entry.marked_until_ || entry.crashes_.empty()) {
+            continue;
+        }
+        if (oldest == records_.end() ||
+            entry.crashes_.front().seen_ <
+                oldest->second.crashes_.front().seen_) {
+            oldest = each;
+        }
+    }
+    if (oldest != records_.end()) {
+        records_.erase(oldest);
+    }
+}
+
+auto quarantine::expire(time_point now) -> void {
+    std::erase_if(received_grants_, [&](const auto& each) {
+        if (now < each.second) {
+            return false;
+        }
+        release_isolation(each.first, false);
+        return true;
+    });
+    settle_grants(now);
+    for (auto each = records_.begin(); each != records_.end();) {
+        auto& entry = each->second;
+        expire(entry, now);
+        const auto empty = entry.crashes_.empty() && !entry.marked_until_;
+        each = empty ? records_.erase(each) : std::next(each);
+    }
+}
+
+auto quarantine::expire(record& entry, time_point now) const -> void {
+    if (entry.marked_until_ && now < *entry.marked_until_) {
+        return;
+    }
+    if (entry.marked_until_) {
+        entry.marked_until_.reset();
+        // It is tried in isolation next: one crash marks it again, a whole
+        // answer clears it.
+        for (auto& seen : entry.crashes_) {
+            seen.seen_ = now;
+        }
+    }
+    std::erase_if(entry.crashes_, [&](const crash& seen) {
+        return now >= seen.seen_ + settings_.suspicion_lifetime_;
+    });
+}
+
+auto quarantine::poll(time_point now) -> std::vector<quarantine_event> {
+    expire(now);
+    renew_own_runs(now);
+    repeat_announcements(now);
+    return std::exchange(events_, {});
+}
+
+auto quarantine::list(time_point now) const -> std::vector<quarantine_entry> {
+    auto all = std::vector<quarantine_entry>{};
+    for (const auto& [print, entry] : records_) {
+        const auto verdict = check(print, now);
+        if (verdict == quarantine_verdict::clear) {
+            continue;
+        }
+        auto shown = quarantine_entry{print, verdict, {}, {}};
+        if (verdict == quarantine_verdict::quarantined) {
+            shown.runners_ = entry.marked_runners_;
+            shown.remaining_ = *entry.marked_until_ - now;
+        } else {
+            const auto open = crashes_of(print, now);
+            shown.runners_.push_back(open.back().runner_);
+            shown.remaining_ = settings_.suspicion_lifetime_ - open.back().age_;
+        }
+        all.push_back(std::move(shown));
+    }
+    return all;
+}
+
+} // namespace basilstream::coordination
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -11,13 +11,16 @@
 ///     now) case quarantine_verdict::suspected:    // ask marks.arbiter() first
 ///     case quarantine_verdict::clear:        // dispatch
 ///     }
-///     marks.on_dispatch({print, request_id, runner, boot_id}, now);
-///     marks.on_finish(request_id, true, now);
+///     if (marks.on_dispatch({print, request_id, runner, boot_id}, now)) {
+///         // send the attempt, and at its end:
+///         marks.on_finish(request_id, true, now);
+///     }
 ///
 /// A fingerprint in flight on a crashed runner is suspected. While suspected
 /// it runs only with a grant of the arbiter, one run at a time and no two
-/// suspects on one runner. A second crash quarantines it; a complete answer
-/// clears it. Not safe for concurrent use.
+/// suspects on one runner. A second crash quarantines it for a while, after
+/// which it is suspected again; a complete answer clears it. Call poll() at
+/// least once a second. Not safe for concurrent use.
 #pragma once
 
 #include <cstdint>
@@ -31,6 +34,7 @@
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/error/error.hpp"
+#include "basilstream/base/name_table/name_table.hpp"
 
 namespace basilstream::coordination {
 
@@ -39,7 +43,10 @@
 struct fingerprint {
     std::uint64_t high_ = 0;
     std::uint64_t low_ = 0;
-    auto operator<=>(const fingerprint&) const = default;
+    auto operator==(const fingerprint&) const -> bool = default;
+    [[nodiscard]] auto operator<(const fingerprint& other) const -> bool {
+        return high_ != other.high_ ? high_ < other.high_ : low_ < other.low_;
+    }
     /// Returns 32 hexadecimal digits.
     [[nodiscard]] auto to_string() const -> std::string;
 };
@@ -71,6 +78,8 @@
     std::string boot_id_;
     /// Time since the crash was seen.
     duration age_ = {};
+    /// Whether the run was isolated, so that no other suspect ran there.
+    bool isolated_ = false;
 };
 
 /// A suspected fingerprint gave a complete answer: the crashes listed were
@@ -85,6 +94,9 @@
     fingerprint fingerprint_;
     /// The crashed runners, for operators.
     std::vector<std::string> runners_;
+    /// Whether it crashed a runner in isolation. If not, it may have shared
+    /// two crashes with the culprit, and is tried in isolation after a while.
+    bool confirmed_ = true;
 };
 
 /// Asks the arbiter for leave to run a suspected fingerprint, or renews it.
@@ -98,15 +110,40 @@
     bool renewal_ = false;
 };
 
-/// The arbiter's answer; refused_ is empty if granted.
+/// Why the arbiter does not let a suspected fingerprint run now.
+enum class isolation_refusal {
+    not_arbiter,
+    /// A new arbiter waits until it has heard of the runs in flight.
+    taking_over,
+    quarantined,
+    /// An equal request is running.
+    fingerprint_busy,
+    /// Another suspect is running on this runner; another runner may do.
+    runner_busy,
+};
+
+inline constexpr auto isolation_refusal_names =
+    name_table<isolation_refusal, 5>{
+        {{{isolation_refusal::not_arbiter, "not_arbiter"},
+          {isolation_refusal::taking_over, "taking_over"},
+          {isolation_refusal::quarantined, "quarantined"},
+          {isolation_refusal::fingerprint_busy, "fingerprint_busy"},
+          {isolation_refusal::runner_busy, "runner_busy"}}}};
+
+/// The arbiter's answer: granted if there is no refusal.
 struct isolation_answer {
     std::string request_id_;
-    std::optional<error> refused_;
+    std::optional<isolation_refusal> refusal_ = {};
+    /// When to ask again, if refused.
+    milliseconds retry_after_{0};
 };
 
 /// Tells the arbiter that an isolated run ended.
 struct isolation_release {
     std::string request_id_;
+    /// Whether its runner crashed. Told here too, so that the arbiter cannot
+    /// hear of the end before it hears of the crash.
+    bool crashed_ = false;
 };
 
 /// What poll() asks the caller to carry out: gossip a suspicion or a
@@ -126,11 +163,19 @@
 struct quarantine_settings {
     /// How long a suspicion or a mark lasts.
     duration suspicion_lifetime_ = std::chrono::minutes{10};
-    duration mark_lifetime_ = std::chrono::minutes{60};
+    duration mark_lifetime_ = std::chrono::minutes{30};
+    /// How long a mark lasts that is not confirmed by an isolated run.
+    duration unconfirmed_lifetime_ = std::chrono::minutes{2};
+    /// Suspicions and clearances are gossiped this often, so far apart.
+    int announcements_ = 3;
+    duration announcement_interval_ = seconds{1};
     /// Crashes of one runner closer than this are one crash seen twice.
     duration same_crash_window_ = seconds{15};
     /// How long a grant lasts without renewal; holders renew at a third.
     duration grant_lifetime_ = seconds{30};
+    /// How long the arbiter waits for the holder's word on a granted run
+    /// whose runner crashed, before it counts the crash.
+    duration holder_delay_ = seconds{3};
     /// How long a new arbiter waits for renewals before its first grant.
     duration takeover_delay_ = seconds{12};
     /// Fingerprints remembered at most; the oldest suspicions go first.
@@ -169,7 +214,7 @@
     }
 
     /// Returns what may be done with the fingerprint.
-    [[nodiscard]] auto check(const fingerprint& print, time_point now)
+    [[nodiscard]] auto check(const fingerprint& print, time_point now) const
         -> quarantine_verdict;
     /// Returns the answer for a quarantined request: not_run, with a hint when
     /// the mark expires.
@@ -177,18 +222,30 @@
         -> error;
 
     /// Builds what to send to arbiter() for a suspected fingerprint. If the
-    /// arbiter is this daemon, pass it to on_isolation_request(). No answer
-    /// in time means not granted.
+    /// arbiter is this daemon, pass it to on_isolation_request().
     [[nodiscard]] auto ask(fingerprint_run run, time_point now) const
         -> isolation_request;
     /// As arbiter: decides on a run or takes in a renewal.
     [[nodiscard]] auto on_isolation_request(const isolation_request& request,
                                             time_point now) -> isolation_answer;
+    /// Takes in the arbiter's answer. Without one the run is not granted. Ask
+    /// and answer must be of one request id that is not used again.
+    auto on_isolation_answer(const isolation_answer& answer, time_point now)
+        -> void;
+    /// Gives a grant back without a run. A grant that is not used soon is
+    /// given back by poll().
+    auto drop_grant(const std::string& request_id) -> void;
     /// As arbiter: takes in the end of a run.
-    auto on_isolation_release(const isolation_release& release) -> void;
+    auto on_isolation_release(const isolation_release& release, time_point now)
+        -> void;
+    /// Turns a refusal into the caller's answer: not_run, with a hint.
+    [[nodiscard]] static auto refused(const isolation_answer& answer) -> error;
 
-    /// Tells of a run of this daemon, before its first byte is sent.
-    auto on_dispatch(const fingerprint_run& run, time_point now) -> void;
+    /// Tells of a run of this daemon, before its first byte is sent. Returns
+    /// whether it may be sent: a quarantined request may not, a suspected one
+    /// only with a grant that is fresh.
+    [[nodiscard]] auto on_dispatch(const fingerprint_run& run, time_point now)
+        -> bool;
     /// Tells of the end of a run other than by a crash of its runner.
     /// `complete` if there was a whole answer.
     auto on_finish(std::string_view request_id, bool complete, time_point now)
@@ -216,6 +273,7 @@
         std::string runner_;
         std::string boot_id_;
         time_point seen_;
+        bool isolated_ = false;
         /// Cleared crashes are kept so that late gossip does not count anew.
         bool cleared_ = false;
     };
@@ -223,11 +281,19 @@
         std::vector<crash> crashes_;
         std::optional<time_point> marked_until_;
         std::vector<std::string> marked_runners_;
-        time_point touched_;
+        bool confirmed_ = false;
     };
     struct grant {
         fingerprint_run run_;
         time_point until_;
+        /// When its runner crashed, until the holder has said how it ended.
+        std::optional<time_point> crashed_ = {};
+    };
+    struct announcement {
+        std::variant<suspicion, clearance> gossip_;
+        time_point since_;
+        time_point next_;
+        int left_ = 0;
     };
     struct own_run {
         fingerprint_run run_;
@@ -235,30 +301,47 @@
         time_point renewed_;
     };
 
-    static auto same_crash(const crash& left, const crash& right,
-                           duration window) -> bool;
-    auto add_crash(const fingerprint& print, const crash& seen, bool own)
-        -> bool;
+    auto same_crash(const crash& left, const crash& right) const -> bool;
+    auto open(const crash& seen, time_point now) const -> bool;
     auto open_crashes(const record& entry, time_point now) const -> std::size_t;
+    auto add_crash(const fingerprint& print, crash seen, time_point now)
+        -> bool;
+    auto on_own_crash(const fingerprint_run& run, bool isolated, time_point now)
+        -> void;
+    auto announce(std::variant<suspicion, clearance> gossip, time_point now)
+        -> void;
+    auto repeat_announcements(time_point now) -> void;
+    auto mark_if_due(const fingerprint& print, record& entry, bool announce,
+                     time_point now) -> void;
     auto crashes_of(const fingerprint& print, time_point now) const
         -> std::vector<suspicion>;
-    auto mark_if_due(const fingerprint& print, record& entry, time_point now)
-        -> void;
     auto clear(const fingerprint& print, time_point now) -> void;
-    auto crash_run(const fingerprint_run& run, time_point now) -> void;
+    auto refusal_hint(const fingerprint& print, time_point now) const
+        -> std::optional<milliseconds>;
+    auto release_isolation(const std::string& request_id, bool crashed) -> void;
+    auto count_crash(const fingerprint_run& run, bool isolated, time_point seen,
+                     time_point now) -> void;
+    auto settle_grants(time_point now) -> void;
+    auto refusal_of(const isolation_request& request, time_point now)
+        -> std::optional<isolation_refusal>;
     auto renew_own_runs(time_point now) -> void;
+    auto drop_oldest_suspicion() -> void;
     auto expire(time_point now) -> void;
-    auto refused_grant(error_code code, milliseconds hint,
-                       std::string detail) const -> error;
+    auto expire(record& entry, time_point now) const -> void;
 
     quarantine_settings settings_;
     std::string self_;
     quarantine_guards guards_;
     std::string arbiter_;
+    bool members_known_ = false;
     time_point grants_from_{};
     std::map<fingerprint, record> records_;
     std::unordered_map<std::string, own_run> runs_;
-    std::unordered_map<std::string, grant> grants_;
+    // As arbiter: the runs granted, by request id.
+    std::map<std::string, grant> grants_;
+    // Grants received and not used yet, with the time until which they may be.
+    std::unordered_map<std::string, time_point> received_grants_;
+    std::vector<announcement> announcements_;
     std::vector<quarantine_event> events_;
 };
 
