Run a request at most once per idempotency key

Cause: a repeat may come through another daemon, at the same moment, after a daemon's death, during a takeover or while the log is out of reach, and must neither run twice nor be called not run when it ran. The run found and mended: an owner that trusted its own former ownership in the middle of the stream, a late claim taken for the first one in a truncated stream, entries that short-lived owners never re-appended, and promises of members that did not agree on the members.

--- a/basilstream/coordination/claims/claims.hpp
+++ b/basilstream/coordination/claims/claims.hpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -32,7 +33,12 @@
     std::string service_;
     /// The caller's Idempotency-Key.
     std::string key_;
-    auto operator<=>(const claim_key&) const = default;
+    auto operator==(const claim_key&) const -> bool = default;
+    /// Orders by organisation, service, key.
+    [[nodiscard]] auto operator<(const claim_key& other) const -> bool {
+        return std::tie(organisation_, service_, key_) <
+               std::tie(other.organisation_, other.service_, other.key_);
+    }
 };
 
 /// Hash of method, path and body; a repeat must carry the same one.
@@ -71,18 +77,24 @@
 
 // ---- records of a claim stream ---------------------------------------------
 
-/// Takes a shard over. Valid only when `previous_epoch_` is the current epoch;
-/// its own offset is then the new epoch.
+/// Takes a shard over; its own offset is then the new epoch. Valid only when
+/// the writer had read everything of the previous owner: `previous_epoch_` is
+/// the current epoch and `last_seen_` the offset of that epoch's last record.
+/// So a lease cannot be cut short by a reader that lags.
 struct ownership_record {
     std::string owner_;
     std::optional<std::uint64_t> previous_epoch_ = {};
+    std::uint64_t last_seen_ = 0;
 };
 
-/// Shows that the owner lives; lets a reader of a truncated stream learn the
+/// Extends the owner's lease; lets a reader of a truncated stream learn the
 /// epoch.
 struct renewal_record {
     std::string owner_;
     std::uint64_t epoch_ = 0;
+    std::uint64_t sequence_ = 0;
+    /// The writer's time since the Unix epoch; dates the records around it.
+    duration written_at_{};
 };
 
 /// Gives a shard up, so that the next owner need not wait for the lease.
@@ -120,16 +132,22 @@
 /// State of one key, re-appended before the log's retention ends.
 struct carried_claim {
     claim_record claim_;
+    /// Offset of the claim's first record.
+    std::uint64_t origin_ = 0;
     bool finished_ = false;
 };
 
-/// Re-appended entries; they replace their originals and drop stored answers.
+/// Re-appended entries. They replace any other entry of their keys that was
+/// claimed below `built_at_`: a reader of a truncated stream may have taken a
+/// late, invalid claim for the first one.
 struct carry_record {
     std::vector<carried_claim> claims_;
+    /// Offset up to which the writer had read.
+    std::uint64_t built_at_ = 0;
     std::uint64_t epoch_ = 0;
 };
 
-/// Forgets every finished key whose last record lies below `below_offset_`.
+/// Forgets every key that was claimed below `below_offset_`.
 struct forget_record {
     std::uint64_t below_offset_ = 0;
     std::uint64_t epoch_ = 0;
@@ -236,10 +254,14 @@
 };
 
 /// Answer to an epoch query; `newest_epoch_` is the newest the sender knows.
+/// Promises count only while all sides agree on the members: otherwise a
+/// daemon that was not asked may have taken the shard over.
 struct epoch_promise_message {
     std::uint32_t shard_ = 0;
     std::uint64_t newest_epoch_ = 0;
     std::uint64_t round_ = 0;
+    /// Hash of the sender's list of members.
+    std::uint64_t members_digest_ = 0;
 };
 
 using claim_message = std::variant<claim_request_message, claim_grant_message,
@@ -314,15 +336,21 @@
     /// How long a dispatcher answers for its ended requests.
     duration dispatcher_memory_ = seconds{600};
     duration answer_window_ = seconds{600};
-    /// How long a finished key is remembered.
+    /// How long a key is remembered at least.
     duration key_window_ = std::chrono::hours{24};
-    /// All entries are re-appended once in this time; at most half of the
-    /// log's retention.
-    duration carry_cycle_ = std::chrono::hours{6};
+    /// Entries whose last record is older are re-appended; at most half of
+    /// the log's retention.
+    duration carry_age_ = std::chrono::hours{6};
+    /// Added to a time point it gives the time since the Unix epoch. Only
+    /// used to estimate the age of records that a former owner wrote; a skew
+    /// of seconds is harmless.
+    duration unix_offset_{};
     std::size_t max_answer_bytes_ = std::size_t{64} * 1024;
     std::size_t max_stored_bytes_ = std::size_t{16} * 1024 * 1024;
     std::size_t max_pending_per_shard_ = 4096;
     std::size_t max_batch_records_ = 512;
+    /// An append call ends with the record that passes this size.
+    std::size_t max_batch_bytes_ = std::size_t{512} * 1024;
     milliseconds retry_hint_ = milliseconds{1000};
 };
 
@@ -335,8 +363,10 @@
     virtual ~claim_guards() = default;
     /// Grants only after the claim was read back as the first valid one.
     [[nodiscard]] virtual auto read_back() const -> bool { return true; }
-    /// Skips records of an epoch that is not the current one.
-    [[nodiscard]] virtual auto check_epoch() const -> bool { return true; }
+    /// Takes a shard over only from an owner whose last record was seen.
+    [[nodiscard]] virtual auto compare_last_seen() const -> bool {
+        return true;
+    }
     /// Gives permission at most once for a request id.
     [[nodiscard]] virtual auto permit_once() const -> bool { return true; }
     /// Refuses late grants once `never_dispatched` has been said.
@@ -414,7 +444,8 @@
     auto cancel(const std::string& request_id, time_point now) -> bool;
     auto on_message(const std::string& peer, claim_message message,
                     time_point now) -> void;
-    auto on_read(std::uint32_t shard, claim_read read, time_point now) -> void;
+    auto on_read(std::uint32_t shard, const claim_read& read, time_point now)
+        -> void;
     /// A read failed: the log is out of reach until the next `on_read`.
     auto on_read_failed(std::uint32_t shard, time_point now) -> void;
     auto on_append_result(std::uint32_t shard, std::uint64_t ticket,
