--- /dev/null
+++ b/basilstream/coordination/streams/streams_benchmark.cpp
@@ -0,0 +1,33 @@
+#include <cstdint>
+#include <string>
+
+#include <benchmark/benchmark.h>
+
+#include "basilstream/coordination/streams/streams.hpp"
+
+namespace {
+
+using namespace basilstream::coordination;
+
+// One token: parse the event's id, judge the piece, account for the buffer.
+auto judge_token(benchmark::State& state) -> void {
+    const auto prefix = std::string{"0123456789abcdef0123456789abcdef/1/"};
+    auto checker = stream_checker{{}, prefix.substr(0, 32)};
+    auto started = checker.start_attempt(1);
+    benchmark::DoNotOptimize(started);
+    auto text = prefix;
+    auto position = std::uint64_t{0};
+    for (auto _ : state) {
+        text.resize(prefix.size());
+        text += std::to_string(position++);
+        const auto id = parse_piece_id(text);
+        benchmark::DoNotOptimize(checker.on_piece(*id, 6));
+        checker.on_drained(6);
+        benchmark::DoNotOptimize(checker.take_signal());
+        benchmark::DoNotOptimize(checker.take_action());
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(judge_token);
+
+} // namespace
