Find silent connections; endpoint answers and graceful shutdown

Cause: a connection can go silent for good while new ones work, callers need addresses that spread them, and a stop must cut off no request. Change: coordination/liveness (progress limits, heartbeats, what becomes of each request, forgiveness for this process's own pauses and back-pressure) and coordination/discovery (zone-aware weighted random answers, a drain state machine with one action per step). Conclusion: the limits decide the detection time; a second stop request changes nothing.

--- a/basilstream/coordination/claims/claims_test_world.hpp
+++ b/basilstream/coordination/claims/claims_test_world.hpp
@@ -295,7 +295,7 @@
                 ++offset;
             }
             target.followed_[shard] = offset;
-            target.claims_->on_read(shard, std::move(read), now_);
+            target.claims_->on_read(shard, read, now_);
         }
     }
     auto carry_out(daemon& target) -> void {
--- /dev/null
+++ b/basilstream/coordination/discovery/discovery.cpp
@@ -0,0 +1,162 @@
+#include "basilstream/coordination/discovery/discovery.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace basilstream::coordination {
+
+endpoint_directory::endpoint_directory(discovery_settings settings,
+                                       random_source& random)
+    : settings_{settings}, random_{random} {}
+
+auto endpoint_directory::update(std::vector<endpoint> endpoints) -> void {
+    endpoints_ = std::move(endpoints);
+}
+
+auto endpoint_directory::set_distances(std::string from,
+                                       std::vector<std::string> nearest)
+    -> void {
+    const auto same = [&](const distance_row& row) {
+        return row.from_ == from;
+    };
+    distances_.erase(std::remove_if(distances_.begin(), distances_.end(), same),
+                     distances_.end());
+    distances_.push_back({std::move(from), std::move(nearest)});
+}
+
+auto endpoint_directory::rank(std::string_view from,
+                              std::string_view zone) const -> std::size_t {
+    if (from == zone) {
+        return 0;
+    }
+    for (const auto& row : distances_) {
+        if (row.from_ != from) {
+            continue;
+        }
+        const auto place =
+            std::find(row.nearest_.begin(), row.nearest_.end(), zone);
+        return 1 + static_cast<std::size_t>(place - row.nearest_.begin());
+    }
+    return 1;
+}
+
+auto endpoint_directory::near_is_overloaded(std::string_view zone) const
+    -> bool {
+    auto all = 0.0;
+    auto near = 0.0;
+    auto count = 0.0;
+    auto near_count = 0.0;
+    for (const auto& known : endpoints_) {
+        if (!known.serving_) {
+            continue;
+        }
+        const auto in_zone = known.zone_ == zone;
+        all += known.load_;
+        count += 1;
+        near += in_zone ? known.load_ : 0;
+        near_count += in_zone ? 1 : 0;
+    }
+    if (near_count == 0) {
+        return false;
+    }
+    const auto near_mean = near / near_count;
+    return near_mean > settings_.near_load_floor_ &&
+           near_mean > settings_.near_load_factor_ * (all / count);
+}
+
+auto endpoint_directory::answer(std::string_view caller_zone)
+    -> result<endpoint_answer> {
+    struct candidate {
+        const endpoint* endpoint_;
+        std::size_t rank_;
+        double order_;
+    };
+    const auto spread_out = near_is_overloaded(caller_zone);
+    auto candidates = std::vector<candidate>{};
+    for (const auto& known : endpoints_) {
+        if (!known.serving_) {
+            continue;
+        }
+        // Weighted random order (Efraimidis and Spirakis, 2006): the key is
+        // an exponential variate divided by the weight.
+        const auto weight = 1.0 / (1.0 + known.load_);
+        const auto order = -std::log(1.0 - random_.fraction()) / weight;
+        const auto rank_here = spread_out ? 0 : rank(caller_zone, known.zone_);
+        candidates.push_back({&known, rank_here, order});
+    }
+    if (candidates.empty()) {
+        return tl::unexpected(error{error_code::not_ready, step::caller, "",
+                                    "no daemon serves", run_status::not_run,
+                                    settings_.time_to_live_});
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const candidate& left, const candidate& right) {
+                  return std::pair{left.rank_, left.order_} <
+                         std::pair{right.rank_, right.order_};
+              });
+    auto answer = endpoint_answer{{}, settings_.time_to_live_};
+    for (const auto& chosen : candidates) {
+        if (answer.addresses_.size() == settings_.max_addresses_) {
+            break;
+        }
+        answer.addresses_.push_back(chosen.endpoint_->address_);
+    }
+    return answer;
+}
+
+drain_controller::drain_controller(drain_settings settings)
+    : settings_{settings} {}
+
+auto drain_controller::enter(drain_phase phase, time_point now) -> void {
+    phase_ = phase;
+    since_ = now;
+}
+
+auto drain_controller::request_stop(time_point now) -> void {
+    ++stop_requests_;
+    if (stop_requests_ == 1) {
+        since_ = now;
+    }
+}
+
+auto drain_controller::may_advance(const drain_load& load, time_point now) const
+    -> bool {
+    const auto passed = now - since_;
+    switch (phase_) {
+    case drain_phase::serving:
+        return stop_requests_ > 0;
+    case drain_phase::withdrawn:
+        return passed >= settings_.time_to_live_ + settings_.margin_;
+    case drain_phase::handing_over:
+        return !load.owns_shards_ || passed >= settings_.hand_over_timeout_;
+    case drain_phase::finishing:
+        return load.requests_in_progress_ == 0;
+    case drain_phase::ended:
+        break;
+    }
+    return false;
+}
+
+auto drain_controller::tick(const drain_load& load, time_point now)
+    -> std::vector<drain_action> {
+    if (!may_advance(load, now)) {
+        return {};
+    }
+    enter(static_cast<drain_phase>(static_cast<int>(phase_) + 1), now);
+    switch (phase_) {
+    case drain_phase::serving:
+        break;
+    case drain_phase::withdrawn:
+        return {drain_action::withdraw};
+    case drain_phase::handing_over:
+        return {drain_action::hand_over};
+    case drain_phase::finishing:
+        return {drain_action::stop_accepting};
+    case drain_phase::ended:
+        return {drain_action::end};
+    }
+    return {};
+}
+
+} // namespace basilstream::coordination
--- a/basilstream/coordination/discovery/discovery.hpp
+++ b/basilstream/coordination/discovery/discovery.hpp
@@ -41,9 +41,11 @@
     /// How long callers keep an answer.
     milliseconds time_to_live_ = milliseconds{5000};
     std::size_t max_addresses_ = 4;
-    /// Addresses of the nearest zone stand first while their mean load is at
-    /// most this many times the mean load of all.
+    /// Addresses of the caller's zone stand first while their mean load is at
+    /// most this many times the mean load of all,
     double near_load_factor_ = 2.0;
+    /// or at most this many requests in progress per daemon.
+    double near_load_floor_ = 8.0;
 };
 
 /// What a caller is told.
@@ -150,7 +152,8 @@
 
     /// A stop was requested (SIGTERM). Further requests change nothing.
     auto request_stop(time_point now) -> void;
-    /// Advances and returns the actions that became due, in order.
+    /// Advances by at most one phase and returns the action that became due.
+    /// `load` must be taken after the last action was carried out.
     [[nodiscard]] auto tick(const drain_load& load, time_point now)
         -> std::vector<drain_action>;
     [[nodiscard]] auto phase() const -> drain_phase { return phase_; }
--- a/basilstream/coordination/liveness/liveness.hpp
+++ b/basilstream/coordination/liveness/liveness.hpp
@@ -127,9 +127,10 @@
     auto on_held_back(std::uint64_t id, const std::string& request_id,
                       bool held_back, time_point now) -> void;
     auto end(std::uint64_t id, const std::string& request_id) -> void;
-    /// Returns what has become due. A tick that comes late after a pause of
-    /// this process first gives every peer one more limit to show bytes that
-    /// already wait in the socket.
+    /// Returns what has become due; call at least every 100 ms. A tick that
+    /// comes late after a pause of this process moves all time limits on by
+    /// the pause: the peers' bytes still wait in the sockets. A replaced
+    /// connection is no longer watched.
     [[nodiscard]] auto tick(time_point now) -> std::vector<liveness_action>;
     [[nodiscard]] auto size() const -> std::size_t {
         return connections_.size();
@@ -152,6 +153,9 @@
         std::unordered_map<std::string, watched_request> requests_;
     };
 
+    [[nodiscard]] auto find_request(std::uint64_t id,
+                                    const std::string& request_id)
+        -> watched_request*;
     [[nodiscard]] auto limits_of(connection_kind kind) const
         -> const liveness_limits&;
     [[nodiscard]] auto is_silent(const connection& watched,
