--- a/bench/load/load.hpp
+++ b/bench/load/load.hpp
@@ -102,6 +102,9 @@
     std::map<std::string, std::uint64_t> outcomes_ = {};
     /// Refused attempts by code, also those that were sent again.
     std::map<std::string, std::uint64_t> refusals_ = {};
+    /// Attempts without an answer ("no_connection") or with a part of one
+    /// ("broken_answer"), also those that were sent again.
+    std::map<std::string, std::uint64_t> failed_attempts_ = {};
     latency_summary first_token_ = {};
     latency_summary between_tokens_ = {};
 
--- a/bench/load/load_generator.cpp
+++ b/bench/load/load_generator.cpp
@@ -285,6 +285,7 @@
         const auto now = clock_.now();
         if (end.address_failed_) {
             endpoints_.failed(sent->address_, now);
+            ++report_.failed_attempts_[end.verdict_];
         }
         if (end.refused_) {
             ++report_.refusals_[end.verdict_];
--- a/bench/load/report.cpp
+++ b/bench/load/report.cpp
@@ -80,6 +80,9 @@
     for (const auto& [code, count] : report.refusals_) {
         text += line("refused %-24s %llu\n", code.c_str(), wide{count});
     }
+    for (const auto& [code, count] : report.failed_attempts_) {
+        text += line("failed attempt %-17s %llu\n", code.c_str(), wide{count});
+    }
     return text;
 }
 
@@ -99,6 +102,7 @@
                 {"elapsed_seconds", report.elapsed_seconds_},
                 {"outcomes", report.outcomes_},
                 {"refusals", report.refusals_},
+                {"failed_attempts", report.failed_attempts_},
                 {"first_token_ms", summary_json(report.first_token_)},
                 {"between_tokens_ms", summary_json(report.between_tokens_)}}
         .dump(2);
