--- a/testing/end_to_end/end_to_end_test.cpp
+++ b/testing/end_to_end/end_to_end_test.cpp
@@ -5,6 +5,7 @@
 
 #include "basilstream/protocol/resources/resources.hpp"
 #include "testing/end_to_end/cluster.hpp"
+#include "testing/tokens/tokens.hpp"
 
 namespace basilstream::testing {
 namespace {
@@ -46,8 +47,8 @@
 // A deployment whose models have been applied and answer on every daemon.
 struct end_to_end : ::testing::Test {
     auto start(cluster_options options) -> void {
-        system_ = std::make_unique<cluster>(std::move(options));
         daemons_ = options.daemons_;
+        system_ = std::make_unique<cluster>(std::move(options));
         ASSERT_EQ(system_->apply(resources()), 0);
         for (auto daemon = std::size_t{0}; daemon < daemons_; ++daemon) {
             ASSERT_TRUE(eventually([&] { return answers(daemon); }))
@@ -91,7 +92,8 @@
             const auto books = system_->call_json(
                 system_->runner_address(index), "/testing/books");
             for (const auto& record : books["generations"]) {
-                if (record["finish"] == "" && record["tokens"] >= tokens) {
+                if (record["finish"].get<std::string>().empty() &&
+                    record["tokens"] >= tokens) {
                     return index;
                 }
             }
