Follow the quarantine's and controller's final interfaces

Cause: runs and grants are named by attempt, and an isolated run's end tells whether its runner crashed. Change: attempt ids in quarantine calls; a request says not_run only when no attempt may have run; a caller that leaves during a crash check is settled once.

--- a/basilstream/coordination/retries/retries.cpp
+++ b/basilstream/coordination/retries/retries.cpp
@@ -34,7 +34,7 @@
 
 auto retry_budget::slot(time_point now) -> second_count& {
     const auto second = second_of(now);
-    auto& found = seconds_[static_cast<std::size_t>(second) % window];
+    auto& found = seconds_[static_cast<std::size_t>(second) % window_];
     if (found.second_ != second) {
         found = {second, 0, 0};
     }
@@ -46,8 +46,8 @@
 }
 
 auto retry_budget::balance(time_point now) const -> double {
-    const auto oldest = second_of(now) - static_cast<std::int64_t>(window);
-    auto balance = per_second_ * static_cast<double>(window);
+    const auto oldest = second_of(now) - static_cast<std::int64_t>(window_);
+    auto balance = per_second_ * static_cast<double>(window_);
     for (const auto& each : seconds_) {
         if (each.second_ > oldest) {
             balance += ratio_ * each.requests_ - each.retries_;
--- a/basilstream/coordination/retries/retries.hpp
+++ b/basilstream/coordination/retries/retries.hpp
@@ -124,7 +124,7 @@
     [[nodiscard]] auto balance(time_point now) const -> double;
 
 private:
-    static constexpr auto window = std::size_t{10};
+    static constexpr auto window_ = std::size_t{10};
     struct second_count {
         std::int64_t second_ = -1;
         double requests_ = 0;
@@ -134,7 +134,7 @@
 
     double ratio_;
     double per_second_;
-    std::array<second_count, window> seconds_;
+    std::array<second_count, window_> seconds_;
 };
 
 /// Checks by name. A test replaces one to show that its check can fail.
--- a/basilstream/daemon/completions/completions.cpp
+++ b/basilstream/daemon/completions/completions.cpp
@@ -34,6 +34,10 @@
     bool running_ = false;
     std::uint64_t seen_progress_ = 0;
     bool first_token_recorded_ = false;
+    // Whether some attempt may have run on a runner.
+    bool may_have_run_ = false;
+    // The attempt is settled; whether its runner crashed is being found out.
+    bool checking_crash_ = false;
     bool ended_ = false;
     // Set when the daemon itself broke the attempt off.
     std::optional<error> broken_off_;
@@ -131,9 +135,8 @@
     } else if (event.outcome_ == admission_outcome::refused) {
         request->admission_span_.finish();
         auto refusal = std::move(*event.error_);
-        if (request->attempts_ > 0) {
-            // An earlier attempt was sent: the request as a whole may have
-            // run, whatever this step says.
+        if (request->may_have_run_) {
+            // An earlier attempt may have run, whatever this step says.
             refusal.run_ = run_status::unknown;
         }
         fail(request, std::move(refusal));
@@ -149,31 +152,38 @@
         dispatch(request);
         return;
     }
-    const auto give_back = [this, request](error refusal) {
-        policy_.admission_.on_release({.request_id_ = request->id(),
-                                       .outcome_ = attempt_outcome::cancelled},
-                                      base_.clock_.now());
-        request->route_.reset();
-        fail(request, std::move(refusal));
-    };
     if (verdict == coordination::quarantine_verdict::quarantined) {
-        give_back(policy_.quarantine_.refusal(request->fingerprint_, now));
+        give_back(request,
+                  policy_.quarantine_.refusal(request->fingerprint_, now));
         return;
     }
-    const auto run = coordination::fingerprint_run{
-        request->fingerprint_, request->id(), request->route_->runner_,
-        request->route_->boot_id_};
-    ask_isolation_(
-        run, [this, request, give_back](const std::optional<error>& refused) {
-            if (request->ended_ || !request->route_) {
-                return;
-            }
-            if (refused) {
-                give_back(*refused);
-            } else {
-                dispatch(request);
-            }
-        });
+    const auto run = run_of(request, request->attempts_ + 1);
+    ask_isolation_(run, [this, request](const std::optional<error>& refused) {
+        if (request->ended_ || !request->route_) {
+            return;
+        }
+        if (refused) {
+            give_back(request, *refused);
+        } else {
+            dispatch(request);
+        }
+    });
+}
+
+auto completions::give_back(const active_ptr& request, error refusal) -> void {
+    settle_attempt(request, {}, attempt_outcome::cancelled);
+    request->route_.reset();
+    if (request->may_have_run_) {
+        refusal.run_ = run_status::unknown;
+    }
+    fail(request, std::move(refusal));
+}
+
+auto completions::run_of(const active_ptr& request, std::uint32_t attempt)
+    -> coordination::fingerprint_run {
+    return {request->fingerprint_,
+            request->id() + "/" + std::to_string(attempt),
+            request->route_->runner_, request->route_->boot_id_};
 }
 
 auto completions::dispatch(const active_ptr& request) -> void {
@@ -181,6 +191,12 @@
     const auto& asked = request->request_;
     const auto& route = *request->route_;
     ++request->attempts_;
+    if (!policy_.quarantine_.on_dispatch(run_of(request, request->attempts_),
+                                         now)) {
+        give_back(request,
+                  policy_.quarantine_.refusal(request->fingerprint_, now));
+        return;
+    }
     request->running_ = true;
     request->seen_progress_ = request->answer_->progress_.load();
     request->answer_->call_.store(0);
@@ -197,9 +213,6 @@
     request->attempt_span_.tag("runner", route.runner_);
     request->attempt_span_.tag(
         "reason", coordination::route_reason_names.name_of(route.reason_));
-    policy_.quarantine_.on_dispatch(
-        {request->fingerprint_, request->id(), route.runner_, route.boot_id_},
-        now);
     const auto resume_position = request->answer_->checker_.next_position();
     auto call = transport::http_call{
         .method_ = "POST",
@@ -266,7 +279,9 @@
     if (end.finished_) {
         settle_attempt(request, end, attempt_outcome::completed);
         policy_.router_.on_success(request->route_->runner_);
-        policy_.quarantine_.on_finish(request->id(), true, base_.clock_.now());
+        policy_.quarantine_.on_finish(
+            run_of(request, request->attempts_).request_id_, true,
+            base_.clock_.now());
         measured_.served_.add();
         finish(request);
         return;
@@ -324,6 +339,8 @@
                        request->id());
     const auto runner = request->route_->runner_;
     const auto boot_id = request->route_->boot_id_;
+    request->may_have_run_ =
+        request->may_have_run_ || failure.run_ != run_status::not_run;
     auto outcome = attempt_outcome::failed;
     if (end.status_ == status_too_many) {
         outcome = attempt_outcome::no_slot;
@@ -335,18 +352,24 @@
     }
     settle_attempt(request, end, outcome);
     if (request->ended_) {
-        policy_.quarantine_.on_finish(request->id(), false, base_.clock_.now());
+        policy_.quarantine_.on_finish(
+            run_of(request, request->attempts_).request_id_, false,
+            base_.clock_.now());
         finish(request);
         return;
     }
     if (outcome != attempt_outcome::failed) {
-        policy_.quarantine_.on_finish(request->id(), false, base_.clock_.now());
+        policy_.quarantine_.on_finish(
+            run_of(request, request->attempts_).request_id_, false,
+            base_.clock_.now());
         retry_or_fail(request, failure);
         return;
     }
     policy_.router_.on_failure(runner, base_.clock_.now());
     if (request->broken_off_ || failure.run_ == run_status::not_run) {
-        policy_.quarantine_.on_finish(request->id(), false, base_.clock_.now());
+        policy_.quarantine_.on_finish(
+            run_of(request, request->attempts_).request_id_, false,
+            base_.clock_.now());
         cancel_at_runner(request);
         retry_or_fail(request, failure);
         return;
@@ -436,6 +459,9 @@
         base_.engines_.cancel(request->answer_->call_.load());
         return;
     }
+    if (request->checking_crash_) {
+        return;
+    }
     if (request->route_) {
         settle_attempt(request, {}, attempt_outcome::cancelled);
     } else {
@@ -525,8 +551,9 @@
         auto expired = error{error_code::timeout, step::attempt,
                              request->route_ ? request->route_->address_ : "",
                              "the deadline has passed",
-                             request->attempts_ > 0 ? run_status::unknown
-                                                    : run_status::not_run};
+                             request->may_have_run_ || request->running_
+                                 ? run_status::unknown
+                                 : run_status::not_run};
         if (request->running_) {
             // The attempt's end answers the caller; the deadline leaves no
             // room for another.
--- a/basilstream/daemon/completions/completions.hpp
+++ b/basilstream/daemon/completions/completions.hpp
@@ -105,6 +105,11 @@
     auto prepare_dispatch(const active_ptr& request, coordination::route chosen)
         -> void;
     auto dispatch(const active_ptr& request) -> void;
+    // Gives an admitted attempt's place back before anything was sent.
+    auto give_back(const active_ptr& request, error refusal) -> void;
+    // Names the attempt at hand to the quarantine.
+    static auto run_of(const active_ptr& request, std::uint32_t attempt)
+        -> coordination::fingerprint_run;
     auto on_attempt_end(const active_ptr& request, attempt_end end) -> void;
     auto settle_attempt(const active_ptr& request, const attempt_end& end,
                         coordination::attempt_outcome outcome) -> void;
--- a/basilstream/daemon/placement_control/placement_control.cpp
+++ b/basilstream/daemon/placement_control/placement_control.cpp
@@ -96,7 +96,8 @@
                                  .zone_ = runner.vm_.zone_,
                                  .shard_ = shard_of(runner.vm_.zone_),
                                  .requested_at_ = runner.requested_at_,
-                                 .report_ = report_of(*runner.report_)});
+                                 .report_ = report_of(*runner.report_)},
+                                base_.clock_.now());
 }
 
 auto placement_control::tick() -> void {
--- a/basilstream/daemon/quarantine_link/quarantine_link.cpp
+++ b/basilstream/daemon/quarantine_link/quarantine_link.cpp
@@ -122,7 +122,7 @@
 auto quarantine_link::act(const coordination::isolation_release& event)
     -> void {
     if (marks_.arbiter() == name_) {
-        marks_.on_isolation_release(event);
+        marks_.on_isolation_release(event, base_.clock_.now());
         return;
     }
     peers_.send(marks_.arbiter(), protocol::peer_channel::quarantine,
@@ -151,20 +151,25 @@
         take_answer(*answer);
     } else if (const auto* release =
                    std::get_if<coordination::isolation_release>(&*message)) {
-        marks_.on_isolation_release(*release);
+        marks_.on_isolation_release(*release, now);
     }
 }
 
 auto quarantine_link::take_answer(const coordination::isolation_answer& answer)
     -> void {
+    marks_.on_isolation_answer(answer, base_.clock_.now());
     const auto found = asked_.find(answer.request_id_);
     if (found == asked_.end()) {
-        // A renewal's answer, or one that came too late.
+        // A renewal's answer, or one that came too late; the quarantine gives
+        // a grant back that is not used.
         return;
     }
     const auto waiting = std::move(found->second);
     asked_.erase(found);
-    waiting.answer_(answer.refused_);
+    waiting.answer_(
+        answer.refusal_
+            ? std::optional{coordination::quarantine::refused(answer)}
+            : std::nullopt);
 }
 
 auto quarantine_link::on_applied(const coordination::applied_record& read)
--- a/basilstream/protocol/engine_api/engine_api.cpp
+++ b/basilstream/protocol/engine_api/engine_api.cpp
@@ -151,7 +151,7 @@
         const auto end = bytes.find('\n');
         if (end == std::string_view::npos) {
             partial_.append(bytes);
-            return partial_.size() <= max_event_bytes;
+            return partial_.size() <= max_event_bytes_;
         }
         auto line = bytes.substr(0, end);
         bytes.remove_prefix(end + 1);
@@ -161,7 +161,7 @@
             line = partial_;
         }
         const auto accepted =
-            line.size() <= max_event_bytes && take_line(line, consume);
+            line.size() <= max_event_bytes_ && take_line(line, consume);
         partial_.clear();
         if (!accepted) {
             return false;
--- a/basilstream/protocol/engine_api/engine_api.hpp
+++ b/basilstream/protocol/engine_api/engine_api.hpp
@@ -54,7 +54,7 @@
 /// reading.
 class event_reader {
 public:
-    static constexpr auto max_event_bytes = std::size_t{64} << 10U;
+    static constexpr auto max_event_bytes_ = std::size_t{64} << 10U;
 
     /// Calls `consume` for each whole event. Returns false when the bytes are
     /// not an engine's events or `consume` returned false; nothing may be fed
--- a/basilstream/protocol/engine_api/engine_api_test.cpp
+++ b/basilstream/protocol/engine_api/engine_api_test.cpp
@@ -36,7 +36,7 @@
             reader.feed(bytes, [](const engine_event&) { return true; }));
     }
     auto reader = event_reader{};
-    const auto endless = std::string(event_reader::max_event_bytes + 1, 'x');
+    const auto endless = std::string(event_reader::max_event_bytes_ + 1, 'x');
     EXPECT_FALSE(
         reader.feed(endless, [](const engine_event&) { return true; }));
 }
--- a/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
@@ -61,18 +61,15 @@
     auto operator()(const isolation_answer& source) const -> void {
         auto& body = *target_.mutable_reply();
         body.set_request_id(source.request_id_);
-        body.set_granted(!source.refused_);
-        if (!source.refused_) {
-            return;
-        }
-        body.set_refusal(source.refused_->detail_);
-        if (source.refused_->retry_after_) {
-            body.set_retry_after_ms(static_cast<std::uint64_t>(
-                source.refused_->retry_after_->count()));
-        }
+        body.set_refusal(source.refusal_
+                             ? static_cast<std::uint32_t>(*source.refusal_) + 1
+                             : 0);
+        body.set_retry_after_ms(
+            static_cast<std::uint64_t>(source.retry_after_.count()));
     }
     auto operator()(const isolation_release& source) const -> void {
         target_.mutable_end()->set_request_id(source.request_id_);
+        target_.mutable_end()->set_crashed(source.crashed_);
     }
     wire::quarantine_message& target_;
 };
@@ -87,15 +84,18 @@
             source.renewal()};
 }
 
-auto read_reply(const wire::isolation_reply& source) -> isolation_answer {
-    auto answer = isolation_answer{source.request_id(), {}};
-    if (!source.granted()) {
-        answer.refused_ = error{error_code::overloaded,
-                                step::admission,
-                                {},
-                                source.refusal(),
-                                run_status::not_run,
-                                milliseconds{source.retry_after_ms()}};
+auto read_reply(const wire::isolation_reply& source)
+    -> std::optional<isolation_answer> {
+    constexpr auto last =
+        static_cast<std::uint32_t>(isolation_refusal::runner_busy) + 1;
+    if (source.refusal() > last) {
+        return std::nullopt;
+    }
+    auto answer = isolation_answer{};
+    answer.request_id_ = source.request_id();
+    answer.retry_after_ = milliseconds{source.retry_after_ms()};
+    if (source.refusal() > 0) {
+        answer.refusal_ = static_cast<isolation_refusal>(source.refusal() - 1);
     }
     return answer;
 }
@@ -124,10 +124,13 @@
         return read_ask(source.ask());
     }
     if (parsed && source.has_reply()) {
-        return read_reply(source.reply());
+        if (auto answer = read_reply(source.reply())) {
+            return *answer;
+        }
     }
     if (parsed && source.has_end()) {
-        return isolation_release{source.end().request_id()};
+        return isolation_release{source.end().request_id(),
+                                 source.end().crashed()};
     }
     return tl::unexpected(error{error_code::invalid_argument,
                                 step::peer,
--- a/basilstream/protocol/quarantine_codec/quarantine_codec_test.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec_test.cpp
@@ -10,16 +10,14 @@
 TEST(quarantine_codec, every_message_survives_a_round_trip) {
     const auto print = fingerprint{7, 9};
     const auto crash = suspicion{print, "r1", "b1", milliseconds{1500}};
-    const auto refusal =
-        error{error_code::overloaded, step::admission,  "", "busy",
-              run_status::not_run,    milliseconds{250}};
     const auto messages = std::vector<quarantine_message>{
         crash,
         clearance{print, {crash}},
         isolation_request{{print, "q", "r2", "b2"}, "d1", {crash}, true},
-        isolation_answer{"q", {}},
-        isolation_answer{"q", refusal},
-        isolation_release{"q"}};
+        isolation_answer{"q", {}, milliseconds{0}},
+        isolation_answer{"q", isolation_refusal::runner_busy,
+                         milliseconds{250}},
+        isolation_release{"q", true}};
     for (const auto& message : messages) {
         const auto bytes = encode_quarantine(message);
         const auto again = decode_quarantine(bytes);
@@ -33,7 +31,8 @@
     EXPECT_EQ(ask.crashes_.front().age_, milliseconds{1500});
     const auto answer = std::get<isolation_answer>(
         *decode_quarantine(encode_quarantine(messages[4])));
-    EXPECT_EQ(answer.refused_->retry_after_, milliseconds{250});
+    EXPECT_EQ(answer.refusal_, isolation_refusal::runner_busy);
+    EXPECT_EQ(answer.retry_after_, milliseconds{250});
 }
 
 TEST(quarantine_codec, foreign_bytes_are_refused) {
--- a/basilstream/transport/bounded_ring/bounded_ring.hpp
+++ b/basilstream/transport/bounded_ring/bounded_ring.hpp
@@ -19,7 +19,7 @@
 class bounded_ring {
 public:
     explicit bounded_ring(std::size_t capacity) : capacity_{capacity} {
-        pending_.reserve(capacity < initial_slots ? capacity : initial_slots);
+        pending_.reserve(capacity < initial_slots_ ? capacity : initial_slots_);
     }
 
     /// Appends `value`; returns false, without moving from it, when full.
@@ -54,7 +54,7 @@
     }
 
 private:
-    static constexpr std::size_t initial_slots = 64;
+    static constexpr std::size_t initial_slots_ = 64;
     std::size_t capacity_;
     mutable std::mutex mutex_;
     std::vector<Value> pending_;
--- a/testing/tokens/tokens.cpp
+++ b/testing/tokens/tokens.cpp
@@ -46,7 +46,7 @@
 }
 
 auto token_stream::count(std::uint64_t max_tokens) const -> std::uint64_t {
-    const auto natural = shortest + seed_ % (longest - shortest + 1);
+    const auto natural = shortest_ + seed_ % (longest_ - shortest_ + 1);
     return std::min(natural, max_tokens);
 }
 
--- a/testing/tokens/tokens.hpp
+++ b/testing/tokens/tokens.hpp
@@ -25,8 +25,8 @@
 class token_stream {
 public:
     /// Fewest and most tokens of an answer that `max_tokens` does not cut.
-    static constexpr std::uint64_t shortest = 16;
-    static constexpr std::uint64_t longest = 255;
+    static constexpr std::uint64_t shortest_ = 16;
+    static constexpr std::uint64_t longest_ = 255;
 
     explicit token_stream(const token_key& key);
 
--- a/testing/tokens/tokens_test.cpp
+++ b/testing/tokens/tokens_test.cpp
@@ -20,8 +20,8 @@
     for (auto number = 0; number < 200; ++number) {
         const auto text =
             token_stream{{"o/m", "", "v1", std::to_string(number)}};
-        EXPECT_GE(text.count(1000), token_stream::shortest);
-        EXPECT_LE(text.count(1000), token_stream::longest);
+        EXPECT_GE(text.count(1000), token_stream::shortest_);
+        EXPECT_LE(text.count(1000), token_stream::longest_);
         EXPECT_EQ(text.count(5), 5U);
         EXPECT_EQ(text.finish(5), "length");
         EXPECT_EQ(text.finish(1000), "stop");
