End-to-end tests: keep what came of a broken stream; wait for two replicas

Cause: a broken stream showed only libcurl's words; a test of a lost runner is only fair once a second replica is resident. Change: answers are collected piece by piece; the set-up waits for six loads.

--- a/testing/end_to_end/cluster.cpp
+++ b/testing/end_to_end/cluster.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <thread>
 
 #include <fcntl.h>
@@ -19,6 +20,12 @@
 
 using nlohmann::json;
 
+struct streamed_answer {
+    int status_ = 0;
+    std::string body_ = {};
+    std::string broken_ = {};
+};
+
 constexpr auto poll_period = milliseconds{10};
 constexpr auto patience = seconds{60};
 constexpr auto call_timeout = seconds{60};
@@ -44,6 +51,30 @@
     return line;
 }
 
+// Collects a streamed answer, also one that breaks off.
+class collecting_sink final : public transport::http_sink {
+public:
+    explicit collecting_sink(std::promise<streamed_answer> done)
+        : done_{std::move(done)} {}
+
+    auto on_response(int status, const std::map<std::string, std::string>&)
+        -> void override {
+        answer_.status_ = status;
+    }
+    auto on_data(std::string_view data) -> bool override {
+        answer_.body_.append(data);
+        return true;
+    }
+    auto on_end(const transport::call_end& end) -> void override {
+        answer_.broken_ = end.error_ ? end.error_->to_string() : "";
+        done_.set_value(std::move(answer_));
+    }
+
+private:
+    std::promise<streamed_answer> done_;
+    streamed_answer answer_;
+};
+
 auto make_directory() -> std::string {
     auto name = std::filesystem::temp_directory_path() / "basilstream-XXXXXX";
     auto text = name.string();
@@ -261,15 +292,21 @@
                            {"prompt", prompt},
                            {"max_tokens", max_tokens},
                            {"stream", true}};
-    const auto reply =
-        call(caller_address(daemon), "/v1/completions", body.dump(),
-             {{"Authorization", "Bearer " + token}});
-    if (!reply) {
-        return "connection: " + reply.error().to_string();
-    }
-    if (reply->status_ != 200) {
-        const auto error = json::parse(reply->body_, nullptr, false);
-        return error.is_object() ? error["error"].value("code", "") : "status";
+    auto wanted = transport::http_call{};
+    wanted.method_ = "POST";
+    wanted.url_ = "http://" + caller_address(daemon) + "/v1/completions";
+    wanted.headers_ = {{"Authorization", "Bearer " + token}};
+    wanted.body_ = body.dump();
+    wanted.total_timeout_ = call_timeout;
+    auto done = std::promise<streamed_answer>{};
+    auto ended = done.get_future();
+    client_.start(std::move(wanted),
+                  std::make_shared<collecting_sink>(std::move(done)));
+    const auto answer = ended.get();
+    if (answer.status_ != 200) {
+        const auto error = json::parse(answer.body_, nullptr, false);
+        return error.is_object() ? error["error"].value("code", "")
+                                 : "connection: " + answer.broken_;
     }
     const auto colon = model.find(':');
     const auto adapter =
@@ -278,8 +315,12 @@
         answer_format::caller,
         {token_stream{{model.substr(0, colon), adapter, "v1", prompt}}},
         max_tokens};
-    check.take(reply->body_);
-    return check.verdict();
+    check.take(answer.body_);
+    const auto verdict = check.verdict();
+    if (verdict == "short_answer" && !answer.broken_.empty()) {
+        return "broken: " + answer.broken_;
+    }
+    return verdict;
 }
 
 auto cluster::sum_of_books(const std::string& key) -> std::uint64_t {
--- a/testing/end_to_end/cluster.hpp
+++ b/testing/end_to_end/cluster.hpp
@@ -7,7 +7,6 @@
 #pragma once
 
 #include <functional>
-#include <future>
 #include <map>
 #include <memory>
 #include <string>
@@ -93,7 +92,8 @@
         -> void;
 
     /// Streams a completion through a daemon and returns its verdict as
-    /// `answer_check` has it, or the error's code.
+    /// `answer_check` has it, the error's code, or "broken: REASON" when the
+    /// connection broke off.
     auto complete(std::size_t daemon, const std::string& model,
                   const std::string& token, const std::string& prompt,
                   std::uint64_t max_tokens) -> std::string;
--- a/testing/end_to_end/end_to_end_test.cpp
+++ b/testing/end_to_end/end_to_end_test.cpp
@@ -13,6 +13,8 @@
 using nlohmann::json;
 
 constexpr auto many_tokens = std::uint64_t{200};
+// Of the two models and the adapter in `resources`.
+constexpr auto declared_replicas = std::uint64_t{6};
 
 auto resources() -> json {
     const auto organisation = [](const char* name, const char* token) {
@@ -54,6 +56,10 @@
             ASSERT_TRUE(eventually([&] { return answers(daemon); }))
                 << "daemon " << daemon << ": " << last_;
         }
+        // A second replica of everything is what survives a lost runner.
+        ASSERT_TRUE(eventually([&] {
+            return system_->sum_of_books("loads") >= declared_replicas;
+        }));
     }
 
     auto answers(std::size_t daemon) -> bool {
