Let innocent requests of a crashed runner wait for their isolated run

Cause: after a runner with about 16 requests was killed, 32 requests were refused as runner_busy and 2 ended with an error: each suspect needs leave to run alone, and a refusal was final. Change: a refused leave with a retry hint puts the request back in line until its deadline.

--- a/basilstream/daemon/completions/completions.cpp
+++ b/basilstream/daemon/completions/completions.cpp
@@ -28,6 +28,8 @@
     time_point deadline_;
     time_point first_token_deadline_;
     std::uint32_t attempts_ = 0;
+    // Routes taken, whether or not they led to an attempt: names runs.
+    std::uint32_t runs_ = 0;
     std::vector<std::string> failed_runners_;
     // The attempt at hand.
     std::optional<coordination::route> route_;
@@ -147,6 +149,7 @@
                                    coordination::route chosen) -> void {
     const auto now = base_.clock_.now();
     request->route_ = std::move(chosen);
+    ++request->runs_;
     const auto verdict = policy_.quarantine_.check(request->fingerprint_, now);
     if (verdict == coordination::quarantine_verdict::clear) {
         dispatch(request);
@@ -157,17 +160,17 @@
                   policy_.quarantine_.refusal(request->fingerprint_, now));
         return;
     }
-    const auto run = run_of(request, request->attempts_ + 1);
-    ask_isolation_(run, [this, request](const std::optional<error>& refused) {
-        if (request->ended_ || !request->route_) {
-            return;
-        }
-        if (refused) {
-            give_back(request, *refused);
-        } else {
-            dispatch(request);
-        }
-    });
+    ask_isolation_(run_of(request),
+                   [this, request](const std::optional<error>& refused) {
+                       if (request->ended_ || !request->route_) {
+                           return;
+                       }
+                       if (refused) {
+                           wait_for_isolation(request, *refused);
+                       } else {
+                           dispatch(request);
+                       }
+                   });
 }
 
 auto completions::give_back(const active_ptr& request, error refusal) -> void {
@@ -179,10 +182,28 @@
     fail(request, std::move(refusal));
 }
 
-auto completions::run_of(const active_ptr& request, std::uint32_t attempt)
+// An innocent request that shared a runner with a crashing one waits for its
+// turn to run alone, as long as its deadline allows.
+auto completions::wait_for_isolation(const active_ptr& request,
+                                     const error& refusal) -> void {
+    const auto again =
+        base_.clock_.now() + refusal.retry_after_.value_or(milliseconds{0});
+    if (!refusal.retry_after_ || again >= request->deadline_ ||
+        policy_.quarantine_.check(request->fingerprint_, base_.clock_.now()) ==
+            coordination::quarantine_verdict::quarantined) {
+        give_back(request, refusal);
+        return;
+    }
+    settle_attempt(request, {}, attempt_outcome::cancelled);
+    request->route_.reset();
+    request->first_token_deadline_ = request->deadline_;
+    delayed_.emplace(again, request);
+}
+
+auto completions::run_of(const active_ptr& request)
     -> coordination::fingerprint_run {
     return {request->fingerprint_,
-            request->id() + "/" + std::to_string(attempt),
+            request->id() + "/" + std::to_string(request->runs_),
             request->route_->runner_, request->route_->boot_id_};
 }
 
@@ -191,8 +212,7 @@
     const auto& asked = request->request_;
     const auto& route = *request->route_;
     ++request->attempts_;
-    if (!policy_.quarantine_.on_dispatch(run_of(request, request->attempts_),
-                                         now)) {
+    if (!policy_.quarantine_.on_dispatch(run_of(request), now)) {
         give_back(request,
                   policy_.quarantine_.refusal(request->fingerprint_, now));
         return;
@@ -279,9 +299,8 @@
     if (end.finished_) {
         settle_attempt(request, end, attempt_outcome::completed);
         policy_.router_.on_success(request->route_->runner_);
-        policy_.quarantine_.on_finish(
-            run_of(request, request->attempts_).request_id_, true,
-            base_.clock_.now());
+        policy_.quarantine_.on_finish(run_of(request).request_id_, true,
+                                      base_.clock_.now());
         measured_.served_.add();
         finish(request);
         return;
@@ -352,24 +371,21 @@
     }
     settle_attempt(request, end, outcome);
     if (request->ended_) {
-        policy_.quarantine_.on_finish(
-            run_of(request, request->attempts_).request_id_, false,
-            base_.clock_.now());
+        policy_.quarantine_.on_finish(run_of(request).request_id_, false,
+                                      base_.clock_.now());
         finish(request);
         return;
     }
     if (outcome != attempt_outcome::failed) {
-        policy_.quarantine_.on_finish(
-            run_of(request, request->attempts_).request_id_, false,
-            base_.clock_.now());
+        policy_.quarantine_.on_finish(run_of(request).request_id_, false,
+                                      base_.clock_.now());
         retry_or_fail(request, failure);
         return;
     }
     policy_.router_.on_failure(runner, base_.clock_.now());
     if (request->broken_off_ || failure.run_ == run_status::not_run) {
-        policy_.quarantine_.on_finish(
-            run_of(request, request->attempts_).request_id_, false,
-            base_.clock_.now());
+        policy_.quarantine_.on_finish(run_of(request).request_id_, false,
+                                      base_.clock_.now());
         cancel_at_runner(request);
         retry_or_fail(request, failure);
         return;
--- a/basilstream/daemon/completions/completions.hpp
+++ b/basilstream/daemon/completions/completions.hpp
@@ -107,8 +107,10 @@
     auto dispatch(const active_ptr& request) -> void;
     // Gives an admitted attempt's place back before anything was sent.
     auto give_back(const active_ptr& request, error refusal) -> void;
+    auto wait_for_isolation(const active_ptr& request, const error& refusal)
+        -> void;
     // Names the attempt at hand to the quarantine.
-    static auto run_of(const active_ptr& request, std::uint32_t attempt)
+    static auto run_of(const active_ptr& request)
         -> coordination::fingerprint_run;
     auto on_attempt_end(const active_ptr& request, attempt_end end) -> void;
     auto settle_attempt(const active_ptr& request, const attempt_end& end,
