Make no new intents for a runner that does not answer

Cause: the executor judged by a runner's last report however old, so a crashed or silent runner drew intents that held its memory until it returned.

--- a/basilstream/coordination/orders/orders.cpp
+++ b/basilstream/coordination/orders/orders.cpp
@@ -176,7 +176,13 @@
     settle_orders(context, owned);
     adopt_foreign(context, owned);
     send_orders(context, owned);
-    make_step(context, owned);
+    // A runner that does not answer gets no new intents, which would only
+    // hold its memory.
+    if (context.now_ - seen.received_at_ <= options_.fresh_report_age_) {
+        make_step(context, owned);
+    } else {
+        block(sighting.runner_, {}, "its last report is too old");
+    }
 }
 
 auto order_executor::register_boot(const poll_context& context,
--- a/basilstream/coordination/orders/orders.hpp
+++ b/basilstream/coordination/orders/orders.hpp
@@ -138,9 +138,9 @@
     duration max_resend_ = std::chrono::seconds{30};
     /// Unsettled orders of one runner that the executor allows itself.
     std::size_t orders_per_runner_ = 4;
-    /// Age up to which another runner's report vouches that a replica is
-    /// ready there, so that one here may be unloaded.
-    duration witness_age_ = std::chrono::seconds{5};
+    /// Age up to which a runner's report allows new intents for it, and
+    /// vouches that a replica is ready there so that one elsewhere may go.
+    duration fresh_report_age_ = std::chrono::seconds{5};
     order_gate gate_ = {};
 };
 
--- a/basilstream/coordination/orders/orders_test.cpp
+++ b/basilstream/coordination/orders/orders_test.cpp
@@ -241,6 +241,16 @@
     EXPECT_TRUE(ready("r1", {"o/m", "", "v1"}));
 }
 
+TEST_F(orders, a_silent_runner_gets_no_new_intents) {
+    poll();
+    now_ += seconds{6};
+    reports_.clear();
+    executor_.set_wanted({{"r1", wanted("o/m", "v1")}});
+    EXPECT_TRUE(run(3).empty());
+    EXPECT_EQ(state_.open_order_count(), 0U);
+    EXPECT_EQ(executor_.blocked().at(0).reason_, "its last report is too old");
+}
+
 TEST_F(orders, loads_wait_for_permits) {
     permits_.free_ = 0;
     executor_.set_wanted({{"r1", wanted("o/m", "v1")}});
--- a/basilstream/coordination/orders/steps.cpp
+++ b/basilstream/coordination/orders/steps.cpp
@@ -264,7 +264,7 @@
                place.state_ == resident_state::ready &&
                seen != runners_.end() && !seen->second.gone_ &&
                context.now_ - seen->second.received_at_ <=
-                   options_.witness_age_ &&
+                   options_.fresh_report_age_ &&
                reports_ready(seen->second.sighting_.report_, *place.runner_,
                              place.key_);
     });
