Judge reachability in the randomised run from when a model was served

Change: a model must have been served without a break since before the intent; what was served then is held as strictly as before. Conclusion: the check asks for what the state promises.

--- a/basilstream/coordination/orders/orders_benchmark.cpp
+++ b/basilstream/coordination/orders/orders_benchmark.cpp
@@ -55,7 +55,7 @@
                            time_point{});
     }
     executor.set_wanted(std::move(wanted));
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         benchmark::DoNotOptimize(
             executor.poll(state, held, true, time_point{}).size());
     }
--- a/basilstream/protocol/record_codec/record_codec_benchmark.cpp
+++ b/basilstream/protocol/record_codec/record_codec_benchmark.cpp
@@ -27,7 +27,7 @@
     auto random = seeded_random{1};
     auto bytes = std::size_t{0};
     auto parts = std::size_t{0};
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         bytes = 0;
         const auto payloads =
             encode_all(coordination::make_snapshot(state, random, part_bytes));
@@ -48,7 +48,7 @@
     auto random = seeded_random{1};
     const auto payloads =
         encode_all(coordination::make_snapshot(state, random, part_bytes));
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         auto gathered = coordination::snapshot_collector{};
         for (const auto& payload : payloads) {
             const auto entry = decode_record(payload);
@@ -71,7 +71,7 @@
         payloads.push_back(encode_record(entry));
         bytes += payloads.back().size();
     }
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         run.PauseTiming();
         auto target = base;
         run.ResumeTiming();
@@ -88,7 +88,7 @@
 
 auto renewal_bytes(benchmark::State& run) -> void {
     auto bytes = std::size_t{0};
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         bytes = encode_record({{1, 2},
                                std::uint64_t{1} << 40U,
                                state::shard_renewal{"region-1-zone-12",
--- a/basilstream/state/machine/machine_benchmark.cpp
+++ b/basilstream/state/machine/machine_benchmark.cpp
@@ -17,7 +17,7 @@
     const auto base = sample.replay();
     const auto tail = sample.moves(moves);
     auto rejected = std::uint64_t{0};
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         run.PauseTiming();
         auto target = base;
         run.ResumeTiming();
@@ -35,7 +35,7 @@
 auto replay_whole_stream(benchmark::State& run) -> void {
     const auto sample =
         testing::state_sample{static_cast<std::size_t>(run.range(0))};
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         benchmark::DoNotOptimize(sample.replay().next_offset());
     }
     run.counters["records"] = static_cast<double>(sample.records().size());
@@ -45,7 +45,7 @@
 auto digest(benchmark::State& run) -> void {
     const auto state =
         testing::state_sample{static_cast<std::size_t>(run.range(0))}.replay();
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         benchmark::DoNotOptimize(state.digest());
     }
     run.SetComplexityN(run.range(0));
@@ -54,7 +54,7 @@
 auto take_snapshot(benchmark::State& run) -> void {
     const auto state =
         testing::state_sample{static_cast<std::size_t>(run.range(0))}.replay();
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         benchmark::DoNotOptimize(state.items().size());
     }
     run.SetComplexityN(run.range(0));
@@ -65,7 +65,7 @@
         testing::state_sample{static_cast<std::size_t>(run.range(0))}.replay();
     const auto items = state.items();
     const auto expected = state.digest();
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         benchmark::DoNotOptimize(
             machine::restore(state.next_offset(), items, expected).has_value());
     }
@@ -77,7 +77,7 @@
     const auto sample =
         testing::state_sample{static_cast<std::size_t>(run.range(0))};
     auto bytes = std::size_t{0};
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         const auto before = mallinfo2().uordblks;
         const auto state = sample.replay();
         bytes = mallinfo2().uordblks - before;
@@ -91,7 +91,7 @@
 auto find_placements(benchmark::State& run) -> void {
     const auto state =
         testing::state_sample{static_cast<std::size_t>(run.range(0))}.replay();
-    for (auto _ : run) {
+    while (run.KeepRunning()) {
         benchmark::DoNotOptimize(
             state.placements("angebotswerk/model-0").size());
     }
--- a/testing/state_soak/world.hpp
+++ b/testing/state_soak/world.hpp
@@ -132,6 +132,7 @@
         -> coordination::order_answer;
     [[nodiscard]] auto is_served(const std::string& model) const -> bool;
     [[nodiscard]] auto served_models() const -> std::vector<std::string>;
+    auto note_served() -> void;
     auto refresh(fake_runner& runner, const std::string& boot_id) -> void;
     auto start_runner(fake_runner& runner) -> void;
     auto note_loss(const fake_runner& runner) -> void;
@@ -166,6 +167,8 @@
     state::machine oracle_;
     // When a model was last declared anew, by name.
     std::map<std::string, time_point> declared_since_;
+    // Since when a model is served without a break, by name.
+    std::map<std::string, time_point> served_since_;
     // When a crash last took a ready replica, by model.
     std::map<std::string, time_point> last_loss_;
     bounded_memory<state::record_id, time_point, state::record_id_hash>
--- a/testing/state_soak/world_runners.cpp
+++ b/testing/state_soak/world_runners.cpp
@@ -135,6 +135,18 @@
     return served;
 }
 
+// Order and load ends are the only events that make a model served.
+auto world::note_served() -> void {
+    const auto served = served_models();
+    std::erase_if(served_since_, [&](const auto& entry) {
+        return std::find(served.begin(), served.end(), entry.first) ==
+               served.end();
+    });
+    for (const auto& model : served) {
+        served_since_.emplace(model, clock_.now());
+    }
+}
+
 auto world::is_served(const std::string& model) const -> bool {
     return std::any_of(
         runners_.begin(), runners_.end(),
@@ -159,18 +171,21 @@
         const auto excused = intended == nullptr ||
                              oracle_.find_model(model) == nullptr ||
                              declared_since_[model] >= *intended ||
+                             served_since_[model] >= *intended ||
                              *intended - last_loss_[model] <= knowledge_lag;
         if (!excused && !is_served(model)) {
             violate("model_stays_served", model);
         }
     }
+    note_served();
     if (began) {
         const auto succeeds = !chance(0.05);
         const auto keeps = chance(0.5);
         schedule(between(milliseconds{100}, seconds{4}),
-                 [=, &runner, boot = runner.boot_id_] {
+                 [=, this, &runner, boot = runner.boot_id_] {
                      if (runner.up_ && runner.boot_id_ == boot) {
                          runner.finish_load(order.order_, succeeds, keeps);
+                         note_served();
                      }
                  });
     }
@@ -225,6 +240,7 @@
     const auto vm_gone = random_.below(4) == 0;
     const auto keeps_running = vm_gone && random_.below(2) == 0;
     runner.up_ = keeps_running;
+    note_served();
     for (const auto& [model, since] : last_loss_) {
         if (since == clock_.now() && !is_served(model)) {
             unserved_since_.emplace(model, since);
