Divide deployment-wide limits by records in the log

Cause: the weight store's loads a second and at once, and the adapters in flight, are limits on all daemons together, and there is no coordinator.

Change: units of each limit belong to holders by records that every reader replays in the same order; free units go one by one to the waiting holder with the fewest. A holder uses its units while its lease, counted from the sending of its newest record that was read back, lasts; others recover them only after lease, longest work and a margin for clock drift from reading that record. A rate is a limit on units held for the period. Without the log units lapse and nothing is lent; peers play no part.

The sums of loads at once and of starts within a second never passed the limit.

Conclusion: the limits hold by replay and lease order; the price is idle units for 63 s after a death.

--- a/basilstream/coordination/limits/limits.hpp
+++ b/basilstream/coordination/limits/limits.hpp
@@ -32,8 +32,8 @@
 
 /// What a record does to the division.
 enum class limit_action {
-    /// Raises the holder's wish to `units_` in all. Free units are granted in
-    /// the order of the wishes.
+    /// Sets the holder's wish to `units_` in all. Free units are granted one by
+    /// one to the waiting holder that has the fewest.
     acquire,
     /// Gives `units_` back; the holder no longer uses them.
     give_back,
@@ -74,8 +74,8 @@
 
 /// Checks by name. A test replaces one to show that its check can fail.
 struct limit_guards {
-    int (*grantable_)(int wanted, int free) = [](int wanted, int free) {
-        return wanted < free ? wanted : free;
+    bool (*grantable_)(int granted, int limit) = [](int granted, int limit) {
+        return granted < limit;
     };
     bool (*is_new_)(std::uint64_t sequence, std::uint64_t newest) =
         [](std::uint64_t sequence, std::uint64_t newest) {
@@ -135,6 +135,8 @@
     auto apply_give_back(const limit_record& record) -> bool;
     auto apply_renew(const limit_record& record) -> bool;
     auto apply_recover(const limit_record& record) -> bool;
+    auto known(const limit_record& record) -> holder*;
+    auto drop_if_empty(const std::string& name) -> void;
     auto grant_free_units(const std::string& name) -> void;
     auto next_waiting(const std::string& name) -> share*;
 
@@ -155,6 +157,8 @@
     duration drift_margin_ = seconds{3};
     /// Units unused for this long are given back when others want them.
     duration idle_ = seconds{1};
+    /// Units unused for this long are given back in any case.
+    duration retire_ = std::chrono::minutes{5};
     /// An append not read back by then is repeated.
     duration append_timeout_ = seconds{2};
 };
@@ -204,8 +208,10 @@
     };
     struct local_limit {
         limit_definition definition_;
-        /// Acquisitions that failed since the last record.
+        // Acquisitions that failed since the last record.
         int unmet_ = 0;
+        // Units of this daemon after the newest record.
+        int units_ = 0;
         time_point last_used_ = {};
     };
     struct pending_record {
@@ -215,12 +221,13 @@
     };
 
     auto drop_released(time_point now) -> void;
-    auto has_units() const -> bool;
+    auto note_new_units(time_point now) -> void;
+    auto leased(time_point now) const -> bool;
     auto spare_units(const std::string& name, const local_limit& local,
                      time_point now) const -> int;
     auto next_record(time_point now) -> std::optional<limit_record>;
-    auto give_back_record(time_point now) -> std::optional<limit_record>;
-    auto acquire_record() -> std::optional<limit_record>;
+    auto give_back_record(time_point now) const -> std::optional<limit_record>;
+    auto acquire_record(time_point now) -> std::optional<limit_record>;
     auto recover_record(time_point now) const -> std::optional<limit_record>;
     auto renew_record(time_point now) const -> std::optional<limit_record>;
     auto make_record(limit_action action) const -> limit_record;
@@ -231,6 +238,7 @@
     limit_ledger ledger_;
     std::map<std::string, local_limit, std::less<>> limits_;
     std::map<permit_id, permit> permits_;
+    // When the newest valid record of each other holder was read.
     std::map<std::string, time_point, std::less<>> last_read_;
     std::optional<pending_record> pending_;
     time_point lease_until_{};
