--- /dev/null
+++ b/basilstream/daemon/control_log/control_log.cpp
@@ -0,0 +1,184 @@
+#include "basilstream/daemon/control_log/control_log.hpp"
+
+#include "basilstream/protocol/record_codec/record_codec.hpp"
+
+namespace basilstream::daemon {
+namespace {
+
+constexpr auto control_stream = "control";
+
+auto options_of(const daemon_settings& settings)
+    -> coordination::controller_options {
+    auto options = coordination::controller_options{};
+    options.appender_.appends_per_second_ =
+        settings.platform_.appends_per_second_;
+    return options;
+}
+
+} // namespace
+
+control_log::control_log(const context& base, const daemon_settings& settings,
+                         std::string incarnation,
+                         transport::log_connection& connection,
+                         coordination::load_permits& permits)
+    : base_{base}, connection_{connection},
+      controller_{options_of(settings), std::move(incarnation),
+                  settings.deployment_.shards_, permits, base.random_} {}
+
+auto control_log::on_applied(applied_observer observer) -> void {
+    applied_observers_.push_back(std::move(observer));
+}
+
+auto control_log::on_replaced(std::function<void()> observer) -> void {
+    replaced_observers_.push_back(std::move(observer));
+}
+
+auto control_log::send_orders_with(order_sender sender) -> void {
+    send_order_ = std::move(sender);
+}
+
+auto control_log::submit(coordination::append_purpose purpose,
+                         state::record body, resolution_handler done)
+    -> result<void> {
+    auto id = controller_.submit(purpose, std::move(body));
+    if (!id) {
+        return tl::unexpected(id.error());
+    }
+    waiting_.emplace(*id, std::move(done));
+    return {};
+}
+
+auto control_log::tick() -> void {
+    const auto actions = controller_.poll(base_.clock_.now());
+    if (actions.read_) {
+        start_read(*actions.read_);
+    }
+    if (actions.append_) {
+        start_append(*actions.append_);
+    }
+    for (const auto& order : actions.orders_) {
+        send_order_(order);
+    }
+    resolve(actions.resolutions_);
+    notice_replacement();
+}
+
+auto control_log::notice_replacement() -> void {
+    const auto restarts = controller_.reader().restarts();
+    if (ready() == was_ready_ && restarts == seen_restarts_) {
+        return;
+    }
+    was_ready_ = ready();
+    seen_restarts_ = restarts;
+    for (const auto& observer : replaced_observers_) {
+        observer();
+    }
+}
+
+auto control_log::start_read(const coordination::read_request& request)
+    -> void {
+    const auto ticket = request.ticket_;
+    if (request.kind_ == coordination::read_request::kind::bounds) {
+        connection_.bounds(
+            control_stream, [this, ticket](result<transport::log_read> read) {
+                base_.on_control([this, ticket, read = std::move(read)] {
+                    on_bounds(ticket, read);
+                });
+            });
+        return;
+    }
+    connection_.read(
+        control_stream, request.from_, request.max_records_, request.wait_,
+        [this, ticket](result<transport::log_read> read) {
+            base_.on_control([this, ticket, read = std::move(read)] {
+                on_records(ticket, read);
+            });
+        });
+}
+
+auto control_log::start_append(const coordination::append_batch& batch)
+    -> void {
+    auto payloads = std::vector<std::string>{};
+    payloads.reserve(batch.records_.size());
+    for (const auto& record : batch.records_) {
+        payloads.push_back(protocol::encode_record(record));
+    }
+    connection_.append(
+        control_stream, payloads,
+        [this, ticket = batch.ticket_](result<std::uint64_t> offset) {
+            base_.on_control([this, ticket, offset = std::move(offset)] {
+                if (offset) {
+                    controller_.on_append_accepted(ticket, *offset);
+                } else {
+                    base_.log_.failure(transport::log_level::debug,
+                                       "append failed", offset.error());
+                    controller_.on_append_failed(ticket,
+                                                 offset.error().retry_after_,
+                                                 base_.clock_.now());
+                }
+                tick();
+            });
+        });
+}
+
+auto control_log::on_bounds(std::uint64_t ticket,
+                            const result<transport::log_read>& read) -> void {
+    const auto now = base_.clock_.now();
+    if (read) {
+        controller_.on_bounds(ticket, {read->first_offset_, read->next_offset_},
+                              now);
+    } else {
+        base_.log_.failure(transport::log_level::debug, "log read failed",
+                           read.error());
+        controller_.on_read_failed(ticket, now);
+    }
+    tick();
+}
+
+auto control_log::on_records(std::uint64_t ticket,
+                             const result<transport::log_read>& read) -> void {
+    const auto now = base_.clock_.now();
+    if (!read) {
+        base_.log_.failure(transport::log_level::debug, "log read failed",
+                           read.error());
+        controller_.on_read_failed(ticket, now);
+    } else if (read->truncated_) {
+        controller_.on_truncated(
+            ticket, {read->first_offset_, read->next_offset_}, now);
+    } else {
+        apply(ticket, *read);
+    }
+    tick();
+}
+
+auto control_log::apply(std::uint64_t ticket, const transport::log_read& read)
+    -> void {
+    auto entries = std::vector<coordination::log_entry>{};
+    entries.reserve(read.records_.size());
+    for (const auto& record : read.records_) {
+        entries.push_back(
+            {record.offset_, protocol::decode_record(record.bytes_)});
+    }
+    const auto applied = controller_.on_records(
+        ticket, std::move(entries), {read.first_offset_, read.next_offset_},
+        base_.clock_.now());
+    for (const auto& record : applied) {
+        for (const auto& observer : applied_observers_) {
+            observer(record);
+        }
+    }
+}
+
+auto control_log::resolve(
+    const std::vector<coordination::append_resolution>& fates) -> void {
+    for (const auto& fate : fates) {
+        const auto found = waiting_.find(fate.id_);
+        if (found != waiting_.end()) {
+            const auto done = std::move(found->second);
+            waiting_.erase(found);
+            done(fate);
+        }
+    }
+}
+
+} // namespace basilstream::daemon
