Drop the minimum residence of placement

Cause: an eviction for demand was refused for 300 s after a load. Change: it brings nothing beside the move price and the recent peak, so it goes; what paces spares is now its own setting.

--- a/basilstream/coordination/placement/internal/draft.cpp
+++ b/basilstream/coordination/placement/internal/draft.cpp
@@ -103,14 +103,13 @@
 }
 
 auto draft::find_eviction(std::size_t runner, std::uint64_t bytes,
-                          eviction_tier tier, time_point before)
-    -> std::optional<eviction> {
+                          eviction_tier tier) -> std::optional<eviction> {
     auto choices = std::vector<evictable>{};
     const auto& view = fleet_.runners_[runner];
     for (const auto index : view.replicas_) {
         const auto& one = fleet_.replicas_[index];
         const auto own = tier_of(one);
-        if (!own || *own > tier || one.since_ > before) {
+        if (!own || *own > tier) {
             continue;
         }
         const auto peak = fleet_.models_[one.model_].recent_peak_;
--- a/basilstream/coordination/placement/internal/draft.hpp
+++ b/basilstream/coordination/placement/internal/draft.hpp
@@ -52,9 +52,9 @@
         -> void;
 
     /// Returns what may be unloaded from `runner` up to `tier` so that `bytes`
-    /// fit, resident since `before` or earlier; nothing when it doesn't fit.
+    /// fit; nothing when they don't.
     [[nodiscard]] auto find_eviction(std::size_t runner, std::uint64_t bytes,
-                                     eviction_tier tier, time_point before)
+                                     eviction_tier tier)
         -> std::optional<eviction>;
 
     /// Returns in which tier `one` may be unloaded, or nothing.
--- a/basilstream/coordination/placement/internal/improve.cpp
+++ b/basilstream/coordination/placement/internal/improve.cpp
@@ -113,10 +113,8 @@
     auto weigh(std::size_t model, std::size_t runner)
         -> std::optional<candidate> {
         const auto& view = plan_.fleet_.models_[model];
-        const auto before =
-            plan_.input_.now_ - plan_.settings_.minimum_residence_;
-        auto found = plan_.find_eviction(runner, view.bytes_,
-                                         eviction_tier::surplus, before);
+        auto found =
+            plan_.find_eviction(runner, view.bytes_, eviction_tier::surplus);
         if (!found) {
             return std::nullopt;
         }
--- a/basilstream/coordination/placement/internal/repair.cpp
+++ b/basilstream/coordination/placement/internal/repair.cpp
@@ -161,8 +161,7 @@
             const auto tier = wanted_.urgency_ == urgency::thin
                                   ? eviction_tier::surplus
                                   : eviction_tier::redundant;
-            auto found =
-                plan_.find_eviction(runner, bytes, tier, plan_.input_.now_);
+            auto found = plan_.find_eviction(runner, bytes, tier);
             if (!found) {
                 return;
             }
--- a/basilstream/coordination/placement/internal/spare.cpp
+++ b/basilstream/coordination/placement/internal/spare.cpp
@@ -20,7 +20,7 @@
 // don't follow each demand load.
 auto quiet(const draft& plan, std::size_t runner) -> bool {
     const auto& view = plan.fleet_.runners_[runner];
-    const auto before = plan.input_.now_ - plan.settings_.minimum_residence_;
+    const auto before = plan.input_.now_ - plan.settings_.spare_quiet_time_;
     return std::all_of(view.replicas_.begin(), view.replicas_.end(),
                        [&](std::size_t index) {
                            return plan.fleet_.replicas_[index].since_ <= before;
--- a/basilstream/coordination/placement/placement.hpp
+++ b/basilstream/coordination/placement/placement.hpp
@@ -193,16 +193,14 @@
     gain_below_price,
     no_memory,
     pacing,
-    recently_loaded,
 };
 
 /// Names of rejection reasons, as `basilctl explain` prints them.
 inline constexpr auto placement_rejection_reason_names =
-    name_table<placement_rejection_reason, 4>{
+    name_table<placement_rejection_reason, 3>{
         {{{placement_rejection_reason::gain_below_price, "gain_below_price"},
           {placement_rejection_reason::no_memory, "no_memory"},
-          {placement_rejection_reason::pacing, "pacing"},
-          {placement_rejection_reason::recently_loaded, "recently_loaded"}}}};
+          {placement_rejection_reason::pacing, "pacing"}}}};
 
 /// A load that was weighed and not taken.
 struct placement_rejection {
@@ -253,8 +251,8 @@
     /// Time constant with which a recent peak is forgotten. It decides what an
     /// eviction loses, so that the pause between two bursts moves nothing.
     duration peak_time_ = seconds{900};
-    /// A model is not evicted for demand until it has been resident this long.
-    duration minimum_residence_ = seconds{300};
+    /// A spare is loaded on a runner on which nothing changed for this long.
+    duration spare_quiet_time_ = seconds{300};
     /// Loads in flight at once; fewer than the weight store's limit, so that a
     /// repair finds room.
     unsigned repairs_in_flight_ = 12;
--- a/basilstream/coordination/placement/placement_test.cpp
+++ b/basilstream/coordination/placement/placement_test.cpp
@@ -356,9 +356,9 @@
 }
 
 TEST(placement, fills_spare_memory_and_gives_it_up_to_what_needs_it) {
-    constexpr auto past_minimum_residence = 200;
+    constexpr auto past_quiet_time = 200;
     auto fleet = three_zones();
-    EXPECT_LT(fleet.settle(past_minimum_residence), never_ends);
+    EXPECT_LT(fleet.settle(past_quiet_time), never_ends);
     fleet.expect_redundant();
     const auto models = [&] {
         return std::count_if(
--- a/bench/policy_benchmark/experiment.cpp
+++ b/bench/policy_benchmark/experiment.cpp
@@ -82,7 +82,6 @@
     };
     return {placement("without_price", placement_kind::without_price),
             placement("without_smoothing", placement_kind::without_smoothing),
-            placement("without_residence", placement_kind::without_residence),
             placement("without_demand", placement_kind::without_demand),
             placement("without_redundancy", placement_kind::without_redundancy),
             placement("without_spares", placement_kind::without_spares),
--- a/bench/policy_benchmark/placement_policy.cpp
+++ b/bench/policy_benchmark/placement_policy.cpp
@@ -297,9 +297,6 @@
         settings.demand_time_ = duration::zero();
         settings.peak_time_ = duration::zero();
         break;
-    case placement_kind::without_residence:
-        settings.minimum_residence_ = duration::zero();
-        break;
     case placement_kind::without_demand:
         settings.improvements_in_flight_ = 0;
         break;
--- a/bench/policy_benchmark/placement_policy.hpp
+++ b/bench/policy_benchmark/placement_policy.hpp
@@ -30,7 +30,6 @@
     /// Ours with one idea switched off.
     without_price,
     without_smoothing,
-    without_residence,
     without_demand,
     without_redundancy,
     without_spares,
