Stand-in weight store: ended transfers no longer hold time back

Cause: the demo's models stayed loading. A debugger showed the store busy in progress_until: a transfer that had ended but was not collected made the next change 'now', so time went on in nanoseconds. Ruled out: lost orders (the runners' books hold them) and the transport (connections idle). Change: ended transfers are left out of the next change. Conclusion: a fault of the stand-in alone.

--- a/testing/weight_store/weight_store.cpp
+++ b/testing/weight_store/weight_store.cpp
@@ -89,9 +89,13 @@
     for (const auto& [id, other] : transfers_) {
         auto change = other.start_;
         if (other.start_ <= progressed_) {
-            const auto left = std::max(0.0, other.left_);
+            if (other.left_ <= rounding_seconds) {
+                // An ended transfer changes nothing more.
+                continue;
+            }
             change = progressed_ +
-                     from_seconds(left / speed(other.adapter_, progressed_));
+                     from_seconds(other.left_ /
+                                  speed(other.adapter_, progressed_));
         }
         next = next ? std::min(*next, change) : change;
     }
@@ -101,7 +105,7 @@
 auto weight_store::progress_until(time_point at) -> void {
     while (progressed_ < at) {
         const auto change = next_change().value_or(at);
-        // An ended transfer changes nothing more; it must not stall time.
+        // Rounding must not stall time.
         const auto stop = std::clamp(change, progressed_ + duration{1}, at);
         const auto span = to_seconds(stop - progressed_);
         const auto model_speed = speed(false, progressed_);
--- a/testing/weight_store/weight_store_test.cpp
+++ b/testing/weight_store/weight_store_test.cpp
@@ -57,5 +57,17 @@
     EXPECT_EQ(store.books().peak_adapter_loads_, 40U);
 }
 
+// An ended transfer that nobody has asked for once held time back: the store
+// went on in steps of a nanosecond.
+TEST(weight_store, ended_transfers_do_not_hold_back_the_others) {
+    auto time = manual_clock{};
+    auto random = seeded_random{1};
+    auto store = weight_store{{}, time, random};
+    store.begin(true);
+    store.begin(false);
+    time.advance(seconds{10});
+    EXPECT_EQ(store.advance().size(), 2U);
+}
+
 } // namespace
 } // namespace basilstream::testing
