--- a/basilstream/coordination/log_client/log_client_test.cpp
+++ b/basilstream/coordination/log_client/log_client_test.cpp
@@ -200,6 +200,19 @@
     EXPECT_EQ(reader.state().find_shard("s").owner_, "d");
 }
 
+TEST_F(log_client, paces_reads_of_a_busy_stream) {
+    auto options = replica_options{};
+    options.read_interval_ = seconds{1};
+    auto reader = replica{options, random_};
+    serve(reader);
+    land(state::shard_claim{"s", "d", 0});
+    now_ += seconds{10};
+    const auto request = reader.poll(now_);
+    reader.on_records(request->ticket_, entries(0), bounds(), now_);
+    EXPECT_FALSE(reader.poll(now_ + milliseconds{999}).has_value());
+    EXPECT_TRUE(reader.poll(now_ + seconds{1}).has_value());
+}
+
 TEST_F(log_client, skips_torn_records_and_repeated_answers) {
     auto reader = replica{replica_options{}, random_};
     land(state::shard_claim{"s", "d", 0});
--- a/basilstream/coordination/log_client/replica.cpp
+++ b/basilstream/coordination/log_client/replica.cpp
@@ -158,6 +158,9 @@
     }
     auto applied = apply(entries);
     settle_phase();
+    if (phase_ == replica_phase::following && !applied.empty()) {
+        not_before_ = now + options_.read_interval_;
+    }
     return applied;
 }
 
--- a/basilstream/coordination/log_client/replica.hpp
+++ b/basilstream/coordination/log_client/replica.hpp
@@ -79,6 +79,9 @@
 struct replica_options {
     std::uint32_t max_records_ = 1024;
     std::chrono::milliseconds long_poll_{1000};
+    /// Pause after records were read while following: bounds the reads of a
+    /// busy stream at the price of its age.
+    duration read_interval_{0};
     /// Time without an answer after which a read is asked again.
     duration answer_timeout_ = std::chrono::seconds{5};
     duration first_backoff_ = std::chrono::milliseconds{100};
--- a/basilstream/coordination/log_client/snapshot_writer.hpp
+++ b/basilstream/coordination/log_client/snapshot_writer.hpp
@@ -12,10 +12,10 @@
 /// Settings of a snapshot writer.
 struct snapshot_options {
     /// Records after which the state is written again.
-    state::log_offset every_records_ = 4096;
+    state::log_offset every_records_ = 32768;
     /// Time after which the state is written again, well below the log's
     /// retention.
-    duration every_ = std::chrono::minutes{20};
+    duration every_ = std::chrono::minutes{30};
     /// Time between two tries; a random part of it is added for daemons that
     /// own nothing, so that one of them goes first.
     duration retry_ = std::chrono::seconds{10};
