Look through the newest records first when a daemon starts

Change: the scan takes the newest 65,536 records and widens eightfold until it finds a whole one. Conclusion: start time no longer grows with retention.

--- a/basilstream/coordination/log_client/log_client_test.cpp
+++ b/basilstream/coordination/log_client/log_client_test.cpp
@@ -148,6 +148,31 @@
     EXPECT_EQ(fresh.state().digest(), old.state().digest());
 }
 
+TEST_F(log_client, looks_through_the_newest_records_first) {
+    land(state::shard_claim{"s", "d", 0});
+    auto old = replica{replica_options{}, random_};
+    serve(old);
+    land_snapshot(old);
+    for (auto i = 0; i < 20; ++i) {
+        land(state::quarantine_mark{"f", "", "", "", 0});
+    }
+    expire(1);
+    auto options = replica_options{};
+    options.scan_records_ = 4;
+    auto fresh = replica{options, random_};
+    const auto bounds_call = fresh.poll(now_);
+    fresh.on_bounds(bounds_call->ticket_, bounds(), now_);
+    const auto newest = fresh.poll(now_);
+    EXPECT_EQ(newest->from_, bounds().next_ - 4);
+    fresh.on_records(newest->ticket_, entries(newest->from_), bounds(), now_);
+    const auto wider = fresh.poll(now_);
+    EXPECT_EQ(wider->from_, first_) << "no snapshot in the newest four";
+    fresh.on_records(wider->ticket_, entries(wider->from_), bounds(), now_);
+    serve(fresh);
+    EXPECT_TRUE(fresh.ready());
+    EXPECT_EQ(fresh.state().find_shard("s").owner_, "d");
+}
+
 TEST_F(log_client, is_not_ready_without_a_whole_snapshot) {
     land(state::shard_claim{"s", "d", 0});
     land(state::shard_release{"s", 1});
--- a/basilstream/coordination/log_client/replica.cpp
+++ b/basilstream/coordination/log_client/replica.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr auto max_backoff_doublings = std::uint32_t{16};
+constexpr auto scan_growth = state::log_offset{8};
 constexpr auto max_open_snapshots = std::size_t{16};
 
 } // namespace
@@ -139,7 +140,14 @@
         return;
     }
     phase_ = replica_phase::scanning;
-    scan_position_ = bounds.first_;
+    scan_width_ = options_.scan_records_;
+    begin_scan(now);
+}
+
+auto replica::begin_scan(time_point now) -> void {
+    const auto retained = start_end_ - bounds_.first_;
+    scan_from_ = start_end_ - std::min(retained, scan_width_);
+    scan_position_ = scan_from_;
     if (scan_position_ >= start_end_) {
         finish_scan(now);
     }
@@ -188,6 +196,12 @@
 
 auto replica::finish_scan(time_point now) -> void {
     const auto newest = snapshots_.newest();
+    if (!newest && scan_from_ > bounds_.first_) {
+        scan_width_ *= scan_growth;
+        snapshots_.clear();
+        begin_scan(now);
+        return;
+    }
     if (!newest || *newest < bounds_.first_) {
         phase_ = replica_phase::stranded;
         not_before_ = now + options_.stranded_retry_;
--- a/basilstream/coordination/log_client/replica.hpp
+++ b/basilstream/coordination/log_client/replica.hpp
@@ -79,6 +79,9 @@
 struct replica_options {
     std::uint32_t max_records_ = 1024;
     std::chrono::milliseconds long_poll_{1000};
+    /// Newest records that are looked through first for a snapshot; the scan
+    /// widens eightfold until it finds one.
+    state::log_offset scan_records_ = 65536;
     /// Pause after records were read while following: bounds the reads of a
     /// busy stream at the price of its age.
     duration read_interval_{0};
@@ -185,6 +188,7 @@
 private:
     auto take_ticket(std::uint64_t ticket) -> bool;
     auto scan(const std::vector<log_entry>& entries, time_point now) -> void;
+    auto begin_scan(time_point now) -> void;
     auto collect(const state::envelope& envelope) -> void;
     auto settle_phase() -> void;
     auto apply(std::vector<log_entry>& entries) -> std::vector<applied_record>;
@@ -201,6 +205,8 @@
     bool ready_ = false;
     log_bounds bounds_;
     state::log_offset scan_position_ = 0;
+    state::log_offset scan_from_ = 0;
+    state::log_offset scan_width_ = 0;
     state::log_offset start_end_ = 0;
     std::uint64_t next_ticket_ = 1;
     std::optional<std::uint64_t> in_flight_;
--- a/testing/state_soak/world.cpp
+++ b/testing/state_soak/world.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto retained_records = std::size_t{400};
+constexpr auto retained_records = std::size_t{100};
 constexpr auto id_window = state::log_offset{128};
 constexpr auto runner_memory = std::uint64_t{105};
 
@@ -23,7 +23,8 @@
     options.replica_.guards_ = guards.machine_;
     options.replica_.window_ = id_window;
     options.replica_.max_records_ = 64;
-    options.snapshots_.every_records_ = 80;
+    options.replica_.scan_records_ = 40;
+    options.snapshots_.every_records_ = 30;
     options.snapshots_.max_part_bytes_ = 4096;
     options.snapshots_.retry_ = seconds{3};
     options.snapshots_.enabled_ = guards.snapshots_;
@@ -183,7 +184,7 @@
         to_node(index, polled.incarnation_, {},
                 [this, index, actions](node&) { perform(index, actions); });
     } else {
-        perform(index, std::move(actions));
+        perform(index, actions);
     }
     check_digest(polled);
     if (polled.stopping_ && polled.control_->released()) {
@@ -197,10 +198,10 @@
             [this, index](node&) { tick(index); });
 }
 
-auto world::perform(std::size_t index, coordination::controller_actions actions)
-    -> void {
+auto world::perform(std::size_t index,
+                    const coordination::controller_actions& actions) -> void {
     if (actions.append_) {
-        append(index, std::move(*actions.append_));
+        append(index, *actions.append_);
     }
     if (actions.read_) {
         read(index, *actions.read_);
--- a/testing/state_soak/world.hpp
+++ b/testing/state_soak/world.hpp
@@ -101,8 +101,8 @@
     // Daemons.
     auto start_node(std::size_t index) -> void;
     auto tick(std::size_t index) -> void;
-    auto perform(std::size_t index, coordination::controller_actions actions)
-        -> void;
+    auto perform(std::size_t index,
+                 const coordination::controller_actions& actions) -> void;
     auto ask_reports(std::size_t index) -> void;
     auto plan(std::size_t index) -> void;
     auto disturb_node() -> void;
@@ -110,7 +110,8 @@
     auto check_digest(const node& checked) -> void;
 
     // Log.
-    auto append(std::size_t index, coordination::append_batch batch) -> void;
+    auto append(std::size_t index, const coordination::append_batch& batch)
+        -> void;
     auto store(const std::vector<state::envelope>& records)
         -> state::log_offset;
     auto note_recovery(const state::record& body) -> void;
--- a/testing/state_soak/world_log.cpp
+++ b/testing/state_soak/world_log.cpp
@@ -6,7 +6,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-auto world::append(std::size_t index, coordination::append_batch batch)
+auto world::append(std::size_t index, const coordination::append_batch& batch)
     -> void {
     const auto incarnation = nodes_[index].incarnation_;
     const auto travel = between(milliseconds{1}, options_.log_delay_);
--- a/testing/state_soak/world_runners.cpp
+++ b/testing/state_soak/world_runners.cpp
@@ -65,10 +65,10 @@
         const auto name = full_name(*model);
         for (const auto& version : model->versions_) {
             for (auto i = 0U; i < model->minimum_replicas_; ++i) {
-                const auto runner =
-                    place({name, {}, version}, model->memory_bytes_, {});
+                const auto key = state::resident_key{name, {}, version};
+                const auto runner = place(key, model->memory_bytes_, {});
                 if (!runner.empty()) {
-                    homes[name + '@' + version].insert(runner);
+                    homes[to_string(key)].insert(runner);
                 }
             }
         }
@@ -82,7 +82,8 @@
         const auto model =
             state::qualified_name(adapter->organisation_, adapter->model_);
         const auto version = state.find_model(model)->versions_.front();
-        const auto& only = homes[model + '@' + version];
+        const auto base = state::resident_key{model, {}, version};
+        const auto& only = homes[to_string(base)];
         if (!only.empty()) {
             place({model, adapter->name_, version}, adapter->memory_bytes_,
                   only);
