Measure overload in virtual time; pause on refusals, wait by replicas

Cause: goodput under overload was claimed by design only.

Change: bench/traffic_benchmark drives routing, admission and retries of six daemons before 18 fake runners, with callers that come back when told to, against first-come-first-served with blind retries (with and without cancelling). An attempt refused for lack of a slot sets the limit to what is in flight, pauses the runner if that is nothing, and goes back to the queue without a retry; the wait is predicted from the attempts on all replicas of the model; the estimate's margin also holds for a model with nothing running. load_permits of the limits is weight_store_permits, as main calls it.

--- a/basilstream/coordination/admission/admission.cpp
+++ b/basilstream/coordination/admission/admission.cpp
@@ -90,24 +90,28 @@
                                    : mean;
 }
 
-auto admission::latest_start(const admission_request& request) -> time_point {
+auto admission::latest_start(const admission_request& request, time_point now)
+    -> time_point {
     const auto& estimate = estimate_of(request.model_);
-    if (estimate.running_ == 0) {
-        return std::min(request.first_token_deadline_, request.deadline_);
-    }
     const auto generation =
         scale(estimate.token_interval_, expected_tokens(request));
-    return std::min(
-        before(request.first_token_deadline_, estimate.first_token_),
-        before(request.deadline_, estimate.first_token_ + generation));
+    const auto latest =
+        std::min(before(request.first_token_deadline_, estimate.first_token_),
+                 before(request.deadline_, estimate.first_token_ + generation));
+    if (estimate.running_ == 0 && latest < now) {
+        // Nothing would correct the estimate if it refused everything.
+        return std::min(request.first_token_deadline_, request.deadline_);
+    }
+    return latest;
 }
 
-// By Little's law: attempts running over the time that each takes.
+// By Little's law: attempts running on the model's replicas over the time that
+// each takes.
 auto admission::release_interval(const std::string& model) -> duration {
     const auto& estimate = estimate_of(model);
     const auto service = estimate.first_token_ +
                          scale(estimate.token_interval_, estimate.tokens_);
-    return service / std::max(estimate.running_, 1);
+    return service / std::max(routes_.in_flight_beside(model), 1);
 }
 
 auto admission::route_for(const admission_request& request, time_point now)
@@ -209,7 +213,7 @@
     if (!chosen && !busy) {
         return refuse_unroutable(queued, std::move(chosen.error()), now);
     }
-    queued.latest_start_ = latest_start(queued.request_);
+    queued.latest_start_ = latest_start(queued.request_, now);
     queued.cost_ = std::max(expected_tokens(queued.request_), 1.0);
     if (guards_.too_late_(now, queued.latest_start_)) {
         return refuse_late(queued, now - queued.latest_start_, now);
@@ -226,11 +230,10 @@
     const auto slack = queued.latest_start_ == time_point::max()
                            ? duration::max()
                            : queued.latest_start_ - now;
-    // One more than fits is enough to know that it does not fit; the hint
-    // needs a bound only.
-    const auto useful = static_cast<double>(settings_.queue_capacity_);
-    const auto ahead = queue_->ahead_of(queued, useful);
-    const auto wait = scale(interval, ahead + 1);
+    // Its own turn is not counted: slots that other daemons free help, too.
+    const auto bound = static_cast<double>(settings_.queue_capacity_);
+    const auto ahead = queue_->ahead_of(queued, bound);
+    const auto wait = scale(interval, ahead);
     const auto start = now + std::min(wait, duration{std::chrono::hours{1}});
     if (guards_.too_late_(start, queued.latest_start_)) {
         return refuse_late(queued, wait - slack, now);
@@ -303,7 +306,11 @@
                           settings_.first_token_target_ ||
                       release.token_interval_.value_or(duration{}) >
                           settings_.token_interval_target_;
-    if (slow || release.outcome_ == attempt_outcome::no_slot) {
+    if (release.outcome_ == attempt_outcome::no_slot) {
+        on_no_slot(runner, now);
+        return;
+    }
+    if (slow) {
         found->second.on_congestion(now);
     } else if (release.outcome_ == attempt_outcome::completed) {
         found->second.on_success(routes_.in_flight(runner));
@@ -311,6 +318,32 @@
     routes_.set_concurrency_limit(runner, found->second.value());
 }
 
+auto admission::on_no_slot(const std::string& runner, time_point now) -> void {
+    const auto others = routes_.in_flight(runner) - 1;
+    limits_.at(runner).on_no_slot(others);
+    routes_.set_concurrency_limit(runner, others);
+    if (others == 0) {
+        // No release of its own will tell when there is room.
+        const auto pause =
+            scale(settings_.no_slot_pause_, 0.5 + random_.fraction());
+        pauses_.emplace(now + pause, runner);
+    }
+}
+
+auto admission::end_pauses(time_point now) -> void {
+    while (!pauses_.empty() && pauses_.begin()->first <= now) {
+        const auto runner = pauses_.extract(pauses_.begin()).value().second;
+        const auto found = limits_.find(runner);
+        if (found == limits_.end()) {
+            continue;
+        }
+        routes_.set_concurrency_limit(runner, found->second.value());
+        for (auto& model : routes_.models_on(runner)) {
+            retry_models_.insert(std::move(model));
+        }
+    }
+}
+
 auto admission::on_release(const attempt_release& release, time_point now)
     -> void {
     const auto found = running_.find(release.request_id_);
@@ -332,6 +365,7 @@
 
 auto admission::poll(time_point now) -> std::vector<admission_event> {
     refuse_expired(now);
+    end_pauses(now);
     dispatch_queued(now);
     return std::exchange(events_, {});
 }
@@ -403,11 +437,15 @@
     if (!events_.empty()) {
         return time_point::min();
     }
-    const auto urgent = queue_->most_urgent();
-    if (!urgent || urgent->first == time_point::max()) {
-        return std::nullopt;
+    auto next = time_point::max();
+    if (const auto urgent = queue_->most_urgent();
+        urgent && urgent->first != time_point::max()) {
+        next = urgent->first + duration{1};
+    }
+    if (!pauses_.empty()) {
+        next = std::min(next, pauses_.begin()->first);
     }
-    return urgent->first + duration{1};
+    return next == time_point::max() ? std::nullopt : std::optional{next};
 }
 
 auto admission::queued() const -> std::size_t {
--- a/basilstream/coordination/admission/admission.hpp
+++ b/basilstream/coordination/admission/admission.hpp
@@ -73,7 +73,9 @@
     completed,
     /// The caller or the daemon cancelled it.
     cancelled,
-    /// The runner refused it for lack of a slot (429).
+    /// The runner refused it for lack of a slot (429). It has not run: submit
+    /// it again under its id and deadlines, which needs no retry budget, since
+    /// the runner's limit has come down.
     no_slot,
     /// The runner refused it as leaving, or lacks the model (503, 404).
     not_serving,
@@ -108,6 +110,10 @@
     double decrease_ = 0.8;
     /// Decreases of one runner are at least this far apart.
     duration decrease_interval_ = milliseconds{500};
+    /// How long a runner that refused for lack of a slot gets no attempt of
+    /// this daemon if it has none in flight there; between half of this and
+    /// one and a half times this.
+    duration no_slot_pause_ = milliseconds{100};
     /// Assumed until a model has shown its own figures.
     duration assumed_first_token_ = milliseconds{100};
     duration assumed_token_interval_ = milliseconds{20};
@@ -144,6 +150,9 @@
     auto on_success(int in_flight) -> void;
     /// The runner showed congestion.
     auto on_congestion(time_point now) -> void;
+    /// The runner refused an attempt for lack of a slot while `in_flight`
+    /// others of this daemon were on it: that many it takes.
+    auto on_no_slot(int in_flight) -> void;
     /// Returns the limit: at least 1, at most the runner's slots.
     [[nodiscard]] auto value() const -> int;
 
@@ -228,7 +237,8 @@
 
     auto estimate_of(const std::string& model) -> internal::model_estimate&;
     auto expected_tokens(const admission_request& request) -> double;
-    auto latest_start(const admission_request& request) -> time_point;
+    auto latest_start(const admission_request& request, time_point now)
+        -> time_point;
     auto release_interval(const std::string& model) -> duration;
     auto route_for(const admission_request& request, time_point now)
         -> result<route>;
@@ -247,6 +257,8 @@
     auto dispatch_queued(time_point now) -> void;
     auto dispatch_first(const std::string& organisation,
                         const std::string& model, time_point now) -> bool;
+    auto on_no_slot(const std::string& runner, time_point now) -> void;
+    auto end_pauses(time_point now) -> void;
     auto learn(const attempt_release& release,
                internal::model_estimate& estimate) -> void;
     auto adapt_limit(const std::string& runner, const attempt_release& release,
@@ -260,6 +272,8 @@
     std::unordered_map<std::string, concurrency_limit> limits_;
     std::unordered_map<std::string, internal::model_estimate> estimates_;
     std::unordered_map<std::string, running_attempt> running_;
+    // Runners without attempts until a time, for lack of a slot.
+    std::set<std::pair<time_point, std::string>> pauses_;
     // Models whose queues may move at the next poll().
     std::set<std::string> retry_models_;
     std::vector<admission_event> events_;
--- a/basilstream/coordination/admission/concurrency_limit.cpp
+++ b/basilstream/coordination/admission/concurrency_limit.cpp
@@ -32,6 +32,10 @@
     limit_ = std::max(limit_ * decrease_, 1.0);
 }
 
+auto concurrency_limit::on_no_slot(int in_flight) -> void {
+    limit_ = std::clamp(static_cast<double>(in_flight), 1.0, limit_);
+}
+
 auto concurrency_limit::value() const -> int {
     return static_cast<int>(limit_);
 }
--- a/basilstream/coordination/limits/limits.cpp
+++ b/basilstream/coordination/limits/limits.cpp
@@ -242,12 +242,14 @@
     return make_record(limit_action::renew);
 }
 
-load_permits::load_permits(limit_holder& holder, std::string at_once,
-                           std::string per_second)
+weight_store_permits::weight_store_permits(limit_holder& holder,
+                                           std::string at_once,
+                                           std::string per_second)
     : holder_{holder}, at_once_{std::move(at_once)}, per_second_{std::move(
                                                          per_second)} {}
 
-auto load_permits::try_acquire(time_point now) -> std::optional<permit_id> {
+auto weight_store_permits::try_acquire(time_point now)
+    -> std::optional<permit_id> {
     const auto whole = holder_.try_acquire(at_once_, now);
     if (!whole || per_second_.empty()) {
         return whole;
@@ -262,7 +264,7 @@
     return whole;
 }
 
-auto load_permits::release(permit_id permit, time_point now) -> void {
+auto weight_store_permits::release(permit_id permit, time_point now) -> void {
     holder_.release(permit, now);
 }
 
--- a/basilstream/coordination/limits/limits_test.cpp
+++ b/basilstream/coordination/limits/limits_test.cpp
@@ -67,7 +67,7 @@
 
 TEST_F(limits, a_rate_is_units_held_for_the_period) {
     auto& a = add("a");
-    auto loads = load_permits{a, "at_once", "per_second"};
+    auto loads = weight_store_permits{a, "at_once", "per_second"};
     take(a, 2);
     for (auto unit = 0; unit < 2; ++unit) {
         EXPECT_FALSE(a.try_acquire("per_second", now_));
--- a/basilstream/coordination/limits/shared_log_test.cpp
+++ b/basilstream/coordination/limits/shared_log_test.cpp
@@ -64,7 +64,7 @@
 private:
     struct daemon {
         std::unique_ptr<limit_holder> holder_;
-        std::unique_ptr<load_permits> loads_;
+        std::unique_ptr<weight_store_permits> loads_;
         double clock_rate_ = 1;
         std::size_t read_ = 0;
         time_point paused_until_;
@@ -92,8 +92,8 @@
         each.holder_->define("at_once", {.units_ = at_once});
         each.holder_->define("per_second",
                              {.units_ = per_second, .hold_ = seconds{1}});
-        each.loads_ = std::make_unique<load_permits>(*each.holder_, "at_once",
-                                                     "per_second");
+        each.loads_ = std::make_unique<weight_store_permits>(
+            *each.holder_, "at_once", "per_second");
         each.clock_rate_ = 0.98 + random_.fraction() * 0.04;
         each.read_ = 0;
     }
--- a/basilstream/coordination/routing/routing.cpp
+++ b/basilstream/coordination/routing/routing.cpp
@@ -213,6 +213,18 @@
     return entry == nullptr ? 0 : entry->in_flight_;
 }
 
+auto router::in_flight_beside(std::string_view model) const -> int {
+    const auto found = models_.find(std::string{model});
+    if (found == models_.end()) {
+        return 0;
+    }
+    auto sum = 0;
+    for (const auto& each : found->second) {
+        sum += each.runner_->in_flight_;
+    }
+    return sum;
+}
+
 auto router::usable_replicas(std::string_view model) const -> int {
     const auto found = models_.find(std::string{model});
     if (found == models_.end()) {
--- a/basilstream/coordination/routing/routing.hpp
+++ b/basilstream/coordination/routing/routing.hpp
@@ -243,6 +243,10 @@
     /// Returns how many attempts of this daemon are in flight on the runner.
     [[nodiscard]] auto in_flight(std::string_view runner) const -> int;
 
+    /// Returns how many attempts of this daemon, for whatever model, are in
+    /// flight on the replicas of `model`.
+    [[nodiscard]] auto in_flight_beside(std::string_view model) const -> int;
+
     /// Returns how many replicas of `model` could take work, leaving aside
     /// concurrency limits.
     [[nodiscard]] auto usable_replicas(std::string_view model) const -> int;
--- /dev/null
+++ b/bench/traffic_benchmark/internal/fake_runner.hpp
@@ -0,0 +1,73 @@
+/// A model engine as far as timing goes: slots, tokens that slow down with the
+/// number of answers under way, and a prefix cache.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "bench/traffic_benchmark/internal/event_loop.hpp"
+
+namespace basilstream::bench::internal {
+
+/// One attempt on a runner.
+struct attempt {
+    std::uint64_t id_ = 0;
+    std::uint64_t prefix_ = 0;
+    int tokens_ = 1;
+    std::function<void()> on_first_token_;
+    std::function<void()> on_finished_;
+};
+
+/// Called with a prefix that was stored (true) or evicted (false).
+using cache_listener = std::function<void(std::uint64_t prefix, bool stored)>;
+
+class fake_runner {
+public:
+    /// With `queueing` attempts wait without bound for a slot; otherwise they
+    /// are refused when there is none.
+    fake_runner(event_loop& loop, int slots, bool queueing);
+
+    /// Returns false if there is no slot.
+    auto start(attempt request) -> bool;
+    /// Frees the slot or the place in the queue.
+    auto cancel(std::uint64_t id) -> void;
+    auto listen(cache_listener listener) -> void {
+        listener_ = std::move(listener);
+    }
+    [[nodiscard]] auto running() const -> int {
+        return static_cast<int>(running_.size());
+    }
+    [[nodiscard]] auto waiting() const -> int {
+        return static_cast<int>(waiting_.size());
+    }
+    [[nodiscard]] auto starts() const -> std::uint64_t { return starts_; }
+    [[nodiscard]] auto cache_hits() const -> std::uint64_t { return hits_; }
+
+    /// Returns the time of an answer with all slots taken and nothing cached.
+    [[nodiscard]] static auto full_service(double tokens, int slots)
+        -> duration;
+
+private:
+    auto begin(attempt request) -> void;
+    auto finish(std::uint64_t id) -> void;
+    auto touch_prefix(std::uint64_t prefix) -> bool;
+
+    event_loop& loop_;
+    int slots_;
+    bool queueing_;
+    cache_listener listener_;
+    std::unordered_set<std::uint64_t> running_;
+    std::deque<attempt> waiting_;
+    std::list<std::uint64_t> recent_;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
+        cached_;
+    std::uint64_t starts_ = 0;
+    std::uint64_t hits_ = 0;
+};
+
+} // namespace basilstream::bench::internal
