--- a/basilstream/coordination/admission/admission_test.cpp
+++ b/basilstream/coordination/admission/admission_test.cpp
@@ -134,6 +134,21 @@
     EXPECT_EQ(gate_.limit_of("r1"), 1);
 }
 
+TEST_F(admission_gate, a_runner_full_with_others_work_is_left_alone_awhile) {
+    EXPECT_EQ(submit("1"), admission_outcome::admitted);
+    release("1", attempt_outcome::no_slot);
+    // It has not run: the same id again.
+    EXPECT_EQ(submit("1"), admission_outcome::queued);
+    const auto wakeup = *gate_.next_wakeup();
+    EXPECT_GE(wakeup, now_ + milliseconds{50});
+    EXPECT_LE(wakeup, now_ + milliseconds{150});
+    now_ = wakeup;
+    const auto events = gate_.poll(now_);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].outcome_, admission_outcome::admitted);
+    EXPECT_EQ(gate_.next_wakeup(), std::nullopt);
+}
+
 TEST_F(admission_gate, requests_for_a_lost_runner_are_answered) {
     EXPECT_EQ(submit("1"), admission_outcome::admitted);
     EXPECT_EQ(submit("2"), admission_outcome::admitted);
