Keep a limit holder in the ledger until it is recovered

Cause: a holder that had given everything back left the ledger, and its newest sequence with it. A late repeat of its acquire then counted again, and a late repeat of its give_back after that took units away while it used them.

Change: the holder stays, without renewing, until another recovers it after lease, work and margin; by then its lease has lapsed.

--- a/basilstream/coordination/limits/limit_ledger.cpp
+++ b/basilstream/coordination/limits/limit_ledger.cpp
@@ -107,8 +107,9 @@
     if (writer == nullptr) {
         return false;
     }
+    // The holder stays, also without units, until it is recovered: its newest
+    // sequence keeps late repeats of its records out while its lease lasts.
     writer->shares_[record.limit_].units_ -= record.units_;
-    drop_if_empty(record.holder_);
     grant_free_units(record.limit_);
     return true;
 }
@@ -135,20 +136,6 @@
     return true;
 }
 
-// A holder without units or wishes leaves the ledger, so that it does not grow
-// with every start of a daemon. Its old records stay invalid: give_back and
-// renew need a holder, and a new acquire has a newer sequence.
-auto limit_ledger::drop_if_empty(const std::string& name) -> void {
-    const auto& shares = holders_[name].shares_;
-    const auto empty =
-        std::all_of(shares.begin(), shares.end(), [](const auto& each) {
-            return each.second.units_ + each.second.missing_ == 0;
-        });
-    if (empty) {
-        holders_.erase(name);
-    }
-}
-
 auto limit_ledger::next_waiting(const std::string& name) -> share* {
     share* first = nullptr;
     for (auto& [holder, entry] : holders_) {
--- a/basilstream/coordination/limits/limits.cpp
+++ b/basilstream/coordination/limits/limits.cpp
@@ -233,10 +233,19 @@
     return std::nullopt;
 }
 
+auto limit_holder::has_share() const -> bool {
+    const auto own = ledger_.holders().find(name_);
+    return own != ledger_.holders().end() &&
+           std::any_of(own->second.shares_.begin(), own->second.shares_.end(),
+                       [](const auto& each) {
+                           return each.second.units_ + each.second.missing_ > 0;
+                       });
+}
+
 auto limit_holder::renew_record(time_point now) const
     -> std::optional<limit_record> {
     const auto due = now + settings_.lease_ / 2 >= lease_until_;
-    if (!due || !ledger_.holders().contains(name_)) {
+    if (!due || !has_share()) {
         return std::nullopt;
     }
     return make_record(limit_action::renew);
--- a/basilstream/coordination/limits/limits.hpp
+++ b/basilstream/coordination/limits/limits.hpp
@@ -137,7 +137,6 @@
     auto apply_renew(const limit_record& record) -> bool;
     auto apply_recover(const limit_record& record) -> bool;
     auto known(const limit_record& record) -> holder*;
-    auto drop_if_empty(const std::string& name) -> void;
     auto grant_free_units(const std::string& name) -> void;
     auto next_waiting(const std::string& name) -> share*;
 
@@ -224,6 +223,7 @@
     auto drop_released(time_point now) -> void;
     auto note_new_units(time_point now) -> void;
     auto leased(time_point now) const -> bool;
+    auto has_share() const -> bool;
     auto spare_units(const std::string& name, const local_limit& local,
                      time_point now) const -> int;
     auto next_record(time_point now) -> std::optional<limit_record>;
