--- a/basilstream/coordination/placement/placement_test.cpp
+++ b/basilstream/coordination/placement/placement_test.cpp
@@ -422,6 +422,31 @@
     fleet.expect_redundant();
 }
 
+TEST(placement, as_many_replicas_as_regions_put_one_into_each) {
+    constexpr auto regions = 5;
+    auto settings = without_spares();
+    settings.replicas_ = regions;
+    auto fleet = fixture{settings};
+    for (auto zone = 0; zone < 19; ++zone) {
+        fleet.add_runners("zone" + std::to_string(zone), 3);
+    }
+    auto region_of = std::map<std::string, std::string>{};
+    for (auto& runner : fleet.input_.runners_) {
+        const auto zone = std::stoi(runner.availability_zone_.substr(4));
+        runner.region_ = "region" + std::to_string(zone % regions);
+        region_of[runner.name_] = runner.region_;
+    }
+    for (auto index = 0; index < 30; ++index) {
+        fleet.add_model("model" + std::to_string(index), 12 * gigabyte);
+    }
+    fleet.settle();
+    auto reached = std::set<std::pair<std::string, std::string>>{};
+    for (const auto& one : fleet.input_.residents_) {
+        reached.insert({one.model_, region_of[one.runner_]});
+    }
+    EXPECT_EQ(reached.size(), 30U * regions);
+}
+
 // Runners die, leave and come back, models come, go and change, demand drifts;
 // every step is checked, and when the changes stop the plans must end.
 TEST(placement, random_changes_keep_every_step_safe_and_plans_end) {
