--- a/basilstream/state/machine/machine.cpp
+++ b/basilstream/state/machine/machine.cpp
@@ -304,7 +304,7 @@
     const auto* model = find_model(key.model_);
     const auto* entry = runner.find(key);
     if (model == nullptr || entry == nullptr ||
-        entry->state_ != resident_state::ready || !is_serving(runner)) {
+        entry->state_ != resident_state::ready) {
         return false;
     }
     if (!key.adapter_.empty() &&
--- a/basilstream/state/machine/machine.hpp
+++ b/basilstream/state/machine/machine.hpp
@@ -272,7 +272,8 @@
 
     /// Returns whether a declared model, version or adapter would be without a
     /// ready replica when `key` on `runner` served no more; with
-    /// `whole_runner`, when nothing on the runner did.
+    /// `whole_runner`, when nothing on the runner did. A ready replica on a
+    /// prefill runner counts as one to keep too: its role may be changing.
     [[nodiscard]] auto is_last_replica(const runner_state& runner,
                                        const resident_key& key,
                                        bool whole_runner = false) const -> bool;
--- a/basilstream/state/machine/machine_test.cpp
+++ b/basilstream/state/machine/machine_test.cpp
@@ -169,6 +169,27 @@
     EXPECT_EQ(feed.reason(to_prefill), rejection::last_replica);
 }
 
+// Found by the randomised run (seed 7, step 8,801,241): a replica was unloaded
+// while the change that put its runner back into service was under way.
+TEST(machine, keeps_a_ready_replica_on_a_prefill_runner) {
+    auto feed = feeder{};
+    feed.prepare();
+    feed.reason(order_intent{"s",
+                             1,
+                             "r1",
+                             "b1",
+                             order_action::set_role,
+                             {},
+                             0,
+                             runner_role::prefill});
+    feed.last_ = feed.target_.find_runner("r1")->open_orders_.front();
+    feed.outcome(order_result::done);
+    feed.intent(order_action::load_model, "v1", 40);
+    feed.outcome(order_result::done);
+    EXPECT_EQ(feed.intent(order_action::unload_model, "v1", 0),
+              rejection::last_replica);
+}
+
 TEST(machine, boots_follow_each_other) {
     auto feed = feeder{};
     feed.prepare();
