--- a/basilstream/protocol/record_codec/record_codec_test.cpp
+++ b/basilstream/protocol/record_codec/record_codec_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "basilstream/coordination/log_client/log_client.hpp"
 #include "basilstream/protocol/generated/record.pb.h"
+#include "testing/state_sample/state_sample.hpp"
 
 namespace basilstream::protocol {
 namespace {
@@ -91,6 +93,57 @@
     EXPECT_TRUE(std::holds_alternative<unknown_record>(action->body_));
 }
 
+// Target: 3 KB a second for all control of a daemon, which reads the whole
+// control stream. Half of it is left to membership and the rest.
+TEST(record_codec, reading_the_stream_takes_half_of_the_control_budget) {
+    constexpr auto target_runners = std::size_t{1700};
+    constexpr auto budget_bytes_per_second = 3000.0 / 2;
+    constexpr auto framing_bytes = 12.0;
+    constexpr auto read_call_bytes_per_second = 350.0;
+    constexpr auto records_per_restart = 9.0;
+    constexpr auto seconds_per_day = 86400.0;
+    const auto sample = basilstream::testing::state_sample{target_runners};
+    auto random = seeded_random{1};
+    auto snapshot_bytes = std::size_t{0};
+    for (auto& part : coordination::make_snapshot(sample.replay(), random,
+                                                  std::size_t{1} << 18U)) {
+        snapshot_bytes += encode_record({{1, 2}, 0, std::move(part)}).size();
+    }
+    const auto late = log_offset{1} << 40U;
+    const auto size_of = [&](record body) {
+        return static_cast<double>(
+                   encode_record({{1, 2}, late, std::move(body)}).size()) +
+               framing_bytes;
+    };
+    const auto shards = 19.0;
+    const auto renewals =
+        shards / 2 * size_of(shard_renewal{"region-1-zone-12", late});
+    const auto changes =
+        1100 / seconds_per_day *
+        size_of(resource_put{
+            model_resource{"organisation", "model", {"v1"}, 0, {}, 1, 1},
+            late});
+    const auto restarts =
+        (36 + 450) * records_per_restart / seconds_per_day *
+        size_of(order_intent{"region-1-zone-12",
+                             late,
+                             "runner-1234",
+                             "boot",
+                             order_action::load_model,
+                             {"organisation/model", "adapter", "v1"},
+                             late,
+                             {}});
+    const auto snapshot_period =
+        std::chrono::duration<double>(coordination::snapshot_options{}.every_);
+    const auto sum =
+        renewals + changes + restarts +
+        static_cast<double>(snapshot_bytes) / snapshot_period.count() +
+        read_call_bytes_per_second;
+    EXPECT_LE(sum, budget_bytes_per_second);
+    RecordProperty("bytes_per_second", std::to_string(sum));
+    std::printf("control stream: %.0f bytes a second\n", sum);
+}
+
 RC_GTEST_PROP(record_codec, survives_torn_and_foreign_bytes,
               (const std::string& noise, std::uint16_t cut)) {
     std::ignore = decode_record(noise);
--- a/testing/state_soak/world_log.cpp
+++ b/testing/state_soak/world_log.cpp
@@ -61,6 +61,8 @@
         oracle_.skip(offset);
         return offset;
     }
+    count("kind_" +
+          std::string{state::record_kind_names.name_of(kind_of(entry->body_))});
     const auto verdict = oracle_.apply(offset, *entry).reason_;
     verdicts_.insert(offset, verdict);
     count("verdict_" + std::string{state::rejection_names.name_of(verdict)});
