--- a/bench/capacity/capacity.hpp
+++ b/bench/capacity/capacity.hpp
@@ -67,6 +67,10 @@
 /// One claim from submission to its stored result, over the keys remembered.
 [[nodiscard]] auto measure_claims() -> cost_curve;
 
+/// One second of one daemon's probing, over the number of daemons; in place of
+/// the heap the bytes that it sends in that second.
+[[nodiscard]] auto measure_membership() -> cost_curve;
+
 /// One answer to a caller, over the number of daemons.
 [[nodiscard]] auto measure_discovery() -> cost_curve;
 
--- a/bench/capacity/capacity_benchmark_main.cpp
+++ b/bench/capacity/capacity_benchmark_main.cpp
@@ -36,7 +36,7 @@
     for (const auto measure :
          {measure_planner, measure_repair_plan, measure_router,
           measure_admission, measure_replay, measure_snapshot, measure_claims,
-          measure_discovery}) {
+          measure_discovery, measure_membership}) {
         curves.push_back(to_json(measure()));
     }
     std::printf("%s\n", curves.dump(1).c_str());
