--- a/basilstream/coordination/log_client/log_client_test.cpp
+++ b/basilstream/coordination/log_client/log_client_test.cpp
@@ -148,6 +148,31 @@
     EXPECT_EQ(fresh.state().digest(), old.state().digest());
 }
 
+TEST_F(log_client, looks_through_the_newest_records_first) {
+    land(state::shard_claim{"s", "d", 0});
+    auto old = replica{replica_options{}, random_};
+    serve(old);
+    land_snapshot(old);
+    for (auto i = 0; i < 20; ++i) {
+        land(state::quarantine_mark{"f", "", "", "", 0});
+    }
+    expire(1);
+    auto options = replica_options{};
+    options.scan_records_ = 4;
+    auto fresh = replica{options, random_};
+    const auto bounds_call = fresh.poll(now_);
+    fresh.on_bounds(bounds_call->ticket_, bounds(), now_);
+    const auto newest = fresh.poll(now_);
+    EXPECT_EQ(newest->from_, bounds().next_ - 4);
+    fresh.on_records(newest->ticket_, entries(newest->from_), bounds(), now_);
+    const auto wider = fresh.poll(now_);
+    EXPECT_EQ(wider->from_, first_) << "no snapshot in the newest four";
+    fresh.on_records(wider->ticket_, entries(wider->from_), bounds(), now_);
+    serve(fresh);
+    EXPECT_TRUE(fresh.ready());
+    EXPECT_EQ(fresh.state().find_shard("s").owner_, "d");
+}
+
 TEST_F(log_client, is_not_ready_without_a_whole_snapshot) {
     land(state::shard_claim{"s", "d", 0});
     land(state::shard_release{"s", 1});
@@ -200,6 +225,19 @@
     EXPECT_EQ(reader.state().find_shard("s").owner_, "d");
 }
 
+TEST_F(log_client, paces_reads_of_a_busy_stream) {
+    auto options = replica_options{};
+    options.read_interval_ = seconds{1};
+    auto reader = replica{options, random_};
+    serve(reader);
+    land(state::shard_claim{"s", "d", 0});
+    now_ += seconds{10};
+    const auto request = reader.poll(now_);
+    reader.on_records(request->ticket_, entries(0), bounds(), now_);
+    EXPECT_FALSE(reader.poll(now_ + milliseconds{999}).has_value());
+    EXPECT_TRUE(reader.poll(now_ + seconds{1}).has_value());
+}
+
 TEST_F(log_client, skips_torn_records_and_repeated_answers) {
     auto reader = replica{replica_options{}, random_};
     land(state::shard_claim{"s", "d", 0});
