--- a/testing/end_to_end/cluster.cpp
+++ b/testing/end_to_end/cluster.cpp
@@ -316,7 +316,7 @@
         {token_stream{{model.substr(0, colon), adapter, "v1", prompt}}},
         max_tokens};
     check.take(answer.body_);
-    const auto verdict = check.verdict();
+    auto verdict = check.verdict();
     if (verdict == "short_answer" && !answer.broken_.empty()) {
         return "broken: " + answer.broken_;
     }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -9,6 +9,7 @@
 fi
 tools/build.sh basilstreamd basilctl basilload fake_runner fake_log \
     fake_service fake_vm_list fake_weight_store >/dev/null || exit 1
+SECONDS=0
 find_program() { find build -type f -name "$1" -perm -u+x | head -n 1; }
 daemon_program=$(find_program basilstreamd)
 control_program=$(find_program basilctl)
