Reactor: round timer waits up to whole milliseconds

Cause: an idle daemon spent 86.7 ms/s of its control thread on a processor at 118 wakes a second, 0.7 ms each: the reactor rounds its wait for a timer down to whole milliseconds and polls without a pause for the rest (seen with a profiler and context-switch counts). Ruled out: the parts' own ticks (3 M instructions a second). Change: a timer heap that rounds the wait up; decisions tick every 10 ms.

--- a/basilstream/daemon/program/program.cpp
+++ b/basilstream/daemon/program/program.cpp
@@ -17,7 +17,7 @@
 constexpr auto platform_calls = std::size_t{4096};
 constexpr auto order_calls = std::size_t{1024};
 // How often decisions are advanced.
-constexpr auto tick_interval = milliseconds{5};
+constexpr auto tick_interval = milliseconds{10};
 constexpr auto slow_interval = milliseconds{50};
 constexpr auto trace_interval = milliseconds{1000};
 
--- a/basilstream/transport/reactor/reactor.cpp
+++ b/basilstream/transport/reactor/reactor.cpp
@@ -10,6 +10,7 @@
 #include <ace/OS_NS_Thread.h>
 #include <ace/Reactor.h>
 #include <ace/Task.h>
+#include <ace/Timer_Heap.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -21,6 +22,35 @@
 // File descriptors one reactor can watch.
 constexpr auto max_handles = 8192U;
 
+// Rounds the wait for the next timer up to whole milliseconds. The reactor
+// hands its wait to epoll in whole milliseconds and would round it down, so
+// that it polls without a pause for the last part of each wait.
+class rounding_timer_heap final : public ACE_Timer_Heap {
+public:
+    auto calculate_timeout(ACE_Time_Value* longest)
+        -> ACE_Time_Value* override {
+        return round_up(ACE_Timer_Heap::calculate_timeout(longest));
+    }
+
+    auto calculate_timeout(ACE_Time_Value* longest, ACE_Time_Value* buffer)
+        -> ACE_Time_Value* override {
+        return round_up(ACE_Timer_Heap::calculate_timeout(longest, buffer));
+    }
+
+private:
+    auto round_up(ACE_Time_Value* wait) -> ACE_Time_Value* {
+        constexpr auto tick = suseconds_t{1000};
+        if (wait == nullptr || wait->usec() % tick == 0) {
+            return wait;
+        }
+        rounded_ = *wait;
+        rounded_ += ACE_Time_Value{0, tick - wait->usec() % tick};
+        return &rounded_;
+    }
+
+    ACE_Time_Value rounded_;
+};
+
 // Runs a work item at each expiry of its timer.
 class timer_handler final : public ACE_Event_Handler {
 public:
@@ -58,8 +88,10 @@
 class reactor_thread::implementation final : public ACE_Task_Base {
 public:
     implementation(std::string name, std::size_t ring_capacity)
-        : name_{std::move(name)}, ring_{ring_capacity},
-          poll_{max_handles, true}, reactor_{&poll_}, wake_{*this} {
+        : name_{std::move(name)}, ring_{ring_capacity}, poll_{max_handles, true,
+                                                              nullptr,
+                                                              &timers_by_time_},
+          reactor_{&poll_}, wake_{*this} {
         wake_.descriptor_ = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
         reactor_.register_handler(wake_.descriptor_, &wake_,
                                   ACE_Event_Handler::READ_MASK);
@@ -132,6 +164,7 @@
 
     std::string name_;
     bounded_ring<work_item> ring_;
+    rounding_timer_heap timers_by_time_;
     ACE_Dev_Poll_Reactor poll_;
     ACE_Reactor reactor_;
     wake_handler wake_;
