--- a/basilstream/coordination/log_client/log_client_test.cpp
+++ b/basilstream/coordination/log_client/log_client_test.cpp
@@ -173,6 +173,29 @@
     EXPECT_EQ(fresh.state().find_shard("s").owner_, "d");
 }
 
+// Found by the randomised run: a snapshot that was appended late hid the one
+// that was needed.
+TEST_F(log_client, looks_past_a_snapshot_older_than_the_head) {
+    land(state::shard_claim{"s", "d", 0});
+    auto old = replica{replica_options{}, random_};
+    serve(old);
+    const auto late = make_snapshot(old.state(), random_, 1UL << 20U);
+    land(state::quarantine_mark{"f", "", "", "", 0});
+    land(state::quarantine_mark{"g", "", "", "", 0});
+    serve(old);
+    land_snapshot(old);
+    for (auto i = 0; i < 20; ++i) {
+        land(state::quarantine_lift{"f"});
+    }
+    land(late.at(0));
+    expire(2);
+    auto options = replica_options{};
+    options.scan_records_ = 4;
+    auto fresh = replica{options, random_};
+    serve(fresh);
+    EXPECT_TRUE(fresh.ready());
+}
+
 TEST_F(log_client, is_not_ready_without_a_whole_snapshot) {
     land(state::shard_claim{"s", "d", 0});
     land(state::shard_release{"s", 1});
--- a/basilstream/coordination/log_client/replica.cpp
+++ b/basilstream/coordination/log_client/replica.cpp
@@ -196,13 +196,15 @@
 
 auto replica::finish_scan(time_point now) -> void {
     const auto newest = snapshots_.newest();
-    if (!newest && scan_from_ > bounds_.first_) {
+    // A snapshot that was appended late may be older than the head.
+    const auto usable = newest && *newest >= bounds_.first_;
+    if (!usable && scan_from_ > bounds_.first_) {
         scan_width_ *= scan_growth;
         snapshots_.clear();
         begin_scan(now);
         return;
     }
-    if (!newest || *newest < bounds_.first_) {
+    if (!usable) {
         phase_ = replica_phase::stranded;
         not_before_ = now + options_.stranded_retry_;
         return;
--- a/basilstream/coordination/log_client/snapshot_writer.cpp
+++ b/basilstream/coordination/log_client/snapshot_writer.cpp
@@ -1,6 +1,17 @@
 #include "basilstream/coordination/log_client/snapshot_writer.hpp"
 
 namespace basilstream::coordination {
+namespace {
+
+// Ages of the newest snapshot as shares of the retained records: from the
+// first on the daemon in charge writes one, from the second on any daemon.
+constexpr auto owner_share = 0.5;
+constexpr auto deputy_share = 0.75;
+
+// Keeps an almost empty log from being filled by snapshots alone.
+constexpr auto min_records_between = 32.0;
+
+} // namespace
 
 auto make_snapshot(const state::machine& state, random_source& random,
                    std::size_t max_part_bytes)
@@ -61,6 +72,17 @@
     return reader.bounds().first_ > newest.value_or(0);
 }
 
+// The retention is the platform's; what it keeps shows how near the newest
+// snapshot is to the head.
+auto snapshot_writer::is_expiring(const replica& reader, double share) -> bool {
+    const auto bounds = reader.bounds();
+    const auto since = static_cast<double>(
+        bounds.next_ - reader.newest_snapshot().value_or(0));
+    const auto retained = static_cast<double>(bounds.next_ - bounds.first_);
+    return bounds.first_ > 0 && since >= min_records_between &&
+           since > retained * share;
+}
+
 auto snapshot_writer::is_due(const replica& reader, bool in_charge,
                              time_point now) -> bool {
     const auto newest = reader.newest_snapshot();
@@ -71,13 +93,14 @@
     if (now < not_before_) {
         return false;
     }
-    if (is_unrecoverable(reader)) {
+    if (is_unrecoverable(reader) || is_expiring(reader, deputy_share)) {
         return true;
     }
     const auto next = reader.state().next_offset();
     const auto since = next - newest.value_or(0);
     const auto old = since > 0 && now - seen_at_ >= options_.every_;
-    return in_charge && (since >= options_.every_records_ || old);
+    return in_charge && (since >= options_.every_records_ || old ||
+                         is_expiring(reader, owner_share));
 }
 
 } // namespace basilstream::coordination
--- a/basilstream/coordination/log_client/snapshot_writer.hpp
+++ b/basilstream/coordination/log_client/snapshot_writer.hpp
@@ -31,8 +31,9 @@
     -> std::vector<state::snapshot_part>;
 
 /// Decides when to append a snapshot. The owner of the first shard writes
-/// them in the normal case; any daemon whose state is no longer recoverable
-/// from the log writes one, owner or not. Sans-I/O.
+/// them in the normal case, at the latest when the newest one has aged through
+/// half of the retained records. Any daemon writes one when it has aged through
+/// three quarters, or is gone. Sans-I/O.
 class snapshot_writer {
 public:
     /// `random` must outlive the writer.
@@ -50,6 +51,8 @@
     [[nodiscard]] auto is_due(const replica& reader, bool in_charge,
                               time_point now) -> bool;
     [[nodiscard]] static auto is_unrecoverable(const replica& reader) -> bool;
+    [[nodiscard]] static auto is_expiring(const replica& reader, double share)
+        -> bool;
 
     snapshot_options options_;
     random_source* random_;
--- a/testing/state_soak/soak_main.cpp
+++ b/testing/state_soak/soak_main.cpp
@@ -1,6 +1,7 @@
-// Long randomised run: state_soak SEED STEPS [figures]. Prints what it did and
-// found; ends with 1 when an invariant was broken. With `figures`, only daemons
-// and runners fail and the log is slow, and the durations mean something.
+// Long randomised run: state_soak SEED STEPS [figures|faults [DAEMONS SHARDS]].
+// Prints what it did and found; ends with 1 when an invariant was broken. With
+// `figures`, only daemons and runners fail and the log is slow, and the
+// durations mean something.
 #include <cstdlib>
 #include <iostream>
 #include <string_view>
@@ -22,6 +23,10 @@
         options.faults_.misbehaviour_ = false;
         options.log_delay_ = std::chrono::milliseconds{500};
     }
+    if (argc > 5) {
+        options.daemons_ = std::strtoull(argv[4], nullptr, 10);
+        options.shards_ = std::strtoull(argv[5], nullptr, 10);
+    }
     return options;
 }
 
@@ -49,7 +54,8 @@
 
 auto main(int argc, char** argv) -> int {
     if (argc < 3) {
-        std::cerr << "usage: state_soak SEED STEPS [figures]\n";
+        std::cerr << "usage: state_soak SEED STEPS [figures|faults [DAEMONS "
+                     "SHARDS]]\n";
         return EXIT_FAILURE;
     }
     const auto report = basilstream::testing::run_soak(parse(argc, argv));
--- a/testing/state_soak/soak_test.cpp
+++ b/testing/state_soak/soak_test.cpp
@@ -31,6 +31,22 @@
 INSTANTIATE_TEST_SUITE_P(seeds, soak_seed,
                          ::testing::Range(std::uint64_t{1}, ci_seeds + 1));
 
+TEST(soak, holds_with_many_shards_on_few_daemons) {
+    const auto report = run_soak({.seed_ = 21,
+                                  .steps_ = ci_steps_per_seed,
+                                  .daemons_ = 2,
+                                  .shards_ = 6});
+    EXPECT_EQ(report.violations_, std::vector<std::string>{});
+}
+
+TEST(soak, holds_with_many_daemons_on_one_shard) {
+    const auto report = run_soak({.seed_ = 22,
+                                  .steps_ = ci_steps_per_seed,
+                                  .daemons_ = 9,
+                                  .shards_ = 1});
+    EXPECT_EQ(report.violations_, std::vector<std::string>{});
+}
+
 // A guard, how to switch it off, and what the run must then find.
 struct guard_case {
     const char* name_;
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 tools/build.sh state_soak >/dev/null
-exec build/testing/state_soak/state_soak "${1:?seed}" "${2:?steps}"
+exec build/testing/state_soak/state_soak "${1:?seed}" "${2:?steps}" "${@:3}"
