Measure crashes of runners in the traffic benchmark

Cause: retries, resumption and ejection were tested alone, not with routing and admission.

Change: fake runners crash and refuse connections for a while; daemons decide with retry_policy, resume at the delivered position and report failures to the router.

--- a/bench/traffic_benchmark/internal/daemons.hpp
+++ b/bench/traffic_benchmark/internal/daemons.hpp
@@ -24,6 +24,8 @@
     time_point deadline_;
     std::function<void()> on_first_token_;
     std::function<void()> on_finished_;
+    /// Called when the connection broke off for good.
+    std::function<void()> on_broken_;
     /// Called with the retry hint.
     std::function<void(duration)> on_refused_;
 };
@@ -39,6 +41,8 @@
     virtual auto submit(caller_try request) -> void = 0;
     /// The caller no longer waits.
     virtual auto abandon(std::uint64_t id) -> void = 0;
+    /// Crashes a runner; returns how many attempts were on it.
+    virtual auto crash(int runner, duration down) -> int = 0;
     [[nodiscard]] virtual auto runs() const -> std::uint64_t = 0;
     [[nodiscard]] virtual auto no_slot() const -> std::uint64_t = 0;
     [[nodiscard]] virtual auto cached_share() const -> double = 0;
@@ -49,6 +53,24 @@
 [[nodiscard]] auto replica_of(const scenario& settings, int model, int rank)
     -> int;
 
+/// One way between a daemon and a runner.
+inline constexpr auto network_delay = milliseconds{1};
+
+using runners = std::vector<std::unique_ptr<fake_runner>>;
+
+/// Returns the scenario's runners.
+[[nodiscard]] auto make_runners(const scenario& settings, event_loop& loop,
+                                bool queueing) -> runners;
+/// Crashes the runner; returns how many attempts were on it.
+auto crash_runner(fake_runner& runner, duration down) -> int;
+[[nodiscard]] auto count_runs(const runners& all) -> std::uint64_t;
+[[nodiscard]] auto share_of_hits(const runners& all) -> double;
+
+/// Returns daemons that run the decisions of basilstream.
+[[nodiscard]] auto make_basilstream_daemons(const scenario& settings,
+                                            event_loop& loop)
+    -> std::unique_ptr<daemons>;
+
 /// Returns the daemons for the scenario's policy.
 [[nodiscard]] auto make_daemons(const scenario& settings, event_loop& loop)
     -> std::unique_ptr<daemons>;
--- a/bench/traffic_benchmark/internal/fake_runner.cpp
+++ b/bench/traffic_benchmark/internal/fake_runner.cpp
@@ -1,6 +1,7 @@
 #include "bench/traffic_benchmark/internal/fake_runner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace basilstream::bench::internal {
 namespace {
@@ -29,25 +30,30 @@
     return prefill + generation;
 }
 
-auto fake_runner::start(attempt request) -> bool {
+auto fake_runner::start(attempt request) -> start_outcome {
+    if (loop_.now() < down_until_) {
+        return start_outcome::down;
+    }
     if (running() < slots_) {
         begin(std::move(request));
-        return true;
+        return start_outcome::accepted;
     }
-    if (queueing_) {
-        waiting_.push_back(std::move(request));
+    if (!queueing_) {
+        return start_outcome::no_slot;
     }
-    return queueing_;
+    waiting_.push_back(std::move(request));
+    return start_outcome::accepted;
 }
 
 auto fake_runner::begin(attempt request) -> void {
     ++starts_;
     const auto id = request.id_;
-    running_.insert(id);
     const auto hit = touch_prefix(request.prefix_);
     hits_ += hit ? 1 : 0;
     const auto first = hit ? cached_prefill : prefill;
-    const auto rest = (request.tokens_ - 1) * token_interval(running());
+    const auto interval = token_interval(running() + 1);
+    running_[id] = {loop_.now() + first, interval, request.tokens_,
+                    std::move(request.on_crashed_)};
     const auto guarded = [this, id](std::function<void()> action) {
         return [this, id, action = std::move(action)] {
             if (running_.contains(id)) {
@@ -56,13 +62,32 @@
         };
     };
     loop_.after(first, guarded(std::move(request.on_first_token_)));
-    loop_.after(first + rest,
+    loop_.after(first + (request.tokens_ - 1) * interval,
                 guarded([this, id, done = std::move(request.on_finished_)] {
                     finish(id);
                     done();
                 }));
 }
 
+auto fake_runner::crash(duration down) -> void {
+    down_until_ = loop_.now() + down;
+    recent_.clear();
+    cached_.clear();
+    auto ended = std::exchange(running_, {});
+    for (auto& each : std::exchange(waiting_, {})) {
+        ended[each.id_] = {
+            time_point::max(), {}, 0, std::move(each.on_crashed_)};
+    }
+    for (const auto& [id, each] : ended) {
+        auto sent = 0;
+        if (loop_.now() >= each.first_token_) {
+            const auto streaming = loop_.now() - each.first_token_;
+            sent = 1 + static_cast<int>(streaming / each.interval_);
+        }
+        each.on_crashed_(std::min(sent, each.tokens_));
+    }
+}
+
 auto fake_runner::finish(std::uint64_t id) -> void {
     running_.erase(id);
     if (!waiting_.empty()) {
--- a/bench/traffic_benchmark/internal/fake_runner.hpp
+++ b/bench/traffic_benchmark/internal/fake_runner.hpp
@@ -6,9 +6,9 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "bench/traffic_benchmark/internal/event_loop.hpp"
 
@@ -21,8 +21,13 @@
     int tokens_ = 1;
     std::function<void()> on_first_token_;
     std::function<void()> on_finished_;
+    /// Called with the tokens sent when the runner crashes.
+    std::function<void(int)> on_crashed_;
 };
 
+/// How a runner takes an attempt.
+enum class start_outcome { accepted, no_slot, down };
+
 /// Called with a prefix that was stored (true) or evicted (false).
 using cache_listener = std::function<void(std::uint64_t prefix, bool stored)>;
 
@@ -32,10 +37,11 @@
     /// are refused when there is none.
     fake_runner(event_loop& loop, int slots, bool queueing);
 
-    /// Returns false if there is no slot.
-    auto start(attempt request) -> bool;
+    auto start(attempt request) -> start_outcome;
     /// Frees the slot or the place in the queue.
     auto cancel(std::uint64_t id) -> void;
+    /// Ends all attempts and refuses new ones for `down`.
+    auto crash(duration down) -> void;
     auto listen(cache_listener listener) -> void {
         listener_ = std::move(listener);
     }
@@ -53,6 +59,13 @@
         -> duration;
 
 private:
+    struct run {
+        time_point first_token_;
+        duration interval_;
+        int tokens_;
+        std::function<void(int)> on_crashed_;
+    };
+
     auto begin(attempt request) -> void;
     auto finish(std::uint64_t id) -> void;
     auto touch_prefix(std::uint64_t prefix) -> bool;
@@ -61,7 +74,8 @@
     int slots_;
     bool queueing_;
     cache_listener listener_;
-    std::unordered_set<std::uint64_t> running_;
+    std::map<std::uint64_t, run> running_;
+    time_point down_until_{};
     std::deque<attempt> waiting_;
     std::list<std::uint64_t> recent_;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
--- a/bench/traffic_benchmark/traffic.cpp
+++ b/bench/traffic_benchmark/traffic.cpp
@@ -40,6 +40,16 @@
           arrivals_{settings.seed_}, random_{settings.seed_ + 1} {
         seen_.capacity_per_second_ = capacity();
         arrive();
+        for (auto each = 0; each < settings_.crashes_; ++each) {
+            loop_.at(
+                time_point{settings_.warm_up_ +
+                           each * settings_.measured_ / settings_.crashes_},
+                [this, each] {
+                    seen_.crashed_runs_ +=
+                        static_cast<std::uint64_t>(daemons_.crash(
+                            each % settings_.runners_, settings_.down_));
+                });
+        }
     }
 
     auto result() -> figures {
@@ -116,6 +126,7 @@
              .deadline_ = due + mine.tokens_ * token_bound,
              .on_first_token_ = [this, id, number] { first_token(id, number); },
              .on_finished_ = [this, id, number] { finished(id, number); },
+             .on_broken_ = [this, id, number] { broken(id, number); },
              .on_refused_ =
                  [this, id, number](duration hint) {
                      refused(id, number, hint);
@@ -152,6 +163,11 @@
         }
         requests_.erase(id);
     }
+    auto broken(std::uint64_t id, std::uint64_t number) -> void {
+        if (current(id, number) != nullptr) {
+            again(id, {});
+        }
+    }
     auto wait_over(std::uint64_t id, std::uint64_t number) -> void {
         const auto* const mine = current(id, number);
         if (mine == nullptr || mine->first_token_) {
--- a/bench/traffic_benchmark/traffic.hpp
+++ b/bench/traffic_benchmark/traffic.hpp
@@ -47,6 +47,10 @@
     int attempts_ = 4;
     duration warm_up_ = seconds{20};
     duration measured_ = seconds{60};
+    /// Runners that crash one after the other, evenly over the measured time,
+    /// each down for `down_`.
+    int crashes_ = 0;
+    duration down_ = seconds{10};
 };
 
 /// What a run showed of the requests that arrived while it was measured.
@@ -62,6 +66,8 @@
     /// Attempts on runners.
     std::uint64_t runs_ = 0;
     std::uint64_t no_slot_ = 0;
+    /// Attempts that a crash ended.
+    std::uint64_t crashed_runs_ = 0;
     double goodput_per_second_ = 0;
     double attainment_ = 0;
     double first_token_p95_ms_ = 0;
--- a/bench/traffic_benchmark/traffic_main.cpp
+++ b/bench/traffic_benchmark/traffic_main.cpp
@@ -11,6 +11,8 @@
 auto to_json(const scenario& settings, const figures& seen) -> nlohmann::json {
     return {{"policy", traffic_policy_names.name_of(settings.policy_)},
             {"load", settings.load_},
+            {"crashes", settings.crashes_},
+            {"crashed_runs", seen.crashed_runs_},
             {"seed", settings.seed_},
             {"capacity_per_second", seen.capacity_per_second_},
             {"requests", seen.requests_},
@@ -37,6 +39,9 @@
             const auto settings = scenario{.policy_ = policy, .load_ = load};
             all.push_back(to_json(settings, run(settings)));
         }
+        const auto crashing =
+            scenario{.policy_ = policy, .load_ = 0.5, .crashes_ = 6};
+        all.push_back(to_json(crashing, run(crashing)));
     }
     std::cout << all.dump(2) << '\n';
 }
--- a/bench/traffic_benchmark/traffic_test.cpp
+++ b/bench/traffic_benchmark/traffic_test.cpp
@@ -22,6 +22,12 @@
     }
 }
 
+TEST_P(traffic_bounds, crashes_at_half_load_cost_nearly_nothing) {
+    const auto seen = run({.load_ = 0.5, .seed_ = GetParam(), .crashes_ = 6});
+    EXPECT_GT(seen.crashed_runs_, 0U);
+    EXPECT_GE(seen.attainment_, 0.95);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, traffic_bounds, ::testing::Values(1, 2, 3));
 
 TEST(traffic_baseline, blind_retries_collapse) {
