--- a/testing/state_soak/world_log.cpp
+++ b/testing/state_soak/world_log.cpp
@@ -6,7 +6,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-auto world::append(std::size_t index, coordination::append_batch batch)
+auto world::append(std::size_t index, const coordination::append_batch& batch)
     -> void {
     const auto incarnation = nodes_[index].incarnation_;
     const auto travel = between(milliseconds{1}, options_.log_delay_);
@@ -61,6 +61,8 @@
         oracle_.skip(offset);
         return offset;
     }
+    count("kind_" +
+          std::string{state::record_kind_names.name_of(kind_of(entry->body_))});
     const auto verdict = oracle_.apply(offset, *entry).reason_;
     verdicts_.insert(offset, verdict);
     count("verdict_" + std::string{state::rejection_names.name_of(verdict)});
