--- /dev/null
+++ b/basilstream/coordination/claims/internal/claim_shard_ownership.cpp
@@ -0,0 +1,229 @@
+// Takeover, lease, hand-over and the promises of members.
+#include <algorithm>
+#include <utility>
+
+#include "basilstream/coordination/claims/internal/claim_shard.hpp"
+
+namespace basilstream::coordination::internal {
+
+auto claim_shard::set_role(bool preferred, bool standby, time_point now)
+    -> void {
+    preferred_ = preferred;
+    standby_ = standby;
+    if ((preferred || standby) && phase_ == shard_phase::idle) {
+        owner_seen_ = now;
+        follow(0);
+    } else if (!preferred && phase_ == shard_phase::owning) {
+        phase_ = shard_phase::releasing;
+    } else if (!preferred && !standby && phase_ == shard_phase::following) {
+        stop_following();
+    }
+}
+
+auto claim_shard::set_witnesses(const std::vector<std::string>& members,
+                                std::uint64_t digest, time_point now) -> void {
+    members_digest_ = digest;
+    for (auto& [name, left_at] : witnesses_) {
+        if (!left_at) {
+            left_at = now;
+        }
+    }
+    for (const auto& name : members) {
+        if (name != self_.name_) {
+            witnesses_[name].reset();
+        }
+    }
+}
+
+// While the log is out of reach nobody leaves the set: a daemon that vanished
+// may have taken the shard over just before.
+auto claim_shard::forget_departed(time_point now) -> void {
+    if (log_down_) {
+        return;
+    }
+    std::erase_if(witnesses_, [&](const auto& row) {
+        return row.second && now - *row.second >= settings_->departed_memory_;
+    });
+}
+
+auto claim_shard::follow(std::uint64_t from) -> void {
+    phase_ = shard_phase::following;
+    at_head_ = false;
+    outputs_->push_back(follow_output{shard_, from});
+}
+
+auto claim_shard::stop_following() -> void {
+    outputs_->push_back(unfollow_output{shard_});
+    phase_ = shard_phase::idle;
+    index_ = claim_index{*guards_};
+    at_head_ = false;
+    in_flight_.reset();
+}
+
+auto claim_shard::update_ownership(time_point now) -> void {
+    const auto mine = index_.owner() == owner_id_ && index_.epoch();
+    const auto holds_it = mine && !index_.released();
+    switch (phase_) {
+    case shard_phase::following:
+    case shard_phase::taking:
+        // A former ownership of this daemon may stand in the middle of the
+        // stream: only a complete index makes an owner.
+        if (holds_it && at_head_) {
+            become_owner(now);
+        }
+        break;
+    case shard_phase::owning:
+    case shard_phase::releasing:
+        if (!holds_it) {
+            lose_ownership();
+        }
+        break;
+    case shard_phase::idle:
+        break;
+    }
+}
+
+auto claim_shard::become_owner(time_point now) -> void {
+    phase_ = preferred_ ? shard_phase::owning : shard_phase::releasing;
+    epoch_ = *index_.epoch();
+    unsettled_.reset();
+    ++statistics_->takeovers_;
+    release_queued_ = false;
+    renewals_.clear();
+    confirmed_until_ = time_point{};
+    queue_.clear();
+    samples_.clear();
+    // A reader of a truncated stream learns the epoch from renewals: one must
+    // stand before every other record of the epoch.
+    renew(now);
+    flush(now);
+}
+
+auto claim_shard::lose_ownership() -> void {
+    for (auto& [key, work] : work_) {
+        for (const auto& waiting : work.waiters_) {
+            redirect(waiting.from_, waiting.message_.request_id_);
+        }
+    }
+    work_.clear();
+    queue_.clear();
+    flush_at_.reset();
+    in_flight_.reset();
+    release_queued_ = false;
+    confirmed_until_ = time_point{};
+    if (preferred_ || standby_) {
+        phase_ = shard_phase::following;
+    } else {
+        stop_following();
+    }
+}
+
+auto claim_shard::try_take_over(time_point now) -> void {
+    const auto read_lately = now - last_read_ < settings_->lease_ / 2;
+    if (!preferred_ || !at_head_ || !read_lately || in_flight_) {
+        return;
+    }
+    const auto lapsed = now - owner_seen_ >= settings_->lease_;
+    const auto vacant = !index_.epoch() ? index_.next_offset() == 0 || lapsed
+                                        : index_.released() || lapsed;
+    if (!vacant || now < promised_until_) {
+        return;
+    }
+    phase_ = shard_phase::taking;
+    unsettled_ =
+        ownership_record{owner_id_, index_.epoch(), index_.last_owner_offset()};
+    append({*unsettled_}, now);
+}
+
+auto claim_shard::try_release(time_point now) -> void {
+    const auto busy = in_flight_ || !queue_.empty();
+    if (busy || release_queued_) {
+        return;
+    }
+    release_queued_ = true;
+    queue(release_record{epoch_}, true, now);
+}
+
+auto claim_shard::renew(time_point now) -> void {
+    last_renewal_ = now;
+    const auto unix_time = now.time_since_epoch() + settings_->unix_offset_;
+    queue(renewal_record{owner_id_, epoch_, next_sequence_++, unix_time}, true,
+          now);
+}
+
+auto claim_shard::confirm(std::uint64_t sequence) -> void {
+    while (!renewals_.empty() && renewals_.front().sequence_ <= sequence) {
+        if (renewals_.front().sequence_ == sequence) {
+            confirmed_until_ = std::max(
+                confirmed_until_, renewals_.front().sent_ + settings_->lease_);
+        }
+        renewals_.pop_front();
+    }
+}
+
+auto claim_shard::all_promised() const -> bool {
+    return std::all_of(
+        witnesses_.begin(), witnesses_.end(),
+        [&](const auto& row) { return promised_.contains(row.first); });
+}
+
+auto claim_shard::confirmed(time_point now) const -> bool {
+    return !guards_->confirm_ownership() || now < confirmed_until_;
+}
+
+auto claim_shard::ask_witnesses(time_point now) -> void {
+    if (!log_down_ || now - round_sent_ < settings_->lease_ / 2) {
+        return;
+    }
+    ++round_;
+    round_sent_ = now;
+    promised_.clear();
+    if (witnesses_.empty()) {
+        confirmed_until_ = now + settings_->lease_;
+    }
+    for (const auto& [name, left_at] : witnesses_) {
+        send(name, epoch_query_message{shard_, epoch_, round_});
+    }
+}
+
+// An ownership record on its way may still take effect, unless the current
+// owner has written since.
+auto claim_shard::may_promise() const -> bool {
+    if (phase_ == shard_phase::taking) {
+        return false;
+    }
+    if (!unsettled_) {
+        return true;
+    }
+    return phase_ != shard_phase::idle &&
+           (unsettled_->previous_epoch_ != index_.epoch() ||
+            unsettled_->last_seen_ != index_.last_owner_offset());
+}
+
+auto claim_shard::on_epoch_query(const std::string& from,
+                                 const epoch_query_message& message,
+                                 time_point now) -> void {
+    if (!may_promise()) {
+        return;
+    }
+    promised_until_ = now + settings_->lease_;
+    send(from, epoch_promise_message{shard_, newest_epoch_, message.round_,
+                                     members_digest_});
+}
+
+auto claim_shard::on_epoch_promise(const std::string& from,
+                                   const epoch_promise_message& message)
+    -> void {
+    const auto stale = message.round_ != round_ || !owning();
+    const auto agrees = message.members_digest_ == members_digest_;
+    if (stale || !agrees || message.newest_epoch_ > epoch_) {
+        return;
+    }
+    promised_.insert(from);
+    if (all_promised()) {
+        confirmed_until_ =
+            std::max(confirmed_until_, round_sent_ + settings_->lease_);
+    }
+}
+
+} // namespace basilstream::coordination::internal
