State how reads below the retained head reach the claim service

Cause: the daemon's wiring must know how an expired long poll and an answer below the retained head are reported. Change: the contract of claim_service::on_read; no code. Conclusion: both cases are plain reads without entries.

--- a/basilstream/coordination/claims/claims.hpp
+++ b/basilstream/coordination/claims/claims.hpp
@@ -449,6 +449,9 @@
     auto cancel(const std::string& request_id, time_point now) -> bool;
     auto on_message(const std::string& peer, claim_message message,
                     time_point now) -> void;
+    /// An answer to a read. A long poll that ran out is one without entries. A
+    /// position below the retained head is one without entries whose
+    /// `first_offset_` lies above it; a `follow_output` then moves on.
     auto on_read(std::uint32_t shard, const claim_read& read, time_point now)
         -> void;
     /// A read failed: the log is out of reach until the next `on_read`.
