--- a/testing/end_to_end/end_to_end_test.cpp
+++ b/testing/end_to_end/end_to_end_test.cpp
@@ -197,6 +197,28 @@
     }
 }
 
+TEST_F(end_to_end, a_crashing_request_takes_at_most_two_runners) {
+    constexpr auto runners = std::size_t{4};
+    start({.daemons_ = 2, .runners_ = runners});
+    for (auto runner = std::size_t{0}; runner < runners; ++runner) {
+        system_->set_faults(system_->runner_address(runner),
+                            {{"crash_marker", "POISON"}});
+    }
+    // The caller sends it again, through either daemon.
+    for (auto number = std::size_t{0}; number < 6; ++number) {
+        EXPECT_NE(complete(number % 2, "acme/drafts", "POISON pitch"), "ok");
+    }
+    auto crashed = 0;
+    for (auto runner = std::size_t{0}; runner < runners; ++runner) {
+        crashed += system_->runner(runner).ended() ? 1 : 0;
+    }
+    EXPECT_GE(crashed, 1);
+    EXPECT_LE(crashed, 2);
+    for (auto daemon = std::size_t{0}; daemon < 2; ++daemon) {
+        EXPECT_TRUE(eventually([&] { return answers(daemon); })) << last_;
+    }
+}
+
 TEST_F(end_to_end, a_submission_repeated_after_a_killed_daemon_runs_once) {
     start({.daemons_ = 3, .runners_ = 2});
     ASSERT_TRUE(eventually([&] {
