Let the shared limits serve the order executor

Cause: orders ask an abstract load_permits; the daemon divides the weight store's limits by shards, so that the units of an idle shard are wasted.

Change: weight_store_permits implements load_permits on a limit_holder, for models (at once and a second) and adapters (in flight). The daemon does not use it yet: limit records have no codec.

Conclusion: load_pacer can be replaced once limit records go through the log.

--- a/basilstream/coordination/limits/limits.cpp
+++ b/basilstream/coordination/limits/limits.cpp
@@ -252,29 +252,39 @@
 }
 
 weight_store_permits::weight_store_permits(limit_holder& holder,
-                                           std::string at_once,
-                                           std::string per_second)
-    : holder_{holder}, at_once_{std::move(at_once)}, per_second_{std::move(
-                                                         per_second)} {}
+                                           weight_store_limits limits)
+    : holder_{holder}, limits_{std::move(limits)} {}
 
-auto weight_store_permits::try_acquire(time_point now)
-    -> std::optional<permit_id> {
-    const auto whole = holder_.try_acquire(at_once_, now);
-    if (!whole || per_second_.empty()) {
-        return whole;
+auto weight_store_permits::name_of(load_kind kind) const -> const std::string& {
+    return kind == load_kind::model ? limits_.models_at_once_
+                                    : limits_.adapters_at_once_;
+}
+
+auto weight_store_permits::try_acquire(load_kind kind, time_point now) -> bool {
+    const auto whole = holder_.try_acquire(name_of(kind), now);
+    if (!whole) {
+        return false;
     }
-    const auto start = holder_.try_acquire(per_second_, now);
-    if (!start) {
-        holder_.release(*whole, now);
-        return std::nullopt;
+    if (kind == load_kind::model) {
+        const auto start = holder_.try_acquire(limits_.models_per_second_, now);
+        if (!start) {
+            holder_.release(*whole, now);
+            return false;
+        }
+        // Held for its period all the same.
+        holder_.release(*start, now);
     }
-    // Held for its period all the same.
-    holder_.release(*start, now);
-    return whole;
+    permits_[kind].push_back(*whole);
+    return true;
 }
 
-auto weight_store_permits::release(permit_id permit, time_point now) -> void {
-    holder_.release(permit, now);
+auto weight_store_permits::release(load_kind kind, time_point now) -> void {
+    // Units of one limit are alike.
+    auto& permits = permits_[kind];
+    if (!permits.empty()) {
+        holder_.release(permits.back(), now);
+        permits.pop_back();
+    }
 }
 
 } // namespace basilstream::coordination
--- a/basilstream/coordination/limits/limits.hpp
+++ b/basilstream/coordination/limits/limits.hpp
@@ -3,13 +3,13 @@
 /// replays the same division, whose sum never exceeds the limit.
 ///
 ///     auto share = limit_holder{"entry-1/4f21", limit_settings{}};
-///     share.define("loads_at_once", {.units_ = 25});
-///     share.define("loads_per_second", {.units_ = 2, .hold_ = seconds{1}});
-///     auto loads = weight_store_permits{share, "loads_at_once",
-///                                       "loads_per_second"};
-///     if (const auto permit = loads.try_acquire(now)) {
+///     share.define("models_at_once", {.units_ = 25});
+///     share.define("models_per_second", {.units_ = 2, .hold_ = seconds{1}});
+///     share.define("adapters_at_once", {.units_ = 190});
+///     auto loads = weight_store_permits{share};
+///     if (loads.try_acquire(load_kind::model, now)) {
 ///         // ... load ...
-///         loads.release(*permit, now);
+///         loads.release(load_kind::model, now);
 ///     }
 ///     for (const auto& record : share.poll(now)) { /* append to the log */ }
 ///     share.on_record(record, now);   // every limit record, in log order
@@ -28,6 +28,7 @@
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/name_table/name_table.hpp"
+#include "basilstream/coordination/orders/orders.hpp"
 
 namespace basilstream::coordination {
 
@@ -247,23 +248,30 @@
     permit_id next_permit_ = 1;
 };
 
-/// Permits for loads from the weight store: one unit of the loads at once for
-/// the whole load, and one of the loads a second for its start. An empty rate
-/// limit name means there is none, as for adapters in flight.
-class weight_store_permits {
+/// Names of the limits that loads count against.
+struct weight_store_limits {
+    std::string models_at_once_ = "models_at_once";
+    std::string models_per_second_ = "models_per_second";
+    std::string adapters_at_once_ = "adapters_at_once";
+};
+
+/// Permits for loads from the weight store out of the daemon's share. A model
+/// takes a unit of the loads at once for the whole load and one of the loads a
+/// second for its start; an adapter takes one of the adapters in flight.
+class weight_store_permits final : public load_permits {
 public:
-    weight_store_permits(limit_holder& holder, std::string at_once,
-                         std::string per_second);
+    explicit weight_store_permits(limit_holder& holder,
+                                  weight_store_limits limits = {});
 
-    /// Takes both units or none.
-    [[nodiscard]] auto try_acquire(time_point now) -> std::optional<permit_id>;
-    /// Tells that the load has ended.
-    auto release(permit_id permit, time_point now) -> void;
+    auto try_acquire(load_kind kind, time_point now) -> bool override;
+    auto release(load_kind kind, time_point now) -> void override;
 
 private:
+    auto name_of(load_kind kind) const -> const std::string&;
+
     limit_holder& holder_;
-    std::string at_once_;
-    std::string per_second_;
+    weight_store_limits limits_;
+    std::map<load_kind, std::vector<permit_id>> permits_;
 };
 
 } // namespace basilstream::coordination
--- a/basilstream/coordination/limits/shared_log_test.cpp
+++ b/basilstream/coordination/limits/shared_log_test.cpp
@@ -72,7 +72,6 @@
     };
     struct work {
         const limit_holder* owner_;
-        permit_id permit_;
         time_point end_;
     };
     struct append {
@@ -89,11 +88,10 @@
     auto start(daemon& each) -> void {
         each.holder_ = std::make_unique<limit_holder>(
             "d" + std::to_string(incarnations_++), limit_settings{}, guards_);
-        each.holder_->define("at_once", {.units_ = at_once});
-        each.holder_->define("per_second",
+        each.holder_->define("models_at_once", {.units_ = at_once});
+        each.holder_->define("models_per_second",
                              {.units_ = per_second, .hold_ = seconds{1}});
-        each.loads_ = std::make_unique<weight_store_permits>(
-            *each.holder_, "at_once", "per_second");
+        each.loads_ = std::make_unique<weight_store_permits>(*each.holder_);
         each.clock_rate_ = 0.98 + random_.fraction() * 0.04;
         each.read_ = 0;
     }
@@ -147,12 +145,11 @@
         if (random_.below(4) != 0) {
             return;
         }
-        const auto permit = each.loads_->try_acquire(local(each));
-        if (!permit) {
+        if (!each.loads_->try_acquire(load_kind::model, local(each))) {
             return;
         }
         const auto length = milliseconds{100 + random_.below(25'000)};
-        works_.push_back({each.holder_.get(), *permit, now_ + length});
+        works_.push_back({each.holder_.get(), now_ + length});
         starts_.push_back(now_);
         ++outcome_.starts_;
         check();
@@ -173,7 +170,7 @@
             }
             for (auto& each : daemons_) {
                 if (each.holder_.get() == ended.owner_) {
-                    each.holder_->release(ended.permit_, local(each));
+                    each.loads_->release(load_kind::model, local(each));
                 }
             }
             return true;
