Name a payload's origin by its daemon; pass loads on last

Cause: the daemon looks a payload's origin up by the daemon's name, but the origin carried a random suffix; endpoint loads of many daemons could fill the gossip and hold suspicions up; and without a set wall clock an owner could not tell which of its entries are old. Change: gossip_payload carries the process's life in a field of its own; loads are passed on after all other kinds; claim owners also date entries by their own reading.

--- a/basilstream/coordination/claims/internal/claim_shard.cpp
+++ b/basilstream/coordination/claims/internal/claim_shard.cpp
@@ -219,7 +219,20 @@
     }
     const auto unix_time = now.time_since_epoch() + settings_->unix_offset_;
     const auto old = index_.offset_before(unix_time - settings_->carry_age_);
-    carry_below(std::max(old, first_offset_), now);
+    carry_below(std::max({old, read_before(now - settings_->carry_age_),
+                          first_offset_}),
+                now);
+}
+
+auto claim_shard::read_before(time_point time) const -> std::uint64_t {
+    auto below = std::uint64_t{0};
+    for (const auto& sample : samples_) {
+        if (sample.read_at_ > time) {
+            break;
+        }
+        below = sample.offset_;
+    }
+    return below;
 }
 
 auto claim_shard::carry_below(std::uint64_t below, time_point now) -> void {
--- a/basilstream/coordination/claims/internal/claim_shard.hpp
+++ b/basilstream/coordination/claims/internal/claim_shard.hpp
@@ -112,6 +112,8 @@
     auto applied(const claim_log_entry& entry, claim_effect effect,
                  time_point now) -> void;
     auto carry(time_point now) -> void;
+    /// Offset that this owner had reached by `time`.
+    [[nodiscard]] auto read_before(time_point time) const -> std::uint64_t;
     auto carry_below(std::uint64_t below, time_point now) -> void;
     auto forget(time_point now) -> void;
     // Requests.
--- a/basilstream/coordination/membership/internal/gossip.cpp
+++ b/basilstream/coordination/membership/internal/gossip.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Bytes of tags and small numbers around the strings of one entry.
-constexpr auto entry_overhead = std::size_t{14};
+constexpr auto entry_overhead = std::size_t{20};
 constexpr auto max_seen_payloads = std::size_t{4096};
 constexpr auto least_suspicion_intervals = 3U;
 
@@ -23,6 +23,12 @@
            payload.bytes_.size();
 }
 
+// Loads give way to everything else.
+auto rank_of(const gossip_payload& payload, std::uint32_t sent)
+    -> std::pair<bool, std::uint32_t> {
+    return {payload.kind_ == payload_kind::endpoint_load, sent};
+}
+
 // Order of two statements about one member.
 auto overrides(const member& heard, const member& known) -> bool {
     if (heard.incarnation_ != known.incarnation_) {
@@ -44,7 +50,8 @@
 
 auto seen_key(const gossip_payload& payload) -> std::string {
     return std::to_string(static_cast<int>(payload.kind_)) + "/" +
-           payload.origin_ + "/" + payload.key_;
+           payload.origin_ + "/" + std::to_string(payload.life_) + "/" +
+           payload.key_;
 }
 
 } // namespace
@@ -116,7 +123,6 @@
 auto membership::attach_payloads(membership_message& message,
                                  std::size_t& budget) -> void {
     const auto limit = settings_.gossip_factor_ * log2_members();
-    // Newest first: the front of the queue.
     for (auto& queued : payloads_) {
         if (size_of(queued.payload_) > budget) {
             break;
@@ -131,7 +137,8 @@
     std::stable_sort(
         payloads_.begin(), payloads_.end(),
         [](const queued_payload& left, const queued_payload& right) {
-            return left.sent_ < right.sent_;
+            return rank_of(left.payload_, left.sent_) <
+                   rank_of(right.payload_, right.sent_);
         });
 }
 
@@ -227,7 +234,12 @@
     std::erase_if(payloads_, [&](const queued_payload& queued) {
         return seen_key(queued.payload_) == key;
     });
-    payloads_.push_front({std::move(payload), 0});
+    const auto rank = rank_of(payload, 0);
+    const auto place = std::find_if(
+        payloads_.begin(), payloads_.end(), [&](const queued_payload& queued) {
+            return rank_of(queued.payload_, queued.sent_) >= rank;
+        });
+    payloads_.insert(place, {std::move(payload), 0});
     if (payloads_.size() > settings_.max_payloads_) {
         payloads_.pop_back();
     }
--- a/basilstream/coordination/membership/membership.cpp
+++ b/basilstream/coordination/membership/membership.cpp
@@ -19,9 +19,8 @@
 
 membership::membership(membership_settings settings, member self,
                        random_source& random)
-    : settings_{settings}, self_{std::move(self)}, random_{random} {
-    constexpr auto tag_bits = 32U;
-    origin_ = self_.name_ + "/" + std::to_string(random.next() >> tag_bits);
+    : settings_{settings}, self_{std::move(self)},
+      life_{static_cast<std::uint32_t>(random.next())}, random_{random} {
     updates_[self_.name_] = 0;
 }
 
@@ -377,8 +376,9 @@
     if (bytes.size() > settings_.max_payload_bytes_) {
         return false;
     }
-    auto payload = gossip_payload{kind, origin_, std::move(key),
-                                  ++payload_version_, std::move(bytes)};
+    auto payload =
+        gossip_payload{kind,           self_.name_,        life_,
+                       std::move(key), ++payload_version_, std::move(bytes)};
     static_cast<void>(is_new(payload));
     queue_payload(std::move(payload));
     return true;
--- a/basilstream/coordination/membership/membership.hpp
+++ b/basilstream/coordination/membership/membership.hpp
@@ -67,11 +67,15 @@
       {payload_kind::limit_share, "limit_share"},
       {payload_kind::other, "other"}}}};
 
-/// An opaque value that spreads to every member. For one (origin, kind, key)
-/// the greatest version wins.
+/// An opaque value that spreads to every member. For one (origin, life, kind,
+/// key) the greatest version wins.
 struct gossip_payload {
     payload_kind kind_ = payload_kind::other;
+    /// Name of the daemon that published it.
     std::string origin_;
+    /// Random number of that daemon's process: a restarted one counts its
+    /// versions anew.
+    std::uint32_t life_ = 0;
     std::string key_;
     std::uint32_t version_ = 0;
     std::string bytes_;
@@ -125,7 +129,8 @@
     std::size_t max_gossip_bytes_ = 400;
     /// Bound of one payload's bytes; larger ones are refused.
     std::size_t max_payload_bytes_ = 200;
-    /// Bound of queued payloads; the oldest is dropped.
+    /// Bound of queued payloads. The one passed on most often is dropped;
+    /// loads are passed on after everything else and dropped first.
     std::size_t max_payloads_ = 256;
     duration sync_interval_ = seconds{120};
     /// Most members of one sync answer: a page of the list by name.
@@ -256,8 +261,8 @@
 
     membership_settings settings_;
     member self_;
-    /// Origin of this daemon's payloads; new for each life of the process.
-    std::string origin_;
+    /// Tells this process's payloads from those of an earlier one.
+    std::uint32_t life_;
     random_source& random_;
     /// The other daemons.
     std::map<std::string, entry> entries_;
--- a/basilstream/coordination/membership/membership_test.cpp
+++ b/basilstream/coordination/membership/membership_test.cpp
@@ -203,12 +203,39 @@
     for (const auto number : {0U, 1U, 4U, 5U, 6U}) {
         const auto arrived = net.at(number).take_payloads();
         ASSERT_EQ(arrived.size(), 1U) << number;
+        EXPECT_EQ(arrived.front().origin_, "daemon-3");
         EXPECT_EQ(arrived.front().key_, "r1");
         EXPECT_EQ(net.state(number, 2), member_state::leaving);
         EXPECT_EQ(net.at(number).owners().size(), 6U);
     }
 }
 
+// Loads that saturate the gossip must not hold a suspicion up.
+TEST(membership, passes_suspicions_on_before_loads) {
+    auto net = network{7, 2};
+    net.run_for(seconds{20});
+    for (auto second = 0; second < 30; ++second) {
+        for (auto number = 0; number < 40; ++number) {
+            static_cast<void>(net.at(second % 7)
+                                  .publish(payload_kind::endpoint_load,
+                                           std::to_string(number),
+                                           std::string(100, 'x'), net.now_));
+        }
+        if (second == 20) {
+            EXPECT_TRUE(net.at(0).publish(payload_kind::quarantine_suspicion,
+                                          "s", "x", net.now_));
+        }
+        net.run_for(seconds{1});
+    }
+    for (auto number = 1U; number < 7; ++number) {
+        const auto arrived = net.at(number).take_payloads();
+        EXPECT_TRUE(std::any_of(
+            arrived.begin(), arrived.end(), [](const auto& payload) {
+                return payload.kind_ == payload_kind::quarantine_suspicion;
+            }));
+    }
+}
+
 TEST(membership, refutes_the_suspicion_after_a_pause) {
     auto net = network{7, 3};
     net.run_for(seconds{20});
--- a/basilstream/protocol/peer_codec/peer_codec.cpp
+++ b/basilstream/protocol/peer_codec/peer_codec.cpp
@@ -41,14 +41,19 @@
 auto to_wire(const gossip_payload& payload, wire::gossip_entry& out) -> void {
     out.set_kind(static_cast<std::uint32_t>(payload.kind_));
     out.set_origin(payload.origin_);
+    out.set_life(payload.life_);
     out.set_key(payload.key_);
     out.set_version(payload.version_);
     out.set_value(payload.bytes_);
 }
 
 auto from_wire(const wire::gossip_entry& in) -> gossip_payload {
-    return {static_cast<payload_kind>(in.kind()), in.origin(), in.key(),
-            in.version(), in.value()};
+    return {static_cast<payload_kind>(in.kind()),
+            in.origin(),
+            in.life(),
+            in.key(),
+            in.version(),
+            in.value()};
 }
 
 // Values of a newer version must not become undefined enumerators.
--- a/basilstream/protocol/peer_codec/peer_codec_test.cpp
+++ b/basilstream/protocol/peer_codec/peer_codec_test.cpp
@@ -15,7 +15,7 @@
         "127.0.0.1:9",
         0x12345678,
         {{"d2", "127.0.0.1:1", "127.0.0.1:2", "a", 3, member_state::suspect}},
-        {{payload_kind::runner_leaving, "d2", "r", 4, "bytes"}}};
+        {{payload_kind::runner_leaving, "d2", 9, "r", 4, "bytes"}}};
     const auto decoded = decode_membership(encode(message));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded->kind_, message.kind_);
