--- a/basilstream/coordination/placement/internal/fleet.cpp
+++ b/basilstream/coordination/placement/internal/fleet.cpp
@@ -47,16 +47,20 @@
     return 1 - std::exp(-ratio);
 }
 
-// Moves `known` towards the demand measured now.
-auto follow(demand_estimate& known, const placement_demand& now, double demand,
-            double peak) -> void {
-    known.tokens_per_second_ +=
-        (now.tokens_per_second_ - known.tokens_per_second_) * demand;
-    known.requests_per_second_ +=
-        (now.requests_per_second_ - known.requests_per_second_) * demand;
-    known.recent_peak_ +=
-        (known.tokens_per_second_ - known.recent_peak_) * peak;
-    known.recent_peak_ = std::max(known.recent_peak_, known.tokens_per_second_);
+using demand_index = std::map<std::string_view, const placement_demand*>;
+
+auto index_demands(const placement_input& input) -> demand_index {
+    auto result = demand_index{};
+    for (const auto& demand : input.demands_) {
+        result[demand.model_] = &demand;
+    }
+    return result;
+}
+
+auto demand_of(const demand_index& demands, const std::string& model)
+    -> placement_demand {
+    const auto at = demands.find(model);
+    return at == demands.end() ? placement_demand{} : *at->second;
 }
 
 auto resident_before(const placement_resident* a, const placement_resident* b)
@@ -79,34 +83,23 @@
                : 0;
 }
 
-auto estimate_demands(const placement_input& input,
-                      const planner_settings& settings)
-    -> std::vector<demand_estimate> {
-    auto estimates = std::map<std::string, demand_estimate>{};
-    for (const auto& old : input.history_.demands_) {
-        estimates[old.model_] = old;
-    }
-    auto measured = std::map<std::string_view, const placement_demand*>{};
-    for (const auto& demand : input.demands_) {
-        measured[demand.model_] = &demand;
+auto recent_peaks(const placement_input& input,
+                  const planner_settings& settings)
+    -> std::vector<demand_peak> {
+    auto known = std::map<std::string_view, double>{};
+    for (const auto& old : input.history_.peaks_) {
+        known[old.model_] = old.tokens_per_second_;
     }
+    const auto demands = index_demands(input);
     const auto elapsed = input.now_ - input.history_.planned_at_;
-    const auto demand = smoothing(elapsed, settings.demand_time_);
-    const auto peak = smoothing(elapsed, settings.peak_time_);
-    auto result = std::vector<demand_estimate>{};
+    const auto fall = smoothing(elapsed, settings.peak_time_);
+    auto result = std::vector<demand_peak>{};
     for (const auto* model : sorted_by_name(input.models_)) {
-        const auto at = measured.find(model->name_);
-        const auto now =
-            at == measured.end() ? placement_demand{} : *at->second;
-        auto known = estimates.find(model->name_);
-        if (known == estimates.end()) {
-            result.push_back({model->name_, now.tokens_per_second_,
-                              now.requests_per_second_,
-                              now.tokens_per_second_});
-            continue;
-        }
-        follow(known->second, now, demand, peak);
-        result.push_back(known->second);
+        const auto now = demand_of(demands, model->name_).tokens_per_second_;
+        const auto old =
+            known.count(model->name_) > 0 ? known[model->name_] : now;
+        const auto fallen = old + (now - old) * fall;
+        result.push_back({model->name_, std::max(now, fallen)});
     }
     return result;
 }
@@ -138,7 +131,8 @@
     for (const auto& organisation : input.organisations_) {
         organisations[organisation.name_] = &organisation;
     }
-    const auto estimates = estimate_demands(input, settings);
+    const auto demands = index_demands(input);
+    const auto peaks = recent_peaks(input, settings);
     for (const auto* model : sorted_by_name(input.models_)) {
         auto view = model_view{};
         view.declared_ = model;
@@ -148,10 +142,10 @@
         }
         view.wanted_ =
             std::max({settings.replicas_, model->minimum_replicas_, 1U});
-        const auto& estimate = estimates[models_.size()];
-        view.tokens_per_second_ = estimate.tokens_per_second_;
-        view.requests_per_second_ = estimate.requests_per_second_;
-        view.recent_peak_ = estimate.recent_peak_;
+        const auto demand = demand_of(demands, model->name_);
+        view.tokens_per_second_ = demand.tokens_per_second_;
+        view.requests_per_second_ = demand.requests_per_second_;
+        view.recent_peak_ = peaks[models_.size()].tokens_per_second_;
         const auto at = organisations.find(model->organisation_);
         if (at != organisations.end()) {
             view.weight_ = at->second->weight_;
--- a/basilstream/coordination/placement/internal/fleet.hpp
+++ b/basilstream/coordination/placement/internal/fleet.hpp
@@ -147,9 +147,9 @@
 /// Index that means "none".
 inline constexpr auto none = static_cast<std::size_t>(-1);
 
-/// Returns the demand estimates of this plan, sorted by model.
-[[nodiscard]] auto estimate_demands(const placement_input& input,
-                                    const planner_settings& settings)
-    -> std::vector<demand_estimate>;
+/// Returns the recent peaks of this plan, sorted by model.
+[[nodiscard]] auto recent_peaks(const placement_input& input,
+                                const planner_settings& settings)
+    -> std::vector<demand_peak>;
 
 } // namespace basilstream::coordination::internal::placement
--- a/basilstream/coordination/placement/placement.hpp
+++ b/basilstream/coordination/placement/placement.hpp
@@ -90,12 +90,10 @@
 };
 
 /// What a plan remembers of one model's demand.
-struct demand_estimate {
+struct demand_peak {
     std::string model_;
+    /// Tokens per second of a recent burst; falls slowly to the demand.
     double tokens_per_second_ = 0;
-    double requests_per_second_ = 0;
-    /// Tokens per second of a recent burst; never less than the estimate.
-    double recent_peak_ = 0;
 };
 
 /// When a plan first saw a model on a runner.
@@ -108,7 +106,7 @@
 /// What one plan hands to the next; empty for the first. A planner that took
 /// over without it plans from the measured demand alone.
 struct placement_history {
-    std::vector<demand_estimate> demands_;
+    std::vector<demand_peak> peaks_;
     std::vector<residence_start> residences_;
     time_point planned_at_;
 };
@@ -246,8 +244,6 @@
     unsigned replicas_ = 2;
     /// Time over which a load has to earn its price.
     duration horizon_ = seconds{300};
-    /// Time constant of the demand estimate, which decides what a load gains.
-    duration demand_time_ = seconds{20};
     /// Time constant with which a recent peak is forgotten. It decides what an
     /// eviction loses, so that the pause between two bursts moves nothing.
     duration peak_time_ = seconds{900};
--- a/basilstream/coordination/placement/planner.cpp
+++ b/basilstream/coordination/placement/planner.cpp
@@ -76,8 +76,8 @@
 auto history_of(const internal::placement::draft& plan) -> placement_history {
     auto result = placement_history{};
     result.planned_at_ = plan.input_.now_;
-    result.demands_ =
-        internal::placement::estimate_demands(plan.input_, plan.settings_);
+    result.peaks_ =
+        internal::placement::recent_peaks(plan.input_, plan.settings_);
     for (const auto& one : plan.fleet_.replicas_) {
         if (!one.removed_) {
             result.residences_.push_back(
--- a/bench/policy_benchmark/experiment.cpp
+++ b/bench/policy_benchmark/experiment.cpp
@@ -81,7 +81,7 @@
         return run_options{name, placement_kind::ours, kind, false};
     };
     return {placement("without_price", placement_kind::without_price),
-            placement("without_smoothing", placement_kind::without_smoothing),
+            placement("without_peak", placement_kind::without_peak),
             placement("without_demand", placement_kind::without_demand),
             placement("without_redundancy", placement_kind::without_redundancy),
             placement("without_spares", placement_kind::without_spares),
--- a/bench/policy_benchmark/placement_policy.cpp
+++ b/bench/policy_benchmark/placement_policy.cpp
@@ -293,8 +293,7 @@
         return std::make_unique<targeted>(true);
     case placement_kind::without_price:
         return std::make_unique<planned>(settings, false);
-    case placement_kind::without_smoothing:
-        settings.demand_time_ = duration::zero();
+    case placement_kind::without_peak:
         settings.peak_time_ = duration::zero();
         break;
     case placement_kind::without_demand:
--- a/bench/policy_benchmark/placement_policy.hpp
+++ b/bench/policy_benchmark/placement_policy.hpp
@@ -29,7 +29,7 @@
     follow_demand,
     /// Ours with one idea switched off.
     without_price,
-    without_smoothing,
+    without_peak,
     without_demand,
     without_redundancy,
     without_spares,
