--- a/basilstream/coordination/liveness/liveness.cpp
+++ b/basilstream/coordination/liveness/liveness.cpp
@@ -119,7 +119,8 @@
 auto connection_monitor::on_held_back(std::uint64_t id,
                                       const std::string& request_id,
                                       bool held_back, time_point now) -> void {
-    if (auto* request = find_request(id, request_id)) {
+    auto* request = find_request(id, request_id);
+    if (request != nullptr && request->held_back_ != held_back) {
         request->held_back_ = held_back;
         request->last_ = now;
     }
--- a/basilstream/coordination/liveness/liveness.hpp
+++ b/basilstream/coordination/liveness/liveness.hpp
@@ -123,7 +123,8 @@
     /// A byte that belongs to no request (heartbeat answer) arrived.
     auto on_byte(std::uint64_t id, time_point now) -> void;
     /// Reading is held back by back-pressure (true) or runs again (false): the
-    /// daemon's own pause is not silence of the peer.
+    /// daemon's own pause is not silence of the peer. Telling the same again
+    /// changes nothing.
     auto on_held_back(std::uint64_t id, const std::string& request_id,
                       bool held_back, time_point now) -> void;
     auto end(std::uint64_t id, const std::string& request_id) -> void;
--- a/basilstream/coordination/liveness/liveness_test.cpp
+++ b/basilstream/coordination/liveness/liveness_test.cpp
@@ -110,6 +110,24 @@
     EXPECT_EQ(wait_for_action(), seconds{2});
 }
 
+// A daemon that tells the state of its back-pressure at every look must not
+// put the deadline off with it.
+TEST_F(liveness_test, repeated_word_of_no_back_pressure_is_no_progress) {
+    monitor_.open(1, connection_kind::runner, "x", now_);
+    monitor_.begin(1, "r", repeatability::resumable, now_);
+    monitor_.on_sent(1, "r", now_);
+    monitor_.on_progress(1, "r", now_);
+    const auto began = now_;
+    auto silent = false;
+    while (!silent && now_ - began < seconds{10}) {
+        now_ += milliseconds{100};
+        monitor_.on_held_back(1, "r", false, now_);
+        silent = !monitor_.tick(now_).empty();
+    }
+    EXPECT_TRUE(silent);
+    EXPECT_LE(now_ - began, milliseconds{2200});
+}
+
 // Time from the silence of a stream to its replacement, over random phases.
 TEST(liveness_figures, detection_times) {
     auto random = seeded_random{5};
