--- a/basilstream/coordination/limits/limit_ledger.cpp
+++ b/basilstream/coordination/limits/limit_ledger.cpp
@@ -7,6 +7,14 @@
 
 namespace basilstream::coordination {
 
+auto limit_ledger::restore(std::map<std::string, holder, std::less<>> holders,
+                           std::uint64_t next_wish) -> limit_ledger {
+    auto ledger = limit_ledger{};
+    ledger.holders_ = std::move(holders);
+    ledger.next_wish_ = next_wish;
+    return ledger;
+}
+
 auto limit_ledger::set_limit(const std::string& name, int units) -> void {
     limits_[name] = units;
     grant_free_units(name);
--- a/basilstream/coordination/limits/limits.hpp
+++ b/basilstream/coordination/limits/limits.hpp
@@ -113,6 +113,11 @@
 
     explicit limit_ledger(limit_guards guards = {}) : guards_{guards} {}
 
+    /// Returns the ledger that a snapshot describes; set_limit() follows.
+    [[nodiscard]] static auto
+    restore(std::map<std::string, holder, std::less<>> holders,
+            std::uint64_t next_wish) -> limit_ledger;
+
     /// Sets the units of a limit. A limit lowered below what is granted grants
     /// nothing until enough has been given back.
     auto set_limit(const std::string& name, int units) -> void;
@@ -131,6 +136,10 @@
         -> const std::map<std::string, holder, std::less<>>& {
         return holders_;
     }
+    /// Returns the place that the next wish takes in the order of the wishes.
+    [[nodiscard]] auto next_wish() const -> std::uint64_t {
+        return next_wish_;
+    }
 
 private:
     auto apply_acquire(const limit_record& record) -> bool;
--- a/basilstream/daemon/claim_log/claim_log.cpp
+++ b/basilstream/daemon/claim_log/claim_log.cpp
@@ -1,5 +1,6 @@
 #include "basilstream/daemon/claim_log/claim_log.hpp"
 
+#include <chrono>
 #include <utility>
 
 #include "basilstream/protocol/claim_codec/claim_codec.hpp"
@@ -7,10 +8,16 @@
 namespace basilstream::daemon {
 namespace {
 
-constexpr auto max_read_records = std::uint32_t{1024};
-constexpr auto long_poll = milliseconds{1000};
-// Pause after a failed read of a claim stream.
-constexpr auto read_backoff = milliseconds{200};
+// Relates the process's clock to the Unix epoch, by which an owner estimates
+// the age of its predecessors' records.
+auto settings_at(const clock& time) -> coordination::claim_settings {
+    auto settings = coordination::claim_settings{};
+    settings.unix_offset_ =
+        std::chrono::duration_cast<duration>(
+            std::chrono::system_clock::now().time_since_epoch()) -
+        time.now().time_since_epoch();
+    return settings;
+}
 
 } // namespace
 
@@ -18,7 +25,7 @@
                      transport::log_connection& connection, cluster& peers,
                      std::string boot_id)
     : base_{base}, connection_{connection}, peers_{peers},
-      name_{settings.name_}, service_{{},
+      name_{settings.name_}, service_{settings_at(base.clock_),
                                       {settings.name_, std::move(boot_id)}} {
     service_.on_members({settings.name_}, base_.clock_.now());
     peers_.on_channel(
@@ -90,7 +97,9 @@
 auto claim_log::tick() -> void {
     service_.tick(base_.clock_.now());
     carry_out();
-    read_due();
+    for (const auto& [shard, reader] : readers_) {
+        reader->tick();
+    }
 }
 
 auto claim_log::carry_out() -> void {
@@ -124,12 +133,17 @@
 }
 
 auto claim_log::act(const coordination::follow_output& output) -> void {
-    followers_[output.shard_] = {output.from_, next_round_++, false, {}};
-    read_due();
+    const auto shard = output.shard_;
+    readers_[shard] = std::make_unique<stream_reader>(
+        base_, connection_, coordination::claim_stream_name(shard),
+        output.from_, [this, shard](const result<transport::log_read>& read) {
+            on_read(shard, read);
+        });
+    readers_[shard]->tick();
 }
 
 auto claim_log::act(const coordination::unfollow_output& output) -> void {
-    followers_.erase(output.shard_);
+    readers_.erase(output.shard_);
 }
 
 auto claim_log::act(const coordination::send_output& output) -> void {
@@ -172,38 +186,10 @@
                  std::move(stored.body_));
 }
 
-auto claim_log::read_due() -> void {
-    const auto now = base_.clock_.now();
-    for (auto& [shard, reader] : followers_) {
-        if (!reader.in_flight_ && now >= reader.not_before_) {
-            read_shard(shard, reader);
-        }
-    }
-}
-
-auto claim_log::read_shard(std::uint32_t shard, follower& reader) -> void {
-    reader.in_flight_ = true;
-    connection_.read(
-        coordination::claim_stream_name(shard), reader.from_, max_read_records,
-        long_poll,
-        [this, shard, round = reader.round_](result<transport::log_read> read) {
-            base_.on_control([this, shard, round, read = std::move(read)] {
-                on_read(shard, round, read);
-            });
-        });
-}
-
-auto claim_log::on_read(std::uint32_t shard, std::uint64_t round,
+auto claim_log::on_read(std::uint32_t shard,
                         const result<transport::log_read>& read) -> void {
-    const auto found = followers_.find(shard);
-    if (found == followers_.end() || found->second.round_ != round) {
-        return;
-    }
-    auto& reader = found->second;
     const auto now = base_.clock_.now();
-    reader.in_flight_ = false;
     if (!read) {
-        reader.not_before_ = now + read_backoff;
         service_.on_read_failed(shard, now);
         carry_out();
         return;
@@ -211,17 +197,15 @@
     auto given = coordination::claim_read{};
     given.first_offset_ = read->first_offset_;
     given.next_offset_ = read->next_offset_;
-    if (read->truncated_) {
-        reader.from_ = read->first_offset_;
-    }
     for (const auto& record : read->records_) {
         given.entries_.push_back(
             {record.offset_, protocol::decode_claim_record(record.bytes_)});
-        reader.from_ = record.offset_ + 1;
     }
     service_.on_read(shard, std::move(given), now);
     carry_out();
-    read_due();
+    if (const auto reader = readers_.find(shard); reader != readers_.end()) {
+        reader->second->tick();
+    }
 }
 
 } // namespace basilstream::daemon
--- a/basilstream/daemon/claim_log/claim_log.hpp
+++ b/basilstream/daemon/claim_log/claim_log.hpp
@@ -9,7 +9,7 @@
 #pragma once
 
 #include <map>
-#include <set>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -18,6 +18,7 @@
 #include "basilstream/daemon/context/context.hpp"
 #include "basilstream/daemon/services/services.hpp"
 #include "basilstream/daemon/settings/settings.hpp"
+#include "basilstream/daemon/stream_reader/stream_reader.hpp"
 #include "basilstream/transport/log_connection/log_connection.hpp"
 
 namespace basilstream::daemon {
@@ -50,15 +51,6 @@
     }
 
 private:
-    // One long poll at a time for each shard that is followed.
-    struct follower {
-        std::uint64_t from_ = 0;
-        // Tells the answers of a former follow apart.
-        std::uint64_t round_ = 0;
-        bool in_flight_ = false;
-        time_point not_before_;
-    };
-
     auto carry_out() -> void;
     auto act(coordination::append_output output) -> void;
     auto act(const coordination::follow_output& output) -> void;
@@ -66,10 +58,8 @@
     auto act(const coordination::send_output& output) -> void;
     auto act(const coordination::dispatch_output& output) -> void;
     auto act(coordination::answer_output output) -> void;
-    auto read_due() -> void;
-    auto read_shard(std::uint32_t shard, follower& reader) -> void;
-    auto on_read(std::uint32_t shard, std::uint64_t round,
-                 const result<transport::log_read>& read) -> void;
+    auto on_read(std::uint32_t shard, const result<transport::log_read>& read)
+        -> void;
 
     context base_;
     transport::log_connection& connection_;
@@ -77,8 +67,7 @@
     std::string name_;
     coordination::claim_service service_;
     std::unordered_map<std::string, callbacks> waiting_;
-    std::map<std::uint32_t, follower> followers_;
-    std::uint64_t next_round_ = 1;
+    std::map<std::uint32_t, std::unique_ptr<stream_reader>> readers_;
 };
 
 } // namespace basilstream::daemon
--- a/basilstream/daemon/cluster/cluster.cpp
+++ b/basilstream/daemon/cluster/cluster.cpp
@@ -1,12 +1,15 @@
 #include "basilstream/daemon/cluster/cluster.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace basilstream::daemon {
 namespace {
 
-// How often a daemon tells the others its load.
-constexpr auto load_interval = seconds{5};
+// How often a daemon tells the others its load: so seldom that all together
+// tell about one load a second, and never more often than this.
+constexpr auto shortest_load_interval = seconds{5};
+constexpr auto load_interval_per_member = seconds{1};
 constexpr auto max_endpoints = std::size_t{8};
 
 auto self_of(const daemon_settings& settings, std::string caller_address,
@@ -90,7 +93,11 @@
 auto cluster::tick() -> void {
     const auto now = base_.clock_.now();
     if (now >= next_load_) {
-        next_load_ = now + load_interval;
+        next_load_ =
+            now + std::max<duration>(
+                      shortest_load_interval,
+                      load_interval_per_member *
+                          static_cast<int>(membership_.members().size()));
         gossip(coordination::payload_kind::endpoint_load, "load",
                std::to_string(own_load_));
     }
--- a/basilstream/daemon/completions/answer_stream.cpp
+++ b/basilstream/daemon/completions/answer_stream.cpp
@@ -8,6 +8,8 @@
 using coordination::piece_verdict;
 
 constexpr auto status_ok = 200;
+// Attempts in all; how many may fail is the retry policy's decision.
+constexpr auto max_attempts = std::uint32_t{64};
 // Text of a runner's error that is kept for logs.
 constexpr auto max_error_text = std::size_t{512};
 
@@ -15,8 +17,9 @@
 
 answer_stream::answer_stream(protocol::answer_identity identity, bool stream,
                              transport::http_exchange_ptr caller)
-    : checker_{{}, identity.request_id_}, identity_{std::move(identity)},
-      caller_{std::move(caller)}, writer_{identity_}, stream_{stream} {}
+    : checker_{{.max_attempts_ = max_attempts}, identity.request_id_},
+      identity_{std::move(identity)}, caller_{std::move(caller)},
+      writer_{identity_}, stream_{stream} {}
 
 auto answer_stream::deliver(std::string_view escaped_text) -> void {
     if (stream_) {
--- a/basilstream/daemon/completions/completions.cpp
+++ b/basilstream/daemon/completions/completions.cpp
@@ -28,6 +28,8 @@
     time_point deadline_;
     time_point first_token_deadline_;
     std::uint32_t attempts_ = 0;
+    // Attempts that failed; one refused for lack of a slot did not.
+    int failures_ = 0;
     // Routes taken, whether or not they led to an attempt: names runs.
     std::uint32_t runs_ = 0;
     std::vector<std::string> failed_runners_;
@@ -376,6 +378,15 @@
         finish(request);
         return;
     }
+    if (outcome == attempt_outcome::no_slot) {
+        // Nothing failed: the request goes back to the admission, which has
+        // learnt from this what the runner can take.
+        policy_.quarantine_.on_finish(run_of(request).request_id_, false,
+                                      base_.clock_.now());
+        request->route_.reset();
+        enqueue(request);
+        return;
+    }
     if (outcome != attempt_outcome::failed) {
         policy_.quarantine_.on_finish(run_of(request).request_id_, false,
                                       base_.clock_.now());
@@ -412,16 +423,16 @@
     const auto now = base_.clock_.now();
     const auto runner = request->route_->runner_;
     const auto delivered = request->answer_->checker_.next_position();
-    auto decision = policy_.retries_.decide(
-        {.error_ = std::move(failure),
-         .runner_ = runner,
-         .attempts_ = static_cast<int>(request->attempts_),
-         .idempotent_ = true,
-         .delivered_ = delivered,
-         .resumable_ = true,
-         .deadline_ = request->deadline_,
-         .failed_runners_ = request->failed_runners_},
-        now);
+    auto decision =
+        policy_.retries_.decide({.error_ = std::move(failure),
+                                 .runner_ = runner,
+                                 .attempts_ = ++request->failures_,
+                                 .idempotent_ = true,
+                                 .delivered_ = delivered,
+                                 .resumable_ = true,
+                                 .deadline_ = request->deadline_,
+                                 .failed_runners_ = request->failed_runners_},
+                                now);
     request->route_.reset();
     request->broken_off_.reset();
     if (!decision.retry_) {
--- a/basilstream/daemon/fleet/fleet.cpp
+++ b/basilstream/daemon/fleet/fleet.cpp
@@ -171,6 +171,9 @@
         }
     }
     policy_.router_.mark_leaving(runner);
+    for (const auto& model : policy_.router_.models_on(runner)) {
+        policy_.admission_.on_replicas_changed(model);
+    }
 }
 
 auto fleet::fetch_report(
--- a/basilstream/daemon/program/program.cpp
+++ b/basilstream/daemon/program/program.cpp
@@ -5,8 +5,8 @@
 #include "basilstream/base/invariant/invariant.hpp"
 #include "basilstream/daemon/admin/admin.hpp"
 #include "basilstream/daemon/api/api.hpp"
+#include "basilstream/daemon/limit_log/limit_log.hpp"
 #include "basilstream/daemon/program/demand.hpp"
-#include "basilstream/daemon/program/load_pacer.hpp"
 #include "basilstream/daemon/quarantine_link/quarantine_link.hpp"
 
 namespace basilstream::daemon {
@@ -204,9 +204,9 @@
                           poll_soon();
                       }},
               connection_{under.platform_, settings_.platform_.log_url_},
-              pacer_{settings_.deployment_}, log_{base_, settings_,
-                                                  incarnation_, connection_,
-                                                  pacer_},
+              limits_{base_, settings_, connection_, incarnation_},
+              log_{base_, settings_, incarnation_, connection_,
+                   limits_.permits()},
               peers_{base_, settings_, std::move(caller_address),
                      std::move(link)},
               marks_link_{base_, settings_, marks_, peers_, log_},
@@ -280,7 +280,7 @@
         coordination::quarantine marks_;
         traffic_policy policy_;
         transport::log_connection connection_;
-        load_pacer pacer_;
+        limit_log limits_;
         control_log log_;
         cluster peers_;
         quarantine_link marks_link_;
@@ -352,6 +352,7 @@
     auto slow_tick() -> void {
         auto& all = *parts_;
         all.log_.tick();
+        all.limits_.tick();
         all.marks_link_.tick();
         all.fleet_.tick();
         all.peers_.set_load(all.completions_.open() + all.services_.open());
--- a/basilstream/daemon/quarantine_link/quarantine_link.cpp
+++ b/basilstream/daemon/quarantine_link/quarantine_link.cpp
@@ -9,7 +9,10 @@
 
 constexpr auto ask_timeout = milliseconds{500};
 constexpr auto retry_hint = milliseconds{1000};
-constexpr auto mark_lifetime = std::chrono::minutes{60};
+// How long a mark lasts in the log; one that may have struck an innocent
+// request is tried again soon.
+constexpr auto confirmed_lifetime = std::chrono::minutes{30};
+constexpr auto unconfirmed_lifetime = std::chrono::minutes{2};
 
 auto unix_milliseconds() -> std::uint64_t {
     return static_cast<std::uint64_t>(
@@ -94,7 +97,9 @@
         "request is quarantined",
         {{"fingerprint", event.fingerprint_.to_string()}, {"detail", detail}});
     const auto lifetime =
-        std::chrono::duration_cast<milliseconds>(mark_lifetime).count();
+        std::chrono::duration_cast<milliseconds>(
+            event.confirmed_ ? confirmed_lifetime : unconfirmed_lifetime)
+            .count();
     const auto submitted =
         log_.submit(coordination::append_purpose::orders,
                     state::quarantine_mark{
@@ -191,10 +196,16 @@
 
 auto quarantine_link::apply_mark(const state::quarantine_mark& mark) -> void {
     const auto print = coordination::parse_fingerprint(mark.fingerprint_);
-    if (print && mark.expires_at_ms_ > unix_milliseconds()) {
-        marks_.apply(coordination::quarantine_mark{*print, {mark.detail_}},
-                     base_.clock_.now());
+    const auto now_ms = unix_milliseconds();
+    if (!print || mark.expires_at_ms_ <= now_ms) {
+        return;
     }
+    // What is left of a mark tells how long it may still hold a request back.
+    const auto left = milliseconds{mark.expires_at_ms_ - now_ms};
+    marks_.apply({.fingerprint_ = *print,
+                  .runners_ = {mark.detail_},
+                  .confirmed_ = left > unconfirmed_lifetime},
+                 base_.clock_.now());
 }
 
 auto quarantine_link::reload_marks() -> void {
--- a/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
@@ -12,6 +12,7 @@
     target.set_fingerprint_low(source.fingerprint_.low_);
     target.set_runner(source.runner_);
     target.set_boot_id(source.boot_id_);
+    target.set_isolated(source.isolated_);
     target.set_age_ms(static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(source.age_).count()));
 }
@@ -20,7 +21,8 @@
     return {{source.fingerprint_high(), source.fingerprint_low()},
             source.runner(),
             source.boot_id(),
-            milliseconds{source.age_ms()}};
+            milliseconds{source.age_ms()},
+            source.isolated()};
 }
 
 template <class List>
--- a/basilstream/protocol/quarantine_codec/quarantine_codec_test.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec_test.cpp
@@ -9,7 +9,7 @@
 
 TEST(quarantine_codec, every_message_survives_a_round_trip) {
     const auto print = fingerprint{7, 9};
-    const auto crash = suspicion{print, "r1", "b1", milliseconds{1500}};
+    const auto crash = suspicion{print, "r1", "b1", milliseconds{1500}, true};
     const auto messages = std::vector<quarantine_message>{
         crash,
         clearance{print, {crash}},
@@ -29,6 +29,7 @@
         *decode_quarantine(encode_quarantine(messages[2])));
     EXPECT_EQ(ask.run_.fingerprint_, print);
     EXPECT_EQ(ask.crashes_.front().age_, milliseconds{1500});
+    EXPECT_TRUE(ask.crashes_.front().isolated_);
     const auto answer = std::get<isolation_answer>(
         *decode_quarantine(encode_quarantine(messages[4])));
     EXPECT_EQ(answer.refusal_, isolation_refusal::runner_busy);
--- a/testing/engine/engine.cpp
+++ b/testing/engine/engine.cpp
@@ -18,7 +18,7 @@
     constexpr auto digits = std::string_view{"0123456789abcdef"};
     constexpr auto digit_count = 16;
     const auto prefix = prompt.substr(0, prefix_bytes);
-    auto bits = XXH64(prefix.data(), prefix.size(), 0);
+    auto bits = XXH3_64bits(prefix.data(), prefix.size());
     auto text = std::string(digit_count, '0');
     for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
         *digit = digits[bits % digits.size()];
--- a/testing/weight_store/weight_store.cpp
+++ b/testing/weight_store/weight_store.cpp
@@ -93,9 +93,9 @@
                 // An ended transfer changes nothing more.
                 continue;
             }
-            change = progressed_ +
-                     from_seconds(other.left_ /
-                                  speed(other.adapter_, progressed_));
+            change =
+                progressed_ +
+                from_seconds(other.left_ / speed(other.adapter_, progressed_));
         }
         next = next ? std::min(*next, change) : change;
     }
