--- a/testing/end_to_end/end_to_end_test.cpp
+++ b/testing/end_to_end/end_to_end_test.cpp
@@ -15,6 +15,8 @@
 constexpr auto many_tokens = std::uint64_t{200};
 // Of the two models and the adapter in `resources`.
 constexpr auto declared_replicas = std::uint64_t{6};
+// Reports of each runner to each daemon after which all have the latest.
+constexpr auto report_rounds = std::uint64_t{4};
 
 auto resources() -> json {
     const auto organisation = [](const char* name, const char* token) {
@@ -49,17 +51,24 @@
 // A deployment whose models have been applied and answer on every daemon.
 struct end_to_end : ::testing::Test {
     auto start(cluster_options options) -> void {
+        options.settings_ = {{"requests", {{"report_interval_ms", 100}}}};
         daemons_ = options.daemons_;
+        runners_ = options.runners_;
         system_ = std::make_unique<cluster>(std::move(options));
         ASSERT_EQ(system_->apply(resources()), 0);
         for (auto daemon = std::size_t{0}; daemon < daemons_; ++daemon) {
             ASSERT_TRUE(eventually([&] { return answers(daemon); }))
                 << "daemon " << daemon << ": " << last_;
         }
-        // A second replica of everything is what survives a lost runner.
+        // A second replica of everything, known to every daemon, is what
+        // survives a lost runner.
         ASSERT_TRUE(eventually([&] {
             return system_->sum_of_books("loads") >= declared_replicas;
         }));
+        const auto begun = reports();
+        ASSERT_TRUE(eventually([&] {
+            return reports() >= begun + report_rounds * daemons_ * runners_;
+        }));
     }
 
     auto answers(std::size_t daemon) -> bool {
@@ -69,6 +78,17 @@
                                           "Heat one", 4)) == "ok";
     }
 
+    // Returns how many load reports the runners have given so far.
+    auto reports() -> std::uint64_t {
+        auto sum = std::uint64_t{0};
+        for (auto index = std::size_t{0}; index < runners_; ++index) {
+            const auto report = system_->call_json(
+                system_->runner_address(index), "/v1/report");
+            sum += report.value("sequence", std::uint64_t{0});
+        }
+        return sum;
+    }
+
     auto complete(std::size_t daemon, const std::string& model,
                   const std::string& prompt = "Dear all",
                   std::uint64_t max_tokens = 4) -> std::string {
@@ -109,6 +129,7 @@
 
     std::unique_ptr<cluster> system_;
     std::size_t daemons_ = 0;
+    std::size_t runners_ = 0;
     std::string last_;
 };
 
@@ -176,6 +197,28 @@
     }
 }
 
+TEST_F(end_to_end, a_crashing_request_takes_at_most_two_runners) {
+    constexpr auto runners = std::size_t{4};
+    start({.daemons_ = 2, .runners_ = runners});
+    for (auto runner = std::size_t{0}; runner < runners; ++runner) {
+        system_->set_faults(system_->runner_address(runner),
+                            {{"crash_marker", "POISON"}});
+    }
+    // The caller sends it again, through either daemon.
+    for (auto number = std::size_t{0}; number < 6; ++number) {
+        EXPECT_NE(complete(number % 2, "acme/drafts", "POISON pitch"), "ok");
+    }
+    auto crashed = 0;
+    for (auto runner = std::size_t{0}; runner < runners; ++runner) {
+        crashed += system_->runner(runner).ended() ? 1 : 0;
+    }
+    EXPECT_GE(crashed, 1);
+    EXPECT_LE(crashed, 2);
+    for (auto daemon = std::size_t{0}; daemon < 2; ++daemon) {
+        EXPECT_TRUE(eventually([&] { return answers(daemon); })) << last_;
+    }
+}
+
 TEST_F(end_to_end, a_submission_repeated_after_a_killed_daemon_runs_once) {
     start({.daemons_ = 3, .runners_ = 2});
     ASSERT_TRUE(eventually([&] {
