Send demand to the shards' owners instead of gossiping it

Change: one message a daemon every 5 s to each owner of a control shard, with all its models. Conclusion: only who plans hears demand; gossip is left to marks.

--- a/basilstream/daemon/program/demand.cpp
+++ b/basilstream/daemon/program/demand.cpp
@@ -1,6 +1,6 @@
 #include "basilstream/daemon/program/demand.hpp"
 
-#include <cstdio>
+#include "basilstream/protocol/generated/demand.pb.h"
 
 namespace basilstream::daemon {
 namespace {
@@ -9,13 +9,26 @@
 // Figures of a daemon that fell silent count for nothing after this time.
 constexpr auto lifetime = seconds{20};
 
+auto add_to(std::map<std::string, measured_demand>& sums,
+            const std::map<std::string, measured_demand>& part) -> void {
+    for (const auto& [model, demand] : part) {
+        sums[model].tokens_per_second_ += demand.tokens_per_second_;
+        sums[model].requests_per_second_ += demand.requests_per_second_;
+    }
+}
+
 } // namespace
 
-demand_monitor::demand_monitor(const context& base, cluster& peers)
-    : base_{base}, peers_{peers}, interval_began_{base.clock_.now()} {
-    peers_.on_payload(
-        coordination::payload_kind::other,
-        [this](const coordination::gossip_payload& payload) { take(payload); });
+demand_monitor::demand_monitor(const context& base,
+                               const daemon_settings& settings, cluster& peers,
+                               owner_reader owners)
+    : base_{base}, name_{settings.name_}, peers_{peers},
+      owners_{std::move(owners)}, interval_began_{base.clock_.now()} {
+    peers_.on_channel(
+        protocol::peer_channel::opaque,
+        [this](const std::string& sender, const std::string& bytes) {
+            take(sender, bytes);
+        });
 }
 
 auto demand_monitor::add(const std::string& model, std::uint64_t tokens)
@@ -32,49 +45,54 @@
     }
     const auto length =
         std::chrono::duration<double>(now - interval_began_).count();
-    auto measured = std::map<std::string, measured_demand>{};
+    own_.clear();
     for (const auto& [model, counted] : counts_) {
-        measured[model] = {static_cast<double>(counted.tokens_) / length,
-                           static_cast<double>(counted.requests_) / length};
+        own_[model] = {static_cast<double>(counted.tokens_) / length,
+                       static_cast<double>(counted.requests_) / length};
     }
     counts_.clear();
     interval_began_ = now;
-    // A model that has just fallen silent is told once more, as zero.
+    send();
+}
+
+auto demand_monitor::send() -> void {
+    auto report = wire::demand_report{};
     for (const auto& [model, demand] : own_) {
-        measured.try_emplace(model);
+        auto& row = *report.add_models();
+        row.set_model(model);
+        row.set_tokens_per_second(
+            static_cast<float>(demand.tokens_per_second_));
+        row.set_requests_per_second(
+            static_cast<float>(demand.requests_per_second_));
     }
-    for (const auto& [model, demand] : measured) {
-        peers_.gossip(coordination::payload_kind::other, model,
-                      std::to_string(demand.tokens_per_second_) + " " +
-                          std::to_string(demand.requests_per_second_));
+    const auto bytes = report.SerializeAsString();
+    for (const auto& owner : owners_()) {
+        if (owner != name_) {
+            peers_.send(owner, protocol::peer_channel::opaque, bytes);
+        }
     }
-    std::erase_if(measured, [](const auto& entry) {
-        return entry.second.requests_per_second_ <= 0;
-    });
-    own_ = std::move(measured);
 }
 
-auto demand_monitor::take(const coordination::gossip_payload& payload) -> void {
-    auto demand = measured_demand{};
-    if (std::sscanf(payload.bytes_.c_str(), "%lf %lf",
-                    &demand.tokens_per_second_,
-                    &demand.requests_per_second_) == 2) {
-        heard_[payload.key_][payload.origin_] = {demand, base_.clock_.now()};
+auto demand_monitor::take(const std::string& sender, const std::string& bytes)
+    -> void {
+    auto report = wire::demand_report{};
+    if (!report.ParseFromString(bytes)) {
+        return;
+    }
+    auto heard = heard_demand{{}, base_.clock_.now()};
+    for (const auto& row : report.models()) {
+        heard.models_[row.model()] = {row.tokens_per_second(),
+                                      row.requests_per_second()};
     }
+    heard_[sender] = std::move(heard);
 }
 
-auto demand_monitor::by_model() const
-    -> std::map<std::string, measured_demand> {
+auto demand_monitor::by_model() const -> demand_by_model {
     auto sums = own_;
     const auto oldest = base_.clock_.now() - lifetime;
-    for (const auto& [model, daemons] : heard_) {
-        for (const auto& [daemon, heard] : daemons) {
-            if (heard.heard_ >= oldest) {
-                sums[model].tokens_per_second_ +=
-                    heard.demand_.tokens_per_second_;
-                sums[model].requests_per_second_ +=
-                    heard.demand_.requests_per_second_;
-            }
+    for (const auto& [daemon, heard] : heard_) {
+        if (heard.heard_ >= oldest) {
+            add_to(sums, heard.models_);
         }
     }
     return sums;
--- a/basilstream/daemon/program/demand.hpp
+++ b/basilstream/daemon/program/demand.hpp
@@ -1,8 +1,17 @@
 /// Demand by model over the whole deployment, for the planner: each daemon
-/// measures its own and gossips it.
+/// measures its own and sends it to the owners of the control shards, one
+/// message an interval, as nobody else plans.
+///
+///     auto demand = demand_monitor{context, peers, owners};
+///     demand.add("acme/chat", 120);
+///     demand.tick();
+///
+/// Control thread only.
 #pragma once
 
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "basilstream/daemon/cluster/cluster.hpp"
@@ -11,10 +20,14 @@
 
 namespace basilstream::daemon {
 
-/// Measures, spreads and adds up. Control thread only.
+/// Returns the names of the daemons that own a control shard.
+using owner_reader = std::function<std::set<std::string>()>;
+
+/// Measures, sends and adds up.
 class demand_monitor {
 public:
-    demand_monitor(const context& base, cluster& peers);
+    demand_monitor(const context& base, const daemon_settings& settings,
+                   cluster& peers, owner_reader owners);
 
     /// A request of `model` generated `tokens`.
     auto add(const std::string& model, std::uint64_t tokens) -> void;
@@ -25,8 +38,9 @@
         -> std::map<std::string, measured_demand>;
 
 private:
+    using demand_by_model = std::map<std::string, measured_demand>;
     struct heard_demand {
-        measured_demand demand_;
+        demand_by_model models_;
         time_point heard_;
     };
     struct count {
@@ -34,15 +48,17 @@
         std::uint64_t requests_ = 0;
     };
 
-    auto take(const coordination::gossip_payload& payload) -> void;
+    auto take(const std::string& sender, const std::string& bytes) -> void;
+    auto send() -> void;
 
     context base_;
+    std::string name_;
     cluster& peers_;
+    owner_reader owners_;
     time_point interval_began_;
     std::map<std::string, count> counts_;
-    std::map<std::string, measured_demand> own_;
-    // By model, then by daemon.
-    std::map<std::string, std::map<std::string, heard_demand>> heard_;
+    demand_by_model own_;
+    std::map<std::string, heard_demand> heard_;
 };
 
 } // namespace basilstream::daemon
--- a/basilstream/daemon/program/program.cpp
+++ b/basilstream/daemon/program/program.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/daemon/program/program.hpp"
 
 #include <atomic>
+#include <set>
 
 #include "basilstream/base/invariant/invariant.hpp"
 #include "basilstream/daemon/admin/admin.hpp"
@@ -215,7 +216,10 @@
                          return log_.state().next_offset();
                      }},
               claims_{base_, settings_, connection_, peers_, incarnation_},
-              demand_{base_, peers_},
+              demand_{base_, settings_, peers_,
+                      [this] {
+                          return shard_owners();
+                      }},
               completions_{base_,
                            settings_.requests_,
                            policy_,
@@ -257,6 +261,18 @@
             poll_pending_ = posted;
         }
 
+        // Daemons own shards under the name of one start of the process.
+        auto shard_owners() const -> std::set<std::string> {
+            auto owners = std::set<std::string>{};
+            for (const auto& [name, shard] : log_.state().shards()) {
+                if (!shard.owner_.empty()) {
+                    owners.insert(
+                        shard.owner_.substr(0, shard.owner_.find('#')));
+                }
+            }
+            return owners;
+        }
+
         auto poll_admission() -> void {
             poll_pending_ = false;
             for (auto& event : admission_.poll(base_.clock_.now())) {
