Learn what is in place from the control stream; poll reports in a budget

Change: residents reach the router from the ledger of the control stream; a shard's owner watches its runners each second, everyone else asks so seldom that all reports together cost 1.5 KB/s, whatever their number. A refused connection or a restart seen in the stream asks at once. The planner leaves out runners that it does not plan for. Conclusion: the cost no longer grows with the runners, but for the owner's.

--- a/basilstream/coordination/limits/limits.hpp
+++ b/basilstream/coordination/limits/limits.hpp
@@ -137,9 +137,7 @@
         return holders_;
     }
     /// Returns the place that the next wish takes in the order of the wishes.
-    [[nodiscard]] auto next_wish() const -> std::uint64_t {
-        return next_wish_;
-    }
+    [[nodiscard]] auto next_wish() const -> std::uint64_t { return next_wish_; }
 
 private:
     auto apply_acquire(const limit_record& record) -> bool;
--- a/basilstream/daemon/completions/completions.cpp
+++ b/basilstream/daemon/completions/completions.cpp
@@ -395,6 +395,10 @@
     }
     policy_.router_.on_failure(runner, base_.clock_.now());
     if (request->broken_off_ || failure.run_ == run_status::not_run) {
+        if (!request->broken_off_) {
+            // Nobody listens there: the directory finds out for all requests.
+            runners_.check_crash(runner, boot_id, [](bool) {});
+        }
         policy_.quarantine_.on_finish(run_of(request).request_id_, false,
                                       base_.clock_.now());
         cancel_at_runner(request);
--- a/basilstream/daemon/control_log/control_log.cpp
+++ b/basilstream/daemon/control_log/control_log.cpp
@@ -75,6 +75,48 @@
     }
 }
 
+auto control_log::owns(const std::string& runner) const -> bool {
+    const auto* known = state().find_runner(runner);
+    // A runner that the stream does not know yet must be watched by whoever
+    // may take it in.
+    return known == nullptr ? !held().empty() || !ready()
+                            : held().contains(known->shard_);
+}
+
+auto control_log::boot_id(const std::string& runner) const -> std::string {
+    const auto* known = state().find_runner(runner);
+    return known == nullptr ? std::string{} : known->boot_id_;
+}
+
+auto control_log::residents(const std::string& runner,
+                            const std::string& boot_id) const
+    -> std::optional<std::vector<coordination::resident_model>> {
+    const auto* known = state().find_runner(runner);
+    if (!ready() || known == nullptr || known->gone_ ||
+        known->boot_id_ != boot_id) {
+        return std::nullopt;
+    }
+    auto by_model = std::map<std::pair<std::string, std::string>,
+                             coordination::resident_model>{};
+    for (const auto& entry : known->residents_) {
+        const auto serves = entry.state_ == state::resident_state::ready ||
+                            entry.state_ == state::resident_state::foreign;
+        auto& model = by_model[{entry.key_.model_, entry.key_.version_}];
+        model.model_ = entry.key_.model_;
+        model.version_ = entry.key_.version_;
+        if (entry.key_.adapter_.empty()) {
+            model.ready_ = serves;
+        } else if (serves) {
+            model.adapters_.push_back(entry.key_.adapter_);
+        }
+    }
+    auto list = std::vector<coordination::resident_model>{};
+    for (auto& [key, model] : by_model) {
+        list.push_back(std::move(model));
+    }
+    return list;
+}
+
 auto control_log::start_read(const coordination::read_request& request)
     -> void {
     const auto ticket = request.ticket_;
--- a/basilstream/daemon/control_log/control_log.hpp
+++ b/basilstream/daemon/control_log/control_log.hpp
@@ -18,13 +18,14 @@
 
 #include "basilstream/coordination/control/control.hpp"
 #include "basilstream/daemon/context/context.hpp"
+#include "basilstream/daemon/fleet/fleet.hpp"
 #include "basilstream/daemon/settings/settings.hpp"
 #include "basilstream/transport/log_connection/log_connection.hpp"
 
 namespace basilstream::daemon {
 
 /// The control side in the daemon.
-class control_log {
+class control_log final : public ledger_view {
 public:
     using applied_observer =
         std::function<void(const coordination::applied_record&)>;
@@ -47,6 +48,16 @@
     /// Sets what carries orders to runners.
     auto send_orders_with(order_sender sender) -> void;
 
+    [[nodiscard]] auto position() const -> std::uint64_t override {
+        return state().next_offset();
+    }
+    [[nodiscard]] auto owns(const std::string& runner) const -> bool override;
+    [[nodiscard]] auto boot_id(const std::string& runner) const
+        -> std::string override;
+    [[nodiscard]] auto residents(const std::string& runner,
+                                 const std::string& boot_id) const
+        -> std::optional<std::vector<coordination::resident_model>> override;
+
     /// Carries out what is due; call every few milliseconds.
     auto tick() -> void;
 
--- a/basilstream/daemon/fleet/fleet.cpp
+++ b/basilstream/daemon/fleet/fleet.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/daemon/fleet/fleet.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace basilstream::daemon {
 namespace {
@@ -11,6 +12,10 @@
 // Unanswered polls after which a runner counts as out of reach.
 constexpr auto polls_before_unreachable = 3;
 constexpr auto service_slots = 64;
+// What a load report takes on the wire, and what a daemon that owns no runner
+// may spend on all of them.
+constexpr auto report_bytes = std::size_t{2048};
+constexpr auto report_bytes_per_second = std::size_t{1536};
 constexpr auto status_ok = 200;
 
 } // namespace
@@ -20,9 +25,9 @@
 }
 
 fleet::fleet(const context& base, const daemon_settings& settings,
-             traffic_policy policy, std::function<std::uint64_t()> log_position)
+             traffic_policy policy, const ledger_view& ledger)
     : base_{base}, settings_{settings}, policy_{std::move(policy)},
-      log_position_{std::move(log_position)} {}
+      ledger_{ledger} {}
 
 auto fleet::on_report(std::function<void(const runner_view&)> observer)
     -> void {
@@ -49,6 +54,9 @@
     if (now >= next_list_ && !list_in_flight_) {
         poll_list();
     }
+    if (std::exchange(ledger_changed_, false)) {
+        refresh_residents();
+    }
     for (auto& [name, runner] : runners_) {
         if (now >= runner.next_poll_ && !runner.poll_in_flight_) {
             poll_runner(runner);
@@ -203,7 +211,7 @@
 auto fleet::poll_runner(runner_view& runner) -> void {
     runner.poll_in_flight_ = true;
     fetch_report(runner.vm_.address_, report_timeout,
-                 [this, name = runner.vm_.name_, position = log_position_()](
+                 [this, name = runner.vm_.name_, position = ledger_.position()](
                      result<protocol::engine_report> report) {
                      take_report(name, position, std::move(report));
                  });
@@ -217,7 +225,7 @@
     }
     auto& runner = found->second;
     const auto now = base_.clock_.now();
-    const auto interval = settings_.requests_.report_interval_;
+    const auto interval = poll_interval(name);
     runner.poll_in_flight_ = false;
     // Spread over a tenth of the interval, so that daemons do not poll in step.
     runner.next_poll_ =
@@ -283,23 +291,9 @@
         info.boot_id_ = runner.report_->boot_id_;
         info.slots_ = std::max(runner.report_->slots_, 1);
     }
-    if (runner.report_ && runner.reachable_) {
-        auto residents = std::map<std::pair<std::string, std::string>,
-                                  coordination::resident_model>{};
-        for (const auto& entry : runner.report_->residents_) {
-            auto& resident = residents[{entry.model_, entry.version_}];
-            resident.model_ = entry.model_;
-            resident.version_ = entry.version_;
-            if (entry.adapter_.empty()) {
-                resident.ready_ = entry.state_ == "ready";
-                models.insert(entry.model_);
-            } else if (entry.state_ == "ready") {
-                resident.adapters_.push_back(entry.adapter_);
-            }
-        }
-        for (auto& [key, resident] : residents) {
-            info.residents_.push_back(std::move(resident));
-        }
+    info.residents_ = residents_of(runner);
+    for (const auto& resident : info.residents_) {
+        models.insert(resident.model_);
     }
     policy_.router_.update_runner(info);
     policy_.admission_.set_runner(info.name_, info.slots_);
@@ -309,14 +303,67 @@
     rebuild_versions();
 }
 
+// Owners watch their runners closely; every other daemon learns of changes
+// through the control stream and asks so seldom that all its reports together
+// cost the same, however many runners there are.
+auto fleet::poll_interval(const std::string& runner) const -> milliseconds {
+    const auto shortest = settings_.requests_.report_interval_;
+    if (ledger_.owns(runner)) {
+        return shortest;
+    }
+    const auto spread =
+        seconds{runners_.size() * report_bytes / report_bytes_per_second};
+    return std::max<milliseconds>(shortest, spread);
+}
+
+auto fleet::residents_of(const runner_view& runner) const
+    -> std::vector<coordination::resident_model> {
+    if (!runner.report_ || !runner.reachable_) {
+        return {};
+    }
+    if (auto known =
+            ledger_.residents(runner.vm_.name_, runner.report_->boot_id_)) {
+        return std::move(*known);
+    }
+    auto residents = std::map<std::pair<std::string, std::string>,
+                              coordination::resident_model>{};
+    for (const auto& entry : runner.report_->residents_) {
+        auto& resident = residents[{entry.model_, entry.version_}];
+        resident.model_ = entry.model_;
+        resident.version_ = entry.version_;
+        if (entry.adapter_.empty()) {
+            resident.ready_ = entry.state_ == "ready";
+        } else if (entry.state_ == "ready") {
+            resident.adapters_.push_back(entry.adapter_);
+        }
+    }
+    auto list = std::vector<coordination::resident_model>{};
+    for (auto& [key, resident] : residents) {
+        list.push_back(std::move(resident));
+    }
+    return list;
+}
+
+auto fleet::refresh_residents() -> void {
+    for (auto& [name, runner] : runners_) {
+        const auto boot_id = ledger_.boot_id(name);
+        if (runner.report_ && !boot_id.empty() &&
+            runner.report_->boot_id_ != boot_id) {
+            // Its owner has seen a restart that this daemon has not.
+            runner.next_poll_ = {};
+        }
+        update_router(runner);
+    }
+}
+
 auto fleet::rebuild_versions() -> void {
     versions_.clear();
     for (const auto& [name, runner] : runners_) {
-        if (!runner.reachable_ || runner.leaving_ || !runner.report_) {
+        if (runner.leaving_) {
             continue;
         }
-        for (const auto& resident : runner.report_->residents_) {
-            if (resident.adapter_.empty() && resident.state_ == "ready") {
+        for (const auto& resident : residents_of(runner)) {
+            if (resident.ready_) {
                 versions_[resident.model_].insert(resident.version_);
             }
         }
--- a/basilstream/daemon/fleet/fleet.hpp
+++ b/basilstream/daemon/fleet/fleet.hpp
@@ -38,16 +38,38 @@
     std::uint64_t requested_at_ = 0;
 };
 
+/// What the control stream tells of a runner; `control_log` in the daemon.
+class ledger_view {
+public:
+    ledger_view() = default;
+    ledger_view(const ledger_view&) = delete;
+    auto operator=(const ledger_view&) -> ledger_view& = delete;
+    virtual ~ledger_view() = default;
+
+    /// Offset up to which the control stream was read.
+    [[nodiscard]] virtual auto position() const -> std::uint64_t = 0;
+    /// Whether this daemon owns the runner's shard, and so must watch it.
+    [[nodiscard]] virtual auto owns(const std::string& runner) const
+        -> bool = 0;
+    /// The boot of a runner that the stream knows; empty for none.
+    [[nodiscard]] virtual auto boot_id(const std::string& runner) const
+        -> std::string = 0;
+    /// The models in place on a boot of a runner; nothing when the stream does
+    /// not know this boot.
+    [[nodiscard]] virtual auto residents(const std::string& runner,
+                                         const std::string& boot_id) const
+        -> std::optional<std::vector<coordination::resident_model>> = 0;
+};
+
 /// Name under which the router knows a plain service.
 [[nodiscard]] auto service_route_name(std::string_view service) -> std::string;
 
 /// The fleet.
 class fleet final : public runner_directory {
 public:
-    /// `log_position` gives the offset up to which the control stream was
-    /// read.
+    /// `ledger` must outlive the fleet.
     fleet(const context& base, const daemon_settings& settings,
-          traffic_policy policy, std::function<std::uint64_t()> log_position);
+          traffic_policy policy, const ledger_view& ledger);
 
     /// Calls `observer` after each report of a runner.
     auto on_report(std::function<void(const runner_view&)> observer) -> void;
@@ -64,6 +86,8 @@
 
     /// Starts the polls that are due; call every few milliseconds.
     auto tick() -> void;
+    /// The control stream changed what is in place on some runner.
+    auto on_ledger_changed() -> void { ledger_changed_ = true; }
     /// A peer says that the runner is leaving.
     auto mark_leaving(const std::string& runner) -> void;
 
@@ -96,8 +120,13 @@
                      result<protocol::engine_report> report) -> void;
     auto on_poll_failed(runner_view& runner, const error& failure) -> void;
     auto poll_cache(const runner_view& runner) -> void;
+    [[nodiscard]] auto poll_interval(const std::string& runner) const
+        -> milliseconds;
+    [[nodiscard]] auto residents_of(const runner_view& runner) const
+        -> std::vector<coordination::resident_model>;
     auto update_router(const runner_view& runner) -> void;
     auto rebuild_versions() -> void;
+    auto refresh_residents() -> void;
     auto fetch_report(const std::string& address, milliseconds timeout,
                       std::function<void(result<protocol::engine_report>)> done)
         -> void;
@@ -105,7 +134,8 @@
     context base_;
     const daemon_settings& settings_;
     traffic_policy policy_;
-    std::function<std::uint64_t()> log_position_;
+    const ledger_view& ledger_;
+    bool ledger_changed_ = false;
     std::map<std::string, runner_view> runners_;
     std::map<std::string, protocol::listed_vm> services_;
     // Ready versions by model.
--- a/basilstream/daemon/placement_control/placement_control.cpp
+++ b/basilstream/daemon/placement_control/placement_control.cpp
@@ -110,10 +110,13 @@
 }
 
 auto placement_control::make_plan() -> void {
-    plan_ = planner_.plan(plan_input());
+    const auto input = plan_input();
+    plan_ = planner_.plan(input);
     auto wanted = coordination::wanted_placement{};
-    for (const auto* runner : log_.state().runners()) {
-        wanted[runner->name_];
+    // An entry without residents asks to unload what is expendable, so that
+    // only runners which were planned for may have one.
+    for (const auto& runner : input.runners_) {
+        wanted[runner.name_];
     }
     for (const auto& resident : plan_.wanted_) {
         wanted[resident.runner_].residents_.push_back(
--- a/basilstream/daemon/program/program.cpp
+++ b/basilstream/daemon/program/program.cpp
@@ -35,6 +35,15 @@
     return failure;
 }
 
+// Whether a record may change what is in place on a runner.
+auto changes_residents(const state::record& body) -> bool {
+    return std::holds_alternative<state::order_intent>(body) ||
+           std::holds_alternative<state::order_outcome>(body) ||
+           std::holds_alternative<state::runner_boot>(body) ||
+           std::holds_alternative<state::runner_gone>(body) ||
+           std::holds_alternative<state::resident_seen>(body);
+}
+
 auto drain_options(const daemon_settings& settings)
     -> coordination::drain_settings {
     auto options = coordination::drain_settings{};
@@ -211,11 +220,10 @@
               peers_{base_, settings_, std::move(caller_address),
                      std::move(link)},
               marks_link_{base_, settings_, marks_, peers_, log_},
-              fleet_{base_, settings_, policy_,
-                     [this] {
-                         return log_.state().next_offset();
-                     }},
-              claims_{base_, settings_, connection_, peers_, incarnation_},
+              fleet_{base_, settings_, policy_, log_}, claims_{base_, settings_,
+                                                               connection_,
+                                                               peers_,
+                                                               incarnation_},
               demand_{base_, settings_, peers_,
                       [this] {
                           return shard_owners();
@@ -330,11 +338,15 @@
             all.claims_.set_members(members);
         });
         all.log_.on_replaced([&all] {
+            all.fleet_.on_ledger_changed();
             all.api_.rebuild_tokens();
             all.marks_link_.reload_marks();
         });
         all.log_.on_applied([&all](const coordination::applied_record& read) {
             const auto& body = read.envelope_.body_;
+            if (read.outcome_.valid() && changes_residents(body)) {
+                all.fleet_.on_ledger_changed();
+            }
             if (read.outcome_.valid() &&
                 (std::holds_alternative<state::resource_put>(body) ||
                  std::holds_alternative<state::resource_delete>(body))) {
