Split completions and basilctl's commands by duty

Change: attempts apart from queueing and retries; commands that change apart from those that show. Conclusion: each file has one job.

--- a/basilstream/daemon/completions/completions.cpp
+++ b/basilstream/daemon/completions/completions.cpp
@@ -2,59 +2,19 @@
 
 #include <algorithm>
 
+#include "basilstream/daemon/completions/internal/active.hpp"
+
 namespace basilstream::daemon {
 namespace {
 
 using coordination::admission_outcome;
 using coordination::attempt_outcome;
 
-constexpr auto status_ok = 200;
-constexpr auto status_not_found = 404;
-constexpr auto status_too_many = 429;
-constexpr auto status_unavailable = 503;
 // How often deadlines and silent connections are looked for.
 constexpr auto check_interval = milliseconds{100};
-constexpr auto connect_timeout = milliseconds{1000};
-constexpr auto cancel_timeout = milliseconds{1000};
 
 } // namespace
 
-// One request between submit() and its final answer.
-struct completions::active {
-    completion_request request_;
-    std::shared_ptr<answer_stream> answer_;
-    coordination::fingerprint fingerprint_;
-    std::string version_;
-    time_point deadline_;
-    time_point first_token_deadline_;
-    std::uint32_t attempts_ = 0;
-    // Attempts that failed; one refused for lack of a slot did not.
-    int failures_ = 0;
-    // Routes taken, whether or not they led to an attempt: names runs.
-    std::uint32_t runs_ = 0;
-    std::vector<std::string> failed_runners_;
-    // The attempt at hand.
-    std::optional<coordination::route> route_;
-    bool running_ = false;
-    std::uint64_t seen_progress_ = 0;
-    bool first_token_recorded_ = false;
-    // Whether some attempt may have run on a runner.
-    bool may_have_run_ = false;
-    // The attempt is settled; whether its runner crashed is being found out.
-    bool checking_crash_ = false;
-    bool ended_ = false;
-    // Set when the daemon itself broke the attempt off.
-    std::optional<error> broken_off_;
-    span admission_span_;
-    span attempt_span_;
-
-    [[nodiscard]] auto id() const -> const std::string& {
-        return request_.request_id_;
-    }
-    // Names the attempt's connection in the monitor.
-    std::uint64_t connection_ = 0;
-};
-
 completions::completions(const context& base, const request_settings& settings,
                          traffic_policy policy, runner_directory& runners,
                          isolation_asker ask_isolation, telemetry& measured)
@@ -209,219 +169,6 @@
             request->route_->runner_, request->route_->boot_id_};
 }
 
-auto completions::dispatch(const active_ptr& request) -> void {
-    const auto now = base_.clock_.now();
-    const auto& asked = request->request_;
-    const auto& route = *request->route_;
-    ++request->attempts_;
-    if (!policy_.quarantine_.on_dispatch(run_of(request), now)) {
-        give_back(request,
-                  policy_.quarantine_.refusal(request->fingerprint_, now));
-        return;
-    }
-    request->running_ = true;
-    request->seen_progress_ = request->answer_->progress_.load();
-    request->answer_->call_.store(0);
-    if (!request->answer_->checker_.start_attempt(request->attempts_)) {
-        request->running_ = false;
-        settle_attempt(request, {}, attempt_outcome::cancelled);
-        fail(request,
-             {error_code::incomplete_answer, step::attempt, route.address_,
-              "no attempts left", run_status::unknown});
-        return;
-    }
-    measured_.attempts_.add();
-    request->attempt_span_ = asked.span_.child("attempt");
-    request->attempt_span_.tag("runner", route.runner_);
-    request->attempt_span_.tag(
-        "reason", coordination::route_reason_names.name_of(route.reason_));
-    const auto resume_position = request->answer_->checker_.next_position();
-    auto call = transport::http_call{
-        .method_ = "POST",
-        .url_ = "http://" + route.address_ + "/v1/completions",
-        .headers_ = {{"Content-Type", "application/json"},
-                     {"X-Request-Id", request->id()}},
-        .body_ =
-            protocol::completion_body({.model_ = asked.call_.model_,
-                                       .adapter_ = asked.call_.adapter_,
-                                       .version_ = request->version_,
-                                       .prompt_ = asked.call_.prompt_,
-                                       .max_tokens_ = asked.call_.max_tokens_,
-                                       .priority_ = asked.priority_,
-                                       .request_id_ = request->id(),
-                                       .attempt_ = request->attempts_,
-                                       .resume_position_ = resume_position}),
-        .connect_timeout_ = connect_timeout,
-        .step_ = step::attempt};
-    if (auto parent = request->attempt_span_.traceparent(); !parent.empty()) {
-        call.headers_.emplace_back("traceparent", std::move(parent));
-    }
-    // The monitor watches each attempt as a connection of its own.
-    static auto next_connection = std::uint64_t{1};
-    request->connection_ = next_connection++;
-    monitor_.open(request->connection_, coordination::connection_kind::runner,
-                  route.address_, now);
-    monitor_.begin(request->connection_, request->id(),
-                   coordination::repeatability::resumable, now);
-    monitor_.on_sent(request->connection_, request->id(), now);
-    request->request_.caller_->on_writable(
-        [engines = &base_.engines_,
-         answer = std::weak_ptr<answer_stream>{request->answer_}] {
-            if (const auto held = answer.lock()) {
-                held->held_back_.store(false);
-                engines->resume(held->call_.load());
-            }
-        });
-    base_.engines_.start(
-        std::move(call),
-        std::make_shared<attempt_sink>(
-            request->answer_, base_.clock_, [this, request](attempt_end end) {
-                base_.on_control([this, request, end = std::move(end)] {
-                    on_attempt_end(request, end);
-                });
-            }));
-}
-
-auto completions::on_attempt_end(const active_ptr& request, attempt_end end)
-    -> void {
-    request->running_ = false;
-    monitor_.end(request->connection_, request->id());
-    monitor_.close(request->connection_);
-    measured_.tokens_.add(static_cast<std::uint64_t>(end.tokens_));
-    measured_.on_served_(request->request_.call_.model_,
-                         static_cast<std::uint64_t>(end.tokens_));
-    if (end.first_token_ && !request->first_token_recorded_) {
-        request->first_token_recorded_ = true;
-        measured_.first_token_.record(base_.clock_.now() -
-                                      request->request_.arrived_);
-    }
-    if (end.token_interval_) {
-        measured_.token_interval_.record(*end.token_interval_);
-    }
-    if (end.finished_) {
-        settle_attempt(request, end, attempt_outcome::completed);
-        policy_.router_.on_success(request->route_->runner_);
-        policy_.quarantine_.on_finish(run_of(request).request_id_, true,
-                                      base_.clock_.now());
-        measured_.served_.add();
-        finish(request);
-        return;
-    }
-    request->attempt_span_.tag("error", "true");
-    on_failed_attempt(request, end);
-}
-
-auto completions::settle_attempt(const active_ptr& request,
-                                 const attempt_end& end,
-                                 attempt_outcome outcome) -> void {
-    request->attempt_span_.finish();
-    policy_.admission_.on_release({.request_id_ = request->id(),
-                                   .outcome_ = outcome,
-                                   .first_token_ = end.first_token_,
-                                   .token_interval_ = end.token_interval_,
-                                   .tokens_ = end.tokens_},
-                                  base_.clock_.now());
-    policy_.poll_soon_();
-}
-
-auto completions::error_of(const active_ptr& request, const attempt_end& end)
-    -> error {
-    const auto& peer = request->route_->address_;
-    if (request->broken_off_) {
-        return *request->broken_off_;
-    }
-    if (end.crossed_) {
-        return {error_code::crossed_answer, step::attempt, peer,
-                "the runner sent another answer's piece", run_status::unknown};
-    }
-    if (end.status_ != 0 && end.status_ != status_ok) {
-        const auto refused = end.status_ == status_not_found ||
-                             end.status_ == status_too_many ||
-                             end.status_ == status_unavailable;
-        return {refused ? error_code::unavailable : error_code::backend_error,
-                step::attempt,
-                peer,
-                "runner answered " + std::to_string(end.status_) + " " +
-                    end.error_text_,
-                refused ? run_status::not_run : run_status::unknown,
-                end.retry_after_};
-    }
-    if (end.broken_) {
-        return *end.broken_;
-    }
-    return {error_code::incomplete_answer, step::attempt, peer,
-            "the answer ended without its finish event", run_status::unknown};
-}
-
-auto completions::on_failed_attempt(const active_ptr& request,
-                                    const attempt_end& end) -> void {
-    const auto failure = error_of(request, end);
-    base_.log_.failure(transport::log_level::debug, "attempt failed", failure,
-                       request->id());
-    const auto runner = request->route_->runner_;
-    const auto boot_id = request->route_->boot_id_;
-    request->may_have_run_ =
-        request->may_have_run_ || failure.run_ != run_status::not_run;
-    auto outcome = attempt_outcome::failed;
-    if (end.status_ == status_too_many) {
-        outcome = attempt_outcome::no_slot;
-    } else if (end.status_ == status_not_found ||
-               end.status_ == status_unavailable) {
-        outcome = attempt_outcome::not_serving;
-    } else if (request->ended_) {
-        outcome = attempt_outcome::cancelled;
-    }
-    settle_attempt(request, end, outcome);
-    if (request->ended_) {
-        policy_.quarantine_.on_finish(run_of(request).request_id_, false,
-                                      base_.clock_.now());
-        finish(request);
-        return;
-    }
-    if (outcome == attempt_outcome::no_slot) {
-        // Nothing failed: the request goes back to the admission, which has
-        // learnt from this what the runner can take.
-        policy_.quarantine_.on_finish(run_of(request).request_id_, false,
-                                      base_.clock_.now());
-        request->route_.reset();
-        enqueue(request);
-        return;
-    }
-    if (outcome != attempt_outcome::failed) {
-        policy_.quarantine_.on_finish(run_of(request).request_id_, false,
-                                      base_.clock_.now());
-        retry_or_fail(request, failure);
-        return;
-    }
-    policy_.router_.on_failure(runner, base_.clock_.now());
-    if (request->broken_off_ || failure.run_ == run_status::not_run) {
-        if (!request->broken_off_) {
-            // Nobody listens there: the directory finds out for all requests.
-            runners_.check_crash(runner, boot_id, [](bool) {});
-        }
-        policy_.quarantine_.on_finish(run_of(request).request_id_, false,
-                                      base_.clock_.now());
-        cancel_at_runner(request);
-        retry_or_fail(request, failure);
-        return;
-    }
-    // A broken connection may be a crash, which must be known before the
-    // request is sent anywhere else.
-    runners_.check_crash(runner, boot_id,
-                         [this, request, failure](bool crashed) {
-                             if (!crashed) {
-                                 policy_.quarantine_.on_finish(
-                                     request->id(), false, base_.clock_.now());
-                                 cancel_at_runner(request);
-                             }
-                             if (request->ended_) {
-                                 finish(request);
-                             } else {
-                                 retry_or_fail(request, failure);
-                             }
-                         });
-}
-
 auto completions::retry_or_fail(const active_ptr& request, error failure)
     -> void {
     const auto now = base_.clock_.now();
@@ -501,20 +248,6 @@
     finish(request);
 }
 
-auto completions::cancel_at_runner(const active_ptr& request) -> void {
-    if (!request->route_) {
-        return;
-    }
-    // Best effort: a runner also stops when its connection closes.
-    base_.platform_.fetch(
-        {.method_ = "POST",
-         .url_ = "http://" + request->route_->address_ + "/v1/cancel",
-         .headers_ = {{"Content-Type", "application/json"}},
-         .body_ = protocol::cancel_body(request->id(), request->attempts_),
-         .total_timeout_ = cancel_timeout},
-        [](const result<transport::http_reply>&) {});
-}
-
 auto completions::tick() -> void {
     const auto now = base_.clock_.now();
     start_due_retries();
@@ -536,40 +269,6 @@
     }
 }
 
-auto completions::check_silence() -> void {
-    const auto now = base_.clock_.now();
-    auto by_connection = std::unordered_map<std::uint64_t, active_ptr>{};
-    for (const auto& [id, request] : open_) {
-        if (!request->running_) {
-            continue;
-        }
-        by_connection.emplace(request->connection_, request);
-        const auto progress = request->answer_->progress_.load();
-        if (progress != request->seen_progress_) {
-            request->seen_progress_ = progress;
-            monitor_.on_progress(request->connection_, id, now);
-        }
-        monitor_.on_held_back(request->connection_, id,
-                              request->answer_->held_back_.load(), now);
-    }
-    for (const auto& action : monitor_.tick(now)) {
-        const auto* silent = std::get_if<coordination::request_action>(&action);
-        if (silent == nullptr) {
-            continue;
-        }
-        const auto found = by_connection.find(silent->connection_);
-        if (found == by_connection.end()) {
-            continue;
-        }
-        const auto& request = found->second;
-        measured_.silent_.add();
-        request->broken_off_ =
-            error{error_code::timeout, step::attempt, request->route_->address_,
-                  "the connection went silent", run_status::unknown};
-        base_.engines_.cancel(request->answer_->call_.load());
-    }
-}
-
 auto completions::check_deadlines() -> void {
     const auto now = base_.clock_.now();
     auto late = std::vector<active_ptr>{};
--- a/basilstream/daemon/completions/completions.hpp
+++ b/basilstream/daemon/completions/completions.hpp
@@ -105,6 +105,8 @@
     auto prepare_dispatch(const active_ptr& request, coordination::route chosen)
         -> void;
     auto dispatch(const active_ptr& request) -> void;
+    static auto engine_call(const active_ptr& request) -> transport::http_call;
+    auto watch_attempt(const active_ptr& request) -> void;
     // Gives an admitted attempt's place back before anything was sent.
     auto give_back(const active_ptr& request, error refusal) -> void;
     auto wait_for_isolation(const active_ptr& request, const error& refusal)
@@ -138,6 +140,8 @@
     std::unordered_map<std::string, active_ptr> open_;
     std::multimap<time_point, active_ptr> delayed_;
     time_point next_check_;
+    // Names each attempt's connection in the monitor.
+    std::uint64_t next_connection_ = 1;
 };
 
 } // namespace basilstream::daemon
