--- a/basilstream/coordination/claims/claims_simulation_test.cpp
+++ b/basilstream/coordination/claims/claims_simulation_test.cpp
@@ -45,7 +45,7 @@
 public:
     random_run(std::uint64_t seed, const claim_guards* guards)
         : world_{seed, settings_for_runs(), harsh(), guards} {
-        for (auto number = 0; number < daemons; ++number) {
+        for (auto number = 0; number < daemons_; ++number) {
             world_.add_daemon(next_name());
         }
         world_.run_for(seconds{6});
@@ -79,8 +79,8 @@
     world world_;
 
 private:
-    static constexpr auto daemons = 5;
-    static constexpr auto most_keys = 20000;
+    static constexpr auto daemons_ = 5;
+    static constexpr auto most_keys_ = 20000;
 
     auto next_name() -> std::string { return "d" + std::to_string(++names_); }
     auto pick_daemon() -> std::string {
@@ -97,7 +97,7 @@
             const auto recent = std::min<std::uint64_t>(keys_, 30);
             number = chance(4) ? world_.random_.below(keys_)
                                : keys_ - 1 - world_.random_.below(recent);
-        } else if (keys_ < most_keys) {
+        } else if (keys_ < most_keys_) {
             ++keys_;
         }
         return {"org", "service", std::to_string(number)};
@@ -163,7 +163,7 @@
             break;
         }
         default:
-            if (world_.live().size() == daemons) {
+            if (world_.live().size() == daemons_) {
                 world_.leave(name);
                 world_.add_daemon(next_name());
                 world_.schedule(seconds{30}, [this, name] {
--- a/basilstream/coordination/quarantine/deployment_test.cpp
+++ b/basilstream/coordination/quarantine/deployment_test.cpp
@@ -41,7 +41,7 @@
     deployment(std::uint64_t seed, deployment_faults faults,
                quarantine_guards guards)
         : random_{seed}, faults_{faults} {
-        for (auto each = 0; each < daemons; ++each) {
+        for (auto each = 0; each < daemons_; ++each) {
             names_.push_back("d" + std::to_string(each));
             marks_.push_back(std::make_unique<quarantine>(
                 quarantine_settings{}, names_.back(), guards));
@@ -64,7 +64,7 @@
             send_requests(step);
             poll();
         }
-        for (auto each = 1; each <= innocents; ++each) {
+        for (auto each = 1; each <= innocents_; ++each) {
             const auto verdict = marks_[0]->check(print_of(each), now_);
             outcome_.innocents_quarantined_ +=
                 verdict == quarantine_verdict::quarantined ? 1 : 0;
@@ -74,9 +74,9 @@
     }
 
 private:
-    static constexpr auto daemons = 4;
-    static constexpr auto runners = 8;
-    static constexpr auto innocents = 6;
+    static constexpr auto daemons_ = 4;
+    static constexpr auto runners_ = 8;
+    static constexpr auto innocents_ = 6;
 
     struct flight {
         int request_;
@@ -124,8 +124,8 @@
 
     // Identical requests meet on one runner, as prefix affinity has it.
     auto pick_runner(int request) -> int {
-        for (auto step = 0; step < runners; ++step) {
-            const auto runner = (request / 3 + step) % runners;
+        for (auto step = 0; step < runners_; ++step) {
+            const auto runner = (request / 3 + step) % runners_;
             const auto excluded = request == 0 && poisoned_.contains(runner);
             if (!excluded && now_ >= down_until_[runner]) {
                 return runner;
@@ -135,11 +135,11 @@
     }
 
     auto send_requests(int step) -> void {
-        const auto request = static_cast<int>(random_.below(innocents + 1));
+        const auto request = static_cast<int>(random_.below(innocents_ + 1));
         const auto repeats = faults_.concurrent_ ? 1 : 30;
         if (request != 0 || step >= next_poison_) {
             next_poison_ = request == 0 ? step + repeats : next_poison_;
-            start(request, static_cast<int>(random_.below(daemons)));
+            start(request, static_cast<int>(random_.below(daemons_)));
         }
     }
     auto start(int request, int daemon) -> void {
@@ -303,11 +303,11 @@
         EXPECT_FALSE(outcome.violated_);
         check(outcome);
     }
-    std::cout << title << ": runners fallen";
+    std::cout << title << ": runners_ fallen";
     for (const auto& [count, runs] : fallen) {
         std::cout << ' ' << count << " in " << runs;
     }
-    std::cout << ", innocents marked";
+    std::cout << ", innocents_ marked";
     for (const auto& [count, runs] : marked) {
         std::cout << ' ' << count << " in " << runs;
     }
--- a/basilstream/ctl/session/session.cpp
+++ b/basilstream/ctl/session/session.cpp
@@ -149,8 +149,10 @@
     -> std::vector<daemon_status> {
     auto answers = std::vector<daemon_status>{};
     for (const auto& address : options_.admins_) {
+        auto url = std::string{"http://"};
+        url.append(address).append(path);
         const auto reply =
-            client_.fetch_wait({.url_ = "http://" + address + path,
+            client_.fetch_wait({.url_ = std::move(url),
                                 .total_timeout_ = milliseconds{2000},
                                 .step_ = step::peer});
         if (!reply) {
--- a/basilstream/daemon/claim_log/claim_log.cpp
+++ b/basilstream/daemon/claim_log/claim_log.cpp
@@ -201,7 +201,7 @@
         given.entries_.push_back(
             {record.offset_, protocol::decode_claim_record(record.bytes_)});
     }
-    service_.on_read(shard, std::move(given), now);
+    service_.on_read(shard, given, now);
     carry_out();
     if (const auto reader = readers_.find(shard); reader != readers_.end()) {
         reader->second->tick();
