Do not guess a runner's slots before its first report

Residents now come from the control stream, and a refresh told the router and the admission of a runner whose report had not come: one slot. The concurrency limit began at 1 and grew by one for each round, whatever slots were reported later. Ruled out: the runner (relay and direct whole), routing. Change: a runner without a report is not told of; slots that grow before any congestion start the limit anew, with a test.

--- a/basilstream/coordination/admission/admission.hpp
+++ b/basilstream/coordination/admission/admission.hpp
@@ -144,7 +144,8 @@
 public:
     concurrency_limit(const admission_settings& settings, int slots);
 
-    /// Changes the upper bound.
+    /// Changes the upper bound. A bound that grows before the runner has shown
+    /// any congestion starts the limit anew: the old one was a guess.
     auto set_slots(int slots) -> void;
     /// An attempt ended well while `in_flight` were on the runner.
     auto on_success(int in_flight) -> void;
@@ -159,8 +160,11 @@
 private:
     double decrease_;
     duration decrease_interval_;
+    double first_share_;
     int slots_;
     double limit_;
+    // Whether the runner has shown what it can't take.
+    bool constrained_ = false;
     std::optional<time_point> last_decrease_;
 };
 
--- a/basilstream/coordination/admission/admission_test.cpp
+++ b/basilstream/coordination/admission/admission_test.cpp
@@ -117,6 +117,20 @@
     EXPECT_EQ(release("2")[0].request_id_, "b1");
 }
 
+// A runner known by the VM list before its first report has one slot as far as
+// anybody knows; its limit once grew from there by one at a time.
+TEST(concurrency_limit, slots_learnt_later_count_as_if_known_at_first) {
+    const auto settings = admission_settings{};
+    auto limit = concurrency_limit{settings, 1};
+    limit.set_slots(4000);
+    EXPECT_EQ(limit.value(), (concurrency_limit{settings, 4000}.value()));
+    limit.on_congestion(time_point{seconds{1}});
+    const auto learnt = limit.value();
+    limit.set_slots(1000);
+    limit.set_slots(4000);
+    EXPECT_LE(limit.value(), learnt);
+}
+
 TEST_F(admission_gate, the_limit_follows_what_the_runner_shows) {
     EXPECT_EQ(submit("1"), admission_outcome::admitted);
     EXPECT_EQ(submit("2"), admission_outcome::admitted);
--- a/basilstream/coordination/admission/concurrency_limit.cpp
+++ b/basilstream/coordination/admission/concurrency_limit.cpp
@@ -7,12 +7,16 @@
 concurrency_limit::concurrency_limit(const admission_settings& settings,
                                      int slots)
     : decrease_{settings.decrease_},
-      decrease_interval_{settings.decrease_interval_}, slots_{std::max(slots,
-                                                                       1)},
-      limit_{std::max(settings.first_share_ * slots_, 1.0)} {}
+      decrease_interval_{settings.decrease_interval_},
+      first_share_{settings.first_share_}, slots_{std::max(slots, 1)},
+      limit_{std::max(first_share_ * slots_, 1.0)} {}
 
 auto concurrency_limit::set_slots(int slots) -> void {
+    const auto grown = slots > slots_;
     slots_ = std::max(slots, 1);
+    if (grown && !constrained_) {
+        limit_ = std::max(limit_, first_share_ * slots_);
+    }
     limit_ = std::min(limit_, static_cast<double>(slots_));
 }
 
@@ -29,10 +33,12 @@
         return;
     }
     last_decrease_ = now;
+    constrained_ = true;
     limit_ = std::max(limit_ * decrease_, 1.0);
 }
 
 auto concurrency_limit::on_no_slot(int in_flight) -> void {
+    constrained_ = true;
     limit_ = std::clamp(static_cast<double>(in_flight), 1.0, limit_);
 }
 
--- a/basilstream/daemon/completions/attempts.cpp
+++ b/basilstream/daemon/completions/attempts.cpp
@@ -92,8 +92,6 @@
     measured_.attempts_.add();
     request->attempt_span_ = request->request_.span_.child("attempt");
     request->attempt_span_.tag("runner", route.runner_);
-    request->attempt_span_.tag(
-        "reason", coordination::route_reason_names.name_of(route.reason_));
     watch_attempt(request);
     base_.engines_.start(
         engine_call(request),
--- a/basilstream/daemon/completions/completions.cpp
+++ b/basilstream/daemon/completions/completions.cpp
@@ -112,6 +112,11 @@
     const auto now = base_.clock_.now();
     request->route_ = std::move(chosen);
     ++request->runs_;
+    auto routing = request->request_.span_.child("routing");
+    routing.tag("runner", request->route_->runner_);
+    routing.tag("reason", coordination::route_reason_names.name_of(
+                              request->route_->reason_));
+    routing.finish();
     const auto verdict = policy_.quarantine_.check(request->fingerprint_, now);
     if (verdict == coordination::quarantine_verdict::clear) {
         dispatch(request);
--- a/basilstream/daemon/fleet/fleet.cpp
+++ b/basilstream/daemon/fleet/fleet.cpp
@@ -281,6 +281,10 @@
 }
 
 auto fleet::update_router(const runner_view& runner) -> void {
+    if (!runner.report_) {
+        // Nothing is known of it yet, its slots least of all.
+        return;
+    }
     auto info = coordination::runner_info{};
     info.name_ = runner.vm_.name_;
     info.address_ = runner.vm_.address_;
