--- /dev/null
+++ b/basilstream/coordination/backend_directory/backend_directory.cpp
@@ -0,0 +1,89 @@
+#include "basilstream/coordination/backend_directory/backend_directory.hpp"
+
+#include <utility>
+
+namespace basilstream::coordination {
+
+auto backend_directory::holds_back(time_point now) const -> bool {
+    return !available_ || now < returned_at_ + settings_.return_period_;
+}
+
+auto backend_directory::remove(const std::string& id, time_point now) -> void {
+    if (!servers_.contains(id)) {
+        return;
+    }
+    if (holds_back(now)) {
+        missing_.insert(id);
+        return;
+    }
+    missing_.erase(id);
+    servers_.erase(id);
+    changed_.insert(id);
+}
+
+auto backend_directory::apply(const backend_record& record, time_point now)
+    -> void {
+    const auto& [id, server] = record;
+    if (!server) {
+        remove(id, now);
+        return;
+    }
+    missing_.erase(id);
+    const auto known = servers_.find(id);
+    if (known != servers_.end()) {
+        if (server->started_at_ < known->second.started_at_ ||
+            *server == known->second) {
+            return;
+        }
+        known->second = *server;
+    } else {
+        servers_.emplace(id, *server);
+    }
+    changed_.insert(id);
+}
+
+auto backend_directory::replace_all(const std::vector<backend_record>& records,
+                                    time_point now) -> void {
+    auto absent = std::set<std::string>{};
+    for (const auto& [id, server] : servers_) {
+        absent.insert(id);
+    }
+    for (const auto& record : records) {
+        absent.erase(record.first);
+        apply(record, now);
+    }
+    for (const auto& id : absent) {
+        remove(id, now);
+    }
+    known_ = true;
+}
+
+auto backend_directory::set_store_available(bool available, time_point now)
+    -> void {
+    if (available && !available_) {
+        returned_at_ = now;
+    }
+    available_ = available;
+}
+
+auto backend_directory::tick(time_point now) -> void {
+    if (missing_.empty() || holds_back(now)) {
+        return;
+    }
+    for (const auto& id : std::exchange(missing_, {})) {
+        remove(id, now);
+    }
+}
+
+auto backend_directory::find(const std::string& id) const
+    -> const backend_server* {
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+auto backend_directory::take_changes() -> std::vector<std::string> {
+    const auto changes = std::exchange(changed_, {});
+    return {changes.begin(), changes.end()};
+}
+
+} // namespace basilstream::coordination
--- /dev/null
+++ b/basilstream/coordination/record_store/record_store.hpp
@@ -0,0 +1,109 @@
+/// The installation's shared store as the daemons use it: a few topics of
+/// records, and decoders for those that others write. Implementations hand
+/// their answers over on the caller's thread, never during the call.
+///
+///     store.read_newest(shared_topic::backends, [](result<record_page> page) {
+///         ...
+///     });
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/error/error.hpp"
+#include "basilstream/base/name_table/name_table.hpp"
+#include "basilstream/coordination/backend_directory/backend_directory.hpp"
+#include "basilstream/coordination/route_table/route_table.hpp"
+
+namespace basilstream::coordination {
+
+/// What the daemons keep in or read from the store.
+enum class shared_topic {
+    /// The operators' configuration; keyed, read-only.
+    configuration,
+    /// Announcements of backend servers; keyed, read-only.
+    backends,
+    /// Addresses of the daemons; keyed by name.
+    daemons,
+    /// Claims and renewals of the placement lease; a log.
+    placement_lease,
+};
+
+inline constexpr auto shared_topic_names = name_table<shared_topic, 4>{
+    {{{shared_topic::configuration, "configuration"},
+      {shared_topic::backends, "backends"},
+      {shared_topic::daemons, "daemons"},
+      {shared_topic::placement_lease, "placement_lease"}}}};
+
+/// One record. A keyed record without a value drops its key.
+struct store_record {
+    std::string key_;
+    std::optional<std::string> value_;
+};
+
+/// Records in log order.
+struct record_page {
+    std::vector<store_record> records_;
+    /// The offset after the last record of the topic, from which to read on.
+    std::uint64_t end_ = 0;
+    /// Set if the records asked for are no longer kept.
+    bool expired_ = false;
+};
+
+/// What became of a conditional append.
+struct append_outcome {
+    bool appended_ = false;
+    /// The record's offset if it was appended, else the topic's end.
+    std::uint64_t offset_ = 0;
+};
+
+/// The store.
+class record_store {
+public:
+    template <class Value>
+    using handler = std::function<void(result<Value>)>;
+
+    record_store() = default;
+    record_store(const record_store&) = delete;
+    auto operator=(const record_store&) -> record_store& = delete;
+    virtual ~record_store() = default;
+
+    /// Reads the newest record of each key of a keyed topic.
+    virtual auto read_newest(shared_topic topic, handler<record_page> done)
+        -> void = 0;
+    /// Reads the records from `offset` on; waits up to `wait` for one.
+    virtual auto read_from(shared_topic topic, std::uint64_t offset,
+                           milliseconds wait, handler<record_page> done)
+        -> void = 0;
+    /// Appends a record if the topic ends at `at`; without `at`, in any case.
+    /// An error with run status unknown may still be carried out, later too.
+    virtual auto append(shared_topic topic, std::optional<std::uint64_t> at,
+                        store_record record, handler<append_outcome> done)
+        -> void = 0;
+};
+
+/// Reads what operators and backend servers write.
+class record_decoder {
+public:
+    record_decoder() = default;
+    record_decoder(const record_decoder&) = delete;
+    auto operator=(const record_decoder&) -> record_decoder& = delete;
+    virtual ~record_decoder() = default;
+
+    /// Returns the configuration in a record, null if it holds something
+    /// else, or why it cannot be read. Entries in it that cannot be read are
+    /// left out and named in `skipped`.
+    [[nodiscard]] virtual auto configuration(const store_record& record,
+                                             std::vector<error>& skipped) const
+        -> result<std::shared_ptr<const relay_config>> = 0;
+    /// Returns the server that a record announces.
+    [[nodiscard]] virtual auto backend(const store_record& record) const
+        -> result<backend_server> = 0;
+};
+
+} // namespace basilstream::coordination
--- a/basilstream/coordination/retries/retries.hpp
+++ b/basilstream/coordination/retries/retries.hpp
@@ -116,6 +116,10 @@
 class retry_budget {
 public:
     retry_budget(double ratio, double per_second);
+    /// Changes what is allowed each second besides the ratio.
+    auto set_per_second(double per_second) -> void { per_second_ = per_second; }
+    /// Changes the share of the requests that may be repeated.
+    auto set_ratio(double ratio) -> void { ratio_ = ratio; }
     /// Adds one request's share.
     auto deposit(time_point now) -> void;
     /// Takes one retry; returns false if the budget is spent.
@@ -158,6 +162,17 @@
 
     /// Counts a request (not an attempt) towards the budget.
     auto on_request(time_point now) -> void { budget_.deposit(now); }
+    /// Changes settings.budget_per_second_, when the number of daemons that
+    /// share an allowance has changed.
+    auto set_budget_per_second(double per_second) -> void {
+        budget_.set_per_second(per_second);
+    }
+    /// Changes settings.budget_ratio_.
+    auto set_budget_ratio(double ratio) -> void { budget_.set_ratio(ratio); }
+    /// Returns how many retries are left.
+    [[nodiscard]] auto budget(time_point now) const -> double {
+        return budget_.balance(now);
+    }
 
     /// Decides on a failed attempt; a retry is charged to the budget. A final
     /// answer that may be tried again later carries a retry hint.
--- a/basilstream/daemon/cluster/cluster.cpp
+++ b/basilstream/daemon/cluster/cluster.cpp
@@ -10,9 +10,8 @@
 // tell about one load a second, and never more often than this.
 constexpr auto shortest_load_interval = seconds{5};
 constexpr auto load_interval_per_member = seconds{1};
-constexpr auto max_endpoints = std::size_t{8};
 
-auto self_of(const daemon_settings& settings, std::string caller_address,
+auto self_of(const cluster_settings& settings, std::string caller_address,
              const transport::peer_link& link) -> coordination::member {
     auto self = coordination::member{};
     self.name_ = settings.name_;
@@ -22,28 +21,26 @@
     return self;
 }
 
-auto directory_settings(const daemon_settings& settings)
+auto directory_settings(const cluster_settings& settings)
     -> coordination::discovery_settings {
     auto made = coordination::discovery_settings{};
     made.time_to_live_ = settings.endpoint_time_to_live_;
-    made.max_addresses_ = max_endpoints;
+    made.max_addresses_ = settings.max_endpoints_;
     return made;
 }
 
 } // namespace
 
-cluster::cluster(const context& base, const daemon_settings& settings,
+cluster::cluster(const cluster_context& base, cluster_settings settings,
                  std::string caller_address,
                  std::unique_ptr<transport::peer_link> link)
-    : base_{base}, settings_{settings}, link_{std::move(link)},
+    : base_{base}, settings_{std::move(settings)}, link_{std::move(link)},
       membership_{{},
-                  self_of(settings, std::move(caller_address), *link_),
+                  self_of(settings_, std::move(caller_address), *link_),
                   base.random_},
-      directory_{directory_settings(settings), base.random_} {
-    for (const auto& seed : settings.peer_.seeds_) {
-        if (seed != link_->address()) {
-            membership_.add_seed(seed, base_.clock_.now());
-        }
+      directory_{directory_settings(settings_), base.random_} {
+    for (const auto& seed : settings_.seeds_) {
+        add_seed(seed);
     }
     payloads_[coordination::payload_kind::endpoint_load] =
         [this](const coordination::gossip_payload& payload) {
@@ -146,6 +143,12 @@
     }
 }
 
+auto cluster::add_seed(const std::string& peer_address) -> void {
+    if (peer_address != link_->address()) {
+        membership_.add_seed(peer_address, base_.clock_.now());
+    }
+}
+
 auto cluster::take_listed(const std::vector<protocol::listed_vm>& entries)
     -> void {
     const auto now = base_.clock_.now();
--- a/basilstream/daemon/cluster/cluster.hpp
+++ b/basilstream/daemon/cluster/cluster.hpp
@@ -1,8 +1,8 @@
 /// The other daemons: membership over the peer link, endpoint answers for
 /// callers, and the channel on which other parts talk to their peers.
 ///
-///     auto peers = cluster{context, settings, caller_address};
-///     peers.open();
+///     auto peers = cluster{context, settings, caller_address,
+///     std::move(link)}; peers.open();
 ///     peers.on_channel(protocol::peer_channel::claims, handler);
 ///     peers.send("entry-2", protocol::peer_channel::claims, bytes);
 ///
@@ -15,16 +15,37 @@
 #include <string>
 #include <vector>
 
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/random/random.hpp"
 #include "basilstream/coordination/discovery/discovery.hpp"
 #include "basilstream/coordination/membership/membership.hpp"
-#include "basilstream/daemon/context/context.hpp"
-#include "basilstream/daemon/settings/settings.hpp"
 #include "basilstream/protocol/engine_api/engine_api.hpp"
 #include "basilstream/protocol/peer_codec/peer_codec.hpp"
+#include "basilstream/transport/logging/logging.hpp"
 #include "basilstream/transport/peer_link/peer_link.hpp"
 
 namespace basilstream::daemon {
 
+/// What a cluster gets from its process; all outlive it.
+struct cluster_context {
+    const clock& clock_;
+    random_source& random_;
+    transport::logger& log_;
+};
+
+/// Who this daemon is, and what callers are told.
+struct cluster_settings {
+    /// Unique among the daemons.
+    std::string name_;
+    std::string zone_;
+    /// "IP:PORT" of daemons that may exist.
+    std::vector<std::string> seeds_ = {};
+    /// How long callers keep an endpoint answer.
+    milliseconds endpoint_time_to_live_{5000};
+    /// Addresses in an endpoint answer.
+    std::size_t max_endpoints_ = 8;
+};
+
 /// Membership and messages between daemons.
 class cluster {
 public:
@@ -34,7 +55,7 @@
         std::function<void(const coordination::gossip_payload&)>;
 
     /// `caller_address`: "IP:PORT" under which callers reach this daemon.
-    cluster(const context& base, const daemon_settings& settings,
+    cluster(const cluster_context& base, cluster_settings settings,
             std::string caller_address,
             std::unique_ptr<transport::peer_link> link);
 
@@ -60,6 +81,8 @@
     /// Spreads a payload to all daemons.
     auto gossip(coordination::payload_kind kind, std::string key,
                 std::string bytes) -> void;
+    /// Adds a daemon that may exist.
+    auto add_seed(const std::string& peer_address) -> void;
     /// Takes the entry VMs of the platform's list.
     auto take_listed(const std::vector<protocol::listed_vm>& entries) -> void;
     /// Leaves the endpoint answers and tells the others.
@@ -82,8 +105,8 @@
                   std::string bytes) -> void;
     auto update_endpoints() -> void;
 
-    context base_;
-    const daemon_settings& settings_;
+    cluster_context base_;
+    cluster_settings settings_;
     std::unique_ptr<transport::peer_link> link_;
     coordination::membership membership_;
     coordination::endpoint_directory directory_;
--- a/basilstream/daemon/program/basilstreamd_main.cpp
+++ b/basilstream/daemon/program/basilstreamd_main.cpp
@@ -12,6 +12,9 @@
 #include <pthread.h>
 
 #include "basilstream/daemon/program/program.hpp"
+#include "basilstream/daemon/relay_program/relay_program.hpp"
+#include "basilstream/daemon/relay_settings/relay_settings.hpp"
+#include "platform/adapter/adapter.hpp"
 
 namespace {
 
@@ -93,24 +96,70 @@
     signals.sig_add(SIGTERM);
     signals.sig_add(SIGINT);
     signals.sig_add(SIGUSR1);
+    signals.sig_add(SIGHUP);
     ACE_OS::thr_sigsetmask(SIG_BLOCK, signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
-// Passes stop signals on until the daemon has ended, which it tells by
-// SIGUSR1 to this thread.
-auto wait_for_end(ACE_Sig_Set& signals, daemon::program& running) -> void {
+auto complain(const error& failure) -> void {
+    std::cerr << "basilstreamd: " << failure.peer_ << ": " << failure.detail_
+              << "\n";
+}
+
+// Passes stop and reload signals on until the daemon has ended, which it tells
+// by SIGUSR1 to this thread.
+template <class Stop, class Reload>
+auto wait_for_end(ACE_Sig_Set& signals, Stop request_stop, Reload reload)
+    -> void {
     while (true) {
         auto number = 0;
         ACE_OS::sigwait(signals, &number);
         if (number == SIGUSR1) {
             return;
         }
-        running.request_stop();
+        if (number == SIGHUP) {
+            reload();
+        } else {
+            request_stop();
+        }
     }
 }
 
+auto run_relay(const command_line& line) -> int {
+    const auto settings = daemon::load_relay_settings(line.config_);
+    if (!settings) {
+        complain(settings.error());
+        return exit_settings;
+    }
+    if (line.check_) {
+        std::cout << line.config_ << ": settings are valid\n";
+        return exit_ok;
+    }
+    auto signals = block_signals();
+    const auto main_thread = ::pthread_self();
+    const auto place = platform::make_installation();
+    auto running =
+        daemon::relay_program::start(*settings, *place, [main_thread] {
+            ::pthread_kill(main_thread, SIGUSR1);
+        });
+    if (!running) {
+        complain(running.error());
+        return exit_settings;
+    }
+    wait_for_end(
+        signals, [&] { (*running)->request_stop(); },
+        [&] {
+            const auto changed = daemon::load_relay_settings(line.config_);
+            if (changed) {
+                (*running)->reload(*changed);
+            } else {
+                complain(changed.error());
+            }
+        });
+    return exit_ok;
+}
+
 } // namespace
 
 auto main(int count, char** words) -> int {
@@ -118,10 +167,12 @@
     if (line.exit_ >= 0) {
         return line.exit_;
     }
+    if (daemon::has_relay_settings(line.config_)) {
+        return run_relay(line);
+    }
     const auto settings = daemon::load_settings(line.config_);
     if (!settings) {
-        std::cerr << "basilstreamd: " << settings.error().peer_ << ": "
-                  << settings.error().detail_ << "\n";
+        complain(settings.error());
         return exit_settings;
     }
     if (line.check_) {
@@ -140,6 +191,9 @@
     std::cout << "listening callers=" << (*running)->caller_address()
               << " admin=" << (*running)->admin_address()
               << " peers=" << (*running)->peer_address() << std::endl;
-    wait_for_end(signals, **running);
+    wait_for_end(
+        signals, [&] { (*running)->request_stop(); },
+        // These settings are read at the start only.
+        [] {});
     return exit_ok;
 }
--- /dev/null
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -0,0 +1,462 @@
+#include "basilstream/daemon/relay/internal/exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "basilstream/protocol/json/json.hpp"
+
+namespace basilstream::daemon::internal {
+namespace {
+
+// Output that a client has not taken before its runner is no longer read, and
+// below which reading resumes.
+constexpr auto pause_above = std::size_t{64} * 1024;
+constexpr auto resume_below = std::size_t{16} * 1024;
+// Largest answer that is collected before it is passed on.
+constexpr auto largest_collected = std::size_t{16} << 20U;
+// The wire knows ten levels of urgency; each rank among a service's routes
+// takes two, so that retries of a rank could go between.
+constexpr auto first_urgency = 1;
+constexpr auto urgency_step = 2;
+constexpr auto last_urgency = 9;
+// A runner's 5xx answer counts as such from here on.
+constexpr auto first_server_error = 500;
+
+auto failure_code(transport::call_failure failure) -> error_code {
+    switch (failure) {
+    case transport::call_failure::not_sent:
+        return error_code::unavailable;
+    case transport::call_failure::incomplete:
+        return error_code::incomplete_answer;
+    default:
+        return error_code::outcome_unknown;
+    }
+}
+
+auto error_body(const error& cause) -> std::string {
+    return protocol::json{{"error",
+                           {{"code", error_code_names.name_of(cause.code_)},
+                            {"step", step_names.name_of(cause.step_)},
+                            {"run", run_status_names.name_of(cause.run_)}}}}
+        .dump();
+}
+
+} // namespace
+
+exchange::exchange(relay_parts& parts, transport::http_session& client,
+                   std::shared_ptr<const coordination::relay_config> config,
+                   const coordination::relay_route& route,
+                   relayed_request request)
+    : parts_{parts}, client_{&client}, config_{std::move(config)},
+      route_{route}, request_{std::move(request)},
+      service_{
+          coordination::pick_target(route, parts.context_.random_.fraction())},
+      arrived_{parts.context_.clock_.now()},
+      deadline_{arrived_ + std::min(route.timeout_, request_.patience_.value_or(
+                                                        route.timeout_))} {
+    if (request_.last_event_) {
+        events_.skip_through(*request_.last_event_);
+    }
+}
+
+auto exchange::want() const -> model_want {
+    return {service_, request_.model_, request_.adapter_};
+}
+
+auto exchange::time_left(time_point now) const -> milliseconds {
+    return std::max(std::chrono::duration_cast<milliseconds>(deadline_ - now),
+                    milliseconds{0});
+}
+
+auto exchange::start() -> void {
+    client_->observe(this);
+    parts_.counters_.requests_.add();
+    parts_.retries_of(service_).on_request(arrived_);
+    dispatch();
+}
+
+auto exchange::dispatch() -> void {
+    const auto now = parts_.context_.clock_.now();
+    const auto key = routing_key(service_, request_.model_);
+    const auto chosen = parts_.router_.choose(
+        {.model_ = key, .adapter_ = request_.adapter_, .excluded_ = excluded_},
+        now);
+    const auto first = !wait_until_ && sends_ == 0;
+    if (first && !request_.model_.empty()) {
+        parts_.supply_.on_request(want(), chosen.has_value());
+    }
+    if (chosen) {
+        wait_until_.reset();
+        send_to(*chosen);
+    } else if (!waiting()) {
+        wait_for_server(chosen.error());
+    }
+}
+
+auto exchange::send_to(const coordination::route& chosen) -> void {
+    const auto now = parts_.context_.clock_.now();
+    const auto urgency =
+        std::min(first_urgency + urgency_step * coordination::urgency_rank(
+                                                    *config_, route_),
+                 last_urgency);
+    auto attempt = relay_attempt{.backend_id_ = chosen.runner_,
+                                 .time_left_ = time_left(now),
+                                 .urgency_ = urgency,
+                                 .resume_after_ = request_.last_event_};
+    if (events_.last_id()) {
+        attempt.resume_after_ = events_.last_id();
+    }
+    const auto& message = request_.message_;
+    const auto bytes = transport::write_request(
+        message.method_, message.target_,
+        parts_.dialect_.request_headers(request_, attempt), message.body_);
+    backend_ = chosen.runner_;
+    mode_ = answer_mode::none;
+    call_ = parts_.pool_.send(chosen.address_, bytes, message.method_ == "HEAD",
+                              parts_.connection_limit(service_), *this);
+    if (!call_) {
+        // As a full server: another one may have a connection left.
+        excluded_.push_back(std::exchange(backend_, {}));
+        give_up(error{error_code::overloaded, step::routing, chosen.runner_,
+                      "every connection to the server is in use",
+                      runs_ > 0 ? run_status::unknown : run_status::not_run});
+        return;
+    }
+    ++sends_;
+    parts_.router_.begin(backend_);
+}
+
+auto exchange::wait_for_server(const error& cause) -> void {
+    const auto now = parts_.context_.clock_.now();
+    const auto worth_waiting = runs_ == 0 && !request_.model_.empty();
+    expected_wait_ = parts_.supply_.expected_wait(want());
+    const auto longest =
+        std::min<duration>(parts_.settings_.longest_wait_, time_left(now) / 2);
+    if (!worth_waiting || !expected_wait_ || *expected_wait_ > longest) {
+        auto failure = cause;
+        failure.run_ = runs_ > 0 ? run_status::unknown : run_status::not_run;
+        give_up(failure);
+        return;
+    }
+    wait_until_ = now + longest;
+}
+
+auto exchange::on_backends_changed() -> void {
+    if (waiting() && !done_) {
+        dispatch();
+    }
+}
+
+auto exchange::check(time_point now) -> void {
+    if (done_) {
+        return;
+    }
+    if (now >= deadline_) {
+        const auto ran = runs_ > 0 || call_;
+        if (call_) {
+            std::exchange(call_, nullptr)->cancel();
+            end_attempt();
+        }
+        give_up(error{error_code::timeout, step::attempt, service_,
+                      "the request's time is over",
+                      ran ? run_status::unknown : run_status::not_run});
+    } else if (wait_until_ && now >= *wait_until_) {
+        wait_until_.reset();
+        give_up(error{error_code::not_ready, step::routing, service_,
+                      "the model is not in place yet", run_status::not_run});
+    }
+}
+
+auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
+    verdict_ = parts_.dialect_.judge(head, request_.id_);
+    if (verdict_ == answer_verdict::foreign) {
+        parts_.context_.log_.warning(
+            "answer to another request dropped",
+            {{"request_id", request_.id_}, {"backend", backend_}});
+        return false;
+    }
+    if (verdict_ != answer_verdict::answer) {
+        mode_ = answer_mode::not_run;
+        return true;
+    }
+    head_ = head;
+    body_.clear();
+    has_fallback_ = false;
+    const auto streamed =
+        route_.kind_ == coordination::request_kind::streaming &&
+        head.status_ / 100 == 2;
+    mode_ = streamed ? answer_mode::streamed : answer_mode::collected;
+    if (streamed && !std::exchange(stream_begun_, true) && client_ != nullptr) {
+        client_->begin_stream(head.status_,
+                              parts_.dialect_.answer_headers(head));
+    }
+    return true;
+}
+
+auto exchange::on_answer_body(std::string_view piece) -> void {
+    if (mode_ == answer_mode::collected) {
+        if (body_.size() + piece.size() > largest_collected) {
+            std::exchange(call_, nullptr)->cancel();
+            attempt_failed(error{error_code::payload_too_large, step::attempt,
+                                 backend_, "the answer is too large",
+                                 run_status::unknown});
+            return;
+        }
+        body_.append(piece);
+        return;
+    }
+    if (mode_ != answer_mode::streamed || client_ == nullptr) {
+        return;
+    }
+    const auto first = events_.events() == 0;
+    client_->write_piece(events_.feed(piece));
+    if (first && events_.events() > 0) {
+        parts_.counters_.first_byte_.record(parts_.context_.clock_.now() -
+                                            arrived_);
+    }
+    if (!paused_ && client_->buffered() > pause_above) {
+        paused_ = true;
+        call_->set_reading(false);
+    }
+}
+
+auto exchange::on_client_drained() -> void {
+    if (paused_ && call_ && client_->buffered() < resume_below) {
+        paused_ = false;
+        call_->set_reading(true);
+    }
+}
+
+auto exchange::end_attempt() -> void {
+    if (!backend_.empty()) {
+        parts_.router_.end(backend_);
+    }
+    call_.reset();
+    paused_ = false;
+}
+
+auto exchange::on_answer_end() -> void {
+    const auto self = shared_from_this();
+    end_attempt();
+    if (mode_ == answer_mode::not_run) {
+        const auto full = verdict_ == answer_verdict::refused;
+        attempt_failed(
+            error{full ? error_code::overloaded : error_code::unavailable,
+                  step::attempt, backend_,
+                  full ? "refused by the server"
+                       : "another server or not in place there",
+                  run_status::not_run});
+        return;
+    }
+    ++runs_;
+    parts_.router_.on_success(backend_);
+    if (mode_ == answer_mode::collected) {
+        if (!retry_server_error()) {
+            deliver_collected();
+        }
+        return;
+    }
+    if (client_ != nullptr) {
+        client_->write_piece(events_.take_partial());
+        client_->end_stream();
+    }
+    parts_.counters_.answered_.add();
+    finish();
+}
+
+auto exchange::retry_server_error() -> bool {
+    const auto repeatable =
+        head_.status_ >= first_server_error &&
+        route_.kind_ == coordination::request_kind::idempotent &&
+        runs_ < route_.attempts_ && client_ != nullptr;
+    if (!repeatable) {
+        return false;
+    }
+    const auto now = parts_.context_.clock_.now();
+    const auto decision = parts_.retries_of(service_).decide(
+        {.error_ = error{error_code::backend_error, step::attempt, backend_,
+                         "the server failed", run_status::ran},
+         .runner_ = backend_,
+         .attempts_ = sends_,
+         .idempotent_ = true,
+         .deadline_ = deadline_,
+         .failed_runners_ = excluded_},
+        now);
+    if (!decision.retry_) {
+        return false;
+    }
+    has_fallback_ = true;
+    excluded_ = decision.excluded_;
+    retry_later(decision.not_before_);
+    return true;
+}
+
+auto exchange::deliver_collected() -> void {
+    if (client_ != nullptr) {
+        client_->respond(head_.status_, parts_.dialect_.answer_headers(head_),
+                         body_);
+    }
+    parts_.counters_.answered_.add();
+    parts_.counters_.first_byte_.record(parts_.context_.clock_.now() -
+                                        arrived_);
+    finish();
+}
+
+auto exchange::on_call_failed(transport::call_failure failure) -> void {
+    const auto self = shared_from_this();
+    end_attempt();
+    const auto sent = failure != transport::call_failure::not_sent;
+    runs_ += sent ? 1 : 0;
+    parts_.router_.on_failure(backend_, parts_.context_.clock_.now());
+    attempt_failed(
+        error{failure_code(failure), step::attempt, backend_,
+              std::string{transport::call_failure_names.name_of(failure)},
+              sent ? run_status::unknown : run_status::not_run});
+}
+
+auto exchange::may_run_again() const -> bool {
+    return runs_ == 0 || (route_.repeatable() && runs_ < route_.attempts_);
+}
+
+auto exchange::attempt_failed(error cause) -> void {
+    // An earlier attempt may have run even if this one has not.
+    if (runs_ > 0) {
+        cause.run_ = run_status::unknown;
+    }
+    if (client_ == nullptr) {
+        finish();
+        return;
+    }
+    retry_or_give_up(std::move(cause));
+}
+
+auto exchange::retry_or_give_up(error cause) -> void {
+    if (!may_run_again() || (stream_begun_ && !events_.last_id())) {
+        give_up(cause);
+        return;
+    }
+    const auto now = parts_.context_.clock_.now();
+    const auto decision =
+        parts_.retries_of(service_).decide({.error_ = cause,
+                                            .runner_ = backend_,
+                                            .attempts_ = sends_,
+                                            .idempotent_ = route_.repeatable(),
+                                            .delivered_ = events_.events(),
+                                            .resumable_ = route_.resumable_,
+                                            .deadline_ = deadline_,
+                                            .failed_runners_ = excluded_},
+                                           now);
+    if (!decision.retry_) {
+        give_up(*decision.error_);
+        return;
+    }
+    parts_.context_.log_.info("request is sent again",
+                              {{"request_id", request_.id_},
+                               {"backend", backend_},
+                               {"cause", cause.detail_},
+                               {"attempts", std::to_string(sends_)}});
+    excluded_ = decision.excluded_;
+    retry_later(decision.not_before_);
+}
+
+auto exchange::retry_later(time_point not_before) -> void {
+    parts_.counters_.retries_.add();
+    if (stream_begun_) {
+        parts_.counters_.resumed_.add();
+        (void)events_.take_partial();
+        events_.skip_through(std::max(events_.last_id().value_or(0),
+                                      request_.last_event_.value_or(0)));
+    }
+    const auto delay = std::chrono::ceil<milliseconds>(
+        not_before - parts_.context_.clock_.now());
+    const auto ticket = ++retry_ticket_;
+    const auto self = shared_from_this();
+    parts_.context_.thread_.after(
+        std::max(delay, milliseconds{0}), [self, ticket] {
+            if (!self->done_ && self->retry_ticket_ == ticket && !self->call_) {
+                self->dispatch();
+            }
+        });
+}
+
+auto exchange::retry_hint() -> milliseconds {
+    // Spread, so that clients refused together do not return together.
+    const auto base =
+        expected_wait_.value_or(parts_.settings_.retry_hint_).count();
+    const auto spread = 0.75 + 0.5 * parts_.context_.random_.fraction();
+    return milliseconds{
+        static_cast<milliseconds::rep>(static_cast<double>(base) * spread)};
+}
+
+auto exchange::give_up(const error& cause) -> void {
+    const auto self = shared_from_this();
+    if (has_fallback_) {
+        // A server's own failure is a better answer than ours.
+        deliver_collected();
+        return;
+    }
+    const auto not_run = runs_ == 0 && cause.run_ == run_status::not_run;
+    log_end(not_run ? "request refused" : "request failed", cause);
+    (not_run ? parts_.counters_.refused_ : parts_.counters_.failed_).add();
+    if (client_ != nullptr && stream_begun_) {
+        client_->abort();
+    } else if (client_ != nullptr) {
+        const auto timed_out = cause.code_ == error_code::timeout;
+        const auto status = not_run ? 503 : timed_out ? 504 : 502;
+        const auto hint = not_run ? std::optional{retry_hint()} : std::nullopt;
+        client_->respond(status,
+                         parts_.dialect_.own_headers(request_.id_, hint),
+                         error_body(cause));
+    }
+    finish();
+}
+
+auto exchange::log_end(std::string_view event, const error& cause) -> void {
+    const auto waited = std::chrono::duration_cast<milliseconds>(
+        parts_.context_.clock_.now() - arrived_);
+    parts_.context_.log_.info(event,
+                              {{"request_id", request_.id_},
+                               {"route", route_.name_},
+                               {"service", service_},
+                               {"model", request_.model_},
+                               {"adapter", request_.adapter_},
+                               {"backend", backend_},
+                               {"code", error_code_names.name_of(cause.code_)},
+                               {"step", step_names.name_of(cause.step_)},
+                               {"run", run_status_names.name_of(cause.run_)},
+                               {"detail", cause.detail_},
+                               {"attempts", std::to_string(sends_)},
+                               {"events", std::to_string(events_.events())},
+                               {"waited_ms", std::to_string(waited.count())},
+                               {"config", std::to_string(config_->version_)}});
+}
+
+auto exchange::on_client_left() -> void {
+    const auto self = shared_from_this();
+    client_ = nullptr;
+    parts_.counters_.clients_left_.add();
+    const auto run_to_end =
+        call_ && route_.kind_ == coordination::request_kind::non_idempotent;
+    if (run_to_end) {
+        return;
+    }
+    if (call_) {
+        std::exchange(call_, nullptr)->cancel();
+        end_attempt();
+    }
+    finish();
+}
+
+auto exchange::finish() -> void {
+    if (std::exchange(done_, true)) {
+        return;
+    }
+    if (client_ != nullptr) {
+        client_->observe(nullptr);
+        client_ = nullptr;
+    }
+    parts_.counters_.whole_.record(parts_.context_.clock_.now() - arrived_);
+    parts_.exchanges_.erase(shared_from_this());
+}
+
+} // namespace basilstream::daemon::internal
--- /dev/null
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -0,0 +1,97 @@
+/// One request of a client, from its arrival to its final answer.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "basilstream/daemon/relay/internal/parts.hpp"
+#include "basilstream/protocol/event_stream/event_stream.hpp"
+
+namespace basilstream::daemon::internal {
+
+/// Sends the request to backend servers until it has an answer or no further
+/// attempt is allowed, and answers the client exactly once.
+class exchange final : public transport::answer_observer,
+                       public transport::client_observer,
+                       public std::enable_shared_from_this<exchange> {
+public:
+    exchange(relay_parts& parts, transport::http_session& client,
+             std::shared_ptr<const coordination::relay_config> config,
+             const coordination::relay_route& route, relayed_request request);
+
+    /// Begins; may end at once.
+    auto start() -> void;
+    /// Tries again to find a server, if the request waits for one.
+    auto on_backends_changed() -> void;
+    /// Enforces the deadline.
+    auto check(time_point now) -> void;
+    /// Whether the request waits for a server.
+    [[nodiscard]] auto waiting() const -> bool {
+        return wait_until_.has_value();
+    }
+
+    auto on_answer_head(const transport::answer_head& head) -> bool override;
+    auto on_answer_body(std::string_view piece) -> void override;
+    auto on_answer_end() -> void override;
+    auto on_call_failed(transport::call_failure failure) -> void override;
+    auto on_client_left() -> void override;
+    auto on_client_drained() -> void override;
+
+private:
+    // What the current attempt's answer is taken for.
+    enum class answer_mode { none, streamed, collected, not_run };
+
+    auto dispatch() -> void;
+    auto send_to(const coordination::route& chosen) -> void;
+    auto wait_for_server(const error& cause) -> void;
+    auto end_attempt() -> void;
+    auto attempt_failed(error cause) -> void;
+    auto retry_or_give_up(error cause) -> void;
+    auto retry_later(time_point not_before) -> void;
+    auto deliver_collected() -> void;
+    auto retry_server_error() -> bool;
+    auto give_up(const error& cause) -> void;
+    auto finish() -> void;
+    auto log_end(std::string_view event, const error& cause) -> void;
+    [[nodiscard]] auto time_left(time_point now) const -> milliseconds;
+    [[nodiscard]] auto want() const -> model_want;
+    [[nodiscard]] auto may_run_again() const -> bool;
+    [[nodiscard]] auto retry_hint() -> milliseconds;
+
+    relay_parts& parts_;
+    transport::http_session* client_;
+    std::shared_ptr<const coordination::relay_config> config_;
+    const coordination::relay_route& route_;
+    relayed_request request_;
+    std::string service_;
+    time_point arrived_;
+    time_point deadline_;
+    std::optional<time_point> wait_until_;
+    std::optional<milliseconds> expected_wait_;
+
+    std::shared_ptr<transport::http_call_connection> call_;
+    std::string backend_;
+    std::vector<std::string> excluded_;
+    // Servers on which the request may have run, and all sendings.
+    int runs_ = 0;
+    int sends_ = 0;
+    std::uint64_t retry_ticket_ = 0;
+
+    answer_mode mode_ = answer_mode::none;
+    answer_verdict verdict_ = answer_verdict::answer;
+    transport::answer_head head_;
+    std::string body_;
+    // head_ and body_ hold a server's own failure, in case nothing better
+    // comes.
+    bool has_fallback_ = false;
+    protocol::event_splitter events_;
+    bool stream_begun_ = false;
+    bool paused_ = false;
+    bool done_ = false;
+};
+
+} // namespace basilstream::daemon::internal
--- /dev/null
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -0,0 +1,391 @@
+#include "basilstream/daemon/relay_program/relay_program.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "basilstream/coordination/discovery/discovery.hpp"
+#include "basilstream/daemon/cluster/cluster.hpp"
+#include "basilstream/daemon/relay/relay.hpp"
+#include "basilstream/daemon/store_watch/store_watch.hpp"
+#include "basilstream/transport/http_session/http_session.hpp"
+#include "basilstream/transport/metrics/metrics.hpp"
+
+namespace basilstream::daemon {
+namespace {
+
+// Posted work that may wait for the traffic thread.
+constexpr auto ring_capacity = std::size_t{16'384};
+// How often deadlines, time-outs and reads that are due are looked at.
+constexpr auto sweep_interval = milliseconds{50};
+constexpr auto cluster_interval = milliseconds{100};
+// Addresses in an endpoint answer, as clients accept at most.
+constexpr auto most_endpoints = std::size_t{64};
+// A daemon that has just joined knows few others: until then it lets others
+// answer where to connect, or all clients would come to it.
+constexpr auto join_time = milliseconds{1500};
+constexpr auto first_join_retry = milliseconds{1000};
+// How often the store's list of daemons is read again, for daemons that the
+// probes have lost.
+constexpr auto daemon_list_interval = seconds{10};
+// The process ends this long before it would be killed.
+constexpr auto grace_margin = milliseconds{400};
+// A drained daemon refuses new requests after clients have had time for a new
+// answer of the directory, and this much more.
+constexpr auto drain_margin = milliseconds{600};
+
+auto drain_settings_of(const relay_daemon_settings& settings)
+    -> coordination::drain_settings {
+    return {.time_to_live_ = settings.endpoint_time_to_live_,
+            .margin_ = drain_margin,
+            .hand_over_timeout_ = seconds{0}};
+}
+
+// Until placement is in place no model is on its way.
+class no_supply final : public model_supply {
+public:
+    auto on_request(const model_want& /*want*/, bool /*served*/)
+        -> void override {}
+    [[nodiscard]] auto expected_wait(const model_want& /*want*/) const
+        -> std::optional<milliseconds> override {
+        return std::nullopt;
+    }
+};
+
+class running_relay final : public relay_program, public store_observer {
+public:
+    running_relay(const relay_daemon_settings& settings,
+                  const installation& place, std::function<void()> ended)
+        : settings_{settings}, place_{place}, ended_{std::move(ended)},
+          log_{settings.logging_, settings.name_},
+          thread_{"traffic", ring_capacity}, context_{clock_, random_, thread_,
+                                                      log_, metrics_},
+          relay_{context_, relay_settings_of(settings), place.dialect(),
+                 supply_},
+          control_calls_{thread_, clock_}, store_{place.open_store(
+                                               control_calls_, thread_,
+                                               settings.store_address_)},
+          watch_{{clock_, random_, log_}, {}, *store_, place.decoder(), *this},
+          drain_{drain_settings_of(settings)} {}
+
+    ~running_relay() override { thread_.stop(); }
+
+    auto open() -> result<void> {
+        if (auto opened = relay_.open(); !opened) {
+            return opened;
+        }
+        if (auto opened = open_link(); !opened) {
+            return opened;
+        }
+        const auto listen = [this](const std::string& address, auto method)
+            -> result<std::unique_ptr<transport::http_session_server>> {
+            return transport::http_session_server::open(
+                thread_, clock_, {.address_ = address},
+                [this, method](transport::request_message request,
+                               transport::http_session& session) {
+                    (this->*method)(request, session);
+                });
+        };
+        auto readiness = listen(settings_.readiness_address_,
+                                &running_relay::answer_readiness);
+        auto directory = listen(settings_.directory_address_,
+                                &running_relay::answer_directory);
+        if (!readiness || !directory) {
+            return tl::unexpected(readiness ? directory.error()
+                                            : readiness.error());
+        }
+        servers_.push_back(std::move(*readiness));
+        servers_.push_back(std::move(*directory));
+        if (!settings_.metrics_address_.empty()) {
+            auto metrics = listen(settings_.metrics_address_,
+                                  &running_relay::answer_metrics);
+            if (!metrics) {
+                return tl::unexpected(metrics.error());
+            }
+            servers_.push_back(std::move(*metrics));
+        }
+        thread_.every(sweep_interval, [this] { sweep(); });
+        thread_.every(cluster_interval, [this] { tick_cluster(); });
+        log_.info("started", {{"callers", relay_.address()},
+                              {"peers", link_address_},
+                              {"store", settings_.store_address_}});
+        thread_.start();
+        return {};
+    }
+
+    auto request_stop() -> void override {
+        thread_.post_wait([this] {
+            log_.info("stop requested",
+                      {{"in_progress", std::to_string(relay_.in_progress())}});
+            if (drain_.stop_requests() == 0) {
+                stop_requested_at_ = clock_.now();
+            }
+            drain_.request_stop(clock_.now());
+        });
+    }
+
+    auto reload(const relay_daemon_settings& settings) -> void override {
+        thread_.post_wait([this, settings] {
+            relay_.set_retry_limits(settings.limits_.retry_ratio_,
+                                    settings.limits_.retry_allowance_,
+                                    settings.limits_.retry_window_);
+            log_.info("settings reloaded");
+        });
+    }
+
+    [[nodiscard]] auto caller_address() const -> std::string override {
+        return relay_.address();
+    }
+
+    auto on_config(std::shared_ptr<const coordination::relay_config> config)
+        -> void override {
+        relay_.set_config(std::move(config));
+    }
+    auto on_backend(const coordination::backend_server& server)
+        -> void override {
+        relay_.set_backend(server);
+    }
+    auto on_backend_gone(const std::string& id) -> void override {
+        relay_.remove_backend(id);
+    }
+
+private:
+    static auto relay_settings_of(const relay_daemon_settings& settings)
+        -> relay_settings {
+        return {.address_ = settings.caller_address_,
+                .retry_ratio_ = settings.limits_.retry_ratio_,
+                .retry_allowance_ = settings.limits_.retry_allowance_,
+                .retry_window_ = settings.limits_.retry_window_};
+    }
+
+    // Opens the link to the other daemons on the first port that is free.
+    auto open_link() -> result<void> {
+        auto failure = error{};
+        for (auto port = int{settings_.first_peer_port_};
+             port <= settings_.last_peer_port_; ++port) {
+            auto link = transport::peer_link::open(
+                {.address_ = settings_.peer_ip_,
+                 .port_ = static_cast<std::uint16_t>(port)},
+                [this](std::string from, std::string bytes) {
+                    // Messages are dropped when the thread is behind: the
+                    // modules above repeat what matters.
+                    (void)thread_.post([this, from = std::move(from),
+                                        bytes = std::move(bytes)] {
+                        if (cluster_) {
+                            cluster_->on_message(from, bytes);
+                        }
+                    });
+                });
+            if (link) {
+                link_address_ = (*link)->address();
+                link_ = std::move(*link);
+                return {};
+            }
+            failure = link.error();
+        }
+        return tl::unexpected(failure);
+    }
+
+    [[nodiscard]] auto ready() const -> bool {
+        return relay_.configured() && watch_.backends_known() &&
+               drain_.phase() == coordination::drain_phase::serving;
+    }
+
+    auto answer_readiness(const transport::request_message& request,
+                          transport::http_session& session) -> void {
+        const auto asked = place_.is_readiness_request(request);
+        session.respond(!asked ? 404 : ready() ? 200 : 503, {}, "");
+    }
+
+    auto answer_directory(const transport::request_message& request,
+                          transport::http_session& session) -> void {
+        const auto zone = place_.read_endpoint_request(request);
+        if (!zone) {
+            session.respond(404, {}, "");
+            return;
+        }
+        const auto joined =
+            joined_at_ && clock_.now() - *joined_at_ > join_time;
+        if (!joined) {
+            session.respond(503, {}, "");
+            return;
+        }
+        const auto answer = cluster_->endpoints(*zone);
+        if (!answer) {
+            session.respond(503, {}, "");
+            return;
+        }
+        auto headers = transport::header_list{};
+        headers.add("Content-Type", "application/json");
+        session.respond(200, headers, place_.endpoint_body(*answer));
+    }
+
+    auto answer_metrics(const transport::request_message& /*request*/,
+                        transport::http_session& session) -> void {
+        auto headers = transport::header_list{};
+        headers.add("Content-Type", "text/plain; version=0.0.4");
+        session.respond(200, headers, metrics_.prometheus_text());
+    }
+
+    auto sweep() -> void {
+        watch_.tick();
+        relay_.sweep();
+        control_calls_.sweep();
+        for (const auto& server : servers_) {
+            server->sweep();
+        }
+        if (!cluster_ && ready()) {
+            join();
+        }
+        advance_drain();
+    }
+
+    // Makes this daemon known to the others, once it can serve.
+    auto join() -> void {
+        cluster_.emplace(cluster_context{clock_, random_, log_},
+                         cluster_settings{.name_ = settings_.name_,
+                                          .zone_ = settings_.zone_,
+                                          .endpoint_time_to_live_ =
+                                              settings_.endpoint_time_to_live_,
+                                          .max_endpoints_ = most_endpoints},
+                         relay_.address(), std::move(link_));
+        cluster_->on_members([this](const std::vector<std::string>& owners) {
+            relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
+        });
+        announce();
+        read_daemons();
+    }
+
+    auto announce() -> void {
+        store_->append(
+            coordination::shared_topic::daemons, std::nullopt,
+            {settings_.name_, link_address_},
+            [this](const result<coordination::append_outcome>& outcome) {
+                if (!outcome) {
+                    log_.failure(transport::log_level::warning,
+                                 "announcing this daemon failed",
+                                 outcome.error());
+                    thread_.after(first_join_retry, [this] { announce(); });
+                }
+            });
+    }
+
+    auto read_daemons() -> void {
+        store_->read_newest(
+            coordination::shared_topic::daemons,
+            [this](const result<coordination::record_page>& page) {
+                take_daemons(page);
+            });
+    }
+
+    auto take_daemons(const result<coordination::record_page>& page) -> void {
+        if (!page) {
+            log_.failure(transport::log_level::warning,
+                         "reading the list of daemons failed", page.error());
+            thread_.after(first_join_retry, [this] { read_daemons(); });
+            return;
+        }
+        for (const auto& record : page->records_) {
+            if (record.value_) {
+                cluster_->add_seed(*record.value_);
+            }
+        }
+        if (!joined_at_) {
+            joined_at_ = clock_.now();
+        }
+        thread_.after(daemon_list_interval, [this] { read_daemons(); });
+    }
+
+    auto tick_cluster() -> void {
+        if (cluster_) {
+            cluster_->set_load(relay_.in_progress());
+            cluster_->tick();
+        }
+    }
+
+    auto advance_drain() -> void {
+        const auto now = clock_.now();
+        const auto overdue =
+            stop_requested_at_ &&
+            now - *stop_requested_at_ > settings_.stop_.grace_ - grace_margin;
+        if (overdue) {
+            end();
+            return;
+        }
+        const auto load = coordination::drain_load{relay_.in_progress(), false};
+        for (const auto action : drain_.tick(load, now)) {
+            log_.info(
+                "draining",
+                {{"action", coordination::drain_action_names.name_of(action)}});
+            carry_out(action);
+        }
+    }
+
+    auto carry_out(coordination::drain_action action) -> void {
+        switch (action) {
+        case coordination::drain_action::withdraw:
+            if (cluster_) {
+                cluster_->leave();
+            }
+            relay_.begin_draining();
+            break;
+        case coordination::drain_action::hand_over:
+            break;
+        case coordination::drain_action::stop_accepting:
+            relay_.stop_accepting();
+            relay_.close_idle();
+            break;
+        case coordination::drain_action::end:
+            end();
+            break;
+        }
+    }
+
+    auto end() -> void {
+        if (!std::exchange(end_told_, true)) {
+            log_.info("stopped",
+                      {{"in_progress", std::to_string(relay_.in_progress())}});
+            ended_();
+        }
+    }
+
+    const relay_daemon_settings settings_;
+    const installation& place_;
+    std::function<void()> ended_;
+    steady_clock clock_;
+    seeded_random random_{entropy_seed()};
+    transport::logger log_;
+    transport::metrics_registry metrics_;
+    transport::reactor_thread thread_;
+    relay_context context_;
+    no_supply supply_;
+    relay relay_;
+    // Calls to the store, apart from the connections of traffic.
+    transport::http_pool control_calls_;
+    std::unique_ptr<coordination::record_store> store_;
+    store_watch watch_;
+    coordination::drain_controller drain_;
+    std::vector<std::unique_ptr<transport::http_session_server>> servers_;
+    std::unique_ptr<transport::peer_link> link_;
+    std::string link_address_;
+    std::optional<cluster> cluster_;
+    std::optional<time_point> joined_at_;
+    std::optional<time_point> stop_requested_at_;
+    bool end_told_ = false;
+};
+
+} // namespace
+
+auto relay_program::start(const relay_daemon_settings& settings,
+                          const installation& place,
+                          std::function<void()> ended)
+    -> result<std::unique_ptr<relay_program>> {
+    auto made =
+        std::make_unique<running_relay>(settings, place, std::move(ended));
+    if (auto opened = made->open(); !opened) {
+        return tl::unexpected(opened.error());
+    }
+    return made;
+}
+
+} // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -0,0 +1,253 @@
+#include "basilstream/transport/http_session/http_session.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace basilstream::transport {
+namespace {
+
+// How long a closed connection waits for the client's last bytes. Closing
+// with unread bytes would reset it and might destroy the answer.
+constexpr auto linger_time = milliseconds{1000};
+// Idle connections are kept this much longer than clients are told, so that a
+// request under way does not meet a closed connection.
+constexpr auto idle_margin = milliseconds{1000};
+
+auto status_of(request_fault fault) -> int {
+    switch (fault) {
+    case request_fault::header_too_large:
+        return 431;
+    case request_fault::body_too_large:
+        return 413;
+    default:
+        return 400;
+    }
+}
+
+} // namespace
+
+http_session::http_session(http_session_server& server, int descriptor)
+    : server_{server}, stream_{tcp_stream::adopt(server.thread_, descriptor,
+                                                 *this)},
+      reader_{server.options_.limits_}, since_{server.clock_.now()} {}
+
+http_session::~http_session() = default;
+
+auto http_session::close() -> void {
+    const auto self = shared_from_this();
+    stream_.reset();
+    server_.sessions_.erase(self);
+}
+
+auto http_session::on_closed(close_reason /*reason*/) -> void {
+    const auto self = shared_from_this();
+    auto* const observer = std::exchange(observer_, nullptr);
+    close();
+    if (observer != nullptr) {
+        observer->on_client_left();
+    }
+}
+
+auto http_session::on_data(std::string_view bytes) -> void {
+    if (lingering_) {
+        return;
+    }
+    if (busy_) {
+        // Sent before the answer to the request before: never read.
+        keep_alive_ = false;
+        return;
+    }
+    if (!reader_.started()) {
+        since_ = server_.clock_.now();
+    }
+    const auto self = shared_from_this();
+    switch (reader_.feed(bytes)) {
+    case read_state::incomplete:
+        if (reader_.take_expectation()) {
+            stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        break;
+    case read_state::malformed:
+        refuse_malformed();
+        break;
+    case read_state::complete:
+        busy_ = true;
+        keep_alive_ = !reader_.has_surplus();
+        auto request = reader_.take();
+        keep_alive_ = keep_alive_ && request.keep_alive_;
+        server_.handler_(std::move(request), *this);
+        break;
+    }
+}
+
+auto http_session::refuse_malformed() -> void {
+    busy_ = true;
+    keep_alive_ = false;
+    respond(status_of(reader_.fault()), {}, "");
+}
+
+auto http_session::respond(int status, const header_list& headers,
+                           std::string_view body) -> void {
+    if (!stream_ || !busy_) {
+        return;
+    }
+    keep_alive_ = keep_alive_ && !server_.draining_;
+    auto output = write_head(status, headers, body_framing::length, body.size(),
+                             keep_alive_);
+    output.append(body);
+    stream_->write(output);
+    finish_answer();
+}
+
+auto http_session::begin_stream(int status, const header_list& headers)
+    -> void {
+    if (!stream_ || !busy_) {
+        return;
+    }
+    keep_alive_ = keep_alive_ && !server_.draining_;
+    stream_->write(
+        write_head(status, headers, body_framing::chunked, 0, keep_alive_));
+}
+
+auto http_session::write_piece(std::string_view piece) -> void {
+    if (!stream_ || piece.empty()) {
+        return;
+    }
+    static thread_local auto chunk = std::string{};
+    chunk.clear();
+    append_chunk(chunk, piece);
+    stream_->write(chunk);
+}
+
+auto http_session::end_stream() -> void {
+    if (stream_) {
+        stream_->write(last_chunk);
+        finish_answer();
+    }
+}
+
+auto http_session::abort() -> void {
+    observer_ = nullptr;
+    if (stream_) {
+        stream_->reset();
+        close();
+    }
+}
+
+auto http_session::finish_answer() -> void {
+    observer_ = nullptr;
+    busy_ = false;
+    since_ = server_.clock_.now();
+    if (!keep_alive_) {
+        begin_linger();
+    }
+}
+
+auto http_session::begin_linger() -> void {
+    lingering_ = true;
+    since_ = server_.clock_.now();
+    stream_->finish_writing();
+}
+
+auto http_session::buffered() const -> std::size_t {
+    return stream_ ? stream_->buffered() : 0;
+}
+
+auto http_session::on_drained() -> void {
+    if (observer_ != nullptr) {
+        observer_->on_client_drained();
+    }
+}
+
+auto http_session::check(time_point now) -> void {
+    const auto waited = now - since_;
+    if (lingering_) {
+        if (waited > linger_time && buffered() == 0) {
+            close();
+        }
+        return;
+    }
+    if (busy_) {
+        return;
+    }
+    const auto& options = server_.options_;
+    if (reader_.started() && !reader_.header_complete()) {
+        if (waited > options.header_timeout_) {
+            busy_ = true;
+            keep_alive_ = false;
+            respond(408, {}, "");
+        }
+    } else if (waited > options.idle_timeout_ + idle_margin) {
+        close();
+    }
+}
+
+auto http_session::close_if_idle() -> void {
+    if (!busy_ && !lingering_ && !reader_.started() &&
+        !reader_.header_complete()) {
+        begin_linger();
+    }
+}
+
+http_session_server::http_session_server(reactor_thread& thread,
+                                         const clock& time,
+                                         http_session_options options,
+                                         request_handler handler)
+    : thread_{thread}, clock_{time}, options_{std::move(options)},
+      handler_{std::move(handler)} {}
+
+http_session_server::~http_session_server() = default;
+
+auto http_session_server::open(reactor_thread& thread, const clock& time,
+                               http_session_options options,
+                               request_handler handler)
+    -> result<std::unique_ptr<http_session_server>> {
+    const auto address = options.address_;
+    auto server = std::unique_ptr<http_session_server>{new http_session_server{
+        thread, time, std::move(options), std::move(handler)}};
+    auto listener =
+        tcp_listener::open(thread, address, [&made = *server](int descriptor) {
+            made.sessions_.insert(
+                std::make_shared<http_session>(made, descriptor));
+        });
+    if (!listener) {
+        return tl::unexpected(listener.error());
+    }
+    server->listener_ = std::move(*listener);
+    return server;
+}
+
+auto http_session_server::set_limits(const request_limits& limits,
+                                     milliseconds header_timeout,
+                                     milliseconds idle_timeout) -> void {
+    options_.limits_ = limits;
+    options_.header_timeout_ = header_timeout;
+    options_.idle_timeout_ = idle_timeout;
+}
+
+auto http_session_server::sweep() -> void {
+    const auto now = clock_.now();
+    const auto sessions = std::vector<std::shared_ptr<http_session>>{
+        sessions_.begin(), sessions_.end()};
+    for (const auto& session : sessions) {
+        session->check(now);
+    }
+}
+
+auto http_session_server::close_idle() -> void {
+    const auto sessions = std::vector<std::shared_ptr<http_session>>{
+        sessions_.begin(), sessions_.end()};
+    for (const auto& session : sessions) {
+        session->close_if_idle();
+    }
+}
+
+auto http_session_server::busy() const -> std::size_t {
+    auto count = std::size_t{0};
+    for (const auto& session : sessions_) {
+        count += session->busy() ? 1U : 0U;
+    }
+    return count;
+}
+
+} // namespace basilstream::transport
--- /dev/null
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -0,0 +1,153 @@
+/// HTTP/1.1 server connections on a reactor thread. One request at a time is
+/// read whole and handed to a handler, which answers at once or later.
+///
+///     auto server = http_session_server::open(thread, clock, options,
+///         [](request_message request, http_session& session) {
+///             session.respond(200, {}, "hello");
+///         });
+///
+/// Unlike `http_server`, sessions, handlers and decisions share one thread, so
+/// that an event passes from one socket to another without a hand-over.
+/// Requests that a client sends before it has the answer to the one before are
+/// not read: that connection closes after the answer.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/error/error.hpp"
+#include "basilstream/transport/http_message/http_message.hpp"
+#include "basilstream/transport/reactor/reactor.hpp"
+#include "basilstream/transport/tcp_stream/tcp_stream.hpp"
+
+namespace basilstream::transport {
+
+/// Learns what becomes of a client that waits for an answer.
+class client_observer {
+public:
+    client_observer() = default;
+    client_observer(const client_observer&) = delete;
+    auto operator=(const client_observer&) -> client_observer& = delete;
+    virtual ~client_observer() = default;
+
+    /// The client has closed its connection; the session is gone.
+    virtual auto on_client_left() -> void = 0;
+    /// All buffered output has left.
+    virtual auto on_client_drained() -> void = 0;
+};
+
+class http_session_server;
+
+/// A client's connection. Handlers answer each request exactly once: by
+/// respond(), or by begin_stream() up to end_stream() or abort().
+class http_session final : public tcp_observer,
+                           public std::enable_shared_from_this<http_session> {
+public:
+    http_session(http_session_server& server, int descriptor);
+    ~http_session() override;
+
+    /// Who learns that the client left; null for nobody.
+    auto observe(client_observer* observer) -> void { observer_ = observer; }
+
+    auto respond(int status, const header_list& headers, std::string_view body)
+        -> void;
+    /// Begins an answer of unknown length.
+    auto begin_stream(int status, const header_list& headers) -> void;
+    auto write_piece(std::string_view piece) -> void;
+    auto end_stream() -> void;
+    /// Breaks the answer off so that it cannot be taken for a whole one.
+    auto abort() -> void;
+    /// Bytes that the client has not taken yet.
+    [[nodiscard]] auto buffered() const -> std::size_t;
+
+    /// Closes the connection if its client is late; called periodically.
+    auto check(time_point now) -> void;
+    /// Whether a request is being answered.
+    [[nodiscard]] auto busy() const -> bool { return busy_; }
+    /// Closes the connection if no request has begun.
+    auto close_if_idle() -> void;
+
+    auto on_data(std::string_view bytes) -> void override;
+    auto on_drained() -> void override;
+    auto on_closed(close_reason reason) -> void override;
+
+private:
+    auto refuse_malformed() -> void;
+    auto finish_answer() -> void;
+    auto begin_linger() -> void;
+    auto close() -> void;
+
+    http_session_server& server_;
+    std::unique_ptr<tcp_stream> stream_;
+    request_reader reader_;
+    client_observer* observer_ = nullptr;
+    time_point since_;
+    bool busy_ = false;
+    bool keep_alive_ = true;
+    bool lingering_ = false;
+};
+
+/// Settings of a server.
+struct http_session_options {
+    /// "IP:PORT"; port 0 picks an ephemeral one.
+    std::string address_;
+    request_limits limits_ = {};
+    milliseconds header_timeout_{3000};
+    milliseconds idle_timeout_{15'000};
+};
+
+/// Accepts connections and owns their sessions.
+class http_session_server {
+public:
+    using request_handler =
+        std::function<void(request_message request, http_session& session)>;
+
+    /// Starts to listen; `unavailable` at step settings when the address is
+    /// taken. Call before the thread starts or on it.
+    [[nodiscard]] static auto open(reactor_thread& thread, const clock& time,
+                                   http_session_options options,
+                                   request_handler handler)
+        -> result<std::unique_ptr<http_session_server>>;
+    http_session_server(const http_session_server&) = delete;
+    auto operator=(const http_session_server&) -> http_session_server& = delete;
+    ~http_session_server();
+
+    /// Changes the bounds for connections accepted from now on, and the
+    /// time-outs of all.
+    auto set_limits(const request_limits& limits, milliseconds header_timeout,
+                    milliseconds idle_timeout) -> void;
+    /// From now on each answer is the last one of its connection.
+    auto set_draining() -> void { draining_ = true; }
+    /// Closes the connections that wait for a request.
+    auto close_idle() -> void;
+    /// Closes what has waited too long; call every 100 ms or so.
+    auto sweep() -> void;
+
+    [[nodiscard]] auto address() const -> std::string {
+        return listener_->address();
+    }
+    [[nodiscard]] auto connections() const -> std::size_t {
+        return sessions_.size();
+    }
+    [[nodiscard]] auto busy() const -> std::size_t;
+
+private:
+    friend class http_session;
+    http_session_server(reactor_thread& thread, const clock& time,
+                        http_session_options options, request_handler handler);
+
+    reactor_thread& thread_;
+    const clock& clock_;
+    http_session_options options_;
+    request_handler handler_;
+    std::unique_ptr<tcp_listener> listener_;
+    std::unordered_set<std::shared_ptr<http_session>> sessions_;
+    bool draining_ = false;
+};
+
+} // namespace basilstream::transport
--- a/basilstream/transport/reactor/reactor.cpp
+++ b/basilstream/transport/reactor/reactor.cpp
@@ -1,5 +1,6 @@
 #include "basilstream/transport/reactor/reactor.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <set>
@@ -12,6 +13,7 @@
 #include <ace/Task.h>
 #include <ace/Timer_Heap.h>
 #include <sys/eventfd.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "basilstream/transport/bounded_ring/bounded_ring.hpp"
@@ -19,8 +21,15 @@
 namespace basilstream::transport {
 namespace {
 
-// File descriptors one reactor can watch.
-constexpr auto max_handles = 8192U;
+// File descriptors one reactor can watch, unless the process may open fewer:
+// ACE refuses to open a reactor for more than those.
+constexpr auto max_handles = rlim_t{8192};
+
+auto handle_limit() -> std::size_t {
+    auto limit = rlimit{};
+    const auto known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
+    return known ? std::min(limit.rlim_cur, max_handles) : max_handles;
+}
 
 // Rounds the wait for the next timer up to whole milliseconds. The reactor
 // hands its wait to epoll in whole milliseconds and would round it down, so
@@ -88,8 +97,8 @@
 class reactor_thread::implementation final : public ACE_Task_Base {
 public:
     implementation(std::string name, std::size_t ring_capacity)
-        : name_{std::move(name)}, ring_{ring_capacity}, poll_{max_handles, true,
-                                                              nullptr,
+        : name_{std::move(name)}, ring_{ring_capacity}, poll_{handle_limit(),
+                                                              true, nullptr,
                                                               &timers_by_time_},
           reactor_{&poll_}, wake_{*this} {
         wake_.descriptor_ = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
--- /dev/null
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -0,0 +1,405 @@
+#include "basilstream/transport/tcp_stream/tcp_stream.hpp"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace basilstream::transport {
+namespace {
+
+// Bytes read in one turn; a busy connection leaves room for the others.
+constexpr auto read_size = std::size_t{16} * 1024;
+// Connections that wait to be accepted.
+constexpr auto listen_backlog = 1024;
+constexpr auto keep_alive_probes = 2;
+
+auto parse_address(const std::string& address, sockaddr_in& parsed) -> bool {
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return false;
+    }
+    const auto host = address.substr(0, colon);
+    const auto port = std::strtoul(address.c_str() + colon + 1, nullptr, 10);
+    parsed = {};
+    parsed.sin_family = AF_INET;
+    parsed.sin_port = htons(static_cast<std::uint16_t>(port));
+    return port <= 65535 &&
+           ::inet_pton(AF_INET, host.c_str(), &parsed.sin_addr) == 1;
+}
+
+auto set_option(int descriptor, int level, int name, int value) -> void {
+    // A missing option costs speed or detection time, never correctness.
+    (void)::setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+auto set_options(int descriptor, const tcp_options& options) -> void {
+    const auto silence = static_cast<int>(options.silence_timeout_.count());
+    const auto probe_interval = std::max(1, silence / 1000 / keep_alive_probes);
+    set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, silence);
+    set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probe_interval);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
+auto would_block() -> bool {
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+
+} // namespace
+
+// Callbacks may destroy the stream, and with it this handler; `alive_` tells
+// the code that follows a callback whether it still exists.
+class tcp_stream::handler final : public ACE_Event_Handler {
+public:
+    handler(reactor_thread& thread, int descriptor, tcp_observer& observer,
+            bool connecting)
+        : thread_{thread}, descriptor_{descriptor}, observer_{observer},
+          connecting_{connecting} {
+        const auto mask = connecting_ ? ACE_Event_Handler::CONNECT_MASK
+                                      : ACE_Event_Handler::READ_MASK;
+        mask_ = mask;
+        if (descriptor_ >= 0) {
+            thread_.reactor().register_handler(descriptor_, this, mask_);
+        }
+    }
+
+    ~handler() override {
+        *alive_ = false;
+        end();
+    }
+
+    [[nodiscard]] auto get_handle() const -> ACE_HANDLE override {
+        return descriptor_;
+    }
+
+    auto handle_input(ACE_HANDLE /*handle*/) -> int override {
+        if (connecting_) {
+            return handle_output(descriptor_);
+        }
+        static thread_local auto buffer = std::array<char, read_size>{};
+        const auto count = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
+        if (count > 0) {
+            observer_.on_data({buffer.data(), static_cast<std::size_t>(count)});
+        } else if (count == 0) {
+            fail(close_reason::end_of_stream);
+        } else if (!would_block()) {
+            fail(close_reason::reset);
+        }
+        return 0;
+    }
+
+    auto handle_output(ACE_HANDLE /*handle*/) -> int override {
+        if (connecting_ && !finish_connecting()) {
+            return 0;
+        }
+        const auto had_output = !output_.empty();
+        if (flush() && had_output && output_.empty()) {
+            observer_.on_drained();
+        }
+        return 0;
+    }
+
+    auto write(std::string_view bytes) -> void {
+        if (closed_) {
+            return;
+        }
+        if (!connecting_ && output_.empty()) {
+            const auto sent = send_some(bytes);
+            if (sent < 0) {
+                fail_later();
+                return;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        output_.append(bytes);
+        update_mask();
+    }
+
+    auto set_reading(bool wanted) -> void {
+        reading_ = wanted;
+        update_mask();
+    }
+
+    auto finish_writing() -> void {
+        finishing_ = true;
+        shut_down_if_drained();
+    }
+
+    auto reset() -> void {
+        if (descriptor_ >= 0) {
+            const auto no_linger = linger{1, 0};
+            (void)::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &no_linger,
+                               sizeof no_linger);
+            end();
+        }
+    }
+
+    auto fail_later() -> void {
+        // The caller is inside the owner's code: report from the loop.
+        auto alive = alive_;
+        thread_.after(milliseconds{0}, [this, alive] {
+            if (*alive && !closed_) {
+                fail(connecting_ ? close_reason::not_connected
+                                 : close_reason::reset);
+            }
+        });
+    }
+
+    [[nodiscard]] auto buffered() const -> std::size_t {
+        return output_.size();
+    }
+    [[nodiscard]] auto established() const -> bool {
+        return !connecting_ && !closed_;
+    }
+
+private:
+    auto finish_connecting() -> bool {
+        auto failure = 0;
+        auto size = static_cast<socklen_t>(sizeof failure);
+        ::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &failure, &size);
+        if (failure != 0) {
+            fail(close_reason::not_connected);
+            return false;
+        }
+        connecting_ = false;
+        update_mask();
+        return true;
+    }
+
+    // Returns false when the stream has failed and may be gone.
+    auto flush() -> bool {
+        if (output_.empty()) {
+            return true;
+        }
+        const auto sent = send_some(output_);
+        if (sent < 0) {
+            fail(close_reason::reset);
+            return false;
+        }
+        output_.erase(0, static_cast<std::size_t>(sent));
+        update_mask();
+        shut_down_if_drained();
+        return true;
+    }
+
+    // Returns the bytes taken by the kernel, or -1 when the connection broke.
+    auto send_some(std::string_view bytes) const -> ssize_t {
+        const auto sent =
+            ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent >= 0) {
+            return sent;
+        }
+        return would_block() ? 0 : -1;
+    }
+
+    auto shut_down_if_drained() const -> void {
+        if (finishing_ && output_.empty() && descriptor_ >= 0) {
+            ::shutdown(descriptor_, SHUT_WR);
+        }
+    }
+
+    auto update_mask() -> void {
+        if (closed_ || connecting_) {
+            return;
+        }
+        auto wanted = static_cast<ACE_Reactor_Mask>(0);
+        if (reading_) {
+            wanted |= ACE_Event_Handler::READ_MASK;
+        }
+        if (!output_.empty()) {
+            wanted |= ACE_Event_Handler::WRITE_MASK;
+        }
+        if (wanted == mask_) {
+            return;
+        }
+        auto& reactor = thread_.reactor();
+        const auto removed = mask_ & ~wanted;
+        const auto added = wanted & ~mask_;
+        if (added != 0) {
+            reactor.register_handler(descriptor_, this, added);
+        }
+        if (removed != 0) {
+            reactor.remove_handler(descriptor_,
+                                   removed | ACE_Event_Handler::DONT_CALL);
+        }
+        mask_ = wanted;
+    }
+
+    auto end() -> void {
+        closed_ = true;
+        if (descriptor_ < 0) {
+            return;
+        }
+        thread_.reactor().remove_handler(descriptor_,
+                                         ACE_Event_Handler::ALL_EVENTS_MASK |
+                                             ACE_Event_Handler::DONT_CALL);
+        ::close(std::exchange(descriptor_, -1));
+    }
+
+    auto fail(close_reason reason) -> void {
+        end();
+        observer_.on_closed(reason);
+    }
+
+    reactor_thread& thread_;
+    int descriptor_;
+    tcp_observer& observer_;
+    bool connecting_;
+    bool closed_ = false;
+    bool finishing_ = false;
+    bool reading_ = true;
+    ACE_Reactor_Mask mask_ = 0;
+    std::string output_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+tcp_stream::tcp_stream(std::unique_ptr<handler> made)
+    : handler_{std::move(made)} {}
+
+tcp_stream::~tcp_stream() = default;
+
+auto tcp_stream::connect(reactor_thread& thread, const std::string& address,
+                         tcp_observer& observer, const tcp_options& options)
+    -> std::unique_ptr<tcp_stream> {
+    const auto descriptor =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    auto target = sockaddr_in{};
+    const auto valid = descriptor >= 0 && parse_address(address, target);
+    auto refused = !valid;
+    if (valid) {
+        set_options(descriptor, options);
+        refused = ::connect(descriptor, reinterpret_cast<sockaddr*>(&target),
+                            sizeof target) != 0 &&
+                  errno != EINPROGRESS;
+    }
+    auto made = std::make_unique<handler>(thread, descriptor, observer, true);
+    if (refused) {
+        made->fail_later();
+    }
+    return std::unique_ptr<tcp_stream>{new tcp_stream{std::move(made)}};
+}
+
+auto tcp_stream::adopt(reactor_thread& thread, int descriptor,
+                       tcp_observer& observer, const tcp_options& options)
+    -> std::unique_ptr<tcp_stream> {
+    set_options(descriptor, options);
+    return std::unique_ptr<tcp_stream>{new tcp_stream{
+        std::make_unique<handler>(thread, descriptor, observer, false)}};
+}
+
+auto tcp_stream::write(std::string_view bytes) -> void {
+    handler_->write(bytes);
+}
+
+auto tcp_stream::set_reading(bool wanted) -> void {
+    handler_->set_reading(wanted);
+}
+
+auto tcp_stream::finish_writing() -> void {
+    handler_->finish_writing();
+}
+
+auto tcp_stream::reset() -> void {
+    handler_->reset();
+}
+
+auto tcp_stream::buffered() const -> std::size_t {
+    return handler_->buffered();
+}
+
+auto tcp_stream::established() const -> bool {
+    return handler_->established();
+}
+
+class tcp_listener::handler final : public ACE_Event_Handler {
+public:
+    handler(reactor_thread& thread, int descriptor, accept_handler accepted)
+        : thread_{thread}, descriptor_{descriptor}, accepted_{
+                                                        std::move(accepted)} {
+        thread_.reactor().register_handler(descriptor_, this,
+                                           ACE_Event_Handler::ACCEPT_MASK);
+    }
+
+    ~handler() override {
+        thread_.reactor().remove_handler(descriptor_,
+                                         ACE_Event_Handler::ALL_EVENTS_MASK |
+                                             ACE_Event_Handler::DONT_CALL);
+        ::close(descriptor_);
+    }
+
+    auto handle_input(ACE_HANDLE /*handle*/) -> int override {
+        const auto descriptor = ::accept4(descriptor_, nullptr, nullptr,
+                                          SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor >= 0) {
+            accepted_(descriptor);
+        }
+        return 0;
+    }
+
+    [[nodiscard]] auto address() const -> std::string {
+        auto bound = sockaddr_in{};
+        auto size = static_cast<socklen_t>(sizeof bound);
+        ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&bound), &size);
+        auto text = std::array<char, INET_ADDRSTRLEN>{};
+        ::inet_ntop(AF_INET, &bound.sin_addr, text.data(), text.size());
+        return std::string{text.data()} + ":" +
+               std::to_string(ntohs(bound.sin_port));
+    }
+
+private:
+    reactor_thread& thread_;
+    int descriptor_;
+    accept_handler accepted_;
+};
+
+tcp_listener::tcp_listener(std::unique_ptr<handler> made)
+    : handler_{std::move(made)} {}
+
+tcp_listener::~tcp_listener() = default;
+
+auto tcp_listener::open(reactor_thread& thread, const std::string& address,
+                        accept_handler accepted)
+    -> result<std::unique_ptr<tcp_listener>> {
+    const auto failed = [&](const char* what) {
+        return tl::unexpected(
+            error{error_code::unavailable, step::settings, address,
+                  std::string{what} + ": " + std::strerror(errno)});
+    };
+    auto local = sockaddr_in{};
+    if (!parse_address(address, local)) {
+        errno = EINVAL;
+        return failed("not an address");
+    }
+    const auto descriptor =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return failed("cannot open a socket");
+    }
+    set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&local), sizeof local) !=
+            0 ||
+        ::listen(descriptor, listen_backlog) != 0) {
+        auto refusal = failed("cannot listen");
+        ::close(descriptor);
+        return refusal;
+    }
+    return std::unique_ptr<tcp_listener>{new tcp_listener{
+        std::make_unique<handler>(thread, descriptor, std::move(accepted))}};
+}
+
+auto tcp_listener::address() const -> std::string {
+    return handler_->address();
+}
+
+} // namespace basilstream::transport
--- a/cmake/basilstream.cmake
+++ b/cmake/basilstream.cmake
@@ -1,6 +1,8 @@
 find_package(Threads REQUIRED)
-find_package(GTest REQUIRED)
-find_package(benchmark REQUIRED)
+if(BASILSTREAM_TESTS)
+  find_package(GTest REQUIRED)
+  find_package(benchmark REQUIRED)
+endif()
 
 # basilstream_library(NAME [DEPENDS target...])
 #
@@ -25,14 +27,14 @@
     target_include_directories(${name} INTERFACE ${CMAKE_SOURCE_DIR})
     target_link_libraries(${name} INTERFACE ${ARG_DEPENDS} Threads::Threads)
   endif()
-  if(tests)
+  if(tests AND BASILSTREAM_TESTS)
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test ${name} ${ARG_TEST_DEPENDS}
                           GTest::gtest_main)
     add_test(NAME ${name} COMMAND ${name}_test)
     set_tests_properties(${name} PROPERTIES TIMEOUT 900)
   endif()
-  if(benchmarks)
+  if(benchmarks AND BASILSTREAM_TESTS)
     add_executable(${name}_benchmark ${benchmarks})
     target_link_libraries(${name}_benchmark ${name} ${ARG_TEST_DEPENDS}
                           benchmark::benchmark_main)
