Place models and adapters by demand, under a lease in the store

Change: a placement lease (claims by offset, clock that counts suspension), a ledger that names the orders accepted so far in each order, a planner by demand for more models and adapters than fit, news of holdings between daemons, and requests that wait for an adapter on its way. Ruled out: the existing planner keeps every model with all of its adapters on two runners, which does not fit here. What binds now is load on few copies after a shift.

--- a/basilstream/base/clock/clock.hpp
+++ b/basilstream/base/clock/clock.hpp
@@ -37,6 +37,13 @@
     [[nodiscard]] auto now() const -> time_point override;
 };
 
+/// The machine's clock that also counts the time for which it was suspended
+/// (CLOCK_BOOTTIME): for leases, which run out meanwhile.
+class boot_clock final : public clock {
+public:
+    [[nodiscard]] auto now() const -> time_point override;
+};
+
 /// A clock that moves only when told. Not safe for concurrent use.
 class manual_clock final : public clock {
 public:
--- /dev/null
+++ b/basilstream/coordination/placement_lease/placement_lease.cpp
@@ -0,0 +1,153 @@
+#include "basilstream/coordination/placement_lease/placement_lease.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilstream::coordination {
+
+placement_lease::placement_lease(placement_lease_settings settings,
+                                 std::string holder, random_source& random)
+    : settings_{settings}, holder_{std::move(holder)}, random_{random},
+      spread_{static_cast<duration::rep>(
+          random.fraction() *
+          static_cast<double>(settings.claim_spread_.count()))} {}
+
+auto placement_lease::on_entry(std::uint64_t offset, const lease_entry& entry,
+                               time_point now) -> void {
+    end_ = std::max(end_.value_or(0), offset + 1);
+    if (entry.kind_ == lease_entry_kind::claim) {
+        if (owner_ && offset <= epoch_) {
+            return;
+        }
+        own_claim_ = own_claim_ && offset == epoch_;
+        owner_ = entry.holder_;
+        epoch_ = offset;
+        owner_released_ = false;
+        owner_seen_ = now;
+        return;
+    }
+    if (!owner_ || entry.epoch_ > epoch_) {
+        // The claim itself is no longer kept.
+        owner_ = entry.holder_;
+        epoch_ = entry.epoch_;
+        own_claim_ = false;
+        owner_released_ = false;
+    }
+    if (entry.epoch_ == epoch_) {
+        owner_released_ = entry.kind_ == lease_entry_kind::release;
+        owner_seen_ = now;
+    }
+}
+
+auto placement_lease::on_read(std::uint64_t end, time_point now) -> void {
+    end_ = std::max(end_.value_or(0), end);
+    read_at_ = now;
+    read_needed_ = false;
+}
+
+auto placement_lease::on_owner_heard(std::uint64_t epoch, time_point now)
+    -> void {
+    if (owner_ && epoch == epoch_ && !owner_released_) {
+        owner_seen_ = now;
+    } else if (!owner_ || epoch > epoch_) {
+        read_needed_ = true;
+    }
+}
+
+auto placement_lease::claimable_at() const -> time_point {
+    if (!owner_) {
+        return time_point::min();
+    }
+    const auto pause =
+        settings_.pause_between_owners_ + settings_.clock_margin_;
+    if (owns_latest()) {
+        // An earlier process on this VM: the same holder.
+        return time_point::min();
+    }
+    const auto over =
+        owner_released_ ? owner_seen_ : owner_seen_ + settings_.term_;
+    return over + pause + spread_;
+}
+
+auto placement_lease::wants_read(time_point now) const -> bool {
+    if (stopping_ || pending_ || now < paused_until_) {
+        return false;
+    }
+    if (read_needed_ || !end_) {
+        return true;
+    }
+    // Before it claims, a daemon must know the log as it is now.
+    const auto silent = !own_claim_ && now >= claimable_at();
+    return silent && now - read_at_ > settings_.renew_every_;
+}
+
+auto placement_lease::poll(time_point now) -> std::optional<lease_append> {
+    if (pending_ || now < paused_until_ || !end_ || read_needed_) {
+        return std::nullopt;
+    }
+    auto entry = lease_entry{lease_entry_kind::claim, holder_, 0};
+    if (own_claim_ && owns_latest()) {
+        if (owner_released_) {
+            return std::nullopt;
+        }
+        if (!stopping_ && now - renewed_at_ < settings_.renew_every_) {
+            return std::nullopt;
+        }
+        entry.kind_ =
+            stopping_ ? lease_entry_kind::release : lease_entry_kind::renewal;
+        entry.epoch_ = epoch_;
+    } else if (stopping_ || now < claimable_at() ||
+               now - read_at_ > settings_.renew_every_) {
+        return std::nullopt;
+    }
+    if (stopping_) {
+        // From here on no order may leave.
+        valid_until_ = time_point{};
+    }
+    pending_ = lease_append{*end_, std::move(entry)};
+    return pending_;
+}
+
+auto placement_lease::on_appended(std::uint64_t offset, time_point sent_at)
+    -> void {
+    if (!pending_) {
+        return;
+    }
+    const auto kind = pending_->entry_.kind_;
+    pending_.reset();
+    end_ = offset + 1;
+    if (kind == lease_entry_kind::claim) {
+        owner_ = holder_;
+        epoch_ = offset;
+        own_claim_ = true;
+    }
+    owner_released_ = kind == lease_entry_kind::release;
+    owner_seen_ = sent_at;
+    renewed_at_ = sent_at;
+    if (!owner_released_) {
+        valid_until_ = sent_at + settings_.term_;
+    }
+}
+
+auto placement_lease::on_append_failed(time_point now) -> void {
+    pending_.reset();
+    read_needed_ = true;
+    const auto spread = 0.5 + random_.fraction();
+    paused_until_ =
+        now +
+        duration{static_cast<duration::rep>(
+            spread * static_cast<double>(settings_.retry_pause_.count()))};
+}
+
+auto placement_lease::held(time_point now) const
+    -> std::optional<std::uint64_t> {
+    const auto valid = own_claim_ && owns_latest() && !owner_released_ &&
+                       !stopping_ && now < valid_until_;
+    return valid ? std::optional{epoch_} : std::nullopt;
+}
+
+auto placement_lease::released() const -> bool {
+    return !own_claim_ || !owns_latest() || owner_released_;
+}
+
+} // namespace basilstream::coordination
--- a/basilstream/coordination/record_store/record_store.hpp
+++ b/basilstream/coordination/record_store/record_store.hpp
@@ -30,7 +30,7 @@
     backends,
     /// Addresses of the daemons; keyed by name.
     daemons,
-    /// Claims and renewals of the placement lease; a log.
+    /// Claims and renewals of the placement lease; keyed.
     placement_lease,
 };
 
@@ -44,6 +44,8 @@
 struct store_record {
     std::string key_;
     std::optional<std::string> value_;
+    /// Where it stands in its topic; set in records that were read.
+    std::uint64_t offset_ = 0;
 };
 
 /// Records in log order.
--- /dev/null
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -0,0 +1,496 @@
+#include "basilstream/daemon/model_control/model_control.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilstream::daemon {
+namespace {
+
+using coordination::holding_state;
+using protocol::residency_state;
+
+// The key of the lease in its topic.
+constexpr auto lease_key = "placement";
+// How often the owner plans, and how often daemons tell their demand.
+constexpr auto plan_interval = milliseconds{250};
+constexpr auto demand_interval = milliseconds{250};
+// How soon the others learn of a request that no runner can serve. Several
+// that come together are told together.
+constexpr auto urgent_flush_delay = milliseconds{10};
+// Wait for an adapter whose model is in place: one message, one order and the
+// adapter's load.
+constexpr auto adapter_wait = milliseconds{200};
+// Added to the time for which a load from the weight store is expected, for
+// the plan, the order and the runner's report.
+constexpr auto load_overhead = milliseconds{700};
+
+auto state_of(holding_state state) -> residency_state {
+    switch (state) {
+    case holding_state::ready:
+        return residency_state::placed;
+    case holding_state::going:
+        return residency_state::withdrawn;
+    case holding_state::coming:
+        break;
+    }
+    return residency_state::coming;
+}
+
+auto state_of(residency_state state) -> holding_state {
+    switch (state) {
+    case residency_state::placed:
+        return holding_state::ready;
+    case residency_state::withdrawn:
+        return holding_state::going;
+    case residency_state::coming:
+        break;
+    }
+    return holding_state::coming;
+}
+
+auto result_of(const result<order_answer>& answer)
+    -> coordination::order_result {
+    if (!answer) {
+        return coordination::order_result::unknown;
+    }
+    switch (*answer) {
+    case order_answer::accepted:
+        return coordination::order_result::accepted;
+    case order_answer::holds:
+        return coordination::order_result::holds;
+    default:
+        return coordination::order_result::rejected;
+    }
+}
+
+} // namespace
+
+model_control::model_control(const model_control_context& context,
+                             model_control_settings settings,
+                             const installation& place,
+                             coordination::record_store& store,
+                             transport::http_pool& calls,
+                             model_observer& observer)
+    : context_{context}, settings_{std::move(settings)}, place_{place},
+      store_{store}, calls_{calls}, observer_{observer}, lease_{
+                                                             settings_.lease_,
+                                                             settings_.holder_,
+                                                             context.random_} {}
+
+auto model_control::on_request(const model_want& want, std::int64_t tokens,
+                               bool served) -> void {
+    const auto sample = coordination::demand_sample{
+        1, served ? 0.0 : 1.0, static_cast<double>(tokens)};
+    const auto now = context_.clock_.now();
+    const auto count = [&](const std::string& adapter) {
+        const auto key =
+            coordination::demand_key{want.service_, want.model_, adapter};
+        demand_.add(key, sample, now);
+        auto& untold = untold_[key];
+        untold.requests_ += sample.requests_;
+        untold.unserved_ += sample.unserved_;
+        untold.tokens_ += sample.tokens_;
+    };
+    count({});
+    if (!want.adapter_.empty()) {
+        count(want.adapter_);
+    }
+    if (!served && !std::exchange(flush_planned_, true)) {
+        context_.thread_.after(urgent_flush_delay, [this] {
+            flush_demand();
+            plan();
+        });
+    }
+}
+
+auto model_control::expected_wait(const model_want& want) const
+    -> std::optional<milliseconds> {
+    const auto now = context_.clock_.now();
+    if (const auto coming =
+            overlay_.ready_in(want.model_, want.adapter_, now)) {
+        return std::chrono::ceil<milliseconds>(*coming);
+    }
+    const auto* const service =
+        config_ ? config_->find_service(want.service_) : nullptr;
+    if (service == nullptr || !service->engine_) {
+        return std::nullopt;
+    }
+    const auto in_place =
+        std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+            const auto& models = each.second.server_.models_;
+            return each.second.server_.service_ == want.service_ &&
+                   std::any_of(models.begin(), models.end(),
+                               [&](const auto& model) {
+                                   return model.name_ == want.model_;
+                               });
+        });
+    if (in_place) {
+        return adapter_wait;
+    }
+    if (const auto coming = overlay_.ready_in(want.model_, {}, now)) {
+        return std::chrono::ceil<milliseconds>(*coming) + adapter_wait;
+    }
+    const auto* const model = service->engine_->find(want.model_);
+    if (model == nullptr) {
+        return std::nullopt;
+    }
+    return std::chrono::ceil<milliseconds>(model->store_load_time_) +
+           load_overhead;
+}
+
+auto model_control::set_config(
+    std::shared_ptr<const coordination::relay_config> config) -> void {
+    config_ = std::move(config);
+}
+
+auto model_control::set_backend(const coordination::backend_server& server)
+    -> void {
+    auto& known = servers_[server.id_];
+    if (known.server_.started_at_ != server.started_at_) {
+        overlay_.forget(server.id_);
+    }
+    known = {server, context_.clock_.now()};
+    if (!server.models_.empty() || service_of(server.id_) != "") {
+        ledger_.set_runner(server);
+    }
+    publish_server(server.id_);
+}
+
+auto model_control::remove_backend(const std::string& id) -> void {
+    servers_.erase(id);
+    overlay_.forget(id);
+    ledger_.remove_runner(id);
+}
+
+auto model_control::service_of(const std::string& runner) const -> std::string {
+    const auto found = servers_.find(runner);
+    if (found == servers_.end() || !config_) {
+        return {};
+    }
+    const auto* const service =
+        config_->find_service(found->second.server_.service_);
+    return service != nullptr && service->engine_ ? service->name_ : "";
+}
+
+auto model_control::publish_server(const std::string& id) -> void {
+    const auto found = servers_.find(id);
+    if (found != servers_.end()) {
+        observer_.on_holdings(overlay_.apply(found->second.server_,
+                                             found->second.announced_at_,
+                                             context_.clock_.now()));
+    }
+}
+
+auto model_control::on_update(const protocol::relay_update& update) -> void {
+    const auto now = context_.clock_.now();
+    auto unserved = false;
+    for (const auto& demand : update.demands_) {
+        demand_.add({demand.service_, demand.model_, demand.adapter_},
+                    {static_cast<double>(demand.requests_),
+                     static_cast<double>(demand.unserved_),
+                     static_cast<double>(demand.tokens_)},
+                    now);
+        unserved = unserved || demand.unserved_ > 0;
+    }
+    auto changed = std::set<std::string>{};
+    for (const auto& change : update.changes_) {
+        overlay_.add({change.backend_, change.model_, change.adapter_,
+                      state_of(change.state_), change.ready_in_},
+                     now);
+        changed.insert(change.backend_);
+    }
+    for (const auto& id : changed) {
+        publish_server(id);
+    }
+    if (update.lease_epoch_) {
+        lease_.on_owner_heard(*update.lease_epoch_, context_.boot_clock_.now());
+    }
+    if (unserved) {
+        plan();
+    }
+}
+
+auto model_control::tick() -> void {
+    const auto now = context_.clock_.now();
+    advance_lease();
+    if (now >= next_flush_) {
+        next_flush_ = now + demand_interval;
+        flush_demand();
+        demand_.trim(now);
+    }
+    if (!epoch()) {
+        return;
+    }
+    ask_for_reports();
+    if (now >= next_plan_) {
+        plan();
+    }
+    publish_changes();
+}
+
+auto model_control::advance_lease() -> void {
+    const auto now = context_.boot_clock_.now();
+    const auto owned = lease_.held(now).has_value();
+    if (owned && !owned_) {
+        on_lease_gained();
+    } else if (!owned && owned_) {
+        context_.log_.info("placement lease lost or given up");
+    }
+    owned_ = owned;
+    if (lease_.wants_read(now) && !lease_reading_) {
+        read_lease();
+    }
+    if (const auto due = lease_.poll(now)) {
+        append_lease(*due);
+    }
+}
+
+auto model_control::on_lease_gained() -> void {
+    context_.log_.info("placement lease gained",
+                       {{"epoch", std::to_string(epoch().value_or(0))}});
+    ledger_.reset();
+    // How much of the window the owner before has used is not known.
+    const auto now = context_.clock_.now();
+    store_loads_.clear();
+    for (const auto& service : config_->services_) {
+        if (service.engine_) {
+            const auto window =
+                std::chrono::duration<double>(settings_.load_window_).count();
+            store_loads_.insert(
+                store_loads_.end(),
+                static_cast<std::size_t>(service.engine_->loads_per_second_ *
+                                         window),
+                now);
+        }
+    }
+}
+
+auto model_control::read_lease() -> void {
+    lease_reading_ = true;
+    auto done = [this](const result<coordination::record_page>& page) {
+        lease_reading_ = false;
+        const auto now = context_.boot_clock_.now();
+        if (!page) {
+            context_.log_.failure(transport::log_level::debug,
+                                  "reading the placement lease failed",
+                                  page.error());
+            lease_.on_append_failed(now);
+            return;
+        }
+        if (page->expired_) {
+            lease_next_.reset();
+            return;
+        }
+        for (const auto& record : page->records_) {
+            if (record.key_ != lease_key || !record.value_) {
+                continue;
+            }
+            if (const auto entry =
+                    protocol::decode_lease_entry(*record.value_)) {
+                lease_.on_entry(record.offset_, *entry, now);
+            } else {
+                context_.log_.failure(transport::log_level::warning,
+                                      "lease entry ignored", entry.error());
+            }
+        }
+        lease_next_ = std::max(lease_next_.value_or(0), page->end_);
+        lease_.on_read(*lease_next_, now);
+    };
+    if (lease_next_) {
+        store_.read_from(coordination::shared_topic::placement_lease,
+                         *lease_next_, milliseconds{0}, std::move(done));
+    } else {
+        store_.read_newest(coordination::shared_topic::placement_lease,
+                           std::move(done));
+    }
+}
+
+auto model_control::append_lease(const coordination::lease_append& due)
+    -> void {
+    const auto sent_at = context_.boot_clock_.now();
+    store_.append(coordination::shared_topic::placement_lease, due.at_,
+                  {lease_key, protocol::encode(due.entry_)},
+                  [this, sent_at, kind = due.entry_.kind_](
+                      const result<coordination::append_outcome>& outcome) {
+                      if (outcome && outcome->appended_) {
+                          lease_.on_appended(outcome->offset_, sent_at);
+                          lease_next_ = outcome->offset_ + 1;
+                          return;
+                      }
+                      if (!outcome) {
+                          context_.log_.failure(
+                              transport::log_level::warning,
+                              "writing the placement lease failed",
+                              outcome.error());
+                      }
+                      lease_.on_append_failed(context_.boot_clock_.now());
+                  });
+}
+
+auto model_control::flush_demand() -> void {
+    flush_planned_ = false;
+    auto update = protocol::relay_update{};
+    update.lease_epoch_ = epoch();
+    for (const auto& [key, sample] : std::exchange(untold_, {})) {
+        update.demands_.push_back({key.service_, key.model_, key.adapter_,
+                                   static_cast<std::uint32_t>(sample.requests_),
+                                   static_cast<std::uint32_t>(sample.unserved_),
+                                   static_cast<std::uint64_t>(sample.tokens_)});
+    }
+    if (!update.demands_.empty() || update.lease_epoch_) {
+        observer_.broadcast(update);
+    }
+}
+
+auto model_control::ask_for_reports() -> void {
+    for (const auto& id : ledger_.reports_due(context_.clock_.now())) {
+        transport::fetch(
+            calls_, context_.thread_,
+            place_.report_call(id, ledger_.address_of(id)),
+            [this, id](const result<transport::small_reply>& reply) {
+                const auto now = context_.clock_.now();
+                const auto report =
+                    reply
+                        ? place_.read_report(*reply)
+                        : result<runner_report>{tl::unexpected(reply.error())};
+                if (!report) {
+                    context_.log_.failure(transport::log_level::debug,
+                                          "no report of a runner",
+                                          report.error());
+                    ledger_.on_report_failed(id, now);
+                    return;
+                }
+                ledger_.on_report(id,
+                                  {report->models_, report->coming_,
+                                   report->ordered_, report->orders_},
+                                  now);
+                publish_changes();
+            });
+    }
+}
+
+auto model_control::store_loads_left(const coordination::service_engine& engine)
+    -> int {
+    const auto now = context_.clock_.now();
+    const auto window = settings_.load_window_;
+    std::erase_if(store_loads_,
+                  [&](time_point each) { return now - each > window; });
+    const auto allowed =
+        static_cast<int>(engine.loads_per_second_ *
+                         std::chrono::duration<double>(window).count());
+    return allowed - static_cast<int>(store_loads_.size());
+}
+
+auto model_control::plan() -> void {
+    const auto now = context_.clock_.now();
+    if (!epoch() || !config_) {
+        return;
+    }
+    next_plan_ = now + plan_interval;
+    for (const auto& service : config_->services_) {
+        if (!service.engine_) {
+            continue;
+        }
+        const auto runners = ledger_.runners_of(service.name_);
+        const auto steps = coordination::plan_fleet(
+            {.service_ = service.name_,
+             .engine_ = *service.engine_,
+             .runners_ = runners,
+             .demand_ = demand_,
+             .store_loads_ = store_loads_left(*service.engine_),
+             .now_ = now},
+            settings_.fleet_);
+        for (const auto& step : steps) {
+            give_order(service.name_, step);
+        }
+    }
+    publish_changes();
+}
+
+auto model_control::give_order(const std::string& service,
+                               const coordination::fleet_step& step) -> void {
+    const auto now = context_.clock_.now();
+    const auto expected = ledger_.begin_order(step, now);
+    // The machine may have been suspended since the plan was made.
+    const auto fence = epoch();
+    if (!expected || !fence) {
+        return;
+    }
+    if (step.from_store_ && step.load_) {
+        store_loads_.push_back(now);
+    }
+    context_.log_.info(
+        "order to runner",
+        {{"runner", step.runner_},
+         {"service", service},
+         {"operation", step.load_ ? "load" : "unload"},
+         {"model", step.model_},
+         {"adapter", step.adapter_},
+         {"reason", coordination::fleet_reason_names.name_of(step.reason_)},
+         {"from_store", step.from_store_ ? "yes" : "no"},
+         {"expected_orders", std::to_string(*expected)},
+         {"fence", std::to_string(*fence + 1)}});
+    const auto order =
+        runner_order{.runner_ = step.runner_,
+                     .address_ = ledger_.address_of(step.runner_),
+                     .load_ = step.load_,
+                     .model_ = step.model_,
+                     .adapter_ = step.adapter_,
+                     .expected_orders_ = *expected,
+                     .holder_ = settings_.holder_,
+                     // Epochs are offsets, fencing numbers are above zero.
+                     .fence_ = *fence + 1};
+    transport::fetch(calls_, context_.thread_, place_.order_call(order),
+                     [this, step](const result<transport::small_reply>& reply) {
+                         on_order_answer(step, reply);
+                     });
+}
+
+auto model_control::on_order_answer(const coordination::fleet_step& step,
+                                    const result<transport::small_reply>& reply)
+    -> void {
+    const auto answer =
+        reply ? place_.read_order_answer(*reply)
+              : result<order_answer>{tl::unexpected(reply.error())};
+    const auto outcome = result_of(answer);
+    if (outcome != coordination::order_result::accepted) {
+        context_.log_.info(
+            "order not accepted",
+            {{"runner", step.runner_},
+             {"model", step.model_},
+             {"adapter", step.adapter_},
+             {"answer", answer ? order_answer_names.name_of(*answer)
+                               : std::string_view{"unknown"}}});
+    }
+    ledger_.on_answer(step.runner_, outcome, context_.clock_.now());
+    publish_changes();
+    if (epoch() && answer && !step.load_) {
+        // The place is free, or its model is on its way out.
+        plan();
+    }
+}
+
+auto model_control::publish_changes() -> void {
+    const auto now = context_.clock_.now();
+    const auto changes = ledger_.take_changes(now);
+    if (changes.empty()) {
+        return;
+    }
+    auto update = protocol::relay_update{};
+    update.lease_epoch_ = epoch();
+    auto changed = std::set<std::string>{};
+    for (const auto& change : changes) {
+        overlay_.add(change, now);
+        changed.insert(change.runner_);
+        update.changes_.push_back(
+            {change.runner_, service_of(change.runner_), change.model_,
+             change.adapter_, state_of(change.state_),
+             std::chrono::ceil<milliseconds>(change.ready_in_)});
+    }
+    observer_.broadcast(update);
+    for (const auto& id : changed) {
+        publish_server(id);
+    }
+}
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -22,6 +22,15 @@
 // A runner's 5xx answer counts as such from here on.
 constexpr auto first_server_error = 500;
 
+// An output token takes about as long as ten prompt tokens, which are read
+// in batches.
+constexpr auto output_token_weight = 10;
+
+auto work_of(const relayed_request& request) -> std::int64_t {
+    return request.prompt_tokens_ +
+           output_token_weight * request.output_tokens_;
+}
+
 auto failure_code(transport::call_failure failure) -> error_code {
     switch (failure) {
     case transport::call_failure::not_sent:
@@ -83,7 +92,8 @@
         now);
     const auto first = !wait_until_ && sends_ == 0;
     if (first && !request_.model_.empty()) {
-        parts_.supply_.on_request(want(), chosen.has_value());
+        parts_.supply_.on_request(want(), work_of(request_),
+                                  chosen.has_value());
     }
     if (chosen) {
         wait_until_.reset();
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -238,6 +238,10 @@
                                  parts.context_.clock_.now());
 }
 
+auto relay::calls() -> transport::http_pool& {
+    return parts_->pool_;
+}
+
 auto relay::loads() const -> std::map<std::string, int> {
     auto loads = std::map<std::string, int>{};
     for (const auto& [id, service] : parts_->backend_services_) {
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -13,6 +13,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,6 +26,7 @@
 #include "basilstream/coordination/backend_directory/backend_directory.hpp"
 #include "basilstream/coordination/route_table/route_table.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
+#include "basilstream/transport/http_pool/http_pool.hpp"
 #include "basilstream/transport/logging/logging.hpp"
 #include "basilstream/transport/metrics/metrics.hpp"
 #include "basilstream/transport/reactor/reactor.hpp"
@@ -56,8 +58,10 @@
     auto operator=(const model_supply&) -> model_supply& = delete;
     virtual ~model_supply() = default;
 
-    /// Counts a request for `want`. `served`: a runner has it.
-    virtual auto on_request(const model_want& want, bool served) -> void = 0;
+    /// Counts a request for `want` that takes the work of so many tokens.
+    /// `served`: a runner has it.
+    virtual auto on_request(const model_want& want, std::int64_t tokens,
+                            bool served) -> void = 0;
     /// Returns how long it takes until a runner has it; nothing when unknown.
     [[nodiscard]] virtual auto expected_wait(const model_want& want) const
         -> std::optional<milliseconds> = 0;
@@ -104,6 +108,8 @@
     auto set_daemons(std::size_t count) -> void;
     /// Sets how many requests the other daemons have on a backend server.
     auto set_foreign_load(const std::string& backend, int requests) -> void;
+    /// The connections to backend servers, for other calls to them.
+    [[nodiscard]] auto calls() -> transport::http_pool&;
     /// Returns this daemon's requests on each backend server that has some.
     [[nodiscard]] auto loads() const -> std::map<std::string, int>;
 
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -1,13 +1,16 @@
 #include "basilstream/daemon/relay_program/relay_program.hpp"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 
 #include "basilstream/coordination/discovery/discovery.hpp"
 #include "basilstream/daemon/cluster/cluster.hpp"
+#include "basilstream/daemon/model_control/model_control.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
 #include "basilstream/daemon/store_watch/store_watch.hpp"
+#include "basilstream/protocol/relay_codec/relay_codec.hpp"
 #include "basilstream/transport/http_session/http_session.hpp"
 #include "basilstream/transport/metrics/metrics.hpp"
 
@@ -28,6 +31,10 @@
 // How often the store's list of daemons is read again, for daemons that the
 // probes have lost.
 constexpr auto daemon_list_interval = seconds{10};
+// How often daemons tell each other their requests on backend servers, and
+// how long such a message counts.
+constexpr auto load_share_interval = milliseconds{200};
+constexpr auto foreign_load_lifetime = milliseconds{1500};
 // The process ends this long before it would be killed.
 constexpr auto grace_margin = milliseconds{400};
 // A drained daemon refuses new requests after clients have had time for a new
@@ -41,18 +48,10 @@
             .hand_over_timeout_ = seconds{0}};
 }
 
-// Until placement is in place no model is on its way.
-class no_supply final : public model_supply {
-public:
-    auto on_request(const model_want& /*want*/, bool /*served*/)
-        -> void override {}
-    [[nodiscard]] auto expected_wait(const model_want& /*want*/) const
-        -> std::optional<milliseconds> override {
-        return std::nullopt;
-    }
-};
-
-class running_relay final : public relay_program, public store_observer {
+class running_relay final : public relay_program,
+                            public store_observer,
+                            public model_observer,
+                            public model_supply {
 public:
     running_relay(const relay_daemon_settings& settings,
                   const installation& place, std::function<void()> ended)
@@ -60,11 +59,16 @@
           log_{settings.logging_, settings.name_},
           thread_{"traffic", ring_capacity}, context_{clock_, random_, thread_,
                                                       log_, metrics_},
-          relay_{context_, relay_settings_of(settings), place.dialect(),
-                 supply_},
+          relay_{context_, relay_settings_of(settings), place.dialect(), *this},
           control_calls_{thread_, clock_}, store_{place.open_store(
                                                control_calls_, thread_,
                                                settings.store_address_)},
+          models_{{clock_, boot_clock_, random_, thread_, log_},
+                  model_settings_of(settings),
+                  place,
+                  *store_,
+                  relay_.calls(),
+                  *this},
           watch_{{clock_, random_, log_}, {}, *store_, place.decoder(), *this},
           drain_{drain_settings_of(settings)} {}
 
@@ -139,15 +143,44 @@
 
     auto on_config(std::shared_ptr<const coordination::relay_config> config)
         -> void override {
+        models_.set_config(config);
         relay_.set_config(std::move(config));
     }
     auto on_backend(const coordination::backend_server& server)
         -> void override {
-        relay_.set_backend(server);
+        models_.set_backend(server);
     }
     auto on_backend_gone(const std::string& id) -> void override {
+        models_.remove_backend(id);
         relay_.remove_backend(id);
     }
+    auto on_holdings(const coordination::backend_server& server)
+        -> void override {
+        relay_.set_backend(server);
+    }
+    auto broadcast(const protocol::relay_update& update) -> void override {
+        if (!cluster_) {
+            return;
+        }
+        const auto bytes = protocol::encode(update);
+        for (const auto& member : cluster_->members()) {
+            if (member.name_ != settings_.name_) {
+                cluster_->send(member.name_, protocol::peer_channel::relay,
+                               bytes);
+            }
+        }
+    }
+
+    // The relay's supply of models: model_control is made after the relay,
+    // whose connections it uses.
+    auto on_request(const model_want& want, std::int64_t tokens, bool served)
+        -> void override {
+        models_.on_request(want, tokens, served);
+    }
+    [[nodiscard]] auto expected_wait(const model_want& want) const
+        -> std::optional<milliseconds> override {
+        return models_.expected_wait(want);
+    }
 
 private:
     static auto relay_settings_of(const relay_daemon_settings& settings)
@@ -158,6 +191,15 @@
                 .retry_window_ = settings.limits_.retry_window_};
     }
 
+    static auto model_settings_of(const relay_daemon_settings& settings)
+        -> model_control_settings {
+        auto made = model_control_settings{};
+        made.holder_ = settings.name_;
+        made.lease_.pause_between_owners_ = settings.limits_.lease_;
+        made.load_window_ = settings.limits_.load_window_;
+        return made;
+    }
+
     // Opens the link to the other daemons on the first port that is free.
     auto open_link() -> result<void> {
         auto failure = error{};
@@ -237,9 +279,62 @@
         if (!cluster_ && ready()) {
             join();
         }
+        if (cluster_) {
+            models_.tick();
+            share_loads();
+        }
         advance_drain();
     }
 
+    // Tells the others how many requests are on each backend server.
+    auto share_loads() -> void {
+        const auto now = clock_.now();
+        if (now < next_load_share_) {
+            return;
+        }
+        next_load_share_ = now + load_share_interval;
+        auto update = protocol::relay_update{};
+        update.has_loads_ = true;
+        for (const auto& [backend, requests] : relay_.loads()) {
+            update.loads_.push_back(
+                {backend, static_cast<std::uint32_t>(requests)});
+        }
+        if (!update.loads_.empty() || !std::exchange(told_idle_, true)) {
+            told_idle_ = update.loads_.empty();
+            broadcast(update);
+        }
+        apply_foreign_loads(now);
+    }
+
+    auto on_peer_update(const std::string& sender, const std::string& bytes)
+        -> void {
+        const auto update = protocol::decode_relay_update(bytes);
+        if (!update) {
+            log_.failure(transport::log_level::warning,
+                         "message of a daemon ignored", update.error());
+            return;
+        }
+        if (update->has_loads_) {
+            foreign_loads_[sender] = {update->loads_, clock_.now()};
+        }
+        models_.on_update(*update);
+    }
+
+    auto apply_foreign_loads(time_point now) -> void {
+        auto sums = std::map<std::string, int>{};
+        std::erase_if(foreign_loads_, [&](const auto& each) {
+            return now - each.second.heard_ > foreign_load_lifetime;
+        });
+        for (const auto& [sender, loads] : foreign_loads_) {
+            for (const auto& load : loads.loads_) {
+                sums[load.backend_] += static_cast<int>(load.requests_);
+            }
+        }
+        for (const auto& [id, server] : watch_.backends().servers()) {
+            relay_.set_foreign_load(id, sums[id]);
+        }
+    }
+
     // Makes this daemon known to the others, once it can serve.
     auto join() -> void {
         cluster_.emplace(cluster_context{clock_, random_, log_},
@@ -252,6 +347,11 @@
         cluster_->on_members([this](const std::vector<std::string>& owners) {
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
         });
+        cluster_->on_channel(
+            protocol::peer_channel::relay,
+            [this](const std::string& sender, const std::string& bytes) {
+                on_peer_update(sender, bytes);
+            });
         announce();
         read_daemons();
     }
@@ -327,6 +427,7 @@
             if (cluster_) {
                 cluster_->leave();
             }
+            models_.stop();
             relay_.begin_draining();
             break;
         case coordination::drain_action::hand_over:
@@ -353,16 +454,17 @@
     const installation& place_;
     std::function<void()> ended_;
     steady_clock clock_;
+    boot_clock boot_clock_;
     seeded_random random_{entropy_seed()};
     transport::logger log_;
     transport::metrics_registry metrics_;
     transport::reactor_thread thread_;
     relay_context context_;
-    no_supply supply_;
     relay relay_;
     // Calls to the store, apart from the connections of traffic.
     transport::http_pool control_calls_;
     std::unique_ptr<coordination::record_store> store_;
+    model_control models_;
     store_watch watch_;
     coordination::drain_controller drain_;
     std::vector<std::unique_ptr<transport::http_session_server>> servers_;
@@ -371,6 +473,13 @@
     std::optional<cluster> cluster_;
     std::optional<time_point> joined_at_;
     std::optional<time_point> stop_requested_at_;
+    struct heard_loads {
+        std::vector<protocol::backend_load> loads_;
+        time_point heard_;
+    };
+    std::map<std::string, heard_loads> foreign_loads_;
+    time_point next_load_share_{};
+    bool told_idle_ = true;
     bool end_told_ = false;
 };
 
--- a/basilstream/protocol/peer_codec/peer_codec.cpp
+++ b/basilstream/protocol/peer_codec/peer_codec.cpp
@@ -86,7 +86,7 @@
 
 auto decode_envelope(std::string_view bytes) -> result<peer_envelope> {
     auto in = wire::peer_envelope{};
-    const auto last = static_cast<std::uint32_t>(peer_channel::opaque);
+    const auto last = static_cast<std::uint32_t>(peer_channel::relay);
     if (!parse(bytes, in) || in.channel() > last) {
         return invalid("not a peer envelope");
     }
--- a/basilstream/protocol/peer_codec/peer_codec.hpp
+++ b/basilstream/protocol/peer_codec/peer_codec.hpp
@@ -22,6 +22,7 @@
     quarantine,
     limits,
     opaque,
+    relay,
 };
 
 /// A message with its channel and its sender's name.
--- /dev/null
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -0,0 +1,106 @@
+#include "basilstream/protocol/relay_codec/relay_codec.hpp"
+
+#include "basilstream/protocol/generated/relay.pb.h"
+
+namespace basilstream::protocol {
+namespace {
+
+auto invalid(step at, const char* detail) -> tl::unexpected<error> {
+    return tl::unexpected(error{error_code::invalid_argument, at, "", detail});
+}
+
+template <class Message>
+auto parse(std::string_view bytes, Message& out) -> bool {
+    return out.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+auto known_state(std::uint32_t value) -> bool {
+    return value <= static_cast<std::uint32_t>(residency_state::coming);
+}
+
+} // namespace
+
+auto encode(const relay_update& update) -> std::string {
+    auto message = wire::relay_update{};
+    message.set_has_loads(update.has_loads_);
+    for (const auto& load : update.loads_) {
+        auto& out = *message.add_loads();
+        out.set_backend(load.backend_);
+        out.set_requests(load.requests_);
+    }
+    for (const auto& demand : update.demands_) {
+        auto& out = *message.add_demands();
+        out.set_service(demand.service_);
+        out.set_model(demand.model_);
+        out.set_adapter(demand.adapter_);
+        out.set_requests(demand.requests_);
+        out.set_unserved(demand.unserved_);
+        out.set_tokens(demand.tokens_);
+    }
+    for (const auto& change : update.changes_) {
+        auto& out = *message.add_changes();
+        out.set_backend(change.backend_);
+        out.set_service(change.service_);
+        out.set_model(change.model_);
+        out.set_adapter(change.adapter_);
+        out.set_state(static_cast<std::uint32_t>(change.state_));
+        out.set_ready_in_ms(static_cast<std::uint32_t>(
+            std::max(change.ready_in_, milliseconds{0}).count()));
+    }
+    // Offsets begin at 0, which stands for no lease on the wire.
+    message.set_lease_epoch(update.lease_epoch_ ? *update.lease_epoch_ + 1 : 0);
+    return message.SerializeAsString();
+}
+
+auto decode_relay_update(std::string_view bytes) -> result<relay_update> {
+    auto message = wire::relay_update{};
+    if (!parse(bytes, message)) {
+        return invalid(step::peer, "a relay update cannot be read");
+    }
+    auto update = relay_update{};
+    update.has_loads_ = message.has_loads();
+    for (const auto& in : message.loads()) {
+        update.loads_.push_back({in.backend(), in.requests()});
+    }
+    for (const auto& in : message.demands()) {
+        update.demands_.push_back({in.service(), in.model(), in.adapter(),
+                                   in.requests(), in.unserved(), in.tokens()});
+    }
+    for (const auto& in : message.changes()) {
+        if (!known_state(in.state())) {
+            return invalid(step::peer, "unknown residency state");
+        }
+        update.changes_.push_back({in.backend(), in.service(), in.model(),
+                                   in.adapter(),
+                                   static_cast<residency_state>(in.state()),
+                                   milliseconds{in.ready_in_ms()}});
+    }
+    if (message.lease_epoch() > 0) {
+        update.lease_epoch_ = message.lease_epoch() - 1;
+    }
+    return update;
+}
+
+auto encode(const coordination::lease_entry& entry) -> std::string {
+    auto message = wire::lease_entry{};
+    message.set_kind(static_cast<std::uint32_t>(entry.kind_));
+    message.set_holder(entry.holder_);
+    message.set_epoch(entry.epoch_);
+    return message.SerializeAsString();
+}
+
+auto decode_lease_entry(std::string_view bytes)
+    -> result<coordination::lease_entry> {
+    constexpr auto last =
+        static_cast<std::uint32_t>(coordination::lease_entry_kind::release);
+    auto message = wire::lease_entry{};
+    if (!parse(bytes, message) || message.kind() > last ||
+        message.holder().empty()) {
+        return invalid(step::log, "a lease entry cannot be read");
+    }
+    return coordination::lease_entry{
+        static_cast<coordination::lease_entry_kind>(message.kind()),
+        message.holder(), message.epoch()};
+}
+
+} // namespace basilstream::protocol
--- /dev/null
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -0,0 +1,75 @@
+/// Protobuf codec of what relaying daemons tell each other.
+///
+///     auto bytes = encode(relay_update{.loads_ = {{"i-7f3a", 3}}});
+///     auto update = decode_relay_update(bytes);
+///
+/// Stateless; safe to call from several threads.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/error/error.hpp"
+#include "basilstream/coordination/placement_lease/placement_lease.hpp"
+
+namespace basilstream::protocol {
+
+/// Requests of the sender on a backend server.
+struct backend_load {
+    std::string backend_;
+    std::uint32_t requests_ = 0;
+};
+
+/// Requests for a model or adapter since the sender's last update.
+struct relayed_demand {
+    std::string service_;
+    std::string model_;
+    std::string adapter_;
+    std::uint32_t requests_ = 0;
+    /// Those of them for which no runner was in place.
+    std::uint32_t unserved_ = 0;
+    /// Prompt and output tokens of the requests.
+    std::uint64_t tokens_ = 0;
+};
+
+/// What an owner of placement did to a runner.
+enum class residency_state : std::uint8_t { placed, withdrawn, coming };
+
+struct residency_change {
+    std::string backend_;
+    std::string service_;
+    std::string model_;
+    /// Empty for the model itself.
+    std::string adapter_;
+    residency_state state_ = residency_state::placed;
+    /// Of what is coming: when it is expected.
+    milliseconds ready_in_{0};
+};
+
+/// A message between daemons; parts that are empty say nothing, but for
+/// `loads_` if `has_loads_`, which then replaces the sender's former ones.
+struct relay_update {
+    bool has_loads_ = false;
+    std::vector<backend_load> loads_;
+    std::vector<relayed_demand> demands_;
+    std::vector<residency_change> changes_;
+    /// Set while the sender holds the placement lease.
+    std::optional<std::uint64_t> lease_epoch_;
+};
+
+[[nodiscard]] auto encode(const relay_update& update) -> std::string;
+/// Errors: `invalid_argument` at step peer.
+[[nodiscard]] auto decode_relay_update(std::string_view bytes)
+    -> result<relay_update>;
+
+[[nodiscard]] auto encode(const coordination::lease_entry& entry)
+    -> std::string;
+/// Errors: `invalid_argument` at step log.
+[[nodiscard]] auto decode_lease_entry(std::string_view bytes)
+    -> result<coordination::lease_entry>;
+
+} // namespace basilstream::protocol
