Shorten the pause between two owners of placement; wait no longer than it helps

A plan evicted a dozen models at once after a shift, and requests waited 2 s for a model where clients leave after 2.4 s. Change: owners tell how long their lease still runs and where the log ends; what leaves counts as a move; requests wait at most twice their objective.

--- a/basilstream/coordination/demand_placement/demand_placement.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement.cpp
@@ -89,7 +89,7 @@
             }
             for (const auto& model : runner.models_) {
                 count_one(models_[model.name_], model.state_);
-                in_flight_ += model.state_ == holding_state::coming ? 1U : 0U;
+                in_flight_ += model.state_ == holding_state::ready ? 0U : 1U;
                 for (const auto& adapter : model.adapters_) {
                     count_one(adapters_[{model.name_, adapter.name_}],
                               adapter.state_);
@@ -191,6 +191,7 @@
             --models_[best->victim_->name_].count_;
             // The place is taken once the victim has gone.
             ++models_[model.name_].count_;
+            ++in_flight_;
             return;
         }
         steps_.push_back({runner.id_,
--- a/basilstream/coordination/demand_placement/demand_placement.hpp
+++ b/basilstream/coordination/demand_placement/demand_placement.hpp
@@ -150,7 +150,8 @@
     double adapter_copy_share_ = 0.3;
     /// A copy is dropped for one that would carry this many times as much.
     double eviction_factor_ = 1.6;
-    /// Models on their way at once for more copies, over all runners.
+    /// Models on their way to or from runners at once for more copies. What
+    /// leaves serves no longer, so that a shift must not move everything.
     std::size_t copies_in_flight_ = 4;
     /// How long an adapter takes to load.
     duration adapter_load_time_ = milliseconds{40};
--- a/basilstream/coordination/placement_lease/placement_lease.cpp
+++ b/basilstream/coordination/placement_lease/placement_lease.cpp
@@ -23,7 +23,7 @@
         owner_ = entry.holder_;
         epoch_ = offset;
         owner_released_ = false;
-        owner_seen_ = now;
+        owner_until_ = now + settings_.term_;
         return;
     }
     if (!owner_ || entry.epoch_ > epoch_) {
@@ -33,9 +33,11 @@
         own_claim_ = false;
         owner_released_ = false;
     }
-    if (entry.epoch_ == epoch_) {
+    if (entry.epoch_ == epoch_ && offset >= heard_end_) {
         owner_released_ = entry.kind_ == lease_entry_kind::release;
-        owner_seen_ = now;
+        owner_until_ = owner_released_
+                           ? std::min(owner_until_, now)
+                           : std::max(owner_until_, now + settings_.term_);
     }
 }
 
@@ -45,10 +47,13 @@
     read_needed_ = false;
 }
 
-auto placement_lease::on_owner_heard(std::uint64_t epoch, time_point now)
+auto placement_lease::on_owner_heard(std::uint64_t epoch, duration left,
+                                     std::uint64_t end, time_point now)
     -> void {
     if (owner_ && epoch == epoch_ && !owner_released_) {
-        owner_seen_ = now;
+        owner_until_ =
+            std::max(owner_until_, now + std::min(left, settings_.term_));
+        heard_end_ = std::max(heard_end_, end);
     } else if (!owner_ || epoch > epoch_) {
         read_needed_ = true;
     }
@@ -64,9 +69,7 @@
         // An earlier process on this VM: the same holder.
         return time_point::min();
     }
-    const auto over =
-        owner_released_ ? owner_seen_ : owner_seen_ + settings_.term_;
-    return over + pause + spread_;
+    return owner_until_ + pause + spread_;
 }
 
 auto placement_lease::wants_read(time_point now) const -> bool {
@@ -122,10 +125,10 @@
         own_claim_ = true;
     }
     owner_released_ = kind == lease_entry_kind::release;
-    owner_seen_ = sent_at;
     renewed_at_ = sent_at;
     if (!owner_released_) {
         valid_until_ = sent_at + settings_.term_;
+        owner_until_ = valid_until_;
     }
 }
 
@@ -146,6 +149,14 @@
     return valid ? std::optional{epoch_} : std::nullopt;
 }
 
+auto placement_lease::left(time_point now) const -> duration {
+    return held(now) ? valid_until_ - now : duration{0};
+}
+
+auto placement_lease::owned_by_anyone(time_point now) const -> bool {
+    return owner_ && !owner_released_ && now < owner_until_;
+}
+
 auto placement_lease::released() const -> bool {
     return !own_claim_ || !owns_latest() || owner_released_;
 }
--- a/basilstream/coordination/placement_lease/placement_lease.hpp
+++ b/basilstream/coordination/placement_lease/placement_lease.hpp
@@ -51,8 +51,8 @@
 /// Settings of a lease.
 struct placement_lease_settings {
     /// How long an entry gives the right to order, counted from its sending.
-    duration term_ = milliseconds{3000};
-    duration renew_every_ = milliseconds{1000};
+    duration term_ = milliseconds{2500};
+    duration renew_every_ = milliseconds{800};
     /// Least time between the last order of one owner and the first of the
     /// next.
     duration pause_between_owners_ = milliseconds{3000};
@@ -74,8 +74,11 @@
                   time_point now) -> void;
     /// The log was read up to `end`.
     auto on_read(std::uint64_t end, time_point now) -> void;
-    /// A daemon said that it holds the lease with this epoch.
-    auto on_owner_heard(std::uint64_t epoch, time_point now) -> void;
+    /// A daemon said that it holds the lease with this epoch, which runs out
+    /// after `left` unless it is renewed, and that its last entry stands
+    /// before `end`.
+    auto on_owner_heard(std::uint64_t epoch, duration left, std::uint64_t end,
+                        time_point now) -> void;
 
     /// Returns the append that is due, if any; one at a time.
     [[nodiscard]] auto poll(time_point now) -> std::optional<lease_append>;
@@ -88,6 +91,12 @@
     /// Returns the epoch if this daemon may order at `now`.
     [[nodiscard]] auto held(time_point now) const
         -> std::optional<std::uint64_t>;
+    /// How long this daemon may order from `now` on without a renewal.
+    [[nodiscard]] auto left(time_point now) const -> duration;
+    /// The log's end after the last entry that is known.
+    [[nodiscard]] auto end() const -> std::uint64_t { return end_.value_or(0); }
+    /// Whether any daemon is known to hold the lease at `now`.
+    [[nodiscard]] auto owned_by_anyone(time_point now) const -> bool;
     /// Whether the log must be read before poll() can decide.
     [[nodiscard]] auto wants_read(time_point now) const -> bool;
     /// Gives the lease up and claims it no more.
@@ -104,11 +113,13 @@
     placement_lease_settings settings_;
     std::string holder_;
     random_source& random_;
-    // The owner by the log, its epoch, and when it last showed itself.
+    // The owner by the log, its epoch, and until when it may order at most.
     std::optional<std::string> owner_;
     std::uint64_t epoch_ = 0;
     bool owner_released_ = false;
-    time_point owner_seen_{};
+    time_point owner_until_{};
+    // Entries before this offset are no news, whenever they are read.
+    std::uint64_t heard_end_ = 0;
     // Whether epoch_ is a claim of this process, not of an earlier one.
     bool own_claim_ = false;
     time_point valid_until_{};
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -106,6 +106,11 @@
 auto model_control::expected_wait(const model_want& want) const
     -> std::optional<milliseconds> {
     const auto now = context_.clock_.now();
+    if (!lease_.owned_by_anyone(context_.boot_clock_.now())) {
+        // Nobody gives orders until the next owner has claimed the lease.
+        return std::chrono::ceil<milliseconds>(
+            settings_.lease_.pause_between_owners_);
+    }
     if (const auto coming =
             overlay_.ready_in(want.model_, want.adapter_, now)) {
         return std::chrono::ceil<milliseconds>(*coming);
@@ -203,7 +208,8 @@
         publish_server(id);
     }
     if (update.lease_epoch_) {
-        lease_.on_owner_heard(*update.lease_epoch_, context_.boot_clock_.now());
+        lease_.on_owner_heard(*update.lease_epoch_, update.lease_left_,
+                              update.lease_end_, context_.boot_clock_.now());
     }
     if (unserved) {
         plan();
@@ -327,10 +333,17 @@
                   });
 }
 
+auto model_control::name_lease(protocol::relay_update& update) const -> void {
+    const auto now = context_.boot_clock_.now();
+    update.lease_epoch_ = lease_.held(now);
+    update.lease_end_ = lease_.end();
+    update.lease_left_ = std::chrono::floor<milliseconds>(lease_.left(now));
+}
+
 auto model_control::flush_demand() -> void {
     flush_planned_ = false;
     auto update = protocol::relay_update{};
-    update.lease_epoch_ = epoch();
+    name_lease(update);
     for (const auto& [key, sample] : std::exchange(untold_, {})) {
         update.demands_.push_back({key.service_, key.model_, key.adapter_,
                                    static_cast<std::uint32_t>(sample.requests_),
@@ -477,7 +490,7 @@
         return;
     }
     auto update = protocol::relay_update{};
-    update.lease_epoch_ = epoch();
+    name_lease(update);
     auto changed = std::set<std::string>{};
     for (const auto& change : changes) {
         overlay_.add(change, now);
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -103,6 +103,7 @@
     auto append_lease(const coordination::lease_append& due) -> void;
     auto on_lease_gained() -> void;
     auto flush_demand() -> void;
+    auto name_lease(protocol::relay_update& update) const -> void;
     auto ask_for_reports() -> void;
     auto plan() -> void;
     auto give_order(const std::string& service,
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -140,8 +140,11 @@
     const auto now = parts_.context_.clock_.now();
     const auto worth_waiting = runs_ == 0 && !request_.model_.empty();
     expected_wait_ = parts_.supply_.expected_wait(want());
-    const auto longest =
-        std::min<duration>(parts_.settings_.longest_wait_, time_left(now) / 2);
+    const auto longest = std::min<duration>(
+        duration{static_cast<duration::rep>(
+            parts_.settings_.longest_wait_objectives_ *
+            static_cast<double>(duration{route_.objective_}.count()))},
+        time_left(now) / 2);
     if (!worth_waiting || !expected_wait_ || *expected_wait_ > longest) {
         auto failure = cause;
         failure.run_ = runs_ > 0 ? run_status::unknown : run_status::not_run;
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -76,8 +76,9 @@
     /// Retries allowed besides in retry_window_, for all daemons together.
     double retry_allowance_ = 10;
     duration retry_window_ = seconds{10};
-    /// Longest time that a request waits for a model or adapter.
-    milliseconds longest_wait_{2000};
+    /// A request waits for a model or adapter at most this many times its
+    /// route's objective: clients leave streams that begin much later.
+    double longest_wait_objectives_ = 2;
     /// Hint given with a refusal when nothing better is known.
     milliseconds retry_hint_{1000};
 };
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -49,6 +49,9 @@
     }
     // Offsets begin at 0, which stands for no lease on the wire.
     message.set_lease_epoch(update.lease_epoch_ ? *update.lease_epoch_ + 1 : 0);
+    message.set_lease_left_ms(static_cast<std::uint32_t>(
+        std::max(update.lease_left_, milliseconds{0}).count()));
+    message.set_lease_end(update.lease_end_);
     return message.SerializeAsString();
 }
 
@@ -77,6 +80,8 @@
     }
     if (message.lease_epoch() > 0) {
         update.lease_epoch_ = message.lease_epoch() - 1;
+        update.lease_left_ = milliseconds{message.lease_left_ms()};
+        update.lease_end_ = message.lease_end();
     }
     return update;
 }
