Answer what waits when the daemon stops; keep last copies that may be wanted

Change: a stopping daemon refuses what is on no server and answers the rest before it ends; the last copy of a model goes only after 30 s without demand and for a model that has none; bounds on what comes and what goes are apart.

--- a/basilstream/coordination/demand_placement/demand_placement.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement.cpp
@@ -89,7 +89,8 @@
             }
             for (const auto& model : runner.models_) {
                 count_one(models_[model.name_], model.state_);
-                in_flight_ += model.state_ == holding_state::ready ? 0U : 1U;
+                coming_ += model.state_ == holding_state::coming ? 1U : 0U;
+                going_ += model.state_ == holding_state::going ? 1U : 0U;
                 for (const auto& adapter : model.adapters_) {
                     count_one(adapters_[{model.name_, adapter.name_}],
                               adapter.state_);
@@ -117,6 +118,10 @@
         return input_.demand_.wanted(key_of(model), input_.now_);
     }
 
+    auto forgotten(const std::string& model) const -> bool {
+        return input_.demand_.forgotten(key_of(model), input_.now_);
+    }
+
     auto place_missing_models() -> void {
         auto missing = std::vector<const service_model*>{};
         for (const auto& model : input_.engine_.models_) {
@@ -146,7 +151,7 @@
                   });
         for (const auto* const model : order) {
             const auto& known = models_[model->name_];
-            if (in_flight_ >= settings_.copies_in_flight_ ||
+            if (coming_ >= settings_.copies_coming_ ||
                 known.share() < settings_.model_copy_share_ * mean_load_ ||
                 known.rate_ < least_rate) {
                 return;
@@ -191,7 +196,7 @@
             --models_[best->victim_->name_].count_;
             // The place is taken once the victim has gone.
             ++models_[model.name_].count_;
-            ++in_flight_;
+            ++going_;
             return;
         }
         steps_.push_back({runner.id_,
@@ -203,7 +208,7 @@
                           best->load_time_});
         store_loads_ -= best->from_store_ ? 1 : 0;
         ++models_[model.name_].count_;
-        ++in_flight_;
+        ++coming_;
     }
 
     auto option_on(std::size_t index, const service_model& model,
@@ -247,6 +252,9 @@
                    double free, fleet_reason reason) -> const held_model* {
         const held_model* best = nullptr;
         auto best_share = std::numeric_limits<double>::infinity();
+        if (going_ >= settings_.models_going_) {
+            return nullptr;
+        }
         for (const auto& held : runner.models_) {
             const auto* const declared = input_.engine_.find(held.name_);
             if (held.state_ != holding_state::ready || declared == nullptr ||
@@ -255,7 +263,8 @@
             }
             const auto& known = models_[held.name_];
             const auto last = known.count_ <= 1;
-            if (last && wanted(held.name_)) {
+            if (last &&
+                (reason != fleet_reason::unserved || !forgotten(held.name_))) {
                 continue;
             }
             const auto gain = reason == fleet_reason::unserved
@@ -417,7 +426,8 @@
     std::vector<fleet_usage> usage_;
     std::vector<double> load_;
     double mean_load_ = 0;
-    std::size_t in_flight_ = 0;
+    std::size_t coming_ = 0;
+    std::size_t going_ = 0;
     std::set<std::string> touched_;
     std::set<std::string> adapter_touched_;
     std::vector<fleet_step> steps_;
@@ -433,6 +443,7 @@
 
 auto demand_book::add(const demand_key& key, const demand_sample& sample,
                       time_point now) -> void {
+    begun_ = begun_.value_or(now);
     auto& known = entries_[key];
     known.tokens_ = decayed(known, now) + sample.tokens_;
     known.updated_ = now;
@@ -452,6 +463,14 @@
            now - found->second.asked_ < settings_.idle_after_;
 }
 
+auto demand_book::forgotten(const demand_key& key, time_point now) const
+    -> bool {
+    const auto found = entries_.find(key);
+    const auto since =
+        found == entries_.end() ? begun_.value_or(now) : found->second.asked_;
+    return now - since > settings_.forgotten_after_;
+}
+
 auto demand_book::trim(time_point now) -> void {
     constexpr auto kept = 10;
     std::erase_if(entries_, [&](const auto& each) {
--- a/basilstream/coordination/demand_placement/demand_placement.hpp
+++ b/basilstream/coordination/demand_placement/demand_placement.hpp
@@ -19,6 +19,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -57,6 +58,10 @@
     duration memory_ = seconds{5};
     /// What was not asked for during this time is not in demand.
     duration idle_after_ = seconds{12};
+    /// The last copy of a model is kept for this long after it was asked for,
+    /// and since the book was begun: before, nothing tells it from a model
+    /// that nobody wants.
+    duration forgotten_after_ = seconds{30};
 };
 
 /// Demand of the last seconds, as exponentially decaying sums.
@@ -72,6 +77,9 @@
     /// Whether it was asked for lately.
     [[nodiscard]] auto wanted(const demand_key& key, time_point now) const
         -> bool;
+    /// Whether it was not asked for in so long that its last copy may go.
+    [[nodiscard]] auto forgotten(const demand_key& key, time_point now) const
+        -> bool;
     /// Forgets what has not been asked for in a long time.
     auto trim(time_point now) -> void;
     /// Everything that was asked for lately, in order.
@@ -90,6 +98,7 @@
 
     demand_settings settings_;
     std::map<demand_key, entry> entries_;
+    std::optional<time_point> begun_;
 };
 
 enum class holding_state { ready, coming, going };
@@ -150,9 +159,11 @@
     double adapter_copy_share_ = 0.3;
     /// A copy is dropped for one that would carry this many times as much.
     double eviction_factor_ = 1.6;
-    /// Models on their way to or from runners at once for more copies. What
-    /// leaves serves no longer, so that a shift must not move everything.
-    std::size_t copies_in_flight_ = 4;
+    /// Models on their way to runners at once for more copies.
+    std::size_t copies_coming_ = 12;
+    /// Models that leave runners at once. What leaves serves no longer, so
+    /// that a shift of demand must not move everything.
+    std::size_t models_going_ = 4;
     /// How long an adapter takes to load.
     duration adapter_load_time_ = milliseconds{40};
 };
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -180,6 +180,21 @@
     }
 }
 
+auto exchange::end_for_stop(bool all) -> void {
+    const auto self = shared_from_this();
+    if (done_ || (call_ && !all)) {
+        return;
+    }
+    const auto ran = runs_ > 0 || call_;
+    if (call_) {
+        std::exchange(call_, nullptr)->cancel();
+        end_attempt();
+    }
+    give_up(error{error_code::unavailable, step::caller, service_,
+                  "the daemon is stopping",
+                  ran ? run_status::unknown : run_status::not_run});
+}
+
 auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
     verdict_ = parts_.dialect_.judge(head, request_.id_);
     if (verdict_ == answer_verdict::foreign) {
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -29,6 +29,9 @@
     auto on_backends_changed() -> void;
     /// Enforces the deadline.
     auto check(time_point now) -> void;
+    /// Ends the request because the daemon stops: at once if it is on no
+    /// server, else only if `all`.
+    auto end_for_stop(bool all) -> void;
     /// Whether the request waits for a server.
     [[nodiscard]] auto waiting() const -> bool {
         return wait_until_.has_value();
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -47,6 +47,7 @@
         -> int;
     auto on_request(transport::request_message message,
                     transport::http_session& session) -> void;
+    auto end_for_stop(bool all) -> void;
     auto refuse(transport::http_session& session, int status,
                 const std::string& request_id, const char* reason) -> void;
 
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -115,6 +115,14 @@
     session.respond(status, dialect_.own_headers(request_id, hint), "");
 }
 
+auto relay_parts::end_for_stop(bool all) -> void {
+    const auto open = std::vector<std::shared_ptr<exchange>>{exchanges_.begin(),
+                                                             exchanges_.end()};
+    for (const auto& each : open) {
+        each->end_for_stop(all);
+    }
+}
+
 auto relay_parts::on_request(transport::request_message message,
                              transport::http_session& session) -> void {
     auto request = dialect_.read(std::move(message));
@@ -266,6 +274,12 @@
 
 auto relay::stop_accepting() -> void {
     parts_->accepting_ = false;
+    parts_->end_for_stop(false);
+}
+
+auto relay::end_all() -> void {
+    parts_->accepting_ = false;
+    parts_->end_for_stop(true);
 }
 
 auto relay::begin_draining() -> void {
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -120,8 +120,11 @@
 
     /// Ends clients' connections with their next answers.
     auto begin_draining() -> void;
-    /// Refuses new requests as not run from now on.
+    /// Refuses new requests as not run from now on, and those that are on no
+    /// backend server.
     auto stop_accepting() -> void;
+    /// Gives every request in progress its final answer.
+    auto end_all() -> void;
     /// Closes connections that no request uses.
     auto close_idle() -> void;
     /// Requests in progress.
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -37,6 +37,7 @@
 constexpr auto foreign_load_lifetime = milliseconds{1500};
 // The process ends this long before it would be killed.
 constexpr auto grace_margin = milliseconds{400};
+constexpr auto last_answers_time = milliseconds{100};
 // A drained daemon refuses new requests after clients have had time for a new
 // answer of the directory, and this much more.
 constexpr auto drain_margin = milliseconds{600};
@@ -444,9 +445,11 @@
 
     auto end() -> void {
         if (!std::exchange(end_told_, true)) {
+            relay_.end_all();
             log_.info("stopped",
                       {{"in_progress", std::to_string(relay_.in_progress())}});
-            ended_();
+            // The last answers need a moment to leave.
+            thread_.after(last_answers_time, [this] { ended_(); });
         }
     }
 
