Name daemons to clients by their own heartbeats; count orders under way

Change: daemons say every 0.6 s that they live, and the directory leaves out who was silent for 2 s; the window counts from the earlier owner's end; orders that were sent show in the plan's input.

--- a/basilstream/coordination/fleet_ledger/fleet_ledger.cpp
+++ b/basilstream/coordination/fleet_ledger/fleet_ledger.cpp
@@ -43,6 +43,18 @@
     }
 }
 
+// Shows what an order that is not answered yet would do.
+auto apply_sent(std::vector<held_model>& models, const fleet_step& step)
+    -> void {
+    const auto state =
+        step.load_ ? holding_state::coming : holding_state::going;
+    if (step.adapter_.empty()) {
+        set_model(models, step.model_, state);
+    } else {
+        set_adapter(models, step.model_, step.adapter_, state);
+    }
+}
+
 auto drop(std::vector<held_model>& models, const std::string& model,
           const std::string& adapter) -> void {
     if (adapter.empty()) {
@@ -213,12 +225,16 @@
             runner.open_.begin(), runner.open_.end(),
             [](const open_item& item) { return !item.adapter_.empty(); });
         const auto blocked = !runner.known_ || runner.sent_.has_value();
+        auto models = runner.models_;
+        if (runner.sent_) {
+            apply_sent(models, *runner.sent_);
+        }
         all.push_back({.id_ = id,
                        .leaving_ = runner.server_.draining_,
                        .models_blocked_ = blocked || model_order_open(runner),
                        .adapters_blocked_ =
                            blocked || coming >= settings_.adapters_coming_,
-                       .models_ = runner.models_,
+                       .models_ = std::move(models),
                        .weights_in_memory_ = runner.server_.weights_in_memory_,
                        .weights_on_disk_ = runner.server_.weights_on_disk_});
     }
--- a/basilstream/coordination/placement_lease/placement_lease.cpp
+++ b/basilstream/coordination/placement_lease/placement_lease.cpp
@@ -120,6 +120,11 @@
     pending_.reset();
     end_ = offset + 1;
     if (kind == lease_entry_kind::claim) {
+        if (owner_) {
+            // An earlier process on this VM may have ordered until just now.
+            earlier_until_ =
+                *owner_ == holder_ ? sent_at : std::min(owner_until_, sent_at);
+        }
         owner_ = holder_;
         epoch_ = offset;
         own_claim_ = true;
--- a/basilstream/coordination/placement_lease/placement_lease.hpp
+++ b/basilstream/coordination/placement_lease/placement_lease.hpp
@@ -95,6 +95,12 @@
     [[nodiscard]] auto left(time_point now) const -> duration;
     /// The log's end after the last entry that is known.
     [[nodiscard]] auto end() const -> std::uint64_t { return end_.value_or(0); }
+    /// Until when the owner before this one may have ordered; nothing if there
+    /// was none. Of use while held() has a value.
+    [[nodiscard]] auto earlier_owner_until() const
+        -> std::optional<time_point> {
+        return earlier_until_;
+    }
     /// Whether any daemon is known to hold the lease at `now`.
     [[nodiscard]] auto owned_by_anyone(time_point now) const -> bool;
     /// Whether the log must be read before poll() can decide.
@@ -120,6 +126,7 @@
     time_point owner_until_{};
     // Entries before this offset are no news, whenever they are read.
     std::uint64_t heard_end_ = 0;
+    std::optional<time_point> earlier_until_;
     // Whether epoch_ is a claim of this process, not of an earlier one.
     bool own_claim_ = false;
     time_point valid_until_{};
--- a/basilstream/daemon/cluster/cluster.cpp
+++ b/basilstream/daemon/cluster/cluster.cpp
@@ -9,6 +9,7 @@
 // How often a daemon tells the others its load: so seldom that all together
 // tell about one load a second, and never more often than this.
 constexpr auto shortest_load_interval = seconds{5};
+constexpr auto endpoint_update_interval = milliseconds{200};
 constexpr auto load_interval_per_member = seconds{1};
 
 auto self_of(const cluster_settings& settings, std::string caller_address,
@@ -81,6 +82,7 @@
         }
         return;
     }
+    heard_[envelope->sender_] = base_.clock_.now();
     const auto found = channels_.find(envelope->channel_);
     if (found != channels_.end()) {
         found->second(envelope->sender_, envelope->payload_);
@@ -98,6 +100,11 @@
         gossip(coordination::payload_kind::endpoint_load, "load",
                std::to_string(own_load_));
     }
+    if (settings_.longest_silence_ > milliseconds{0} &&
+        now >= next_endpoint_update_) {
+        next_endpoint_update_ = now + endpoint_update_interval;
+        update_endpoints();
+    }
     membership_.tick(now);
     for (auto& output : membership_.poll()) {
         transmit(output.address_, protocol::peer_channel::membership,
@@ -180,12 +187,23 @@
     return directory_.answer(zone);
 }
 
+auto cluster::silent(const std::string& name) const -> bool {
+    if (settings_.longest_silence_ == milliseconds{0} ||
+        name == settings_.name_) {
+        return false;
+    }
+    const auto found = heard_.find(name);
+    return found == heard_.end() ||
+           base_.clock_.now() - found->second > settings_.longest_silence_;
+}
+
 auto cluster::update_endpoints() -> void {
     auto list = std::vector<coordination::endpoint>{};
     for (const auto& member : membership_.members()) {
         const auto load = loads_.find(member.name_);
         list.push_back({member.name_, member.caller_address_, member.zone_,
-                        member.state_ == coordination::member_state::alive,
+                        member.state_ == coordination::member_state::alive &&
+                            !silent(member.name_),
                         load == loads_.end() ? 0U : load->second});
     }
     directory_.update(std::move(list));
--- a/basilstream/daemon/cluster/cluster.hpp
+++ b/basilstream/daemon/cluster/cluster.hpp
@@ -44,6 +44,10 @@
     milliseconds endpoint_time_to_live_{5000};
     /// Addresses in an endpoint answer.
     std::size_t max_endpoints_ = 8;
+    /// A daemon that was not heard for this long is not named to callers, for
+    /// clusters in which all daemons talk to each other. Zero leaves it to the
+    /// probes of the membership alone.
+    milliseconds longest_silence_{0};
 };
 
 /// Membership and messages between daemons.
@@ -104,6 +108,7 @@
     auto transmit(const std::string& address, protocol::peer_channel channel,
                   std::string bytes) -> void;
     auto update_endpoints() -> void;
+    [[nodiscard]] auto silent(const std::string& name) const -> bool;
 
     cluster_context base_;
     cluster_settings settings_;
@@ -115,6 +120,8 @@
     std::vector<std::function<void(const std::vector<std::string>&)>>
         member_observers_;
     std::map<std::string, std::uint32_t> loads_;
+    std::map<std::string, time_point> heard_;
+    time_point next_endpoint_update_;
     std::size_t own_load_ = 0;
     time_point next_load_;
 };
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -255,18 +255,23 @@
     context_.log_.info("placement lease gained",
                        {{"epoch", std::to_string(epoch().value_or(0))}});
     ledger_.reset();
-    // How much of the window the owner before has used is not known.
-    const auto now = context_.clock_.now();
     store_loads_.clear();
+    const auto earlier = lease_.earlier_owner_until();
+    if (!earlier) {
+        return;
+    }
+    // How much of the window the owner before has used is not known: all of
+    // it, at the last moment that it had.
+    const auto ago = context_.boot_clock_.now() - *earlier;
+    const auto window =
+        std::chrono::duration<double>(settings_.load_window_).count();
     for (const auto& service : config_->services_) {
         if (service.engine_) {
-            const auto window =
-                std::chrono::duration<double>(settings_.load_window_).count();
             store_loads_.insert(
                 store_loads_.end(),
                 static_cast<std::size_t>(service.engine_->loads_per_second_ *
                                          window),
-                now);
+                context_.clock_.now() - ago);
         }
     }
 }
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -34,6 +34,10 @@
 // How often daemons tell each other their requests on backend servers, and
 // how long such a message counts.
 constexpr auto load_share_interval = milliseconds{200};
+// An idle daemon says so this often; one that is silent for longer than the
+// second time is not named to clients.
+constexpr auto heartbeat_interval = milliseconds{600};
+constexpr auto longest_silence = milliseconds{2000};
 constexpr auto foreign_load_lifetime = milliseconds{1500};
 // The process ends this long before it would be killed.
 constexpr auto grace_margin = milliseconds{400};
@@ -300,8 +304,8 @@
             update.loads_.push_back(
                 {backend, static_cast<std::uint32_t>(requests)});
         }
-        if (!update.loads_.empty() || !std::exchange(told_idle_, true)) {
-            told_idle_ = update.loads_.empty();
+        if (!update.loads_.empty() || now >= next_heartbeat_) {
+            next_heartbeat_ = now + heartbeat_interval;
             broadcast(update);
         }
         apply_foreign_loads(now);
@@ -343,7 +347,8 @@
                                           .zone_ = settings_.zone_,
                                           .endpoint_time_to_live_ =
                                               settings_.endpoint_time_to_live_,
-                                          .max_endpoints_ = most_endpoints},
+                                          .max_endpoints_ = most_endpoints,
+                                          .longest_silence_ = longest_silence},
                          relay_.address(), std::move(link_));
         cluster_->on_members([this](const std::vector<std::string>& owners) {
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
@@ -482,7 +487,7 @@
     };
     std::map<std::string, heard_loads> foreign_loads_;
     time_point next_load_share_{};
-    bool told_idle_ = true;
+    time_point next_heartbeat_{};
     bool end_told_ = false;
 };
 
