--- a/basilstream/coordination/demand_placement/demand_placement_test.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement_test.cpp
@@ -145,9 +145,9 @@
     ask(book, "m1", "", 1, start);
     ask(book, "m1", "a4", 1, start);
     const auto steps = plan(engine, runners, book, start);
-    const auto step = std::find_if(
-        steps.begin(), steps.end(),
-        [](const auto& each) { return !each.adapter_.empty(); });
+    const auto step =
+        std::find_if(steps.begin(), steps.end(),
+                     [](const auto& each) { return !each.adapter_.empty(); });
     ASSERT_NE(step, steps.end());
     EXPECT_EQ(step->runner_, "b");
     EXPECT_EQ(step->adapter_, "a4");
