Repeat on the only server; bounded logs on standard output; reload without a signal

Logs were unbounded and on standard error, and a changed settings file was read only on SIGHUP. Change: after an answer was lost the same server may be asked again if no other has the model; 20 lines a second for each event through a bounded queue, counts of what was left out; the file's time is looked at every 2 s; gauges.

--- a/basilstream/daemon/program/basilstreamd_main.cpp
+++ b/basilstream/daemon/program/basilstreamd_main.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
+#include <filesystem>
 #include <iostream>
 #include <string>
 
@@ -107,19 +109,29 @@
               << "\n";
 }
 
+// How often a settings file is looked at.
+constexpr auto poll_interval = timespec{2, 0};
+
+// Returns when the file was last changed, or the epoch if that is not known.
+auto modification_time(const std::string& path)
+    -> std::filesystem::file_time_type {
+    auto failure = std::error_code{};
+    const auto time = std::filesystem::last_write_time(path, failure);
+    return failure ? std::filesystem::file_time_type{} : time;
+}
+
 // Passes stop and reload signals on until the daemon has ended, which it tells
 // by SIGUSR1 to this thread.
 template <class Stop, class Reload>
 auto wait_for_end(ACE_Sig_Set& signals, Stop request_stop, Reload reload)
     -> void {
     while (true) {
-        auto number = 0;
-        ACE_OS::sigwait(signals, &number);
+        const auto number = ::sigtimedwait(signals, nullptr, &poll_interval);
         if (number == SIGUSR1) {
             return;
         }
-        if (number == SIGHUP) {
-            reload();
+        if (number < 0 || number == SIGHUP) {
+            reload(number == SIGHUP);
         } else {
             request_stop();
         }
@@ -147,9 +159,16 @@
         complain(running.error());
         return exit_settings;
     }
+    auto modified = modification_time(line.config_);
     wait_for_end(
         signals, [&] { (*running)->request_stop(); },
-        [&] {
+        [&](bool asked) {
+            // The file may also change without a signal.
+            const auto now_modified = modification_time(line.config_);
+            if (!asked && now_modified == modified) {
+                return;
+            }
+            modified = now_modified;
             const auto changed = daemon::load_relay_settings(line.config_);
             if (changed) {
                 (*running)->reload(*changed);
@@ -194,6 +213,6 @@
     wait_for_end(
         signals, [&] { (*running)->request_stop(); },
         // These settings are read at the start only.
-        [] {});
+        [](bool) {});
     return exit_ok;
 }
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -86,10 +86,16 @@
 
 auto exchange::dispatch() -> void {
     const auto now = parts_.context_.clock_.now();
+    auto wanted = coordination::route_request{.adapter_ = request_.adapter_,
+                                              .excluded_ = excluded_};
     const auto key = routing_key(service_, request_.model_);
-    const auto chosen = parts_.router_.choose(
-        {.model_ = key, .adapter_ = request_.adapter_, .excluded_ = excluded_},
-        now);
+    wanted.model_ = key;
+    auto chosen = parts_.router_.choose(wanted, now);
+    if (!chosen && runs_ > 0) {
+        // Its answer was lost. Better the same server again than none.
+        wanted.excluded_ = {};
+        chosen = parts_.router_.choose(wanted, now);
+    }
     const auto first = !wait_until_ && sends_ == 0;
     if (first && !request_.model_.empty()) {
         parts_.supply_.on_request(want(), work_of(request_),
@@ -289,6 +295,7 @@
         client_->end_stream();
     }
     parts_.counters_.answered_.add();
+    log_answer(head_.status_);
     finish();
 }
 
@@ -325,6 +332,7 @@
                          body_);
     }
     parts_.counters_.answered_.add();
+    log_answer(head_.status_);
     parts_.counters_.first_byte_.record(parts_.context_.clock_.now() -
                                         arrived_);
     finish();
@@ -475,6 +483,19 @@
     finish();
 }
 
+auto exchange::log_answer(int status) -> void {
+    const auto now = parts_.context_.clock_.now();
+    const auto whole = std::chrono::duration_cast<milliseconds>(now - arrived_);
+    parts_.context_.log_.info("request answered",
+                              {{"request_id", request_.id_},
+                               {"route", route_.name_},
+                               {"backend", backend_},
+                               {"status", std::to_string(status)},
+                               {"attempts", std::to_string(sends_)},
+                               {"events", std::to_string(events_.events())},
+                               {"whole_ms", std::to_string(whole.count())}});
+}
+
 auto exchange::finish() -> void {
     if (std::exchange(done_, true)) {
         return;
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -59,6 +59,7 @@
     auto retry_server_error() -> bool;
     auto give_up(const error& cause) -> void;
     auto finish() -> void;
+    auto log_answer(int status) -> void;
     auto log_end(std::string_view event, const error& cause) -> void;
     [[nodiscard]] auto time_left(time_point now) const -> milliseconds;
     [[nodiscard]] auto want() const -> model_want;
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -160,6 +160,14 @@
     EXPECT_EQ(b_.requests_.size(), 1U);
 }
 
+// A model with one copy, whose runner lost an answer.
+TEST_F(relay_world, what_may_run_again_does_so_on_the_only_server) {
+    a_.scripts_ = {close_unanswered()};
+    a_.otherwise_ = answer(200, "ok");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    EXPECT_EQ(a_.requests_.size(), 2U);
+}
+
 TEST_F(relay_world, a_request_ends_with_its_time) {
     // The server holds it for ever.
     const auto seen = call("/once/", "X-Patience", "60");
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -113,6 +113,7 @@
             }
             servers_.push_back(std::move(*metrics));
         }
+        add_gauges();
         thread_.every(sweep_interval, [this] { sweep(); });
         thread_.every(cluster_interval, [this] { tick_cluster(); });
         log_.info("started", {{"callers", relay_.address()},
@@ -205,6 +206,58 @@
         return made;
     }
 
+    // What the metrics show beside the relay's counters. They are read on the
+    // traffic thread, which serves them.
+    auto add_gauges() -> void {
+        metrics_.add_gauge(
+            "basilstream_log_lines_dropped",
+            "Log lines dropped because the queue was full.",
+            [this] { return static_cast<double>(log_.dropped()); });
+        metrics_.add_gauge(
+            "basilstream_relay_in_progress", "Requests in progress.",
+            [this] { return static_cast<double>(relay_.in_progress()); });
+        metrics_.add_gauge(
+            "basilstream_backend_servers", "Backend servers known.", [this] {
+                return static_cast<double>(watch_.backends().servers().size());
+            });
+        metrics_.add_gauge("basilstream_daemons", "Daemons known.", [this] {
+            return cluster_ ? static_cast<double>(cluster_->members().size())
+                            : 0.0;
+        });
+        metrics_.add_gauge(
+            "basilstream_placement_epoch",
+            "Epoch of the placement lease, -1 if not held.", [this] {
+                const auto epoch = models_.epoch();
+                return epoch ? static_cast<double>(*epoch) : -1.0;
+            });
+        metrics_.add_gauge("basilstream_backend_connections_opened",
+                           "Connections opened to backend servers.", [this] {
+                               return static_cast<double>(
+                                   relay_.calls().statistics().opened_);
+                           });
+        metrics_.add_gauge("basilstream_backend_connections_reused",
+                           "Requests sent on kept connections.", [this] {
+                               return static_cast<double>(
+                                   relay_.calls().statistics().reused_);
+                           });
+        add_age_gauge("basilstream_config_age_seconds",
+                      "Time since the configuration was last read.",
+                      coordination::shared_topic::configuration);
+        add_age_gauge("basilstream_backends_age_seconds",
+                      "Time since the backend servers were last read.",
+                      coordination::shared_topic::backends);
+    }
+
+    auto add_age_gauge(const char* name, const char* help,
+                       coordination::shared_topic topic) -> void {
+        metrics_.add_gauge(name, help, [this, topic] {
+            const auto read = watch_.last_read(topic);
+            return read ? std::chrono::duration<double>(clock_.now() - *read)
+                              .count()
+                        : -1.0;
+        });
+    }
+
     // Opens the link to the other daemons on the first port that is free.
     auto open_link() -> result<void> {
         auto failure = error{};
--- a/basilstream/daemon/relay_settings/relay_settings.cpp
+++ b/basilstream/daemon/relay_settings/relay_settings.cpp
@@ -10,6 +10,11 @@
 
 using protocol::json;
 
+// Lines of one event in a second: enough to find an example of each kind of
+// failure, and a small part of a weak VM's processor.
+constexpr auto default_lines_per_second = 20U;
+constexpr auto queued_log_lines = std::size_t{1024};
+
 constexpr auto schema_text = std::string_view{R"json({
   "title": "Settings of a relaying basilstreamd", "type": "object",
   "additionalProperties": false,
@@ -50,7 +55,9 @@
         "grace_s": {"$ref": "#/definitions/window"}}},
     "logging": {"type": "object", "additionalProperties": false, "properties": {
         "level": {"enum": ["debug", "info", "warning", "error", "off"]},
-        "format": {"enum": ["text", "json"]}}}
+        "format": {"enum": ["text", "json"]},
+        "lines_per_second": {"type": "integer", "minimum": 1,
+                             "maximum": 100000}}}
   }})json"};
 
 auto part(const json& document, const char* key) -> json {
@@ -104,6 +111,10 @@
         transport::log_level::info);
     logging.format_ = transport::log_format_names.parse(format).value_or(
         transport::log_format::json);
+    logging.target_ = transport::log_target::standard_output;
+    logging.lines_per_second_ = default_lines_per_second;
+    read(document, "lines_per_second", logging.lines_per_second_);
+    logging.queued_lines_ = queued_log_lines;
 }
 
 auto read_file(const std::string& path) -> result<std::string> {
--- /dev/null
+++ b/basilstream/daemon/relay_settings/relay_settings_test.cpp
@@ -0,0 +1,94 @@
+#include "basilstream/daemon/relay_settings/relay_settings.hpp"
+
+#include <fstream>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "basilstream/protocol/json/json.hpp"
+
+namespace basilstream::daemon {
+namespace {
+
+using protocol::json;
+
+auto valid() -> json {
+    return json::parse(R"({
+        "name": "front-a-1", "zone": "a",
+        "relay": {"callers": "10.1.0.38:8149", "readiness": "10.1.0.38:8141",
+                  "directory": "10.1.0.38:8143"},
+        "peer": {"ip": "10.1.0.38", "ports": [7380, 7395]},
+        "store": {"address": "10.200.1.7:8142"},
+        "limits": {"retry_ratio": 0.2, "retry_allowance": 54,
+                   "retry_window_s": 10, "lease_ms": 3000, "load_window_s": 5},
+        "stop": {"grace_s": 8}})");
+}
+
+auto parse(const json& document) -> result<relay_daemon_settings> {
+    return parse_relay_settings(document.dump(), "node.json");
+}
+
+TEST(relay_settings, reads_every_part) {
+    const auto settings = parse(valid());
+    ASSERT_TRUE(settings) << settings.error().to_string();
+    EXPECT_EQ(settings->name_, "front-a-1");
+    EXPECT_EQ(settings->caller_address_, "10.1.0.38:8149");
+    EXPECT_EQ(settings->last_peer_port_, 7395);
+    EXPECT_EQ(settings->store_address_, "10.200.1.7:8142");
+    EXPECT_DOUBLE_EQ(settings->limits_.retry_ratio_, 0.2);
+    EXPECT_EQ(settings->limits_.lease_, milliseconds{3000});
+    EXPECT_EQ(settings->stop_.grace_, milliseconds{8000});
+    EXPECT_EQ(settings->logging_.target_,
+              transport::log_target::standard_output);
+}
+
+TEST(relay_settings, null_stands_for_the_default) {
+    auto document = valid();
+    document["limits"]["lease_ms"] = nullptr;
+    document["stop"]["grace_s"] = 2.5;
+    const auto settings = parse(document);
+    ASSERT_TRUE(settings) << settings.error().to_string();
+    EXPECT_EQ(settings->limits_.lease_, milliseconds{3000});
+    EXPECT_EQ(settings->stop_.grace_, milliseconds{2500});
+}
+
+TEST(relay_settings, an_error_names_key_value_and_what_is_allowed) {
+    auto document = valid();
+    document["peer"]["ports"] = {7380, 99999};
+    const auto settings = parse(document);
+    ASSERT_FALSE(settings);
+    EXPECT_EQ(settings.error().peer_, "node.json");
+    EXPECT_NE(settings.error().detail_.find("99999"), std::string::npos)
+        << settings.error().detail_;
+    EXPECT_NE(settings.error().detail_.find("65535"), std::string::npos);
+    document = valid();
+    document["unheard"] = 1;
+    EXPECT_FALSE(parse(document));
+    document = valid();
+    document.erase("store");
+    EXPECT_FALSE(parse(document));
+}
+
+// Each key of the schema stands on the page for operators.
+TEST(relay_settings, the_page_names_every_key) {
+    auto file = std::ifstream{BASILSTREAM_SOURCE_DIR "/docs/settings.md"};
+    auto text = std::ostringstream{};
+    text << file.rdbuf();
+    const auto page = text.str();
+    const auto schema = json::parse(relay_settings_schema());
+    for (const auto& [section, part] : schema["properties"].items()) {
+        const auto keys = part.value("properties", json::object());
+        if (keys.empty()) {
+            EXPECT_NE(page.find("`" + section + "`"), std::string::npos)
+                << section;
+        }
+        for (const auto& [key, value] : keys.items()) {
+            EXPECT_NE(page.find("`" + section + "." + key + "`"),
+                      std::string::npos)
+                << section << "." << key;
+        }
+    }
+}
+
+} // namespace
+} // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -0,0 +1,197 @@
+#include "basilstream/daemon/store_watch/store_watch.hpp"
+
+#include <deque>
+
+#include <gtest/gtest.h>
+
+namespace basilstream::daemon {
+namespace {
+
+using coordination::record_page;
+using coordination::shared_topic;
+
+// A store whose answers the test gives.
+class scripted_store final : public coordination::record_store {
+public:
+    struct read {
+        shared_topic topic_;
+        std::optional<std::uint64_t> from_;
+        handler<record_page> done_;
+    };
+
+    auto read_newest(shared_topic topic, handler<record_page> done)
+        -> void override {
+        reads_.push_back({topic, std::nullopt, std::move(done)});
+    }
+    auto read_from(shared_topic topic, std::uint64_t offset,
+                   milliseconds /*wait*/, handler<record_page> done)
+        -> void override {
+        reads_.push_back({topic, offset, std::move(done)});
+    }
+    auto append(shared_topic /*topic*/, std::optional<std::uint64_t> /*at*/,
+                coordination::store_record /*record*/,
+                handler<coordination::append_outcome> /*done*/)
+        -> void override {}
+
+    // Answers the oldest read of the topic; returns where it began.
+    auto answer(shared_topic topic, const result<record_page>& page)
+        -> std::optional<std::uint64_t> {
+        for (auto each = reads_.begin(); each != reads_.end(); ++each) {
+            if (each->topic_ == topic) {
+                const auto taken = std::move(*each);
+                reads_.erase(each);
+                taken.done_(page);
+                return taken.from_;
+            }
+        }
+        ADD_FAILURE() << "nothing is being read";
+        return std::nullopt;
+    }
+    [[nodiscard]] auto reading(shared_topic topic) const -> bool {
+        for (const auto& each : reads_) {
+            if (each.topic_ == topic) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    std::deque<read> reads_;
+};
+
+// Records hold a version, or a server's state.
+class plain_decoder final : public coordination::record_decoder {
+public:
+    [[nodiscard]] auto configuration(const coordination::store_record& record,
+                                     std::vector<error>& /*skipped*/) const
+        -> result<std::shared_ptr<const coordination::relay_config>> override {
+        auto config = std::make_shared<coordination::relay_config>();
+        config->version_ = std::stoul(*record.value_);
+        return config;
+    }
+    [[nodiscard]] auto backend(const coordination::store_record& record) const
+        -> result<coordination::backend_server> override {
+        if (record.value_ == "torn") {
+            return tl::unexpected(error{error_code::invalid_argument,
+                                        step::resource, record.key_, "torn"});
+        }
+        auto server = coordination::backend_server{};
+        server.id_ = record.key_;
+        server.draining_ = record.value_ == "draining";
+        return server;
+    }
+};
+
+class store_watch_test : public testing::Test, public store_observer {
+protected:
+    auto on_config(std::shared_ptr<const coordination::relay_config> config)
+        -> void override {
+        versions_.push_back(config->version_);
+    }
+    auto on_backend(const coordination::backend_server& server)
+        -> void override {
+        events_.push_back(server.id_ + (server.draining_ ? " leaves" : ""));
+    }
+    auto on_backend_gone(const std::string& id) -> void override {
+        events_.push_back(id + " gone");
+    }
+
+    auto advance(duration step) -> void {
+        clock_.advance(step);
+        watch_.tick();
+    }
+
+    static auto failure() -> tl::unexpected<error> {
+        return tl::unexpected(
+            error{error_code::timeout, step::log, "store", "no answer"});
+    }
+
+    manual_clock clock_;
+    seeded_random random_{1};
+    transport::logger log_{{transport::log_level::off}, "test"};
+    scripted_store store_;
+    plain_decoder decoder_;
+    store_watch watch_{{clock_, random_, log_}, {}, store_, decoder_, *this};
+    std::vector<std::uint64_t> versions_;
+    std::vector<std::string> events_;
+};
+
+TEST_F(store_watch_test, lists_first_and_follows_from_there) {
+    advance(milliseconds{0});
+    EXPECT_FALSE(watch_.backends_known());
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready"}, {"b", "ready"}}, 7, false});
+    EXPECT_TRUE(watch_.backends_known());
+    EXPECT_EQ(events_, (std::vector<std::string>{"a", "b"}));
+    advance(seconds{1});
+    EXPECT_EQ(store_.answer(shared_topic::backends,
+                            record_page{{{"a", "draining"}}, 8, false}),
+              7U);
+    EXPECT_EQ(events_.back(), "a leaves");
+}
+
+TEST_F(store_watch_test, only_a_higher_version_is_told) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::configuration,
+                  record_page{{{"c", "5"}}, 2, false});
+    advance(seconds{1});
+    store_.answer(shared_topic::configuration,
+                  record_page{{{"c", "4"}, {"c", "9"}, {"c", "7"}}, 5, false});
+    EXPECT_EQ(versions_, (std::vector<std::uint64_t>{5, 9}));
+}
+
+// The store has dropped the records that were to be read next.
+TEST_F(store_watch_test, lists_anew_when_the_history_is_gone) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready"}, {"b", "ready"}}, 7, false});
+    advance(seconds{1});
+    store_.answer(shared_topic::backends, record_page{{}, 0, true});
+    advance(milliseconds{0});
+    EXPECT_FALSE(store_
+                     .answer(shared_topic::backends,
+                             record_page{{{"b", "draining"}}, 90, false})
+                     .has_value());
+    EXPECT_EQ(events_,
+              (std::vector<std::string>{"a", "b", "a gone", "b leaves"}));
+}
+
+TEST_F(store_watch_test, keeps_what_it_knows_while_the_store_is_away) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready"}}, 7, false});
+    advance(seconds{1});
+    store_.answer(shared_topic::backends, failure());
+    EXPECT_FALSE(store_.reading(shared_topic::backends));
+    advance(seconds{2});
+    ASSERT_TRUE(store_.reading(shared_topic::backends));
+    // Back, with all announcements expired: they have a while to return.
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", std::nullopt}}, 8, false});
+    EXPECT_EQ(events_, (std::vector<std::string>{"a"}));
+    advance(seconds{3});
+    EXPECT_EQ(events_.back(), "a gone");
+}
+
+TEST_F(store_watch_test, a_torn_entry_names_no_server) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready"}, {"b", "torn"}}, 2, false});
+    EXPECT_EQ(events_, (std::vector<std::string>{"a"}));
+}
+
+TEST_F(store_watch_test, reads_no_more_often_than_it_should) {
+    auto reads = 0;
+    for (auto turn = 0; turn < 200; ++turn) {
+        advance(milliseconds{50});
+        if (store_.reading(shared_topic::backends)) {
+            ++reads;
+            store_.answer(shared_topic::backends, record_page{{}, 1, false});
+        }
+    }
+    EXPECT_LE(reads, 10'000 / 600 + 1);
+    EXPECT_GE(reads, 15);
+}
+
+} // namespace
+} // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -0,0 +1,50 @@
+#include "basilstream/protocol/relay_codec/relay_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace basilstream::protocol {
+namespace {
+
+TEST(relay_codec, keeps_every_field_of_an_update) {
+    auto update = relay_update{};
+    update.has_loads_ = true;
+    update.loads_ = {{"i-1", 3}};
+    update.demands_ = {{"chat", "m1", "a1", 4, 1, 900}};
+    update.changes_ = {{"i-1", "chat", "m1", "a1", residency_state::coming,
+                        milliseconds{250}}};
+    update.lease_epoch_ = 0;
+    update.lease_left_ = milliseconds{1200};
+    update.lease_end_ = 17;
+    const auto read = decode_relay_update(encode(update));
+    ASSERT_TRUE(read);
+    EXPECT_TRUE(read->has_loads_);
+    EXPECT_EQ(read->loads_.at(0).requests_, 3U);
+    EXPECT_EQ(read->demands_.at(0).tokens_, 900U);
+    EXPECT_EQ(read->demands_.at(0).unserved_, 1U);
+    EXPECT_EQ(read->changes_.at(0).state_, residency_state::coming);
+    EXPECT_EQ(read->changes_.at(0).ready_in_, milliseconds{250});
+    EXPECT_EQ(read->lease_epoch_, 0U);
+    EXPECT_EQ(read->lease_left_, milliseconds{1200});
+    EXPECT_EQ(read->lease_end_, 17U);
+    EXPECT_FALSE(
+        decode_relay_update(encode(relay_update{}))->lease_epoch_.has_value());
+}
+
+TEST(relay_codec, keeps_lease_entries) {
+    const auto read = decode_lease_entry(encode(coordination::lease_entry{
+        coordination::lease_entry_kind::renewal, "entry-1", 9}));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->kind_, coordination::lease_entry_kind::renewal);
+    EXPECT_EQ(read->holder_, "entry-1");
+    EXPECT_EQ(read->epoch_, 9U);
+    EXPECT_FALSE(decode_lease_entry(""));
+}
+
+RC_GTEST_PROP(relay_codec, takes_any_bytes, (const std::string& bytes)) {
+    (void)decode_relay_update(bytes);
+    (void)decode_lease_entry(bytes);
+}
+
+} // namespace
+} // namespace basilstream::protocol
--- a/basilstream/transport/logging/logging.cpp
+++ b/basilstream/transport/logging/logging.cpp
@@ -1,5 +1,9 @@
 #include "basilstream/transport/logging/logging.hpp"
 
+#include <chrono>
+#include <utility>
+
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -35,12 +39,52 @@
     return json(value).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+auto make_sink(log_target target) -> spdlog::sink_ptr {
+    if (target == log_target::standard_output) {
+        return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    }
+    return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+}
+
 } // namespace
 
+auto line_budget::allow(std::string_view event, std::int64_t second,
+                        std::uint64_t& left_out) -> bool {
+    left_out = 0;
+    if (lines_per_second_ == 0) {
+        return true;
+    }
+    auto found = events_.find(event);
+    if (found == events_.end()) {
+        found = events_.emplace(std::string{event}, count{}).first;
+    }
+    auto& known = found->second;
+    if (known.second_ != second) {
+        known.second_ = second;
+        known.lines_ = 0;
+    }
+    if (known.lines_ == lines_per_second_) {
+        ++known.left_out_;
+        return false;
+    }
+    ++known.lines_;
+    left_out = std::exchange(known.left_out_, 0);
+    return true;
+}
+
 logger::logger(const logger_options& options, std::string node)
     : options_{options}, node_{std::move(node)},
-      sink_{std::make_shared<spdlog::logger>(
-          "basilstream", std::make_shared<spdlog::sinks::stderr_sink_mt>())} {
+      budget_{options.lines_per_second_} {
+    const auto sink = make_sink(options_.target_);
+    if (options_.queued_lines_ > 0) {
+        writer_ = std::make_shared<spdlog::details::thread_pool>(
+            options_.queued_lines_, 1);
+        sink_ = std::make_shared<spdlog::async_logger>(
+            "basilstream", sink, writer_,
+            spdlog::async_overflow_policy::overrun_oldest);
+    } else {
+        sink_ = std::make_shared<spdlog::logger>("basilstream", sink);
+    }
     sink_->set_level(spdlog_level(options_.level_));
     sink_->set_pattern(
         options_.format_ == log_format::json
@@ -85,17 +129,35 @@
     sink_->flush();
 }
 
+auto logger::dropped() const -> std::uint64_t {
+    return writer_ ? writer_->overrun_counter() : 0;
+}
+
 auto logger::write(log_level level, std::string_view event, log_fields fields)
     -> void {
     if (!enabled(level)) {
         return;
     }
+    auto left_out = std::uint64_t{0};
+    if (options_.lines_per_second_ > 0) {
+        const auto second =
+            std::chrono::duration_cast<std::chrono::seconds>(
+                std::chrono::steady_clock::now().time_since_epoch())
+                .count();
+        const auto lock = std::scoped_lock{budget_mutex_};
+        if (!budget_.allow(event, second, left_out)) {
+            return;
+        }
+    }
     auto line = std::string{};
     if (options_.format_ == log_format::json) {
         auto document = json{{"node", node_}, {"event", event}};
         for (const auto& [name, value] : fields) {
             document[std::string{name}] = value;
         }
+        if (left_out > 0) {
+            document["lines_left_out"] = left_out;
+        }
         const auto text =
             document.dump(-1, ' ', false, json::error_handler_t::replace);
         line = text.substr(1, text.size() - 2);
@@ -104,6 +166,9 @@
         for (const auto& [name, value] : fields) {
             line.append(" ").append(name).append("=").append(text_value(value));
         }
+        if (left_out > 0) {
+            line.append(" lines_left_out=").append(std::to_string(left_out));
+        }
     }
     sink_->log(spdlog_level(level), "{}", line);
 }
--- a/basilstream/transport/logging/logging.hpp
+++ b/basilstream/transport/logging/logging.hpp
@@ -6,8 +6,12 @@
 /// Safe to use from several threads.
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <initializer_list>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -17,7 +21,10 @@
 
 namespace spdlog {
 class logger;
+namespace details {
+class thread_pool;
 }
+} // namespace spdlog
 
 namespace basilstream::transport {
 
@@ -37,15 +44,46 @@
 inline constexpr auto log_format_names = name_table<log_format, 2>{
     {{{log_format::text, "text"}, {log_format::json, "json"}}}};
 
+enum class log_target { standard_error, standard_output };
+
 struct logger_options {
     log_level level_ = log_level::info;
     log_format format_ = log_format::text;
+    log_target target_ = log_target::standard_error;
+    /// Lines of one event in a second; further ones are counted and named in
+    /// the event's next line. Zero means no limit.
+    unsigned lines_per_second_ = 0;
+    /// Lines that may wait for a thread which writes them, so that writing
+    /// never blocks; when it is full the oldest are dropped and counted. Zero
+    /// writes on the caller's thread.
+    std::size_t queued_lines_ = 0;
 };
 
 using log_field = std::pair<std::string_view, std::string_view>;
 using log_fields = std::initializer_list<log_field>;
 
-/// Writes one line per event to standard error.
+/// Limits the lines of each event. Not safe for concurrent use.
+class line_budget {
+public:
+    explicit line_budget(unsigned lines_per_second)
+        : lines_per_second_{lines_per_second} {}
+
+    /// Whether a line of this event may be written in second `second`. Sets
+    /// `left_out` to the lines refused since the last one that was allowed.
+    [[nodiscard]] auto allow(std::string_view event, std::int64_t second,
+                             std::uint64_t& left_out) -> bool;
+
+private:
+    struct count {
+        std::int64_t second_ = 0;
+        unsigned lines_ = 0;
+        std::uint64_t left_out_ = 0;
+    };
+    unsigned lines_per_second_;
+    std::map<std::string, count, std::less<>> events_;
+};
+
+/// Writes one line per event.
 class logger {
 public:
     /// `node` stands in every line.
@@ -64,6 +102,8 @@
     [[nodiscard]] auto enabled(log_level level) const -> bool;
     /// Writes out what is buffered.
     auto flush() -> void;
+    /// Lines dropped because the queue was full.
+    [[nodiscard]] auto dropped() const -> std::uint64_t;
 
 private:
     auto write(log_level level, std::string_view event, log_fields fields)
@@ -71,6 +111,10 @@
 
     logger_options options_;
     std::string node_;
+    std::mutex budget_mutex_;
+    line_budget budget_;
+    // The queue's thread; null if lines are written at once.
+    std::shared_ptr<spdlog::details::thread_pool> writer_;
     std::shared_ptr<spdlog::logger> sink_;
 };
 
