--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/daemon/relay/internal/exchange.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "basilstream/protocol/json/json.hpp"
@@ -127,6 +128,7 @@
         message.method_, message.target_,
         parts_.dialect_.request_headers(request_, attempt), message.body_);
     backend_ = chosen.runner_;
+    load_seen_ = chosen.load_;
     mode_ = answer_mode::none;
     call_ = parts_.pool_.send(chosen.address_, bytes, message.method_ == "HEAD",
                               parts_.connection_limit(service_), *this);
@@ -368,6 +370,7 @@
 
 auto exchange::retry_or_give_up(error cause) -> void {
     if (!may_run_again() || (stream_begun_ && !events_.last_id())) {
+        retry_verdict_ = "not_repeatable";
         give_up(cause);
         return;
     }
@@ -382,6 +385,8 @@
                                             .deadline_ = deadline_,
                                             .failed_runners_ = excluded_},
                                            now);
+    retry_verdict_ =
+        coordination::give_up_reason_names.name_of(decision.reason_);
     if (!decision.retry_) {
         give_up(*decision.error_);
         return;
@@ -450,21 +455,23 @@
 auto exchange::log_end(std::string_view event, const error& cause) -> void {
     const auto waited = std::chrono::duration_cast<milliseconds>(
         parts_.context_.clock_.now() - arrived_);
-    parts_.context_.log_.info(event,
-                              {{"request_id", request_.id_},
-                               {"route", route_.name_},
-                               {"service", service_},
-                               {"model", request_.model_},
-                               {"adapter", request_.adapter_},
-                               {"backend", backend_},
-                               {"code", error_code_names.name_of(cause.code_)},
-                               {"step", step_names.name_of(cause.step_)},
-                               {"run", run_status_names.name_of(cause.run_)},
-                               {"detail", cause.detail_},
-                               {"attempts", std::to_string(sends_)},
-                               {"events", std::to_string(events_.events())},
-                               {"waited_ms", std::to_string(waited.count())},
-                               {"config", std::to_string(config_->version_)}});
+    parts_.context_.log_.info(
+        event, {{"request_id", request_.id_},
+                {"route", route_.name_},
+                {"service", service_},
+                {"model", request_.model_},
+                {"adapter", request_.adapter_},
+                {"backend", backend_},
+                {"code", error_code_names.name_of(cause.code_)},
+                {"step", step_names.name_of(cause.step_)},
+                {"run", run_status_names.name_of(cause.run_)},
+                {"detail", cause.detail_},
+                {"attempts", std::to_string(sends_)},
+                {"events", std::to_string(events_.events())},
+                {"backend_load", std::to_string(std::lround(load_seen_))},
+                {"retry", retry_verdict_},
+                {"waited_ms", std::to_string(waited.count())},
+                {"config", std::to_string(config_->version_)}});
 }
 
 auto exchange::on_client_left() -> void {
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -79,6 +79,9 @@
 
     std::shared_ptr<transport::http_call_connection> call_;
     std::string backend_;
+    // What the last choice of a server and the last decision on a retry saw.
+    double load_seen_ = 0;
+    std::string_view retry_verdict_ = "not_asked";
     std::vector<std::string> excluded_;
     // Servers on which the request may have run, and all sendings.
     int runs_ = 0;
