Leave servers that have gone silent; keep a part of the retries in hand

Cause: a server that accepts a request and shows nothing held it until its client left. Change: connection_monitor watches the calls; a server that showed a byte of any answer within 0.6 s is not silent; a refusal is never repeated on the same server; the daemons use 0.8 of the limit.

--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -20,6 +20,8 @@
 constexpr auto first_urgency = 1;
 constexpr auto urgency_step = 2;
 constexpr auto last_urgency = 9;
+// A server that showed a byte of any answer within this time is not silent.
+constexpr auto sign_of_life = milliseconds{600};
 // A runner's 5xx answer counts as such from here on.
 constexpr auto first_server_error = 500;
 
@@ -92,7 +94,7 @@
     const auto key = routing_key(service_, request_.model_);
     wanted.model_ = key;
     auto chosen = parts_.router_.choose(wanted, now);
-    if (!chosen && runs_ > 0) {
+    if (!chosen && runs_ > 0 && mode_ != answer_mode::not_run) {
         // Its answer was lost. Better the same server again than none.
         wanted.excluded_ = {};
         chosen = parts_.router_.choose(wanted, now);
@@ -142,6 +144,43 @@
     }
     ++sends_;
     parts_.router_.begin(backend_);
+    watch_call();
+}
+
+auto exchange::watch_call() -> void {
+    using coordination::connection_kind;
+    using coordination::repeatability;
+    const auto now = parts_.context_.clock_.now();
+    const auto streamed = route_.kind_ == coordination::request_kind::streaming;
+    const auto again = !route_.repeatable() ? repeatability::once
+                       : streamed           ? repeatability::resumable
+                                            : repeatability::repeatable;
+    call_number_ = ++parts_.next_call_;
+    parts_.watched_[call_number_] = this;
+    parts_.silence_.open(call_number_,
+                         request_.model_.empty() ? connection_kind::service
+                                                 : connection_kind::runner,
+                         backend_, now);
+    parts_.silence_.begin(call_number_, request_.id_, again, now);
+    parts_.silence_.on_sent(call_number_, request_.id_, now);
+}
+
+auto exchange::on_silence() -> void {
+    const auto self = shared_from_this();
+    const auto now = parts_.context_.clock_.now();
+    const auto heard = parts_.last_bytes_.find(backend_);
+    const auto alive =
+        heard != parts_.last_bytes_.end() && now - heard->second < sign_of_life;
+    // A server that answers others has this request in its queue.
+    if (done_ || !call_ || alive || !may_run_again()) {
+        return;
+    }
+    std::exchange(call_, nullptr)->cancel();
+    end_attempt();
+    ++runs_;
+    parts_.router_.on_failure(backend_, now);
+    attempt_failed(error{error_code::timeout, step::attempt, backend_,
+                         "the server has gone silent", run_status::unknown});
 }
 
 auto exchange::wait_for_server(const error& cause) -> void {
@@ -205,6 +244,7 @@
 
 auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
     verdict_ = parts_.dialect_.judge(head, request_.id_);
+    parts_.last_bytes_[backend_] = parts_.context_.clock_.now();
     if (verdict_ == answer_verdict::foreign) {
         parts_.context_.log_.warning(
             "answer to another request dropped",
@@ -233,6 +273,7 @@
     if (mode_ == answer_mode::collected) {
         if (body_.size() + piece.size() > largest_collected) {
             std::exchange(call_, nullptr)->cancel();
+            end_attempt();
             attempt_failed(error{error_code::payload_too_large, step::attempt,
                                  backend_, "the answer is too large",
                                  run_status::unknown});
@@ -241,6 +282,9 @@
         body_.append(piece);
         return;
     }
+    const auto now = parts_.context_.clock_.now();
+    parts_.last_bytes_[backend_] = now;
+    parts_.silence_.on_progress(call_number_, request_.id_, now);
     if (mode_ != answer_mode::streamed || client_ == nullptr) {
         return;
     }
@@ -253,6 +297,8 @@
     if (!paused_ && client_->buffered() > pause_above) {
         paused_ = true;
         call_->set_reading(false);
+        parts_.silence_.on_held_back(call_number_, request_.id_, true,
+                                     parts_.context_.clock_.now());
     }
 }
 
@@ -260,6 +306,8 @@
     if (paused_ && call_ && client_->buffered() < resume_below) {
         paused_ = false;
         call_->set_reading(true);
+        parts_.silence_.on_held_back(call_number_, request_.id_, false,
+                                     parts_.context_.clock_.now());
     }
 }
 
@@ -269,6 +317,8 @@
     }
     call_.reset();
     paused_ = false;
+    parts_.silence_.close(call_number_);
+    parts_.watched_.erase(call_number_);
 }
 
 auto exchange::on_answer_end() -> void {
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -29,6 +29,8 @@
     auto on_backends_changed() -> void;
     /// Enforces the deadline.
     auto check(time_point now) -> void;
+    /// The server has gone silent, and the request may run again.
+    auto on_silence() -> void;
     /// Ends the request because the daemon stops: at once if it is on no
     /// server, else only if `all`.
     auto end_for_stop(bool all) -> void;
@@ -51,6 +53,7 @@
     auto dispatch() -> void;
     auto send_to(const coordination::route& chosen) -> void;
     auto wait_for_server(const error& cause) -> void;
+    auto watch_call() -> void;
     auto end_attempt() -> void;
     auto attempt_failed(error cause) -> void;
     auto retry_or_give_up(error cause) -> void;
@@ -79,6 +82,7 @@
 
     std::shared_ptr<transport::http_call_connection> call_;
     std::string backend_;
+    std::uint64_t call_number_ = 0;
     // What the last choice of a server and the last decision on a retry saw.
     double load_seen_ = 0;
     std::string_view retry_verdict_ = "not_asked";
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "basilstream/coordination/liveness/liveness.hpp"
 #include "basilstream/coordination/retries/retries.hpp"
 #include "basilstream/coordination/routing/routing.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
@@ -48,6 +49,8 @@
     auto on_request(transport::request_message message,
                     transport::http_session& session) -> void;
     auto end_for_stop(bool all) -> void;
+    /// Moves requests away from servers that have gone silent.
+    auto act_on_silence() -> void;
     auto refuse(transport::http_session& session, int status,
                 const std::string& request_id, const char* reason) -> void;
 
@@ -63,6 +66,12 @@
     std::unordered_map<std::string, coordination::retry_policy> retries_;
     std::unordered_map<std::string, std::string> backend_services_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
+    // Watches the calls to backend servers; keys are call numbers.
+    coordination::connection_monitor silence_;
+    std::unordered_map<std::uint64_t, exchange*> watched_;
+    // When each backend server last showed a byte of any answer.
+    std::unordered_map<std::string, time_point> last_bytes_;
+    std::uint64_t next_call_ = 0;
     std::uint64_t foreign_reports_ = 0;
     std::size_t daemons_ = 1;
     bool accepting_ = true;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -16,20 +16,37 @@
 // Retries go to other servers, so that they need not wait for recovery.
 constexpr auto first_retry_delay = milliseconds{4};
 constexpr auto longest_retry_delay = milliseconds{50};
+// Share of the deployment's retries that is used: the daemons' windows and
+// that of the limit begin at different moments.
+constexpr auto shared_retries = 0.8;
 // Share of a server's connections that the daemons divide among themselves;
 // the rest is for daemons that start and for those that count fewer daemons.
 constexpr auto shared_connections = 0.8;
 // Assumed for a service that states no limit.
 constexpr auto default_connections = 64;
 
+// A server that shows no byte of an answer, or no further one, for so long is
+// taken for silent, and what may run again is sent elsewhere. Clients leave a
+// stream after two seconds without an event. A stream's first event waits for a
+// slot and its prompt; plain services answer within their objectives.
+constexpr auto silence_limits = coordination::liveness_settings{
+    .runner_ = {.first_byte_ = milliseconds{1800},
+                .progress_ = milliseconds{1200},
+                .heartbeat_interval_ = duration{0},
+                .heartbeat_timeout_ = duration{0}},
+    .service_ = {.first_byte_ = milliseconds{400},
+                 .progress_ = milliseconds{400},
+                 .heartbeat_interval_ = duration{0},
+                 .heartbeat_timeout_ = duration{0}}};
+
 auto retry_settings_of(const relay_settings& settings, std::size_t daemons)
     -> coordination::retry_settings {
     const auto window =
         std::chrono::duration<double>(settings.retry_window_).count();
     auto made = coordination::retry_settings{};
-    made.budget_ratio_ = settings.retry_ratio_;
-    made.budget_per_second_ =
-        settings.retry_allowance_ / window / static_cast<double>(daemons);
+    made.budget_ratio_ = shared_retries * settings.retry_ratio_;
+    made.budget_per_second_ = shared_retries * settings.retry_allowance_ /
+                              window / static_cast<double>(daemons);
     made.attempts_ = sendings_at_most;
     made.first_delay_ = first_retry_delay;
     made.longest_delay_ = longest_retry_delay;
@@ -75,8 +92,8 @@
                          const backend_dialect& dialect, model_supply& supply)
     : context_{context}, settings_{std::move(settings)}, dialect_{dialect},
       supply_{supply}, counters_{context.metrics_},
-      router_{router_settings_of(), context.random_}, pool_{context.thread_,
-                                                            context.clock_} {}
+      router_{router_settings_of(), context.random_},
+      pool_{context.thread_, context.clock_}, silence_{silence_limits} {}
 
 relay_parts::~relay_parts() = default;
 
@@ -115,6 +132,22 @@
     session.respond(status, dialect_.own_headers(request_id, hint), "");
 }
 
+auto relay_parts::act_on_silence() -> void {
+    for (const auto& action : silence_.tick(context_.clock_.now())) {
+        const auto* const moved =
+            std::get_if<coordination::request_action>(&action);
+        // What must not run twice waits on: the answer may still come.
+        if (moved == nullptr ||
+            moved->fate_ == coordination::request_fate::outcome_unknown) {
+            continue;
+        }
+        const auto found = watched_.find(moved->connection_);
+        if (found != watched_.end()) {
+            found->second->on_silence();
+        }
+    }
+}
+
 auto relay_parts::end_for_stop(bool all) -> void {
     const auto open = std::vector<std::shared_ptr<exchange>>{exchanges_.begin(),
                                                              exchanges_.end()};
@@ -224,6 +257,7 @@
 auto relay::remove_backend(const std::string& id) -> void {
     parts_->router_.remove_runner(id);
     parts_->backend_services_.erase(id);
+    parts_->last_bytes_.erase(id);
 }
 
 auto relay::set_daemons(std::size_t count) -> void {
@@ -267,7 +301,7 @@
     settings.retry_allowance_ = allowance;
     settings.retry_window_ = window;
     for (auto& [service, policy] : parts_->retries_) {
-        policy.set_budget_ratio(ratio);
+        policy.set_budget_ratio(internal::shared_retries * ratio);
     }
     set_daemons(parts_->daemons_);
 }
@@ -306,6 +340,7 @@
     for (const auto& each : all) {
         each->check(now);
     }
+    parts.act_on_silence();
     parts.pool_.sweep();
     parts.server_->sweep();
 }
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -168,6 +168,46 @@
     EXPECT_EQ(a_.requests_.size(), 2U);
 }
 
+// The connection stays open and nothing comes.
+TEST_F(relay_world, a_silent_server_is_left_for_another) {
+    add_b();
+    a_.otherwise_ = [](const auto&, auto&) {
+    };
+    b_.otherwise_ = answer(200, "ok");
+    for (auto turn = 0; turn < 4; ++turn) {
+        EXPECT_EQ(call("/safe/", "X-Patience", "5000").status_, 200);
+    }
+    EXPECT_GE(a_.requests_.size(), 1U);
+}
+
+TEST_F(relay_world, a_silent_server_is_no_reason_to_run_a_request_twice) {
+    add_b();
+    a_.otherwise_ = [](const auto&, auto&) {
+    };
+    b_.otherwise_ = a_.otherwise_;
+    EXPECT_EQ(call("/once/", "X-Patience", "900").status_, 504);
+    EXPECT_EQ(a_.requests_.size() + b_.requests_.size(), 1U);
+}
+
+// Servers that lose every answer: retries stay within the deployment's share.
+TEST_F(relay_world, retries_stay_below_their_limit) {
+    constexpr auto requests = 60;
+    constexpr auto allowance = 20;
+    constexpr auto ratio = 0.5;
+    add_b();
+    a_.otherwise_ = close_unanswered();
+    b_.otherwise_ = close_unanswered();
+    relay_.set_retry_limits(ratio, allowance, seconds{10});
+    relay_.set_daemons(2);
+    for (auto turn = 0; turn < requests; ++turn) {
+        EXPECT_EQ(call("/safe/").status_, 502);
+    }
+    const auto arrived = a_.requests_.size() + b_.requests_.size();
+    EXPECT_GT(arrived, static_cast<std::size_t>(requests));
+    EXPECT_LE(arrived, static_cast<std::size_t>(requests + requests * ratio +
+                                                allowance / 2));
+}
+
 TEST_F(relay_world, a_request_ends_with_its_time) {
     // The server holds it for ever.
     const auto seen = call("/once/", "X-Patience", "60");
