Grow with the number of daemons: loads through the owner, one reader of the store

Change: beyond twelve daemons loads and demand go to the owner of placement, which passes the sums on; the owner passes on what it reads from the store, and the others read only when it is silent.

--- a/basilstream/coordination/backend_directory/backend_directory.cpp
+++ b/basilstream/coordination/backend_directory/backend_directory.cpp
@@ -8,38 +8,38 @@
     return !available_ || now < returned_at_ + settings_.return_period_;
 }
 
-auto backend_directory::remove(const std::string& id, time_point now) -> void {
+auto backend_directory::remove(const std::string& id, time_point now) -> bool {
     if (!servers_.contains(id)) {
-        return;
+        return false;
     }
     if (holds_back(now)) {
         missing_.insert(id);
-        return;
+        return true;
     }
     missing_.erase(id);
     servers_.erase(id);
     changed_.insert(id);
+    return true;
 }
 
 auto backend_directory::apply(const backend_record& record, time_point now)
-    -> void {
+    -> bool {
     const auto& [id, server] = record;
     if (!server) {
-        remove(id, now);
-        return;
+        return remove(id, now);
     }
-    missing_.erase(id);
+    const auto returned = missing_.erase(id) > 0;
     const auto known = servers_.find(id);
-    if (known != servers_.end()) {
-        if (server->started_at_ < known->second.started_at_ ||
-            *server == known->second) {
-            return;
-        }
-        known->second = *server;
-    } else {
+    if (known == servers_.end()) {
         servers_.emplace(id, *server);
+    } else if (server->started_at_ < known->second.started_at_ ||
+               *server == known->second) {
+        return returned;
+    } else {
+        known->second = *server;
     }
     changed_.insert(id);
+    return true;
 }
 
 auto backend_directory::replace_all(const std::vector<backend_record>& records,
--- a/basilstream/coordination/backend_directory/backend_directory.hpp
+++ b/basilstream/coordination/backend_directory/backend_directory.hpp
@@ -75,7 +75,8 @@
         -> void;
     /// Takes in one record, in the order of the store's log. A record of an
     /// earlier process under the same id is ignored.
-    auto apply(const backend_record& record, time_point now) -> void;
+    /// Returns whether anything changes, now or after the return period.
+    auto apply(const backend_record& record, time_point now) -> bool;
     /// Tells whether the store answers. While it does not, nothing is removed.
     auto set_store_available(bool available, time_point now) -> void;
     /// Carries out the removals that are due.
@@ -93,7 +94,7 @@
     [[nodiscard]] auto take_changes() -> std::vector<std::string>;
 
 private:
-    auto remove(const std::string& id, time_point now) -> void;
+    auto remove(const std::string& id, time_point now) -> bool;
     [[nodiscard]] auto holds_back(time_point now) const -> bool;
 
     backend_directory_settings settings_;
--- a/basilstream/coordination/placement_lease/placement_lease.hpp
+++ b/basilstream/coordination/placement_lease/placement_lease.hpp
@@ -106,6 +106,10 @@
         -> std::optional<time_point> {
         return earlier_until_;
     }
+    /// The VM that owns the lease as far as is known; empty if there is none.
+    [[nodiscard]] auto owner() const -> std::string {
+        return owner_.value_or("");
+    }
     /// Whether any daemon is known to hold the lease at `now`.
     [[nodiscard]] auto owned_by_anyone(time_point now) const -> bool;
     /// Whether the log must be read before poll() can decide.
--- a/basilstream/daemon/cluster/cluster.cpp
+++ b/basilstream/daemon/cluster/cluster.cpp
@@ -150,6 +150,10 @@
     }
 }
 
+auto cluster::on_heard(const std::string& daemon) -> void {
+    heard_[daemon] = base_.clock_.now();
+}
+
 auto cluster::add_seed(const std::string& peer_address) -> void {
     if (peer_address != link_->address()) {
         membership_.add_seed(peer_address, base_.clock_.now());
@@ -188,7 +192,7 @@
 }
 
 auto cluster::silent(const std::string& name) const -> bool {
-    if (settings_.longest_silence_ == milliseconds{0} ||
+    if (settings_.longest_silence_ == milliseconds{0} || !heartbeats_trusted_ ||
         name == settings_.name_) {
         return false;
     }
--- a/basilstream/daemon/cluster/cluster.hpp
+++ b/basilstream/daemon/cluster/cluster.hpp
@@ -85,6 +85,13 @@
     /// Spreads a payload to all daemons.
     auto gossip(coordination::payload_kind kind, std::string key,
                 std::string bytes) -> void;
+    /// Another daemon has heard this one lately.
+    auto on_heard(const std::string& daemon) -> void;
+    /// Whether every daemon that lives is heard now; otherwise silence means
+    /// nothing. True at first.
+    auto trust_heartbeats(bool trusted) -> void {
+        heartbeats_trusted_ = trusted;
+    }
     /// Adds a daemon that may exist.
     auto add_seed(const std::string& peer_address) -> void;
     /// Takes the entry VMs of the platform's list.
@@ -122,6 +129,7 @@
     std::map<std::string, std::uint32_t> loads_;
     std::map<std::string, time_point> heard_;
     time_point next_endpoint_update_;
+    bool heartbeats_trusted_ = true;
     std::size_t own_load_ = 0;
     time_point next_load_;
 };
--- /dev/null
+++ b/basilstream/daemon/load_sharing/load_sharing.cpp
@@ -0,0 +1,150 @@
+#include "basilstream/daemon/load_sharing/load_sharing.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilstream::daemon {
+namespace {
+
+constexpr auto share_interval = milliseconds{200};
+// An idle daemon says that it lives this often.
+constexpr auto heartbeat_interval = milliseconds{600};
+// Up to so many daemons tell all others: some 800 messages a second over all.
+constexpr auto most_direct_daemons = std::size_t{12};
+// Sums older than this are those of an owner that is gone.
+constexpr auto totals_lifetime = milliseconds{1500};
+
+} // namespace
+
+load_sharing::load_sharing(const clock& time, std::string self, relay& traffic,
+                           const model_control& models)
+    : clock_{time}, self_{std::move(self)}, traffic_{traffic}, models_{models} {
+}
+
+auto load_sharing::few() const -> bool {
+    return peers_->members().size() <= most_direct_daemons;
+}
+
+auto load_sharing::send_to_all(const protocol::relay_update& update) -> void {
+    if (peers_ == nullptr) {
+        return;
+    }
+    const auto bytes = protocol::encode(update);
+    for (const auto& member : peers_->members()) {
+        if (member.name_ != self_) {
+            peers_->send(member.name_, protocol::peer_channel::relay, bytes);
+        }
+    }
+}
+
+auto load_sharing::send_to_owner(const protocol::relay_update& update) -> void {
+    if (peers_ == nullptr) {
+        return;
+    }
+    if (few()) {
+        send_to_all(update);
+    } else if (const auto owner = models_.owner();
+               !owner.empty() && owner != self_) {
+        peers_->send(owner, protocol::peer_channel::relay,
+                     protocol::encode(update));
+    }
+}
+
+auto load_sharing::own_loads() const -> protocol::relay_update {
+    auto update = protocol::relay_update{};
+    update.has_loads_ = true;
+    for (const auto& [backend, requests] : traffic_.loads()) {
+        update.loads_.push_back(
+            {backend, static_cast<std::uint32_t>(requests)});
+    }
+    return update;
+}
+
+auto load_sharing::tick() -> void {
+    const auto now = clock_.now();
+    if (peers_ == nullptr || now < next_share_) {
+        return;
+    }
+    next_share_ = now + share_interval;
+    if (few()) {
+        share_directly(now);
+    } else {
+        share_through_owner(now);
+    }
+}
+
+auto load_sharing::share_directly(time_point now) -> void {
+    const auto update = own_loads();
+    if (!update.loads_.empty() || now >= next_heartbeat_) {
+        next_heartbeat_ = now + heartbeat_interval;
+        send_to_all(update);
+    }
+    peers_->trust_heartbeats(true);
+    apply(heard_.sums(now));
+}
+
+auto load_sharing::share_through_owner(time_point now) -> void {
+    if (!models_.epoch()) {
+        send_to_owner(own_loads());
+        const auto fresh = totals_at_ && now - *totals_at_ < totals_lifetime;
+        // Without the owner's word nobody is known to be silent.
+        peers_->trust_heartbeats(fresh);
+        auto foreign = fresh ? totals_ : coordination::backend_loads{};
+        for (const auto& [backend, requests] : traffic_.loads()) {
+            auto& left = foreign[backend];
+            left = std::max(left - requests, 0);
+        }
+        apply(foreign);
+        return;
+    }
+    auto sums = heard_.sums(now);
+    peers_->trust_heartbeats(true);
+    apply(sums);
+    for (const auto& [backend, requests] : traffic_.loads()) {
+        sums[backend] += requests;
+    }
+    auto update = protocol::relay_update{};
+    update.has_totals_ = true;
+    for (const auto& [backend, requests] : sums) {
+        update.totals_.push_back(
+            {backend, static_cast<std::uint32_t>(requests)});
+    }
+    update.heard_ = heard_.heard(now);
+    send_to_all(update);
+}
+
+auto load_sharing::apply(const coordination::backend_loads& foreign) -> void {
+    for (const auto& [backend, requests] : applied_) {
+        if (!foreign.contains(backend)) {
+            traffic_.set_foreign_load(backend, 0);
+        }
+    }
+    for (const auto& [backend, requests] : foreign) {
+        traffic_.set_foreign_load(backend, requests);
+    }
+    applied_ = foreign;
+}
+
+auto load_sharing::on_update(const std::string& sender,
+                             const protocol::relay_update& update) -> void {
+    const auto now = clock_.now();
+    if (update.has_loads_) {
+        auto loads = coordination::backend_loads{};
+        for (const auto& load : update.loads_) {
+            loads[load.backend_] = static_cast<int>(load.requests_);
+        }
+        heard_.on_loads(sender, std::move(loads), now);
+    }
+    if (update.has_totals_) {
+        totals_.clear();
+        for (const auto& total : update.totals_) {
+            totals_[total.backend_] = static_cast<int>(total.requests_);
+        }
+        totals_at_ = now;
+        for (const auto& name : update.heard_) {
+            peers_->on_heard(name);
+        }
+    }
+}
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -369,8 +369,10 @@
                                    static_cast<std::uint32_t>(sample.unserved_),
                                    static_cast<std::uint64_t>(sample.tokens_)});
     }
-    if (!update.demands_.empty() || update.lease_epoch_) {
+    if (update.lease_epoch_) {
         observer_.broadcast(update);
+    } else if (!update.demands_.empty()) {
+        observer_.send_demand(update);
     }
 }
 
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -43,6 +43,8 @@
         -> void = 0;
     /// Send to all other daemons.
     virtual auto broadcast(const protocol::relay_update& update) -> void = 0;
+    /// Send to whoever plans, or may plan next.
+    virtual auto send_demand(const protocol::relay_update& update) -> void = 0;
 };
 
 /// What it gets from its process; all outlive it.
@@ -88,6 +90,8 @@
     /// Gives the lease up.
     auto stop() -> void;
     [[nodiscard]] auto stopped() const -> bool { return lease_.released(); }
+    /// The VM that gives orders, as far as is known.
+    [[nodiscard]] auto owner() const -> std::string { return lease_.owner(); }
     [[nodiscard]] auto epoch() const -> std::optional<std::uint64_t> {
         return lease_.held(context_.boot_clock_.now());
     }
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -7,6 +7,7 @@
 
 #include "basilstream/coordination/discovery/discovery.hpp"
 #include "basilstream/daemon/cluster/cluster.hpp"
+#include "basilstream/daemon/load_sharing/load_sharing.hpp"
 #include "basilstream/daemon/model_control/model_control.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
 #include "basilstream/daemon/store_watch/store_watch.hpp"
@@ -31,14 +32,8 @@
 // How often the store's list of daemons is read again, for daemons that the
 // probes have lost.
 constexpr auto daemon_list_interval = seconds{10};
-// How often daemons tell each other their requests on backend servers, and
-// how long such a message counts.
-constexpr auto load_share_interval = milliseconds{200};
-// An idle daemon says so this often; one that is silent for longer than the
-// second time is not named to clients.
-constexpr auto heartbeat_interval = milliseconds{600};
+// A daemon that is silent for longer is not named to clients.
 constexpr auto longest_silence = milliseconds{2000};
-constexpr auto foreign_load_lifetime = milliseconds{1500};
 // The process ends this long before it would be killed.
 constexpr auto grace_margin = milliseconds{400};
 constexpr auto last_answers_time = milliseconds{100};
@@ -74,6 +69,7 @@
                   *store_,
                   relay_.calls(),
                   *this},
+          sharing_{clock_, settings.name_, relay_, models_},
           watch_{{clock_, random_, log_}, {}, *store_, place.decoder(), *this},
           drain_{drain_settings_of(settings)} {}
 
@@ -160,21 +156,25 @@
         models_.remove_backend(id);
         relay_.remove_backend(id);
     }
+    // While this daemon owns placement it reads the store for all.
+    auto on_read(coordination::shared_topic topic, std::uint64_t from,
+                 const coordination::record_page& page) -> void override {
+        if (!models_.epoch()) {
+            return;
+        }
+        auto update = protocol::relay_update{};
+        update.pages_ = {{topic, from, page.end_, page.records_}};
+        sharing_.send_to_all(update);
+    }
     auto on_holdings(const coordination::backend_server& server)
         -> void override {
         relay_.set_backend(server);
     }
     auto broadcast(const protocol::relay_update& update) -> void override {
-        if (!cluster_) {
-            return;
-        }
-        const auto bytes = protocol::encode(update);
-        for (const auto& member : cluster_->members()) {
-            if (member.name_ != settings_.name_) {
-                cluster_->send(member.name_, protocol::peer_channel::relay,
-                               bytes);
-            }
-        }
+        sharing_.send_to_all(update);
+    }
+    auto send_demand(const protocol::relay_update& update) -> void override {
+        sharing_.send_to_owner(update);
     }
 
     // The relay's supply of models: model_control is made after the relay,
@@ -339,31 +339,11 @@
         }
         if (cluster_) {
             models_.tick();
-            share_loads();
+            sharing_.tick();
         }
         advance_drain();
     }
 
-    // Tells the others how many requests are on each backend server.
-    auto share_loads() -> void {
-        const auto now = clock_.now();
-        if (now < next_load_share_) {
-            return;
-        }
-        next_load_share_ = now + load_share_interval;
-        auto update = protocol::relay_update{};
-        update.has_loads_ = true;
-        for (const auto& [backend, requests] : relay_.loads()) {
-            update.loads_.push_back(
-                {backend, static_cast<std::uint32_t>(requests)});
-        }
-        if (!update.loads_.empty() || now >= next_heartbeat_) {
-            next_heartbeat_ = now + heartbeat_interval;
-            broadcast(update);
-        }
-        apply_foreign_loads(now);
-    }
-
     auto on_peer_update(const std::string& sender, const std::string& bytes)
         -> void {
         const auto update = protocol::decode_relay_update(bytes);
@@ -372,27 +352,14 @@
                          "message of a daemon ignored", update.error());
             return;
         }
-        if (update->has_loads_) {
-            foreign_loads_[sender] = {update->loads_, clock_.now()};
+        sharing_.on_update(sender, *update);
+        for (const auto& page : update->pages_) {
+            watch_.on_relayed(page.topic_, page.from_,
+                              {page.records_, page.end_, false});
         }
         models_.on_update(*update);
     }
 
-    auto apply_foreign_loads(time_point now) -> void {
-        auto sums = std::map<std::string, int>{};
-        std::erase_if(foreign_loads_, [&](const auto& each) {
-            return now - each.second.heard_ > foreign_load_lifetime;
-        });
-        for (const auto& [sender, loads] : foreign_loads_) {
-            for (const auto& load : loads.loads_) {
-                sums[load.backend_] += static_cast<int>(load.requests_);
-            }
-        }
-        for (const auto& [id, server] : watch_.backends().servers()) {
-            relay_.set_foreign_load(id, sums[id]);
-        }
-    }
-
     // Makes this daemon known to the others, once it can serve.
     auto join() -> void {
         cluster_.emplace(cluster_context{clock_, random_, log_},
@@ -403,6 +370,7 @@
                                           .max_endpoints_ = most_endpoints,
                                           .longest_silence_ = longest_silence},
                          relay_.address(), std::move(link_));
+        sharing_.join(*cluster_);
         cluster_->on_members([this](const std::vector<std::string>& owners) {
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
         });
@@ -526,6 +494,7 @@
     transport::http_pool control_calls_;
     std::unique_ptr<coordination::record_store> store_;
     model_control models_;
+    load_sharing sharing_;
     store_watch watch_;
     coordination::drain_controller drain_;
     std::vector<std::unique_ptr<transport::http_session_server>> servers_;
@@ -534,13 +503,6 @@
     std::optional<cluster> cluster_;
     std::optional<time_point> joined_at_;
     std::optional<time_point> stop_requested_at_;
-    struct heard_loads {
-        std::vector<protocol::backend_load> loads_;
-        time_point heard_;
-    };
-    std::map<std::string, heard_loads> foreign_loads_;
-    time_point next_load_share_{};
-    time_point next_heartbeat_{};
     bool end_told_ = false;
 };
 
--- a/basilstream/daemon/store_watch/store_watch.cpp
+++ b/basilstream/daemon/store_watch/store_watch.cpp
@@ -22,6 +22,7 @@
                                           .take_ = &store_watch::take_config},
       backend_reader_{.topic_ = shared_topic::backends,
                       .interval_ = settings.backend_interval_,
+                      .deferral_ = settings.backend_deferral_,
                       .take_ = &store_watch::take_backends} {}
 
 auto store_watch::tick() -> void {
@@ -78,9 +79,39 @@
         from.due_ = now;
         return;
     }
+    const auto begun = from.next_.value_or(page->end_);
     from.next_ = listing ? page->end_ : std::max(*from.next_, page->end_);
     from.due_ = std::max(now, from.started_ + from.interval_);
-    (this->*from.take_)(*page, listing);
+    auto news = (this->*from.take_)(*page, listing);
+    if (!listing) {
+        observer_.on_read(from.topic_, begun,
+                          {std::move(news), *from.next_, false});
+    }
+}
+
+auto store_watch::on_relayed(shared_topic topic, std::uint64_t from,
+                             const record_page& page) -> void {
+    const auto now = context_.clock_.now();
+    auto& reader =
+        topic == shared_topic::configuration ? config_reader_ : backend_reader_;
+    const auto follows = reader.next_ && from <= *reader.next_;
+    if (!follows) {
+        return;
+    }
+    auto fresh = record_page{{}, page.end_, false};
+    for (const auto& record : page.records_) {
+        if (record.offset_ >= *reader.next_) {
+            fresh.records_.push_back(record);
+        }
+    }
+    reader.next_ = std::max(*reader.next_, page.end_);
+    reader.last_read_ = now;
+    reader.failures_ = 0;
+    reader.due_ = std::max(reader.due_, now + reader.deferral_);
+    if (topic == shared_topic::backends) {
+        backends_.set_store_available(true, now);
+    }
+    (void)(this->*reader.take_)(fresh, false);
 }
 
 auto store_watch::on_failure(reader& from, const error& cause) -> void {
@@ -102,7 +133,8 @@
 }
 
 auto store_watch::take_config(const record_page& page, bool /*listing*/)
-    -> void {
+    -> std::vector<coordination::store_record> {
+    auto news = std::vector<coordination::store_record>{};
     for (const auto& record : page.records_) {
         auto skipped = std::vector<error>{};
         const auto config = decoder_.configuration(record, skipped);
@@ -115,9 +147,11 @@
                                   "configuration ignored", config.error());
         } else if (*config && (*config)->version_ > config_version_) {
             config_version_ = (*config)->version_;
+            news.push_back(record);
             observer_.on_config(*config);
         }
     }
+    return news;
 }
 
 auto store_watch::decode_backend(const coordination::store_record& record)
@@ -134,20 +168,25 @@
     return {record.key_, std::move(*server)};
 }
 
-auto store_watch::take_backends(const record_page& page, bool listing) -> void {
+auto store_watch::take_backends(const record_page& page, bool listing)
+    -> std::vector<coordination::store_record> {
     const auto now = context_.clock_.now();
+    auto news = std::vector<coordination::store_record>{};
     auto records = std::vector<coordination::backend_record>{};
     for (const auto& record : page.records_) {
         records.push_back(decode_backend(record));
     }
     if (listing) {
         backends_.replace_all(records, now);
-    } else {
-        for (const auto& record : records) {
-            backends_.apply(record, now);
+    }
+    for (auto index = std::size_t{0}; !listing && index < records.size();
+         ++index) {
+        if (backends_.apply(records[index], now)) {
+            news.push_back(page.records_[index]);
         }
     }
     publish_backends();
+    return news;
 }
 
 auto store_watch::publish_backends() -> void {
--- a/basilstream/daemon/store_watch/store_watch.hpp
+++ b/basilstream/daemon/store_watch/store_watch.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/random/random.hpp"
@@ -35,6 +36,10 @@
     virtual auto on_backend(const coordination::backend_server& server)
         -> void = 0;
     virtual auto on_backend_gone(const std::string& id) -> void = 0;
+    /// A read of the store has ended: `page` covers the offsets from `from` to
+    /// its end; records that change nothing are left out.
+    virtual auto on_read(coordination::shared_topic topic, std::uint64_t from,
+                         const coordination::record_page& page) -> void = 0;
 };
 
 /// What a watch gets from its process; all outlive it.
@@ -53,6 +58,10 @@
     /// Time between two reads of the announcements. Announcements come all
     /// the time, so that a waiting read would return at each of them.
     milliseconds backend_interval_{600};
+    /// How long a page that another daemon has read and passed on stands for a
+    /// read of this daemon's own.
+    milliseconds config_deferral_{1300};
+    milliseconds backend_deferral_{1000};
     milliseconds first_pause_{150};
     milliseconds longest_pause_{1000};
 };
@@ -68,6 +77,11 @@
     /// Starts the reads that are due; call every 50 ms or so.
     auto tick() -> void;
 
+    /// Takes in a page that another daemon has read. It is ignored if it does
+    /// not follow what this daemon has read.
+    auto on_relayed(coordination::shared_topic topic, std::uint64_t from,
+                    const coordination::record_page& page) -> void;
+
     /// Whether the backend servers have been listed once.
     [[nodiscard]] auto backends_known() const -> bool {
         return backends_.known();
@@ -85,8 +99,10 @@
         coordination::shared_topic topic_;
         milliseconds wait_{0};
         milliseconds interval_{0};
-        auto(store_watch::*take_)(const coordination::record_page&, bool)
-            -> void = nullptr;
+        milliseconds deferral_{0};
+        // Takes records in; returns those that change something.
+        std::vector<coordination::store_record> (store_watch::*take_)(
+            const coordination::record_page&, bool) = nullptr;
         // Where to read on; nothing until a listing was read.
         std::optional<std::uint64_t> next_ = {};
         bool reading_ = false;
@@ -101,9 +117,9 @@
                  const result<coordination::record_page>& page) -> void;
     auto on_failure(reader& from, const error& cause) -> void;
     auto take_config(const coordination::record_page& page, bool listing)
-        -> void;
+        -> std::vector<coordination::store_record>;
     auto take_backends(const coordination::record_page& page, bool listing)
-        -> void;
+        -> std::vector<coordination::store_record>;
     auto decode_backend(const coordination::store_record& record)
         -> coordination::backend_record;
     auto publish_backends() -> void;
--- a/basilstream/daemon/store_watch/store_watch_test.cpp
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -95,6 +95,12 @@
     auto on_backend_gone(const std::string& id) -> void override {
         events_.push_back(id + " gone");
     }
+    auto on_read(shared_topic topic, std::uint64_t from,
+                 const record_page& page) -> void override {
+        if (topic == shared_topic::backends) {
+            relayed_.push_back({from, page});
+        }
+    }
 
     auto advance(duration step) -> void {
         clock_.advance(step);
@@ -114,6 +120,7 @@
     store_watch watch_{{clock_, random_, log_}, {}, store_, decoder_, *this};
     std::vector<std::uint64_t> versions_;
     std::vector<std::string> events_;
+    std::vector<std::pair<std::uint64_t, record_page>> relayed_;
 };
 
 TEST_F(store_watch_test, lists_first_and_follows_from_there) {
@@ -173,6 +180,58 @@
     EXPECT_EQ(events_.back(), "a gone");
 }
 
+TEST_F(store_watch_test, passes_on_what_changes_something) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready"}, {"b", "ready"}}, 7, false});
+    EXPECT_TRUE(relayed_.empty());
+    advance(seconds{1});
+    store_.answer(
+        shared_topic::backends,
+        record_page{{{"a", "ready", 7}, {"b", "draining", 8}}, 9, false});
+    ASSERT_EQ(relayed_.size(), 1U);
+    EXPECT_EQ(relayed_[0].first, 7U);
+    EXPECT_EQ(relayed_[0].second.end_, 9U);
+    ASSERT_EQ(relayed_[0].second.records_.size(), 1U);
+    EXPECT_EQ(relayed_[0].second.records_[0].key_, "b");
+}
+
+// Another daemon reads; this one reads itself only when that one is silent.
+TEST_F(store_watch_test, a_relayed_page_stands_for_a_read) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready"}}, 7, false});
+    auto reads = 0;
+    for (auto turn = 0; turn < 20; ++turn) {
+        advance(milliseconds{500});
+        reads += store_.reading(shared_topic::backends) ? 1 : 0;
+        const auto from = static_cast<std::uint64_t>(7 + turn);
+        watch_.on_relayed(shared_topic::backends, from,
+                          {{{"a", turn % 2 == 0 ? "draining" : "ready", from}},
+                           from + 1,
+                           false});
+    }
+    EXPECT_EQ(reads, 0);
+    EXPECT_EQ(events_.size(), 21U);
+    advance(milliseconds{1100});
+    EXPECT_EQ(store_.answer(shared_topic::backends, record_page{{}, 27, false}),
+              27U);
+}
+
+TEST_F(store_watch_test, a_relayed_page_beyond_a_gap_is_ignored) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready"}}, 7, false});
+    watch_.on_relayed(shared_topic::backends, 9,
+                      {{{"a", "draining", 9}}, 10, false});
+    EXPECT_EQ(events_.size(), 1U);
+    advance(seconds{1});
+    EXPECT_EQ(store_.answer(shared_topic::backends,
+                            record_page{{{"a", "draining"}}, 8, false}),
+              7U);
+    EXPECT_EQ(events_.back(), "a leaves");
+}
+
 TEST_F(store_watch_test, a_torn_entry_names_no_server) {
     advance(milliseconds{0});
     store_.answer(shared_topic::backends,
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -14,6 +14,39 @@
     return out.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
 }
 
+auto to_wire(const relayed_page& page, wire::read_page& out) -> void {
+    out.set_topic(static_cast<std::uint32_t>(page.topic_));
+    out.set_from(page.from_);
+    out.set_end(page.end_);
+    for (const auto& record : page.records_) {
+        auto& copy = *out.add_records();
+        copy.set_key(record.key_);
+        copy.set_offset(record.offset_);
+        copy.set_has_value(record.value_.has_value());
+        copy.set_value(record.value_.value_or(""));
+    }
+}
+
+auto from_wire(const wire::read_page& in) -> relayed_page {
+    auto page =
+        relayed_page{static_cast<coordination::shared_topic>(in.topic()),
+                     in.from(),
+                     in.end(),
+                     {}};
+    for (const auto& record : in.records()) {
+        page.records_.push_back(
+            {record.key(),
+             record.has_value() ? std::optional{record.value()} : std::nullopt,
+             record.offset()});
+    }
+    return page;
+}
+
+auto known_topic(std::uint32_t value) -> bool {
+    return value <= static_cast<std::uint32_t>(
+                        coordination::shared_topic::placement_lease);
+}
+
 auto known_state(std::uint32_t value) -> bool {
     return value <= static_cast<std::uint32_t>(residency_state::coming);
 }
@@ -23,6 +56,18 @@
 auto encode(const relay_update& update) -> std::string {
     auto message = wire::relay_update{};
     message.set_has_loads(update.has_loads_);
+    message.set_has_totals(update.has_totals_);
+    for (const auto& total : update.totals_) {
+        auto& out = *message.add_totals();
+        out.set_backend(total.backend_);
+        out.set_requests(total.requests_);
+    }
+    for (const auto& page : update.pages_) {
+        to_wire(page, *message.add_pages());
+    }
+    for (const auto& name : update.heard_) {
+        message.add_heard(name);
+    }
     for (const auto& load : update.loads_) {
         auto& out = *message.add_loads();
         out.set_backend(load.backend_);
@@ -62,6 +107,17 @@
     }
     auto update = relay_update{};
     update.has_loads_ = message.has_loads();
+    update.has_totals_ = message.has_totals();
+    for (const auto& in : message.totals()) {
+        update.totals_.push_back({in.backend(), in.requests()});
+    }
+    for (const auto& in : message.pages()) {
+        if (!known_topic(in.topic())) {
+            return invalid(step::peer, "unknown topic");
+        }
+        update.pages_.push_back(from_wire(in));
+    }
+    update.heard_.assign(message.heard().begin(), message.heard().end());
     for (const auto& in : message.loads()) {
         update.loads_.push_back({in.backend(), in.requests()});
     }
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -15,6 +15,7 @@
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/error/error.hpp"
 #include "basilstream/coordination/placement_lease/placement_lease.hpp"
+#include "basilstream/coordination/record_store/record_store.hpp"
 
 namespace basilstream::protocol {
 
@@ -50,6 +51,17 @@
     milliseconds ready_in_{0};
 };
 
+/// Records of the shared store that the owner of placement has read.
+struct relayed_page {
+    coordination::shared_topic topic_ =
+        coordination::shared_topic::configuration;
+    /// The page covers the offsets from `from_` to `end_`; records that change
+    /// nothing are left out.
+    std::uint64_t from_ = 0;
+    std::uint64_t end_ = 0;
+    std::vector<coordination::store_record> records_;
+};
+
 /// A message between daemons; parts that are empty say nothing, but for
 /// `loads_` if `has_loads_`, which then replaces the sender's former ones.
 struct relay_update {
@@ -62,6 +74,12 @@
     /// How long the sender may go on without a renewal; zero says that it has
     /// stopped to order.
     milliseconds lease_left_{0};
+    /// Set in what the owner of placement passes on in large deployments: the
+    /// requests of all daemons, and the daemons that it has heard lately.
+    bool has_totals_ = false;
+    std::vector<backend_load> totals_;
+    std::vector<std::string> heard_;
+    std::vector<relayed_page> pages_;
     /// The lease's log ends here after the sender's last entry.
     std::uint64_t lease_end_ = 0;
 };
--- a/basilstream/protocol/relay_codec/relay_codec_test.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -16,6 +16,13 @@
     update.lease_epoch_ = 0;
     update.lease_left_ = milliseconds{1200};
     update.lease_end_ = 17;
+    update.has_totals_ = true;
+    update.totals_ = {{"i-2", 9}};
+    update.heard_ = {"d1", "d2"};
+    update.pages_ = {{coordination::shared_topic::backends,
+                      5,
+                      9,
+                      {{"k", "v", 6}, {"gone", std::nullopt, 8}}}};
     const auto read = decode_relay_update(encode(update));
     ASSERT_TRUE(read);
     EXPECT_TRUE(read->has_loads_);
@@ -27,6 +34,15 @@
     EXPECT_EQ(read->lease_epoch_, 0U);
     EXPECT_EQ(read->lease_left_, milliseconds{1200});
     EXPECT_EQ(read->lease_end_, 17U);
+    EXPECT_TRUE(read->has_totals_);
+    EXPECT_EQ(read->totals_.at(0).requests_, 9U);
+    EXPECT_EQ(read->heard_, update.heard_);
+    ASSERT_EQ(read->pages_.size(), 1U);
+    EXPECT_EQ(read->pages_[0].topic_, coordination::shared_topic::backends);
+    EXPECT_EQ(read->pages_[0].end_, 9U);
+    EXPECT_EQ(read->pages_[0].records_.at(0).value_, "v");
+    EXPECT_EQ(read->pages_[0].records_.at(0).offset_, 6U);
+    EXPECT_FALSE(read->pages_[0].records_.at(1).value_.has_value());
     EXPECT_FALSE(
         decode_relay_update(encode(relay_update{}))->lease_epoch_.has_value());
 }
