--- a/basilstream/daemon/load_sharing/load_sharing.cpp
+++ b/basilstream/daemon/load_sharing/load_sharing.cpp
@@ -11,14 +11,27 @@
 constexpr auto heartbeat_interval = milliseconds{600};
 // Up to so many daemons tell all others: some 800 messages a second over all.
 constexpr auto most_direct_daemons = std::size_t{12};
-// Sums older than this are those of an owner that is gone.
-constexpr auto totals_lifetime = milliseconds{1500};
+// Beyond, the interval grows with the number of daemons, so that the owner
+// takes and sends some hundred messages a second however many there are.
+constexpr auto interval_per_daemon = milliseconds{10};
+// Sums that are older than so many intervals are those of an owner that is
+// gone.
+constexpr auto totals_lifetime_intervals = 3;
+// How long a daemon's word is believed: a few intervals of a large deployment.
+constexpr auto loads_lifetime = milliseconds{2500};
 
 } // namespace
 
 load_sharing::load_sharing(const clock& time, std::string self, relay& traffic,
                            const model_control& models)
-    : clock_{time}, self_{std::move(self)}, traffic_{traffic}, models_{models} {
+    : clock_{time}, self_{std::move(self)}, traffic_{traffic}, models_{models},
+      heard_{loads_lifetime} {}
+
+auto load_sharing::interval() const -> duration {
+    const auto daemons = static_cast<int>(peers_->members().size());
+    return few() ? duration{share_interval}
+                 : std::max<duration>(share_interval,
+                                      interval_per_daemon * daemons);
 }
 
 auto load_sharing::few() const -> bool {
@@ -65,7 +78,7 @@
     if (peers_ == nullptr || now < next_share_) {
         return;
     }
-    next_share_ = now + share_interval;
+    next_share_ = now + interval();
     if (few()) {
         share_directly(now);
     } else {
@@ -86,7 +99,9 @@
 auto load_sharing::share_through_owner(time_point now) -> void {
     if (!models_.epoch()) {
         send_to_owner(own_loads());
-        const auto fresh = totals_at_ && now - *totals_at_ < totals_lifetime;
+        const auto fresh =
+            totals_at_ &&
+            now - *totals_at_ < totals_lifetime_intervals * interval();
         // Without the owner's word nobody is known to be silent.
         peers_->trust_heartbeats(fresh);
         auto foreign = fresh ? totals_ : coordination::backend_loads{};
--- a/basilstream/daemon/load_sharing/load_sharing.hpp
+++ b/basilstream/daemon/load_sharing/load_sharing.hpp
@@ -43,6 +43,7 @@
 
 private:
     [[nodiscard]] auto few() const -> bool;
+    [[nodiscard]] auto interval() const -> duration;
     [[nodiscard]] auto own_loads() const -> protocol::relay_update;
     auto share_directly(time_point now) -> void;
     auto share_through_owner(time_point now) -> void;
--- /dev/null
+++ b/basilstream/daemon/model_control/lease.cpp
@@ -0,0 +1,124 @@
+#include <algorithm>
+#include <utility>
+
+#include "basilstream/daemon/model_control/model_control.hpp"
+
+namespace basilstream::daemon {
+namespace {
+
+// The key of the lease in its topic.
+constexpr auto lease_key = "placement";
+} // namespace
+
+auto model_control::advance_lease() -> void {
+    const auto now = context_.boot_clock_.now();
+    const auto owned = lease_.held(now).has_value();
+    if (owned && !owned_) {
+        on_lease_gained();
+    } else if (!owned && owned_) {
+        context_.log_.info("placement lease lost or given up");
+    }
+    owned_ = owned;
+    if (lease_.wants_read(now) && !lease_reading_) {
+        read_lease();
+    }
+    if (const auto due = lease_.poll(now)) {
+        append_lease(*due);
+    }
+}
+
+auto model_control::on_lease_gained() -> void {
+    context_.log_.info("placement lease gained",
+                       {{"epoch", std::to_string(epoch().value_or(0))}});
+    ledger_.reset();
+    store_loads_.clear();
+    const auto earlier = lease_.earlier_owner_until();
+    if (!earlier) {
+        return;
+    }
+    // How much of the window the owner before has used is not known: all of
+    // it, at the last moment that it had.
+    const auto ago = context_.boot_clock_.now() - *earlier;
+    const auto window =
+        std::chrono::duration<double>(settings_.load_window_).count();
+    for (const auto& service : config_->services_) {
+        if (service.engine_) {
+            store_loads_.insert(
+                store_loads_.end(),
+                static_cast<std::size_t>(service.engine_->loads_per_second_ *
+                                         window),
+                context_.clock_.now() - ago);
+        }
+    }
+}
+
+auto model_control::read_lease() -> void {
+    lease_reading_ = true;
+    auto done = [this](const result<coordination::record_page>& page) {
+        lease_reading_ = false;
+        const auto now = context_.boot_clock_.now();
+        if (!page) {
+            context_.log_.failure(transport::log_level::debug,
+                                  "reading the placement lease failed",
+                                  page.error());
+            lease_.on_append_failed(now);
+            return;
+        }
+        if (page->expired_) {
+            lease_next_.reset();
+            return;
+        }
+        for (const auto& record : page->records_) {
+            if (record.key_ != lease_key || !record.value_) {
+                continue;
+            }
+            if (const auto entry =
+                    protocol::decode_lease_entry(*record.value_)) {
+                lease_.on_entry(record.offset_, *entry, now);
+            } else {
+                context_.log_.failure(transport::log_level::warning,
+                                      "lease entry ignored", entry.error());
+            }
+        }
+        lease_next_ = std::max(lease_next_.value_or(0), page->end_);
+        lease_.on_read(*lease_next_, now);
+    };
+    if (lease_next_) {
+        store_.read_from(coordination::shared_topic::placement_lease,
+                         *lease_next_, milliseconds{0}, std::move(done));
+    } else {
+        store_.read_newest(coordination::shared_topic::placement_lease,
+                           std::move(done));
+    }
+}
+
+auto model_control::append_lease(const coordination::lease_append& due)
+    -> void {
+    const auto sent_at = context_.boot_clock_.now();
+    store_.append(coordination::shared_topic::placement_lease, due.at_,
+                  {lease_key, protocol::encode(due.entry_)},
+                  [this, sent_at, kind = due.entry_.kind_](
+                      const result<coordination::append_outcome>& outcome) {
+                      if (outcome && outcome->appended_) {
+                          lease_.on_appended(outcome->offset_, sent_at);
+                          lease_next_ = outcome->offset_ + 1;
+                          return;
+                      }
+                      if (!outcome) {
+                          context_.log_.failure(
+                              transport::log_level::warning,
+                              "writing the placement lease failed",
+                              outcome.error());
+                      }
+                      lease_.on_append_failed(context_.boot_clock_.now());
+                  });
+}
+
+auto model_control::name_lease(protocol::relay_update& update) const -> void {
+    const auto now = context_.boot_clock_.now();
+    update.lease_epoch_ = lease_.held(now);
+    update.lease_end_ = lease_.end();
+    update.lease_left_ = std::chrono::ceil<milliseconds>(lease_.left(now));
+}
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -82,6 +82,9 @@
         -> void;
     auto set_backend(const coordination::backend_server& server) -> void;
     auto remove_backend(const std::string& id) -> void;
+    /// Sets how many daemons there are: the more, the less often each of them
+    /// tells its demand.
+    auto set_daemons(std::size_t count) -> void;
     /// Takes in what another daemon has sent.
     auto on_update(const protocol::relay_update& update) -> void;
 
@@ -139,6 +142,7 @@
     bool plan_wanted_ = false;
     time_point next_plan_{};
     time_point next_flush_{};
+    duration flush_interval_;
     coordination::fleet_ledger ledger_;
     coordination::residency_overlay overlay_;
     std::map<std::string, announced_server> servers_;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -373,6 +373,7 @@
         sharing_.join(*cluster_);
         cluster_->on_members([this](const std::vector<std::string>& owners) {
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
+            models_.set_daemons(owners.size());
         });
         cluster_->on_channel(
             protocol::peer_channel::relay,
