Pass on the word of a configuration, not the configuration; bound the time of plans

A configuration passed on to 81 others takes a VM with 10 Mbit/s seconds, and each request without a runner asked for a plan. The new test found that the time for which a passed-on page stands for a read of the configuration was never set, so that all daemons went on reading. Change: daemons read a new configuration for themselves, at once; a plan takes a twentieth of the thread's time at most.

--- a/basilstream/coordination/fleet_ledger/fleet_ledger_test.cpp
+++ b/basilstream/coordination/fleet_ledger/fleet_ledger_test.cpp
@@ -22,11 +22,12 @@
 }
 
 auto load(std::string model, std::string adapter = {}) -> fleet_step {
+    const auto time = milliseconds{adapter.empty() ? 2000 : 40};
     return {.runner_ = "r",
             .load_ = true,
             .model_ = std::move(model),
             .adapter_ = std::move(adapter),
-            .expected_ = milliseconds{adapter.empty() ? 2000 : 40}};
+            .expected_ = time};
 }
 
 auto unload(std::string model, std::string adapter = {}) -> fleet_step {
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -15,6 +15,10 @@
 // The interval grows with the number of daemons, so that the owner hears some
 // hundred messages a second however many there are.
 constexpr auto demand_interval_per_daemon = milliseconds{10};
+// A plan may take one in so many parts of the traffic thread's time: at some
+// hundred runners it takes milliseconds, and every request without a runner
+// asks for one.
+constexpr auto plan_share = 20;
 // How soon the others learn of a request that no runner can serve. Several
 // that come together are told together.
 constexpr auto urgent_flush_delay = milliseconds{10};
@@ -99,7 +103,7 @@
     if (!served && !std::exchange(flush_planned_, true)) {
         context_.thread_.after(urgent_flush_delay, [this] {
             flush_demand();
-            plan();
+            request_plan();
         });
     }
 }
@@ -217,7 +221,7 @@
                                  boot_now);
     }
     if (unserved) {
-        plan();
+        request_plan();
     }
 }
 
@@ -249,7 +253,7 @@
     }
     ask_for_reports();
     if (now >= next_plan_) {
-        plan();
+        request_plan();
     }
     publish_changes();
 }
@@ -310,6 +314,23 @@
     return allowed - static_cast<int>(store_loads_.size());
 }
 
+auto model_control::request_plan() -> void {
+    const auto now = context_.clock_.now();
+    if (!epoch() || plan_scheduled_) {
+        return;
+    }
+    if (now >= plan_allowed_at_) {
+        plan();
+        return;
+    }
+    plan_scheduled_ = true;
+    context_.thread_.after(
+        std::chrono::ceil<milliseconds>(plan_allowed_at_ - now), [this] {
+            plan_scheduled_ = false;
+            plan();
+        });
+}
+
 auto model_control::plan() -> void {
     const auto now = context_.clock_.now();
     if (!epoch() || !config_) {
@@ -333,6 +354,8 @@
             give_order(service.name_, step);
         }
     }
+    const auto cost = context_.clock_.now() - now;
+    plan_allowed_at_ = now + plan_share * cost;
     publish_changes();
 }
 
@@ -395,7 +418,7 @@
     publish_changes();
     if (epoch() && answer && !step.load_) {
         // The place is free, or its model is on its way out.
-        plan();
+        request_plan();
     }
 }
 
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -112,6 +112,8 @@
     auto flush_demand() -> void;
     auto name_lease(protocol::relay_update& update) const -> void;
     auto ask_for_reports() -> void;
+    /// Plans now, or as soon as the share of the processor allows.
+    auto request_plan() -> void;
     auto plan() -> void;
     auto give_order(const std::string& service,
                     const coordination::fleet_step& step) -> void;
@@ -139,7 +141,8 @@
     // Own demand that the others have not been told.
     std::map<coordination::demand_key, coordination::demand_sample> untold_;
     bool flush_planned_ = false;
-    bool plan_wanted_ = false;
+    bool plan_scheduled_ = false;
+    time_point plan_allowed_at_{};
     time_point next_plan_{};
     time_point next_flush_{};
     duration flush_interval_;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -163,7 +163,13 @@
             return;
         }
         auto update = protocol::relay_update{};
-        update.pages_ = {{topic, from, page.end_, page.records_}};
+        // A configuration may take a weak VM's link seconds for all daemons.
+        const auto large = topic == coordination::shared_topic::configuration &&
+                           !page.records_.empty();
+        update.pages_ = {
+            {topic, from, large ? from : page.end_,
+             large ? std::vector<coordination::store_record>{} : page.records_,
+             large}};
         sharing_.send_to_all(update);
     }
     auto on_holdings(const coordination::backend_server& server)
@@ -354,8 +360,12 @@
         }
         sharing_.on_update(sender, *update);
         for (const auto& page : update->pages_) {
-            watch_.on_relayed(page.topic_, page.from_,
-                              {page.records_, page.end_, false});
+            if (page.read_now_) {
+                watch_.on_news(page.topic_);
+            } else {
+                watch_.on_relayed(page.topic_, page.from_,
+                                  {page.records_, page.end_, false});
+            }
         }
         models_.on_update(*update);
     }
--- a/basilstream/daemon/store_watch/store_watch.cpp
+++ b/basilstream/daemon/store_watch/store_watch.cpp
@@ -19,6 +19,8 @@
                                           .wait_ = settings.config_wait_,
                                           .interval_ =
                                               settings.config_interval_,
+                                          .deferral_ =
+                                              settings.config_deferral_,
                                           .take_ = &store_watch::take_config},
       backend_reader_{.topic_ = shared_topic::backends,
                       .interval_ = settings.backend_interval_,
@@ -114,6 +116,12 @@
     (void)(this->*reader.take_)(fresh, false);
 }
 
+auto store_watch::on_news(shared_topic topic) -> void {
+    auto& reader =
+        topic == shared_topic::configuration ? config_reader_ : backend_reader_;
+    reader.due_ = std::min(reader.due_, context_.clock_.now());
+}
+
 auto store_watch::on_failure(reader& from, const error& cause) -> void {
     const auto now = context_.clock_.now();
     if (from.failures_ == 0) {
--- a/basilstream/daemon/store_watch/store_watch.hpp
+++ b/basilstream/daemon/store_watch/store_watch.hpp
@@ -82,6 +82,9 @@
     auto on_relayed(coordination::shared_topic topic, std::uint64_t from,
                     const coordination::record_page& page) -> void;
 
+    /// Another daemon has seen news in the topic: read it now.
+    auto on_news(coordination::shared_topic topic) -> void;
+
     /// Whether the backend servers have been listed once.
     [[nodiscard]] auto backends_known() const -> bool {
         return backends_.known();
--- a/basilstream/daemon/store_watch/store_watch_test.cpp
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -218,6 +218,19 @@
               27U);
 }
 
+// A configuration is too large to be passed on; the word of it is not.
+TEST_F(store_watch_test, word_of_news_makes_it_read_at_once) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::configuration,
+                  record_page{{{"c", "5"}}, 2, false});
+    watch_.on_relayed(shared_topic::configuration, 2, {{}, 2, false});
+    advance(milliseconds{200});
+    EXPECT_FALSE(store_.reading(shared_topic::configuration));
+    watch_.on_news(shared_topic::configuration);
+    advance(milliseconds{0});
+    EXPECT_TRUE(store_.reading(shared_topic::configuration));
+}
+
 TEST_F(store_watch_test, a_relayed_page_beyond_a_gap_is_ignored) {
     advance(milliseconds{0});
     store_.answer(shared_topic::backends,
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -18,6 +18,7 @@
     out.set_topic(static_cast<std::uint32_t>(page.topic_));
     out.set_from(page.from_);
     out.set_end(page.end_);
+    out.set_read_now(page.read_now_);
     for (const auto& record : page.records_) {
         auto& copy = *out.add_records();
         copy.set_key(record.key_);
@@ -32,7 +33,8 @@
         relayed_page{static_cast<coordination::shared_topic>(in.topic()),
                      in.from(),
                      in.end(),
-                     {}};
+                     {},
+                     in.read_now()};
     for (const auto& record : in.records()) {
         page.records_.push_back(
             {record.key(),
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -60,6 +60,9 @@
     std::uint64_t from_ = 0;
     std::uint64_t end_ = 0;
     std::vector<coordination::store_record> records_;
+    /// Set if there is news that is too large to be passed on: each daemon
+    /// should read it for itself, now.
+    bool read_now_ = false;
 };
 
 /// A message between daemons; parts that are empty say nothing, but for
--- a/basilstream/protocol/relay_codec/relay_codec_test.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -22,7 +22,8 @@
     update.pages_ = {{coordination::shared_topic::backends,
                       5,
                       9,
-                      {{"k", "v", 6}, {"gone", std::nullopt, 8}}}};
+                      {{"k", "v", 6}, {"gone", std::nullopt, 8}},
+                      true}};
     const auto read = decode_relay_update(encode(update));
     ASSERT_TRUE(read);
     EXPECT_TRUE(read->has_loads_);
@@ -40,6 +41,7 @@
     ASSERT_EQ(read->pages_.size(), 1U);
     EXPECT_EQ(read->pages_[0].topic_, coordination::shared_topic::backends);
     EXPECT_EQ(read->pages_[0].end_, 9U);
+    EXPECT_TRUE(read->pages_[0].read_now_);
     EXPECT_EQ(read->pages_[0].records_.at(0).value_, "v");
     EXPECT_EQ(read->pages_[0].records_.at(0).offset_, 6U);
     EXPECT_FALSE(read->pages_[0].records_.at(1).value_.has_value());
