Pass the store on only in time and only among few daemons

Change: a read that took 250 ms longer than it may wait is not passed on; beyond twelve daemons each reads for itself again. Ruled out: lost messages (a gap in the pages makes a follower read).

--- a/basilstream/daemon/load_sharing/load_sharing.cpp
+++ b/basilstream/daemon/load_sharing/load_sharing.cpp
@@ -35,7 +35,7 @@
 }
 
 auto load_sharing::few() const -> bool {
-    return peers_->members().size() <= most_direct_daemons;
+    return peers_ != nullptr && peers_->members().size() <= most_direct_daemons;
 }
 
 auto load_sharing::send_to_all(const protocol::relay_update& update) -> void {
--- a/basilstream/daemon/load_sharing/load_sharing.hpp
+++ b/basilstream/daemon/load_sharing/load_sharing.hpp
@@ -36,13 +36,14 @@
     auto on_update(const std::string& sender,
                    const protocol::relay_update& update) -> void;
 
+    /// Whether the daemons are so few that each tells all others.
+    [[nodiscard]] auto few() const -> bool;
     /// Sends to all other daemons.
     auto send_to_all(const protocol::relay_update& update) -> void;
     /// Sends to the owner of placement, or to all while they are few.
     auto send_to_owner(const protocol::relay_update& update) -> void;
 
 private:
-    [[nodiscard]] auto few() const -> bool;
     [[nodiscard]] auto interval() const -> duration;
     [[nodiscard]] auto own_loads() const -> protocol::relay_update;
     auto share_directly(time_point now) -> void;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -156,10 +156,11 @@
         models_.remove_backend(id);
         relay_.remove_backend(id);
     }
-    // While this daemon owns placement it reads the store for all.
+    // While this daemon owns placement it reads the store for all, if they are
+    // few: a VM that is too weak to serve many in time would leave them behind.
     auto on_read(coordination::shared_topic topic, std::uint64_t from,
                  const coordination::record_page& page) -> void override {
-        if (!models_.epoch()) {
+        if (!models_.epoch() || !sharing_.few()) {
             return;
         }
         auto update = protocol::relay_update{};
--- a/basilstream/daemon/store_watch/store_watch.cpp
+++ b/basilstream/daemon/store_watch/store_watch.cpp
@@ -85,7 +85,9 @@
     from.next_ = listing ? page->end_ : std::max(*from.next_, page->end_);
     from.due_ = std::max(now, from.started_ + from.interval_);
     auto news = (this->*from.take_)(*page, listing);
-    if (!listing) {
+    const auto in_time =
+        now - from.started_ <= from.wait_ + settings_.longest_read_;
+    if (!listing && in_time) {
         observer_.on_read(from.topic_, begun,
                           {std::move(news), *from.next_, false});
     }
--- a/basilstream/daemon/store_watch/store_watch.hpp
+++ b/basilstream/daemon/store_watch/store_watch.hpp
@@ -36,8 +36,8 @@
     virtual auto on_backend(const coordination::backend_server& server)
         -> void = 0;
     virtual auto on_backend_gone(const std::string& id) -> void = 0;
-    /// A read of the store has ended: `page` covers the offsets from `from` to
-    /// its end; records that change nothing are left out.
+    /// A read of the store has ended in good time: `page` covers the offsets
+    /// from `from` to its end; records that change nothing are left out.
     virtual auto on_read(coordination::shared_topic topic, std::uint64_t from,
                          const coordination::record_page& page) -> void = 0;
 };
@@ -62,6 +62,9 @@
     /// read of this daemon's own.
     milliseconds config_deferral_{1300};
     milliseconds backend_deferral_{1000};
+    /// A read that took this much longer than it was allowed to wait is not
+    /// passed on: this daemon is behind, and others may be ahead of it.
+    milliseconds longest_read_{250};
     milliseconds first_pause_{150};
     milliseconds longest_pause_{1000};
 };
--- a/basilstream/daemon/store_watch/store_watch_test.cpp
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -196,6 +196,19 @@
     EXPECT_EQ(relayed_[0].second.records_[0].key_, "b");
 }
 
+// A daemon that is behind must not keep others from reading for themselves.
+TEST_F(store_watch_test, a_late_read_is_not_passed_on) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready"}}, 7, false});
+    advance(seconds{1});
+    clock_.advance(milliseconds{400});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "draining", 7}}, 8, false});
+    EXPECT_EQ(events_.back(), "a leaves");
+    EXPECT_TRUE(relayed_.empty());
+}
+
 // Another daemon reads; this one reads itself only when that one is silent.
 TEST_F(store_watch_test, a_relayed_page_stands_for_a_read) {
     advance(milliseconds{0});
