--- a/basilstream/daemon/relay_settings/relay_settings_test.cpp
+++ b/basilstream/daemon/relay_settings/relay_settings_test.cpp
@@ -69,22 +69,35 @@
     EXPECT_FALSE(parse(document));
 }
 
-// Each key of the schema stands on the page for operators.
-TEST(relay_settings, the_page_names_every_key) {
+auto settings_page() -> std::string {
     auto file = std::ifstream{BASILSTREAM_SOURCE_DIR "/docs/settings.md"};
     auto text = std::ostringstream{};
     text << file.rdbuf();
-    const auto page = text.str();
+    return text.str();
+}
+
+// Returns a key as the page writes it.
+auto quoted(const std::string& section, const std::string& key) -> std::string {
+    auto name = std::string{"`"};
+    name.append(section);
+    if (!key.empty()) {
+        name.append(".").append(key);
+    }
+    return name.append("`");
+}
+
+// Each key of the schema stands on the page for operators.
+TEST(relay_settings, the_page_names_every_key) {
+    const auto page = settings_page();
     const auto schema = json::parse(relay_settings_schema());
     for (const auto& [section, part] : schema["properties"].items()) {
         const auto keys = part.value("properties", json::object());
         if (keys.empty()) {
-            EXPECT_NE(page.find("`" + section + "`"), std::string::npos)
+            EXPECT_NE(page.find(quoted(section, "")), std::string::npos)
                 << section;
         }
         for (const auto& [key, value] : keys.items()) {
-            EXPECT_NE(page.find("`" + section + "." + key + "`"),
-                      std::string::npos)
+            EXPECT_NE(page.find(quoted(section, key)), std::string::npos)
                 << section << "." << key;
         }
     }
