--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -192,7 +192,7 @@
 // Servers that lose every answer: retries stay within the deployment's share.
 TEST_F(relay_world, retries_stay_below_their_limit) {
     constexpr auto requests = 60;
-    constexpr auto allowance = 20;
+    constexpr auto allowance = 20.0;
     constexpr auto ratio = 0.5;
     add_b();
     a_.otherwise_ = close_unanswered();
--- a/basilstream/daemon/store_watch/store_watch_test.cpp
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -215,10 +215,10 @@
     store_.answer(shared_topic::backends,
                   record_page{{{"a", "ready"}}, 7, false});
     auto reads = 0;
-    for (auto turn = 0; turn < 20; ++turn) {
+    for (auto turn = std::uint64_t{0}; turn < 20; ++turn) {
         advance(milliseconds{500});
         reads += store_.reading(shared_topic::backends) ? 1 : 0;
-        const auto from = static_cast<std::uint64_t>(7 + turn);
+        const auto from = 7 + turn;
         watch_.on_relayed(shared_topic::backends, from,
                           {{{"a", turn % 2 == 0 ? "draining" : "ready", from}},
                            from + 1,
