Hold back requests that crash backend servers, on the relay

The quarantine was called by the product's own interface alone. Now each sending is told to it. A run that loses its connection counts as in flight for 6 s, and the crash is taken from the directory: the server's announcement is withdrawn though it did not leave, or it has started anew. Two crashes hold the request back on all daemons; a whole answer clears it. Ruled out: lost connections as evidence (resets and broken answers are frequent and innocent: a test shows that they count nothing); the arbiter's grants (on a crash all requests in flight are suspected, and their repeats would wait). Open: marks are not kept in the store, so a daemon that starts anew learns them from the next crashes.

--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -174,7 +174,8 @@
     const auto grant = received_grants_.find(run.request_id_);
     const auto granted = grant != received_grants_.end() && now < grant->second;
     if (verdict == quarantine_verdict::quarantined ||
-        (verdict == quarantine_verdict::suspected && !granted)) {
+        (verdict == quarantine_verdict::suspected && !granted &&
+         settings_.isolate_suspects_)) {
         drop_grant(run.request_id_);
         return false;
     }
@@ -186,7 +187,7 @@
 auto quarantine::on_finish(std::string_view request_id, bool complete,
                            time_point now) -> void {
     const auto found = runs_.find(std::string{request_id});
-    if (found == runs_.end()) {
+    if (found == runs_.end() || found->second.lost_) {
         return;
     }
     const auto own = std::move(found->second);
@@ -199,6 +200,26 @@
     }
 }
 
+auto quarantine::on_lost(std::string_view request_id, time_point now) -> void {
+    const auto found = runs_.find(std::string{request_id});
+    if (found != runs_.end() && !found->second.lost_) {
+        found->second.lost_ = now;
+    }
+}
+
+auto quarantine::expire_lost_runs(time_point now) -> void {
+    auto over = std::vector<std::string>{};
+    for (auto& [id, own] : runs_) {
+        if (own.lost_ && now >= *own.lost_ + settings_.loss_window_) {
+            own.lost_.reset();
+            over.push_back(id);
+        }
+    }
+    for (const auto& id : over) {
+        on_finish(id, false, now);
+    }
+}
+
 auto quarantine::clear(const fingerprint& print, time_point now) -> void {
     if (check(print, now) != quarantine_verdict::suspected) {
         return;
@@ -344,6 +365,7 @@
         return true;
     });
     settle_grants(now);
+    expire_lost_runs(now);
     for (auto each = records_.begin(); each != records_.end();) {
         auto& entry = each->second;
         expire(entry, now);
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -21,6 +21,10 @@
 /// suspects on one runner. A second crash quarantines it for a while, after
 /// which it is suspected again; a complete answer clears it. Call poll() at
 /// least once a second. Not safe for concurrent use.
+///
+/// Where no arbiter is to be asked (`isolate_suspects_` off), suspects run like
+/// others until their second crash: a request that shared one runner's crash
+/// is repeated elsewhere at once.
 #pragma once
 
 #include <cstdint>
@@ -178,6 +182,11 @@
     duration holder_delay_ = seconds{3};
     /// How long a new arbiter waits for renewals before its first grant.
     duration takeover_delay_ = seconds{12};
+    /// Whether a suspected request runs only with a grant of the arbiter.
+    bool isolate_suspects_ = true;
+    /// How long after a run was lost its runner may turn out to have crashed:
+    /// until its announcement has lapsed, or it has announced its next start.
+    duration loss_window_ = seconds{6};
     /// Fingerprints remembered at most; the oldest suspicions go first.
     std::size_t capacity_ = 65'536;
     milliseconds retry_hint_{1000};
@@ -250,6 +259,10 @@
     /// `complete` if there was a whole answer.
     auto on_finish(std::string_view request_id, bool complete, time_point now)
         -> void;
+    /// Tells that a run ended with its connection, before a whole answer. It
+    /// counts as in flight for `loss_window_`, as the crash of its runner may
+    /// become known later.
+    auto on_lost(std::string_view request_id, time_point now) -> void;
     /// Tells that a runner crashed: its process went away or its boot id
     /// changed without its having left. Call it before the failure of the
     /// runs on it is acted on.
@@ -299,6 +312,8 @@
         fingerprint_run run_;
         bool isolated_ = false;
         time_point renewed_;
+        // When it was lost, if it was.
+        std::optional<time_point> lost_ = {};
     };
 
     auto same_crash(const crash& left, const crash& right) const -> bool;
@@ -326,6 +341,7 @@
         -> std::optional<isolation_refusal>;
     auto renew_own_runs(time_point now) -> void;
     auto drop_oldest_suspicion() -> void;
+    auto expire_lost_runs(time_point now) -> void;
     auto expire(time_point now) -> void;
     auto expire(record& entry, time_point now) const -> void;
 
--- a/basilstream/coordination/quarantine/quarantine_test.cpp
+++ b/basilstream/coordination/quarantine/quarantine_test.cpp
@@ -178,5 +178,46 @@
     EXPECT_EQ(small.list(now_).size(), 10U);
 }
 
+// A crash becomes known when the runner's announcement lapses, seconds after
+// the connection.
+TEST_F(quarantined, a_lost_run_counts_if_its_runner_turns_out_to_have_crashed) {
+    EXPECT_TRUE(marks_.on_dispatch({poison, "1", "r1", "b"}, now_));
+    marks_.on_lost("1", now_);
+    marks_.on_finish("1", false, now_);
+    now_ += seconds{3};
+    static_cast<void>(marks_.poll(now_));
+    marks_.on_crash("r1", now_);
+    EXPECT_EQ(marks_.check(poison, now_), quarantine_verdict::suspected);
+}
+
+TEST_F(quarantined, a_lost_run_is_forgotten_if_no_crash_follows) {
+    EXPECT_TRUE(marks_.on_dispatch({poison, "1", "r1", "b"}, now_));
+    marks_.on_lost("1", now_);
+    now_ += seconds{6};
+    static_cast<void>(marks_.poll(now_));
+    marks_.on_crash("r1", now_);
+    EXPECT_EQ(marks_.check(poison, now_), quarantine_verdict::clear);
+}
+
+TEST_F(quarantined, without_isolation_a_suspect_runs_until_its_second_crash) {
+    auto marks = quarantine{{.isolate_suspects_ = false}, "d1"};
+    for (const auto* const runner : {"r1", "r2"}) {
+        EXPECT_TRUE(marks.on_dispatch({poison, runner, runner, "b"}, now_));
+        marks.on_lost(runner, now_);
+        marks.on_crash(runner, now_);
+    }
+    EXPECT_FALSE(marks.on_dispatch({poison, "3", "r3", "b"}, now_));
+    EXPECT_EQ(marks.check(poison, now_), quarantine_verdict::quarantined);
+}
+
+TEST_F(quarantined, without_isolation_a_whole_answer_clears_a_suspect) {
+    auto marks = quarantine{{.isolate_suspects_ = false}, "d1"};
+    EXPECT_TRUE(marks.on_dispatch({poison, "1", "r1", "b"}, now_));
+    marks.on_crash("r1", now_);
+    EXPECT_TRUE(marks.on_dispatch({poison, "2", "r2", "b"}, now_));
+    marks.on_finish("2", true, now_);
+    EXPECT_EQ(marks.check(poison, now_), quarantine_verdict::clear);
+}
+
 } // namespace
 } // namespace basilstream::coordination
--- /dev/null
+++ b/basilstream/daemon/quarantine_gossip/quarantine_gossip.cpp
@@ -0,0 +1,82 @@
+#include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
+
+#include <variant>
+
+#include "basilstream/protocol/quarantine_codec/quarantine_codec.hpp"
+
+namespace basilstream::daemon {
+
+using coordination::payload_kind;
+
+auto spread(const coordination::suspicion& event, cluster& peers,
+            transport::logger& log) -> void {
+    log.warning("request was in flight on a crashed backend server",
+                {{"fingerprint", event.fingerprint_.to_string()},
+                 {"runner", event.runner_}});
+    peers.gossip(payload_kind::quarantine_suspicion,
+                 event.fingerprint_.to_string() + event.runner_,
+                 protocol::encode_quarantine(event));
+}
+
+auto spread(const coordination::clearance& event, cluster& peers) -> void {
+    peers.gossip(payload_kind::quarantine_suspicion,
+                 event.fingerprint_.to_string() + "clear",
+                 protocol::encode_quarantine(event));
+}
+
+auto log_mark(const coordination::quarantine_mark& event,
+              transport::logger& log) -> void {
+    auto detail = std::string{"crashed"};
+    for (const auto& runner : event.runners_) {
+        detail.append(" ").append(runner);
+    }
+    log.warning(
+        "request is quarantined",
+        {{"fingerprint", event.fingerprint_.to_string()}, {"detail", detail}});
+}
+
+quarantine_gossip::quarantine_gossip(transport::logger& log, const clock& time,
+                                     coordination::quarantine& marks,
+                                     cluster& peers)
+    : log_{log}, clock_{time}, marks_{marks}, peers_{peers} {
+    peers_.on_payload(payload_kind::quarantine_suspicion,
+                      [this](const coordination::gossip_payload& payload) {
+                          on_message(payload.origin_, payload.bytes_);
+                      });
+}
+
+auto quarantine_gossip::tick() -> void {
+    for (const auto& event : marks_.poll(clock_.now())) {
+        if (const auto* crash = std::get_if<coordination::suspicion>(&event)) {
+            spread(*crash, peers_, log_);
+        } else if (const auto* cleared =
+                       std::get_if<coordination::clearance>(&event)) {
+            spread(*cleared, peers_);
+        } else if (const auto* mark =
+                       std::get_if<coordination::quarantine_mark>(&event)) {
+            log_mark(*mark, log_);
+        }
+        // Without an arbiter there are no isolated runs to ask for.
+    }
+}
+
+auto quarantine_gossip::on_message(const std::string& sender,
+                                   const std::string& bytes) -> void {
+    const auto message = protocol::decode_quarantine(bytes);
+    if (!message) {
+        log_.failure(transport::log_level::warning,
+                     "gossip of " + sender + " ignored", message.error());
+        return;
+    }
+    const auto now = clock_.now();
+    if (const auto* crash = std::get_if<coordination::suspicion>(&*message)) {
+        marks_.merge(*crash, now);
+    } else if (const auto* cleared =
+                   std::get_if<coordination::clearance>(&*message)) {
+        marks_.merge(*cleared, now);
+    } else {
+        log_.warning("gossip of another kind ignored", {{"peer", sender}});
+    }
+}
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/quarantine_link/quarantine_link.cpp
+++ b/basilstream/daemon/quarantine_link/quarantine_link.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
 #include "basilstream/protocol/quarantine_codec/quarantine_codec.hpp"
 
 namespace basilstream::daemon {
@@ -74,18 +75,11 @@
 }
 
 auto quarantine_link::act(const coordination::suspicion& event) -> void {
-    base_.log_.warning("request was in flight on a crashed backend server",
-                       {{"fingerprint", event.fingerprint_.to_string()},
-                        {"runner", event.runner_}});
-    peers_.gossip(coordination::payload_kind::quarantine_suspicion,
-                  event.fingerprint_.to_string() + event.runner_,
-                  protocol::encode_quarantine(event));
+    spread(event, peers_, base_.log_);
 }
 
 auto quarantine_link::act(const coordination::clearance& event) -> void {
-    peers_.gossip(coordination::payload_kind::quarantine_suspicion,
-                  event.fingerprint_.to_string() + "clear",
-                  protocol::encode_quarantine(event));
+    spread(event, peers_);
 }
 
 auto quarantine_link::act(const coordination::quarantine_mark& event) -> void {
@@ -93,9 +87,7 @@
     for (const auto& runner : event.runners_) {
         detail += " " + runner;
     }
-    base_.log_.warning(
-        "request is quarantined",
-        {{"fingerprint", event.fingerprint_.to_string()}, {"detail", detail}});
+    log_mark(event, base_.log_);
     const auto lifetime =
         std::chrono::duration_cast<milliseconds>(
             event.confirmed_ ? confirmed_lifetime : unconfirmed_lifetime)
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -39,6 +39,8 @@
       route_{route}, request_{std::move(request)},
       service_{
           coordination::pick_target(route, parts.context_.random_.fraction())},
+      fingerprint_{coordination::make_fingerprint(
+          request_.host_, request_.message_.target_, request_.message_.body_)},
       arrived_{parts.context_.clock_.now()},
       deadline_{arrived_ + std::min(route.timeout_, request_.patience_.value_or(
                                                         route.timeout_))} {
@@ -183,7 +185,12 @@
     } else if (client_ != nullptr) {
         const auto timed_out = cause.code_ == error_code::timeout;
         const auto status = not_run ? 503 : timed_out ? 504 : 502;
-        const auto hint = not_run ? std::optional{retry_hint()} : std::nullopt;
+        const auto hint =
+            not_run ? std::optional{cause.code_ == error_code::quarantined
+                                        ? cause.retry_after_.value_or(
+                                              parts_.settings_.retry_hint_)
+                                        : retry_hint()}
+                    : std::nullopt;
         client_->respond(status,
                          parts_.dialect_.own_headers(request_.id_, hint),
                          error_body(cause));
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/daemon/relay/internal/parts.hpp"
 #include "basilstream/protocol/event_stream/event_stream.hpp"
 
@@ -55,6 +56,10 @@
     auto wait_for_server(const error& cause) -> void;
     auto watch_call() -> void;
     auto end_attempt() -> void;
+    // The name of the current sending in the quarantine.
+    [[nodiscard]] auto run_name() const -> std::string;
+    // Tells the quarantine of the sending; fails if it may not run.
+    [[nodiscard]] auto begin_run(time_point now) -> result<void>;
     auto attempt_failed(error cause) -> void;
     auto retry_or_give_up(error cause) -> void;
     auto retry_later(time_point not_before) -> void;
@@ -75,6 +80,7 @@
     const coordination::relay_route& route_;
     relayed_request request_;
     std::string service_;
+    coordination::fingerprint fingerprint_;
     time_point arrived_;
     time_point deadline_;
     std::optional<time_point> wait_until_;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -38,8 +38,31 @@
 
 } // namespace
 
+auto exchange::run_name() const -> std::string {
+    return std::to_string(call_number_);
+}
+
+auto exchange::begin_run(time_point now) -> result<void> {
+    call_number_ = ++parts_.next_call_;
+    const auto known = parts_.backends_.find(backend_);
+    const auto boot =
+        known == parts_.backends_.end() ? 0 : known->second.started_at_;
+    if (!parts_.marks_.on_dispatch(
+            {fingerprint_, run_name(), backend_, std::to_string(boot)}, now)) {
+        return tl::unexpected(parts_.marks_.refusal(fingerprint_, now));
+    }
+    return {};
+}
+
 auto exchange::send_to(const coordination::route& chosen) -> void {
     const auto now = parts_.context_.clock_.now();
+    backend_ = chosen.runner_;
+    if (const auto allowed = begin_run(now); !allowed) {
+        backend_.clear();
+        retry_verdict_ = "quarantined";
+        give_up(allowed.error());
+        return;
+    }
     const auto urgency =
         std::min(first_urgency + urgency_step * coordination::urgency_rank(
                                                     *config_, route_),
@@ -55,12 +78,12 @@
     const auto bytes = transport::write_request(
         message.method_, message.target_,
         parts_.dialect_.request_headers(request_, attempt), message.body_);
-    backend_ = chosen.runner_;
     load_seen_ = chosen.load_;
     mode_ = answer_mode::none;
     call_ = parts_.pool_.send(chosen.address_, bytes, message.method_ == "HEAD",
                               parts_.connection_limit(service_), *this);
     if (!call_) {
+        parts_.marks_.on_finish(run_name(), false, now);
         // As a full server: another one may have a connection left.
         excluded_.push_back(std::exchange(backend_, {}));
         give_up(error{error_code::overloaded, step::routing, chosen.runner_,
@@ -81,7 +104,6 @@
     const auto again = !route_.repeatable() ? repeatability::once
                        : streamed           ? repeatability::resumable
                                             : repeatability::repeatable;
-    call_number_ = ++parts_.next_call_;
     parts_.watched_[call_number_] = this;
     parts_.silence_.open(call_number_,
                          request_.model_.empty() ? connection_kind::service
@@ -102,6 +124,7 @@
         return;
     }
     std::exchange(call_, nullptr)->cancel();
+    parts_.marks_.on_lost(run_name(), now);
     end_attempt();
     ++runs_;
     parts_.router_.on_failure(backend_, now);
@@ -182,6 +205,8 @@
     if (!backend_.empty()) {
         parts_.router_.end(backend_);
     }
+    // Without effect if the end of the run is known to be another.
+    parts_.marks_.on_finish(run_name(), false, parts_.context_.clock_.now());
     call_.reset();
     paused_ = false;
     parts_.silence_.close(call_number_);
@@ -190,6 +215,8 @@
 
 auto exchange::on_answer_end() -> void {
     const auto self = shared_from_this();
+    parts_.marks_.on_finish(run_name(), mode_ != answer_mode::not_run,
+                            parts_.context_.clock_.now());
     end_attempt();
     if (mode_ == answer_mode::not_run) {
         const auto full = verdict_ == answer_verdict::refused;
@@ -247,8 +274,11 @@
 
 auto exchange::on_call_failed(transport::call_failure failure) -> void {
     const auto self = shared_from_this();
-    end_attempt();
     const auto sent = failure != transport::call_failure::not_sent;
+    if (sent) {
+        parts_.marks_.on_lost(run_name(), parts_.context_.clock_.now());
+    }
+    end_attempt();
     runs_ += sent ? 1 : 0;
     parts_.router_.on_failure(backend_, parts_.context_.clock_.now());
     attempt_failed(
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "basilstream/coordination/liveness/liveness.hpp"
+#include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/retries/retries.hpp"
 #include "basilstream/coordination/routing/routing.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
@@ -64,7 +65,14 @@
     transport::http_pool pool_;
     std::unique_ptr<transport::http_session_server> server_;
     std::unordered_map<std::string, coordination::retry_policy> retries_;
-    std::unordered_map<std::string, std::string> backend_services_;
+    // What a crash is told by.
+    struct known_backend {
+        std::string service_;
+        std::int64_t started_at_ = 0;
+        bool draining_ = false;
+    };
+    std::unordered_map<std::string, known_backend> backends_;
+    coordination::quarantine marks_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     // Watches the calls to backend servers; keys are call numbers.
     coordination::connection_monitor silence_;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -54,6 +54,16 @@
     return made;
 }
 
+// Requests that were on a crashed server are mostly innocent, and their clients
+// wait: no arbiter is asked. One crash is gossiped once, as every request in
+// flight on the server is suspected.
+auto quarantine_settings_of() -> coordination::quarantine_settings {
+    auto made = coordination::quarantine_settings{};
+    made.isolate_suspects_ = false;
+    made.announcements_ = 1;
+    return made;
+}
+
 auto router_settings_of() -> coordination::router_settings {
     // One region: near and far servers differ by far less than full and empty
     // ones, so that no zone goes before the load.
@@ -93,6 +103,7 @@
     : context_{context}, settings_{std::move(settings)}, dialect_{dialect},
       supply_{supply}, counters_{context.metrics_},
       router_{router_settings_of(), context.random_},
+      marks_{quarantine_settings_of(), settings_.name_},
       pool_{context.thread_, context.clock_}, silence_{silence_limits} {}
 
 relay_parts::~relay_parts() = default;
@@ -245,7 +256,14 @@
     if (server.models_.empty()) {
         info.residents_.push_back({server.service_, {}, {}, true});
     }
-    parts.backend_services_[server.id_] = server.service_;
+    const auto known = parts.backends_.find(server.id_);
+    if (known != parts.backends_.end() && server.started_at_ != 0 &&
+        known->second.started_at_ != 0 &&
+        known->second.started_at_ != server.started_at_) {
+        parts.marks_.on_crash(server.id_, parts.context_.clock_.now());
+    }
+    parts.backends_[server.id_] = {server.service_, server.started_at_,
+                                   server.draining_};
     parts.router_.update_runner(info);
     const auto all = std::vector<std::shared_ptr<exchange>>{
         parts.exchanges_.begin(), parts.exchanges_.end()};
@@ -255,8 +273,13 @@
 }
 
 auto relay::remove_backend(const std::string& id) -> void {
+    auto& parts = *parts_;
+    const auto known = parts.backends_.find(id);
+    if (known != parts.backends_.end() && !known->second.draining_) {
+        parts.marks_.on_crash(id, parts.context_.clock_.now());
+    }
     parts_->router_.remove_runner(id);
-    parts_->backend_services_.erase(id);
+    parts_->backends_.erase(id);
     parts_->last_bytes_.erase(id);
 }
 
@@ -284,9 +307,13 @@
     return parts_->pool_;
 }
 
+auto relay::marks() -> coordination::quarantine& {
+    return parts_->marks_;
+}
+
 auto relay::loads() const -> std::map<std::string, int> {
     auto loads = std::map<std::string, int>{};
-    for (const auto& [id, service] : parts_->backend_services_) {
+    for (const auto& [id, known] : parts_->backends_) {
         if (const auto count = parts_->router_.in_flight(id); count > 0) {
             loads[id] = count;
         }
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -24,6 +24,7 @@
 #include "basilstream/base/error/error.hpp"
 #include "basilstream/base/random/random.hpp"
 #include "basilstream/coordination/backend_directory/backend_directory.hpp"
+#include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/route_table/route_table.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
 #include "basilstream/transport/http_pool/http_pool.hpp"
@@ -69,6 +70,8 @@
 
 /// Settings of a relay.
 struct relay_settings {
+    /// This daemon's name among the others.
+    std::string name_ = {};
     /// "IP:PORT" for clients.
     std::string address_;
     /// Retries allowed for each request to a service, over all daemons.
@@ -111,6 +114,9 @@
     auto set_foreign_load(const std::string& backend, int requests) -> void;
     /// The connections to backend servers, for other calls to them.
     [[nodiscard]] auto calls() -> transport::http_pool&;
+    /// What is known of requests that crash backend servers, to be shared with
+    /// the other daemons.
+    [[nodiscard]] auto marks() -> coordination::quarantine&;
     /// Returns this daemon's requests on each backend server that has some.
     [[nodiscard]] auto loads() const -> std::map<std::string, int>;
 
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -307,5 +307,36 @@
     EXPECT_TRUE(a_.requests_.empty());
 }
 
+// Crashes each server that runs it; comes again with the same path and body.
+TEST_F(relay_world, a_request_that_crashed_two_servers_is_held_back) {
+    a_.scripts_ = {close_unanswered()};
+    b_.scripts_ = {close_unanswered()};
+    EXPECT_EQ(call("/once/bad").status_, 502);
+    on_thread([&] { relay_.remove_backend("a"); });
+    add_b();
+    EXPECT_EQ(call("/once/bad").status_, 502);
+    on_thread([&] {
+        auto restarted = b_.server("app");
+        restarted.started_at_ = 2;
+        relay_.set_backend(restarted);
+    });
+    b_.otherwise_ = answer(200, "ok");
+    const auto seen = call("/once/bad");
+    EXPECT_EQ(seen.status_, 503);
+    EXPECT_TRUE(seen.headers_.contains("Retry-After"));
+    EXPECT_EQ(call("/once/good").status_, 200);
+    EXPECT_EQ(b_.requests_.size(), 2U);
+}
+
+// Lost connections alone are no crashes.
+TEST_F(relay_world, a_request_that_lost_its_connections_is_not_held_back) {
+    a_.scripts_ = {close_unanswered(), close_unanswered(), close_unanswered()};
+    a_.otherwise_ = answer(200, "ok");
+    for (auto turn = 0; turn < 3; ++turn) {
+        EXPECT_EQ(call("/once/x").status_, 502);
+    }
+    EXPECT_EQ(call("/once/x").status_, 200);
+}
+
 } // namespace
 } // namespace basilstream::daemon
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -9,6 +9,7 @@
 #include "basilstream/daemon/cluster/cluster.hpp"
 #include "basilstream/daemon/load_sharing/load_sharing.hpp"
 #include "basilstream/daemon/model_control/model_control.hpp"
+#include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
 #include "basilstream/daemon/store_watch/store_watch.hpp"
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
@@ -198,7 +199,8 @@
 private:
     static auto relay_settings_of(const relay_daemon_settings& settings)
         -> relay_settings {
-        return {.address_ = settings.caller_address_,
+        return {.name_ = settings.name_,
+                .address_ = settings.caller_address_,
                 .retry_ratio_ = settings.limits_.retry_ratio_,
                 .retry_allowance_ = settings.limits_.retry_allowance_,
                 .retry_window_ = settings.limits_.retry_window_};
@@ -347,6 +349,7 @@
         if (cluster_) {
             models_.tick();
             sharing_.tick();
+            crashes_->tick();
         }
         advance_drain();
     }
@@ -382,6 +385,7 @@
                                           .longest_silence_ = longest_silence},
                          relay_.address(), std::move(link_));
         sharing_.join(*cluster_);
+        crashes_.emplace(log_, clock_, relay_.marks(), *cluster_);
         cluster_->on_members([this](const std::vector<std::string>& owners) {
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
             models_.set_daemons(owners.size());
@@ -513,6 +517,7 @@
     std::unique_ptr<transport::peer_link> link_;
     std::string link_address_;
     std::optional<cluster> cluster_;
+    std::optional<quarantine_gossip> crashes_;
     std::optional<time_point> joined_at_;
     std::optional<time_point> stop_requested_at_;
     bool end_told_ = false;
