Wait for silent streams, or begin them anew, instead of breaking them off

The relay took a runner that had begun an answer and read a long prompt for silent, cancelled the call, and then found that it had no event id to resume after, so that it reset the client in the middle of the answer. Three faults: a call was cancelled before it was known whether the request may be sent again; a stream of which the client has nothing was taken for one that cannot begin anew; a call whose server was alive at the first look was never looked at again. Also mended: another server's failure after the beginning of a stream was written into that stream. Ruled out: a change of the configuration (it was only near in time), load on the daemon (the request was passed on 9 ms after its arrival). Tests: a_stream_without_events_begins_anew_on_another_server failed first; those for waiting and for not mixing passed before as well, the first only since the watch ended after one look.

--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -71,7 +71,8 @@
     auto log_end(std::string_view event, const error& cause) -> void;
     [[nodiscard]] auto time_left(time_point now) const -> milliseconds;
     [[nodiscard]] auto want() const -> model_want;
-    [[nodiscard]] auto may_run_again() const -> bool;
+    // Whether it may be sent after it may have run on so many servers.
+    [[nodiscard]] auto may_run_again(int runs) const -> bool;
     [[nodiscard]] auto retry_hint() -> milliseconds;
 
     relay_parts& parts_;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -97,6 +97,7 @@
 }
 
 auto exchange::watch_call() -> void {
+    parts_.silence_.close(call_number_);
     using coordination::connection_kind;
     using coordination::repeatability;
     const auto now = parts_.context_.clock_.now();
@@ -119,8 +120,13 @@
     const auto heard = parts_.last_bytes_.find(backend_);
     const auto alive =
         heard != parts_.last_bytes_.end() && now - heard->second < sign_of_life;
-    // A server that answers others has this request in its queue.
-    if (done_ || !call_ || alive || !may_run_again()) {
+    if (done_ || !call_) {
+        return;
+    }
+    // A server that answers others has this request in its queue. One that
+    // answers nobody is waited for if no other may have the request.
+    if (alive || !may_run_again(runs_ + 1)) {
+        watch_call();
         return;
     }
     std::exchange(call_, nullptr)->cancel();
@@ -230,6 +236,12 @@
     }
     ++runs_;
     parts_.router_.on_success(backend_);
+    if (mode_ == answer_mode::collected && stream_begun_) {
+        // It cannot follow the events that the client has.
+        attempt_failed(error{error_code::backend_error, step::attempt, backend_,
+                             "the stream was not continued", run_status::ran});
+        return;
+    }
     if (mode_ == answer_mode::collected) {
         if (!retry_server_error()) {
             deliver_collected();
@@ -287,8 +299,11 @@
               sent ? run_status::unknown : run_status::not_run});
 }
 
-auto exchange::may_run_again() const -> bool {
-    return runs_ == 0 || (route_.repeatable() && runs_ < route_.attempts_);
+auto exchange::may_run_again(int runs) const -> bool {
+    const auto continuable =
+        !stream_begun_ || events_.events() == 0 || events_.last_id();
+    return runs == 0 ||
+           (route_.repeatable() && runs < route_.attempts_ && continuable);
 }
 
 auto exchange::attempt_failed(error cause) -> void {
@@ -304,7 +319,7 @@
 }
 
 auto exchange::retry_or_give_up(error cause) -> void {
-    if (!may_run_again() || (stream_begun_ && !events_.last_id())) {
+    if (!may_run_again(runs_)) {
         retry_verdict_ = "not_repeatable";
         give_up(cause);
         return;
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -338,5 +338,53 @@
     EXPECT_EQ(call("/once/x").status_, 200);
 }
 
+// A server that has begun an answer and reads a long prompt: nothing of the
+// stream has reached the client, so that it may begin anew elsewhere.
+TEST_F(relay_world, a_stream_without_events_begins_anew_on_another_server) {
+    add_b();
+    b_.scripts_ = {[](const auto& request, auto& to) {
+        begin_stream_only()(request, to);
+        to.close();
+    }};
+    b_.otherwise_ = stream("id: 1\ndata: x\n\n", true);
+    relay_.remove_backend("a");
+    const auto seen = call("/resume/");
+    EXPECT_EQ(seen.status_, 200);
+    EXPECT_TRUE(seen.whole_);
+    EXPECT_EQ(seen.body_, "id: 1\ndata: x\n\n");
+    EXPECT_EQ(b_.requests_.size(), 2U);
+}
+
+// Silence alone ends no answer that cannot be had elsewhere.
+TEST_F(relay_world, a_silent_stream_that_cannot_be_repeated_is_waited_for) {
+    const auto writes_late = [this](const transport::request_message& request,
+                                    test_backend::connection& to) {
+        begin_stream_only()(request, to);
+        thread_.after(milliseconds{2200}, [&to] {
+            auto bytes = std::string{};
+            transport::append_chunk(bytes, "data: x\n\n");
+            bytes.append(transport::last_chunk);
+            to.write(bytes);
+        });
+    };
+    a_.otherwise_ = writes_late;
+    for (const auto* const path : {"/stream/", "/single/"}) {
+        const auto seen = call(path, "X-Patience", "5000");
+        EXPECT_EQ(seen.status_, 200);
+        EXPECT_TRUE(seen.whole_) << path;
+        EXPECT_EQ(seen.body_, "data: x\n\n");
+    }
+    EXPECT_EQ(a_.requests_.size(), 2U);
+}
+
+// The client has a part of the stream: another answer cannot follow it.
+TEST_F(relay_world, a_failure_after_a_stream_has_begun_is_not_mixed_into_it) {
+    a_.scripts_ = {stream("id: 1\ndata: x\n\n", false), answer(500, "sorry")};
+    const auto seen = call("/resume/");
+    EXPECT_EQ(seen.status_, 200);
+    EXPECT_FALSE(seen.whole_);
+    EXPECT_EQ(seen.body_, "id: 1\ndata: x\n\n");
+}
+
 } // namespace
 } // namespace basilstream::daemon
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -195,16 +195,25 @@
     };
 }
 
-// Begins a stream with the given text; ends it in order if `whole`.
-inline auto stream(const std::string& text, bool whole)
-    -> test_backend::script {
+// Begins a stream and writes none of it.
+inline auto begin_stream_only() -> test_backend::script {
     return [=](const transport::request_message& request,
                test_backend::connection& to) {
         auto headers = transport::header_list{};
         headers.add("X-Id", std::string{request.headers_.find("X-Id")});
         headers.add("X-Server", to.owner_->id_);
-        auto bytes = transport::write_head(
-            200, headers, transport::body_framing::chunked, 0, true);
+        to.write(transport::write_head(
+            200, headers, transport::body_framing::chunked, 0, true));
+    };
+}
+
+// Begins a stream with the given text; ends it in order if `whole`.
+inline auto stream(const std::string& text, bool whole)
+    -> test_backend::script {
+    return [=](const transport::request_message& request,
+               test_backend::connection& to) {
+        begin_stream_only()(request, to);
+        auto bytes = std::string{};
         transport::append_chunk(bytes, text);
         if (whole) {
             bytes.append(transport::last_chunk);
@@ -291,7 +300,9 @@
         made->routes_ = {route("/safe/", request_kind::idempotent),
                          route("/once/", request_kind::non_idempotent),
                          route("/stream/", request_kind::streaming),
-                         route("/resume/", request_kind::streaming, true)};
+                         route("/resume/", request_kind::streaming, true),
+                         route("/single/", request_kind::streaming, true)};
+        made->routes_.back().attempts_ = 1;
         made->services_ = {{.name_ = "app", .connection_limit_ = 50}};
         return made;
     }
