Let one daemon of each group read the shared store for the others

Cause: in large deployments every daemon polled configuration and announcements for itself, since only up to twelve daemons did one read for all. It replaces the special case of few daemons, where the owner of placement read. Ruled out: one reader for all (tried before: a weak VM leaves 80 others behind), longer intervals (the configuration must be everywhere in time).

--- /dev/null
+++ b/basilstream/coordination/reader_groups/reader_groups.cpp
@@ -0,0 +1,45 @@
+#include "basilstream/coordination/reader_groups/reader_groups.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace basilstream::coordination {
+namespace {
+
+// Reader and group come from different bits of one hash, so that the reader is
+// any of its group.
+auto hash_of(const std::string& name) -> std::uint64_t {
+    return XXH3_64bits(name.data(), name.size());
+}
+
+} // namespace
+
+auto followers_of(const std::string& self,
+                  const std::vector<std::string>& members,
+                  std::size_t group_size) -> std::vector<std::string> {
+    const auto groups = (members.size() + group_size - 1) / group_size;
+    if (groups == 0) {
+        return {};
+    }
+    const auto group = (hash_of(self) >> 32U) % groups;
+    auto others = std::vector<std::string>{};
+    for (const auto& name : members) {
+        const auto hash = hash_of(name);
+        if ((hash >> 32U) % groups != group || name == self) {
+            continue;
+        }
+        const auto low = [](std::uint64_t value) {
+            return static_cast<std::uint32_t>(value);
+        };
+        if (std::pair{low(hash), name} > std::pair{low(hash_of(self)), self}) {
+            return {};
+        }
+        others.push_back(name);
+    }
+    return others;
+}
+
+} // namespace basilstream::coordination
--- a/basilstream/daemon/load_sharing/load_sharing.cpp
+++ b/basilstream/daemon/load_sharing/load_sharing.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "basilstream/coordination/reader_groups/reader_groups.hpp"
+
 namespace basilstream::daemon {
 namespace {
 
@@ -38,16 +40,36 @@
     return peers_ != nullptr && peers_->members().size() <= most_direct_daemons;
 }
 
+auto load_sharing::followers() const -> std::vector<std::string> {
+    if (peers_ == nullptr) {
+        return {};
+    }
+    auto names = std::vector<std::string>{};
+    for (const auto& member : peers_->members()) {
+        names.push_back(member.name_);
+    }
+    return coordination::followers_of(self_, names);
+}
+
+auto load_sharing::send_to(const std::vector<std::string>& daemons,
+                           const protocol::relay_update& update) -> void {
+    const auto bytes = protocol::encode(update);
+    for (const auto& name : daemons) {
+        peers_->send(name, protocol::peer_channel::relay, bytes);
+    }
+}
+
 auto load_sharing::send_to_all(const protocol::relay_update& update) -> void {
     if (peers_ == nullptr) {
         return;
     }
-    const auto bytes = protocol::encode(update);
+    auto others = std::vector<std::string>{};
     for (const auto& member : peers_->members()) {
         if (member.name_ != self_) {
-            peers_->send(member.name_, protocol::peer_channel::relay, bytes);
+            others.push_back(member.name_);
         }
     }
+    send_to(others, update);
 }
 
 auto load_sharing::send_to_owner(const protocol::relay_update& update) -> void {
--- a/basilstream/daemon/load_sharing/load_sharing.hpp
+++ b/basilstream/daemon/load_sharing/load_sharing.hpp
@@ -13,6 +13,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/coordination/load_totals/load_totals.hpp"
@@ -36,14 +37,18 @@
     auto on_update(const std::string& sender,
                    const protocol::relay_update& update) -> void;
 
-    /// Whether the daemons are so few that each tells all others.
-    [[nodiscard]] auto few() const -> bool;
+    /// The daemons for which this one reads the store.
+    [[nodiscard]] auto followers() const -> std::vector<std::string>;
+    auto send_to(const std::vector<std::string>& daemons,
+                 const protocol::relay_update& update) -> void;
     /// Sends to all other daemons.
     auto send_to_all(const protocol::relay_update& update) -> void;
     /// Sends to the owner of placement, or to all while they are few.
     auto send_to_owner(const protocol::relay_update& update) -> void;
 
 private:
+    // Whether the daemons are so few that each tells all others.
+    [[nodiscard]] auto few() const -> bool;
     [[nodiscard]] auto interval() const -> duration;
     [[nodiscard]] auto own_loads() const -> protocol::relay_update;
     auto share_directly(time_point now) -> void;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -157,11 +157,11 @@
         models_.remove_backend(id);
         relay_.remove_backend(id);
     }
-    // While this daemon owns placement it reads the store for all, if they are
-    // few: a VM that is too weak to serve many in time would leave them behind.
+    // Reads the store for the others of its group.
     auto on_read(coordination::shared_topic topic, std::uint64_t from,
                  const coordination::record_page& page) -> void override {
-        if (!models_.epoch() || !sharing_.few()) {
+        const auto followers = sharing_.followers();
+        if (followers.empty()) {
             return;
         }
         auto update = protocol::relay_update{};
@@ -172,7 +172,7 @@
             {topic, from, large ? from : page.end_,
              large ? std::vector<coordination::store_record>{} : page.records_,
              large}};
-        sharing_.send_to_all(update);
+        sharing_.send_to(followers, update);
     }
     auto on_holdings(const coordination::backend_server& server)
         -> void override {
