Leave a silent server only with leave for a further attempt

A daemon of 82 sees few of a runner's requests, so that a busy runner looks silent to it. Now the budget is asked first; without leave the server is waited for. Ruled out: the server itself (it ran the request until the cancel). Test: a_silent_stream_without_budget_is_waited_for failed first. Open: a moved stream that is then refused everywhere is still reset; not seen.

--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -62,6 +62,11 @@
     [[nodiscard]] auto begin_run(time_point now) -> result<void>;
     auto attempt_failed(error cause) -> void;
     auto retry_or_give_up(error cause) -> void;
+    // Asks the deployment's budget for one more sending.
+    [[nodiscard]] auto decide_retry(const error& cause)
+        -> coordination::retry_decision;
+    auto send_again(const error& cause,
+                    const coordination::retry_decision& decision) -> void;
     auto retry_later(time_point not_before) -> void;
     auto deliver_collected() -> void;
     auto retry_server_error() -> bool;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -129,13 +129,19 @@
         watch_call();
         return;
     }
+    const auto cause = error{error_code::timeout, step::attempt, backend_,
+                             "the server has gone silent", run_status::unknown};
+    const auto decision = decide_retry(cause);
+    if (!decision.retry_) {
+        watch_call();
+        return;
+    }
     std::exchange(call_, nullptr)->cancel();
     parts_.marks_.on_lost(run_name(), now);
     end_attempt();
     ++runs_;
     parts_.router_.on_failure(backend_, now);
-    attempt_failed(error{error_code::timeout, step::attempt, backend_,
-                         "the server has gone silent", run_status::unknown});
+    send_again(cause, decision);
 }
 
 auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
@@ -324,8 +330,18 @@
         give_up(cause);
         return;
     }
+    const auto decision = decide_retry(cause);
+    if (!decision.retry_) {
+        give_up(*decision.error_);
+        return;
+    }
+    send_again(cause, decision);
+}
+
+auto exchange::decide_retry(const error& cause)
+    -> coordination::retry_decision {
     const auto now = parts_.context_.clock_.now();
-    const auto decision =
+    auto decision =
         parts_.retries_of(service_).decide({.error_ = cause,
                                             .runner_ = backend_,
                                             .attempts_ = sends_,
@@ -337,10 +353,12 @@
                                            now);
     retry_verdict_ =
         coordination::give_up_reason_names.name_of(decision.reason_);
-    if (!decision.retry_) {
-        give_up(*decision.error_);
-        return;
-    }
+    return decision;
+}
+
+auto exchange::send_again(const error& cause,
+                          const coordination::retry_decision& decision)
+    -> void {
     parts_.context_.log_.info("request is sent again",
                               {{"request_id", request_.id_},
                                {"backend", backend_},
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -357,17 +357,7 @@
 
 // Silence alone ends no answer that cannot be had elsewhere.
 TEST_F(relay_world, a_silent_stream_that_cannot_be_repeated_is_waited_for) {
-    const auto writes_late = [this](const transport::request_message& request,
-                                    test_backend::connection& to) {
-        begin_stream_only()(request, to);
-        thread_.after(milliseconds{2200}, [&to] {
-            auto bytes = std::string{};
-            transport::append_chunk(bytes, "data: x\n\n");
-            bytes.append(transport::last_chunk);
-            to.write(bytes);
-        });
-    };
-    a_.otherwise_ = writes_late;
+    a_.otherwise_ = begin_and_end_late();
     for (const auto* const path : {"/stream/", "/single/"}) {
         const auto seen = call(path, "X-Patience", "5000");
         EXPECT_EQ(seen.status_, 200);
@@ -377,6 +367,19 @@
     EXPECT_EQ(a_.requests_.size(), 2U);
 }
 
+// The retry budget is used up: the server is waited for, and its late answer
+// passed on.
+TEST_F(relay_world, a_silent_stream_without_budget_is_waited_for) {
+    relay_.set_retry_limits(0, 0, seconds{10});
+    add_b();
+    a_.otherwise_ = begin_and_end_late();
+    b_.otherwise_ = begin_and_end_late();
+    const auto seen = call("/resume/", "X-Patience", "5000");
+    EXPECT_TRUE(seen.whole_);
+    EXPECT_EQ(seen.body_, "data: x\n\n");
+    EXPECT_EQ(a_.requests_.size() + b_.requests_.size(), 1U);
+}
+
 // The client has a part of the stream: another answer cannot follow it.
 TEST_F(relay_world, a_failure_after_a_stream_has_begun_is_not_mixed_into_it) {
     a_.scripts_ = {stream("id: 1\ndata: x\n\n", false), answer(500, "sorry")};
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -207,6 +207,21 @@
     };
 }
 
+// Begins a stream, is silent for longer than relays wait for a sign, and ends
+// it with one event.
+inline auto begin_and_end_late() -> test_backend::script {
+    return [](const transport::request_message& request,
+              test_backend::connection& to) {
+        begin_stream_only()(request, to);
+        to.owner_->thread_.after(milliseconds{1600}, [&to] {
+            auto bytes = std::string{};
+            transport::append_chunk(bytes, "data: x\n\n");
+            bytes.append(transport::last_chunk);
+            to.write(bytes);
+        });
+    };
+}
+
 // Begins a stream with the given text; ends it in order if `whole`.
 inline auto stream(const std::string& text, bool whole)
     -> test_backend::script {
