Show relaying daemons to basilctl: status, explain, metrics

The gauges and the readiness check move out of relay_program into relay_status. New is also the first test of whole relaying daemons, before a stand-in store and a stand-in runner of our own: joining, the lease, an order to load, requests, the directory, status, explain, a stop. Ruled out: finding a request by logs alone (a log may not be at hand).

--- a/basilstream/ctl/commands/internal/environment.hpp
+++ b/basilstream/ctl/commands/internal/environment.hpp
@@ -40,6 +40,7 @@
 [[nodiscard]] auto find_named(environment& in) -> const state::resource_state*;
 
 // The commands.
+auto metrics(environment& in) -> exit_status;
 auto validate(environment& in) -> exit_status;
 auto apply(environment& in) -> exit_status;
 auto remove(environment& in) -> exit_status;
--- a/basilstream/ctl/commands/views.cpp
+++ b/basilstream/ctl/commands/views.cpp
@@ -1,6 +1,9 @@
 // Commands that show resources, daemons and decisions.
 #include <iostream>
+#include <map>
 #include <optional>
+#include <set>
+#include <sstream>
 #include <thread>
 
 #include "basilstream/ctl/commands/internal/environment.hpp"
@@ -83,6 +86,21 @@
                : exit_status::unreachable;
 }
 
+// Values by name out of Prometheus text. Histograms show by sum and count.
+auto plain_values(const std::string& text)
+    -> std::map<std::string, std::string> {
+    auto values = std::map<std::string, std::string>{};
+    auto lines = std::istringstream{text};
+    for (auto line = std::string{}; std::getline(lines, line);) {
+        const auto gap = line.find(' ');
+        if (!line.starts_with('#') && gap != std::string::npos &&
+            line.find('{') == std::string::npos) {
+            values[line.substr(0, gap)] = line.substr(gap + 1);
+        }
+    }
+    return values;
+}
+
 auto organisation_of(const state::resource& value) -> std::string {
     const auto name = state::full_name(value);
     return name.substr(0, name.find('/'));
@@ -193,6 +211,42 @@
     return exit_status::unreachable;
 }
 
+auto metrics(environment& in) -> exit_status {
+    if (in.link_.options().admins_.empty()) {
+        return usage_error(in, "metrics: --admin is required");
+    }
+    auto by_daemon = std::vector<std::map<std::string, std::string>>{};
+    auto names = std::set<std::string>{};
+    auto rows = table{{"METRIC"}};
+    auto all_answer = true;
+    for (const auto& [address, text] :
+         in.link_.ask_daemons_for_text("/metrics")) {
+        rows[0].push_back(address);
+        by_daemon.push_back(text ? plain_values(*text)
+                                 : std::map<std::string, std::string>{});
+        all_answer = all_answer && text;
+        for (const auto& [name, value] : by_daemon.back()) {
+            names.insert(name);
+        }
+    }
+    auto document = json::object();
+    for (const auto& name : names) {
+        auto row = std::vector<std::string>{name};
+        for (auto& values : by_daemon) {
+            const auto value = values.find(name);
+            row.push_back(value == values.end() ? "-" : value->second);
+            document[name].push_back(row.back());
+        }
+        rows.push_back(std::move(row));
+    }
+    if (in.line_.format_ == output_format::json) {
+        in.out_ << document.dump() << "\n";
+    } else {
+        write_table(in.out_, rows);
+    }
+    return all_answer ? exit_status::ok : exit_status::unreachable;
+}
+
 auto endpoints(environment& in) -> exit_status {
     for (const auto& daemon : in.link_.ask_daemons("/status")) {
         if (!daemon.status_) {
--- a/basilstream/ctl/session/session.cpp
+++ b/basilstream/ctl/session/session.cpp
@@ -145,16 +145,15 @@
     return out_of_time(options_.log_url_, run_status::unknown);
 }
 
-auto session::ask_daemons(const std::string& path)
-    -> std::vector<daemon_status> {
-    auto answers = std::vector<daemon_status>{};
+auto session::ask_daemons_for_text(const std::string& path)
+    -> std::vector<daemon_text> {
+    auto answers = std::vector<daemon_text>{};
     for (const auto& address : options_.admins_) {
         auto url = std::string{"http://"};
         url.append(address).append(path);
-        const auto reply =
-            client_.fetch_wait({.url_ = std::move(url),
-                                .total_timeout_ = milliseconds{2000},
-                                .step_ = step::peer});
+        auto reply = client_.fetch_wait({.url_ = std::move(url),
+                                         .total_timeout_ = milliseconds{2000},
+                                         .step_ = step::peer});
         if (!reply) {
             answers.push_back({address, tl::unexpected(reply.error())});
         } else if (reply->status_ != status_ok) {
@@ -163,12 +162,21 @@
                               error_code::backend_error, step::peer, address,
                               "status " + std::to_string(reply->status_)})});
         } else {
-            answers.push_back(
-                {address,
-                 protocol::parse_json(reply->body_, address, step::peer)});
+            answers.push_back({address, std::move(reply->body_)});
         }
     }
     return answers;
 }
 
+auto session::ask_daemons(const std::string& path)
+    -> std::vector<daemon_status> {
+    auto answers = std::vector<daemon_status>{};
+    for (const auto& [address, text] : ask_daemons_for_text(path)) {
+        answers.push_back(
+            {address, text ? protocol::parse_json(*text, address, step::peer)
+                           : tl::unexpected(text.error())});
+    }
+    return answers;
+}
+
 } // namespace basilstream::ctl
--- a/basilstream/ctl/session/session.hpp
+++ b/basilstream/ctl/session/session.hpp
@@ -37,6 +37,12 @@
     state::apply_outcome outcome_;
 };
 
+/// A daemon's answer as text.
+struct daemon_text {
+    std::string address_;
+    result<std::string> text_;
+};
+
 /// A daemon's answer to a status request.
 struct daemon_status {
     std::string address_;
@@ -59,6 +65,9 @@
     /// that the fate is unknown when its `run_` is `unknown`.
     auto append(state::record body) -> result<append_answer>;
     /// Asks every daemon for `path` of its admin routes.
+    auto ask_daemons_for_text(const std::string& path)
+        -> std::vector<daemon_text>;
+    /// As ask_daemons_for_text, for routes that answer with JSON.
     auto ask_daemons(const std::string& path) -> std::vector<daemon_status>;
 
     [[nodiscard]] auto options() const -> const session_options& {
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/daemon/model_control/model_control.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace basilstream::daemon {
@@ -108,6 +109,47 @@
     }
 }
 
+auto model_control::servers() -> std::vector<coordination::backend_server> {
+    auto list = std::vector<coordination::backend_server>{};
+    for (const auto& [id, known] : servers_) {
+        list.push_back(overlay_.apply(known.server_, known.announced_at_,
+                                      context_.clock_.now()));
+    }
+    return list;
+}
+
+auto model_control::describe_demand(const std::string& model) const
+    -> std::vector<std::string> {
+    const auto now = context_.clock_.now();
+    auto lines = std::vector<std::string>{};
+    if (!config_) {
+        return lines;
+    }
+    for (const auto& service : config_->services_) {
+        for (const auto& key : demand_.wanted_keys(service.name_, now)) {
+            if (key.model_ != model) {
+                continue;
+            }
+            lines.push_back(
+                (key.adapter_.empty() ? "model" : "adapter " + key.adapter_) +
+                " of service " + service.name_ + ": " +
+                std::to_string(std::lround(demand_.rate(key, now))) +
+                " tokens a second asked for, as far as this daemon knows");
+        }
+    }
+    if (const auto coming = overlay_.ready_in(model, {}, now)) {
+        lines.push_back(
+            "a copy is coming in " +
+            std::to_string(std::chrono::ceil<milliseconds>(*coming).count()) +
+            " ms");
+    }
+    if (!lines.empty()) {
+        lines.push_back("orders are given by " +
+                        (owner().empty() ? "nobody now" : owner()));
+    }
+    return lines;
+}
+
 auto model_control::expected_wait(const model_want& want) const
     -> std::optional<milliseconds> {
     const auto now = context_.clock_.now();
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -92,6 +92,13 @@
     auto tick() -> void;
     /// Gives the lease up.
     auto stop() -> void;
+    /// Returns the backend servers with what they hold now, as far as is known:
+    /// their announcements and the orders that followed them.
+    [[nodiscard]] auto servers() -> std::vector<coordination::backend_server>;
+    /// Returns what is known of the demand for a model and its adapters, and of
+    /// copies that are coming, in lines for operators.
+    [[nodiscard]] auto describe_demand(const std::string& model) const
+        -> std::vector<std::string>;
     [[nodiscard]] auto stopped() const -> bool { return lease_.released(); }
     /// The VM that gives orders, as far as is known.
     [[nodiscard]] auto owner() const -> std::string { return lease_.owner(); }
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -178,7 +178,8 @@
         return;
     }
     const auto not_run = runs_ == 0 && cause.run_ == run_status::not_run;
-    log_end(not_run ? "request refused" : "request failed", cause);
+    log_end(not_run ? request_outcome::refused : request_outcome::failed,
+            cause);
     (not_run ? parts_.counters_.refused_ : parts_.counters_.failed_).add();
     if (client_ != nullptr && stream_begun_) {
         client_->abort();
@@ -198,26 +199,53 @@
     finish();
 }
 
-auto exchange::log_end(std::string_view event, const error& cause) -> void {
-    const auto waited = std::chrono::duration_cast<milliseconds>(
-        parts_.context_.clock_.now() - arrived_);
+auto exchange::record_of(request_outcome outcome) const -> request_record {
+    const auto now = parts_.context_.clock_.now();
+    auto made = request_record{};
+    made.request_id_ = request_.id_;
+    made.outcome_ = outcome;
+    made.ended_ = now;
+    made.route_ = route_.name_;
+    made.service_ = service_;
+    made.model_ = request_.model_;
+    made.adapter_ = request_.adapter_;
+    made.backend_ = backend_;
+    made.retry_ = retry_verdict_;
+    made.attempts_ = sends_;
+    made.events_ = events_.events();
+    made.backend_load_ = load_seen_;
+    made.waited_ = std::chrono::duration_cast<milliseconds>(now - arrived_);
+    made.config_version_ = config_->version_;
+    return made;
+}
+
+auto exchange::log_end(request_outcome outcome, const error& cause) -> void {
+    auto ended = record_of(outcome);
+    ended.code_ = cause.code_;
+    ended.step_ = cause.step_;
+    ended.run_ = cause.run_;
+    ended.detail_ = cause.detail_;
+    const auto waited = ended.waited_;
+    parts_.journal_.add(std::move(ended));
     parts_.context_.log_.info(
-        event, {{"request_id", request_.id_},
-                {"route", route_.name_},
-                {"service", service_},
-                {"model", request_.model_},
-                {"adapter", request_.adapter_},
-                {"backend", backend_},
-                {"code", error_code_names.name_of(cause.code_)},
-                {"step", step_names.name_of(cause.step_)},
-                {"run", run_status_names.name_of(cause.run_)},
-                {"detail", cause.detail_},
-                {"attempts", std::to_string(sends_)},
-                {"events", std::to_string(events_.events())},
-                {"backend_load", std::to_string(std::lround(load_seen_))},
-                {"retry", retry_verdict_},
-                {"waited_ms", std::to_string(waited.count())},
-                {"config", std::to_string(config_->version_)}});
+        outcome == request_outcome::refused ? "request refused"
+                                            : "request failed",
+        {{"request_id", request_.id_},
+         {"route", route_.name_},
+         {"service", service_},
+         {"model", request_.model_},
+         {"adapter", request_.adapter_},
+         {"backend", backend_},
+         {"code", error_code_names.name_of(cause.code_)},
+         {"step", step_names.name_of(cause.step_)},
+         {"run", run_status_names.name_of(cause.run_)},
+         {"detail", cause.detail_},
+         {"attempts", std::to_string(sends_)},
+         {"events", std::to_string(events_.events())},
+         {"backend_load", std::to_string(std::lround(load_seen_))},
+         {"retry", retry_verdict_},
+         {"waited_ms", std::to_string(waited.count())},
+         {"config", std::to_string(config_->version_)}});
 }
 
 auto exchange::on_client_left() -> void {
@@ -237,8 +265,10 @@
 }
 
 auto exchange::log_answer(int status) -> void {
-    const auto now = parts_.context_.clock_.now();
-    const auto whole = std::chrono::duration_cast<milliseconds>(now - arrived_);
+    auto ended = record_of(request_outcome::answered);
+    ended.status_ = status;
+    const auto whole = ended.waited_;
+    parts_.journal_.add(std::move(ended));
     parts_.context_.log_.info("request answered",
                               {{"request_id", request_.id_},
                                {"route", route_.name_},
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -72,8 +72,11 @@
     auto retry_server_error() -> bool;
     auto give_up(const error& cause) -> void;
     auto finish() -> void;
+    // What the journal keeps of the request's end, and when that is.
+    [[nodiscard]] auto record_of(request_outcome outcome) const
+        -> request_record;
     auto log_answer(int status) -> void;
-    auto log_end(std::string_view event, const error& cause) -> void;
+    auto log_end(request_outcome outcome, const error& cause) -> void;
     [[nodiscard]] auto time_left(time_point now) const -> milliseconds;
     [[nodiscard]] auto want() const -> model_want;
     // Whether it may be sent after it may have run on so many servers.
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -73,6 +73,7 @@
     };
     std::unordered_map<std::string, known_backend> backends_;
     coordination::quarantine marks_;
+    request_journal journal_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     // Watches the calls to backend servers; keys are call numbers.
     coordination::connection_monitor silence_;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -307,6 +307,15 @@
     return parts_->pool_;
 }
 
+auto relay::journal() const -> const request_journal& {
+    return parts_->journal_;
+}
+
+auto relay::config_version() const -> std::uint64_t {
+    const auto& config = parts_->routes_.config();
+    return config ? config->version_ : 0;
+}
+
 auto relay::marks() -> coordination::quarantine& {
     return parts_->marks_;
 }
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -27,6 +27,7 @@
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/route_table/route_table.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
+#include "basilstream/daemon/request_journal/request_journal.hpp"
 #include "basilstream/transport/http_pool/http_pool.hpp"
 #include "basilstream/transport/logging/logging.hpp"
 #include "basilstream/transport/metrics/metrics.hpp"
@@ -114,6 +115,10 @@
     auto set_foreign_load(const std::string& backend, int requests) -> void;
     /// The connections to backend servers, for other calls to them.
     [[nodiscard]] auto calls() -> transport::http_pool&;
+    /// How the last requests ended.
+    [[nodiscard]] auto journal() const -> const request_journal&;
+    /// Version of the configuration in force; 0 if there is none.
+    [[nodiscard]] auto config_version() const -> std::uint64_t;
     /// What is known of requests that crash backend servers, to be shared with
     /// the other daemons.
     [[nodiscard]] auto marks() -> coordination::quarantine&;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -11,6 +11,7 @@
 #include "basilstream/daemon/model_control/model_control.hpp"
 #include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
+#include "basilstream/daemon/relay_status/relay_status.hpp"
 #include "basilstream/daemon/store_watch/store_watch.hpp"
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 #include "basilstream/transport/http_session/http_session.hpp"
@@ -100,17 +101,19 @@
             return tl::unexpected(readiness ? directory.error()
                                             : readiness.error());
         }
+        directory_address_ = (*directory)->address();
         servers_.push_back(std::move(*readiness));
         servers_.push_back(std::move(*directory));
         if (!settings_.metrics_address_.empty()) {
             auto metrics = listen(settings_.metrics_address_,
-                                  &running_relay::answer_metrics);
+                                  &running_relay::answer_operator);
             if (!metrics) {
                 return tl::unexpected(metrics.error());
             }
+            operator_address_ = (*metrics)->address();
             servers_.push_back(std::move(*metrics));
         }
-        add_gauges();
+        status_.add_gauges(metrics_);
         thread_.every(sweep_interval, [this] { sweep(); });
         thread_.every(cluster_interval, [this] { tick_cluster(); });
         log_.info("started", {{"callers", relay_.address()},
@@ -144,6 +147,13 @@
         return relay_.address();
     }
 
+    [[nodiscard]] auto operator_address() const -> std::string override {
+        return operator_address_;
+    }
+    [[nodiscard]] auto directory_address() const -> std::string override {
+        return directory_address_;
+    }
+
     auto on_config(std::shared_ptr<const coordination::relay_config> config)
         -> void override {
         models_.set_config(config);
@@ -215,58 +225,6 @@
         return made;
     }
 
-    // What the metrics show beside the relay's counters. They are read on the
-    // traffic thread, which serves them.
-    auto add_gauges() -> void {
-        metrics_.add_gauge(
-            "basilstream_log_lines_dropped",
-            "Log lines dropped because the queue was full.",
-            [this] { return static_cast<double>(log_.dropped()); });
-        metrics_.add_gauge(
-            "basilstream_relay_in_progress", "Requests in progress.",
-            [this] { return static_cast<double>(relay_.in_progress()); });
-        metrics_.add_gauge(
-            "basilstream_backend_servers", "Backend servers known.", [this] {
-                return static_cast<double>(watch_.backends().servers().size());
-            });
-        metrics_.add_gauge("basilstream_daemons", "Daemons known.", [this] {
-            return cluster_ ? static_cast<double>(cluster_->members().size())
-                            : 0.0;
-        });
-        metrics_.add_gauge(
-            "basilstream_placement_epoch",
-            "Epoch of the placement lease, -1 if not held.", [this] {
-                const auto epoch = models_.epoch();
-                return epoch ? static_cast<double>(*epoch) : -1.0;
-            });
-        metrics_.add_gauge("basilstream_backend_connections_opened",
-                           "Connections opened to backend servers.", [this] {
-                               return static_cast<double>(
-                                   relay_.calls().statistics().opened_);
-                           });
-        metrics_.add_gauge("basilstream_backend_connections_reused",
-                           "Requests sent on kept connections.", [this] {
-                               return static_cast<double>(
-                                   relay_.calls().statistics().reused_);
-                           });
-        add_age_gauge("basilstream_config_age_seconds",
-                      "Time since the configuration was last read.",
-                      coordination::shared_topic::configuration);
-        add_age_gauge("basilstream_backends_age_seconds",
-                      "Time since the backend servers were last read.",
-                      coordination::shared_topic::backends);
-    }
-
-    auto add_age_gauge(const char* name, const char* help,
-                       coordination::shared_topic topic) -> void {
-        metrics_.add_gauge(name, help, [this, topic] {
-            const auto read = watch_.last_read(topic);
-            return read ? std::chrono::duration<double>(clock_.now() - *read)
-                              .count()
-                        : -1.0;
-        });
-    }
-
     // Opens the link to the other daemons on the first port that is free.
     auto open_link() -> result<void> {
         auto failure = error{};
@@ -295,15 +253,10 @@
         return tl::unexpected(failure);
     }
 
-    [[nodiscard]] auto ready() const -> bool {
-        return relay_.configured() && watch_.backends_known() &&
-               drain_.phase() == coordination::drain_phase::serving;
-    }
-
     auto answer_readiness(const transport::request_message& request,
                           transport::http_session& session) -> void {
         const auto asked = place_.is_readiness_request(request);
-        session.respond(!asked ? 404 : ready() ? 200 : 503, {}, "");
+        session.respond(!asked ? 404 : status_.ready() ? 200 : 503, {}, "");
     }
 
     auto answer_directory(const transport::request_message& request,
@@ -329,9 +282,24 @@
         session.respond(200, headers, place_.endpoint_body(*answer));
     }
 
-    auto answer_metrics(const transport::request_message& /*request*/,
-                        transport::http_session& session) -> void {
+    // Metrics, and what basilctl asks for.
+    auto answer_operator(const transport::request_message& request,
+                         transport::http_session& session) -> void {
+        const auto target = std::string_view{request.target_};
+        constexpr auto explain = std::string_view{"/explain?name="};
         auto headers = transport::header_list{};
+        if (target == "/status" || target.starts_with(explain)) {
+            const auto answer = target == "/status"
+                                    ? status_.status()
+                                    : status_.explain(std::string{
+                                          target.substr(explain.size())});
+            headers.add("Content-Type", "application/json");
+            session.respond(
+                200, headers,
+                answer.dump(-1, ' ', false,
+                            protocol::json::error_handler_t::replace));
+            return;
+        }
         headers.add("Content-Type", "text/plain; version=0.0.4");
         session.respond(200, headers, metrics_.prometheus_text());
     }
@@ -343,7 +311,7 @@
         for (const auto& server : servers_) {
             server->sweep();
         }
-        if (!cluster_ && ready()) {
+        if (!cluster_ && status_.ready()) {
             join();
         }
         if (cluster_) {
@@ -516,11 +484,17 @@
     std::vector<std::unique_ptr<transport::http_session_server>> servers_;
     std::unique_ptr<transport::peer_link> link_;
     std::string link_address_;
+    std::string operator_address_;
+    std::string directory_address_;
     std::optional<cluster> cluster_;
     std::optional<quarantine_gossip> crashes_;
     std::optional<time_point> joined_at_;
     std::optional<time_point> stop_requested_at_;
     bool end_told_ = false;
+    relay_status status_{
+        settings_.name_,
+        settings_.zone_,
+        {clock_, log_, relay_, watch_, models_, drain_, cluster_}};
 };
 
 } // namespace
--- a/basilstream/daemon/relay_program/relay_program.hpp
+++ b/basilstream/daemon/relay_program/relay_program.hpp
@@ -39,6 +39,10 @@
     virtual auto reload(const relay_daemon_settings& settings) -> void = 0;
     /// "IP:PORT" for callers.
     [[nodiscard]] virtual auto caller_address() const -> std::string = 0;
+    /// "IP:PORT" for metrics and basilctl; empty if the settings name none.
+    [[nodiscard]] virtual auto operator_address() const -> std::string = 0;
+    /// "IP:PORT" for clients that ask where to connect.
+    [[nodiscard]] virtual auto directory_address() const -> std::string = 0;
 };
 
 } // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/daemon/relay_program/relay_program_test.cpp
@@ -0,0 +1,483 @@
+#include "basilstream/daemon/relay_program/relay_program.hpp"
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "basilstream/ctl/commands/commands.hpp"
+#include "basilstream/protocol/json/json.hpp"
+#include "basilstream/transport/http_client/http_client.hpp"
+#include "basilstream/transport/http_session/http_session.hpp"
+
+// Whole daemons before a stand-in store and a stand-in runner, over loopback
+// connections.
+
+namespace basilstream::daemon {
+namespace {
+
+using coordination::record_page;
+using coordination::shared_topic;
+using coordination::store_record;
+
+// Longest wait for a daemon's first useful answer: time to join, to claim the
+// lease and to load a model.
+constexpr auto patience = seconds{15};
+
+// A log for each topic, shared by all daemons.
+class memory_log {
+public:
+    auto append(shared_topic topic, std::optional<std::uint64_t> at,
+                store_record record) -> coordination::append_outcome {
+        const auto guard = std::lock_guard{mutex_};
+        auto& log = logs_[topic];
+        if (at && *at != log.size()) {
+            return {false, log.size()};
+        }
+        record.offset_ = log.size();
+        log.push_back(std::move(record));
+        return {true, log.size() - 1};
+    }
+    auto read(shared_topic topic, std::uint64_t from) -> record_page {
+        const auto guard = std::lock_guard{mutex_};
+        const auto& log = logs_[topic];
+        auto page = record_page{{}, log.size(), false};
+        for (auto each = from; each < log.size(); ++each) {
+            page.records_.push_back(log[each]);
+        }
+        return page;
+    }
+    auto newest(shared_topic topic) -> record_page {
+        const auto all = read(topic, 0);
+        auto by_key = std::map<std::string, store_record>{};
+        for (const auto& record : all.records_) {
+            by_key[record.key_] = record;
+        }
+        auto page = record_page{{}, all.end_, false};
+        for (const auto& [key, record] : by_key) {
+            page.records_.push_back(record);
+        }
+        return page;
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<shared_topic, std::vector<store_record>> logs_;
+};
+
+class memory_store final : public coordination::record_store {
+public:
+    memory_store(memory_log& log, transport::reactor_thread& thread)
+        : log_{log}, thread_{thread} {}
+    auto read_newest(shared_topic topic, handler<record_page> done)
+        -> void override {
+        thread_.after(milliseconds{1}, [this, topic, done = std::move(done)] {
+            done(log_.newest(topic));
+        });
+    }
+    auto read_from(shared_topic topic, std::uint64_t offset, milliseconds wait,
+                   handler<record_page> done) -> void override {
+        thread_.after(std::min(wait, milliseconds{20}),
+                      [this, topic, offset, done = std::move(done)] {
+                          done(log_.read(topic, offset));
+                      });
+    }
+    auto append(shared_topic topic, std::optional<std::uint64_t> at,
+                store_record record, handler<coordination::append_outcome> done)
+        -> void override {
+        thread_.after(milliseconds{1}, [this, topic, at, done = std::move(done),
+                                        record = std::move(record)] {
+            done(log_.append(topic, at, record));
+        });
+    }
+
+private:
+    memory_log& log_;
+    transport::reactor_thread& thread_;
+};
+
+// A runner that loads what it is ordered to and answers with its name.
+class stand_in_runner {
+public:
+    explicit stand_in_runner(std::string id)
+        : id_{std::move(id)}, thread_{"runner", 1024} {
+        server_ =
+            std::move(transport::http_session_server::open(
+                          thread_, clock_, {.address_ = "127.0.0.1:0"},
+                          [this](const transport::request_message& request,
+                                 transport::http_session& session) {
+                              answer(request, session);
+                          })
+                          .value());
+        thread_.start();
+    }
+    ~stand_in_runner() { thread_.stop(); }
+    stand_in_runner(const stand_in_runner&) = delete;
+    auto operator=(const stand_in_runner&) -> stand_in_runner& = delete;
+
+    [[nodiscard]] auto address() const -> std::string {
+        return server_->address();
+    }
+    [[nodiscard]] auto runs() const -> int { return runs_; }
+
+private:
+    auto answer(const transport::request_message& request,
+                transport::http_session& session) -> void {
+        auto headers = transport::header_list{};
+        headers.add("X-Id", std::string{request.headers_.find("X-Id")});
+        if (request.target_ == "/order") {
+            model_ = request.body_;
+            ++orders_;
+            session.respond(202, headers, "");
+        } else if (request.target_ == "/report") {
+            session.respond(200, headers,
+                            std::to_string(orders_) + " " + model_);
+        } else if (request.headers_.find("X-Model") != model_) {
+            headers.add("X-Not-Run", "1");
+            session.respond(421, headers, "");
+        } else {
+            ++runs_;
+            session.respond(200, headers, id_);
+        }
+    }
+
+    std::string id_;
+    steady_clock clock_;
+    transport::reactor_thread thread_;
+    std::unique_ptr<transport::http_session_server> server_;
+    std::string model_;
+    int orders_ = 0;
+    std::atomic<int> runs_{0};
+};
+
+class plain_dialect final : public backend_dialect {
+public:
+    [[nodiscard]] auto read(transport::request_message message) const
+        -> result<relayed_request> override {
+        auto request = relayed_request{};
+        request.id_ = message.headers_.find("X-Id");
+        request.host_ = message.headers_.find("Host");
+        request.model_ = message.headers_.find("X-Model");
+        request.prompt_tokens_ = 100;
+        request.output_tokens_ = 10;
+        request.message_ = std::move(message);
+        return request;
+    }
+    [[nodiscard]] auto request_headers(const relayed_request& request,
+                                       const relay_attempt& /*attempt*/) const
+        -> transport::header_list override {
+        return request.message_.headers_;
+    }
+    [[nodiscard]] auto judge(const transport::answer_head& head,
+                             const std::string& /*request_id*/) const
+        -> answer_verdict override {
+        return head.headers_.contains("X-Not-Run") ? answer_verdict::misdirected
+                                                   : answer_verdict::answer;
+    }
+    [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
+        -> transport::header_list override {
+        return head.headers_;
+    }
+    [[nodiscard]] auto
+    own_headers(const std::string& request_id,
+                std::optional<milliseconds> /*retry_after*/) const
+        -> transport::header_list override {
+        auto headers = transport::header_list{};
+        headers.add("X-Id", request_id);
+        return headers;
+    }
+};
+
+// Records hold names; what they stand for is kept here.
+class plain_installation final : public installation,
+                                 public coordination::record_decoder {
+public:
+    [[nodiscard]] auto dialect() const -> const backend_dialect& override {
+        return dialect_;
+    }
+    [[nodiscard]] auto decoder() const
+        -> const coordination::record_decoder& override {
+        return *this;
+    }
+    [[nodiscard]] auto open_store(transport::http_pool& /*pool*/,
+                                  transport::reactor_thread& thread,
+                                  std::string /*address*/) const
+        -> std::unique_ptr<coordination::record_store> override {
+        return std::make_unique<memory_store>(log_, thread);
+    }
+    [[nodiscard]] auto order_call(const runner_order& order) const
+        -> transport::small_call override {
+        return {.address_ = order.address_,
+                .method_ = "POST",
+                .target_ = "/order",
+                .body_ = order.model_};
+    }
+    [[nodiscard]] auto
+    read_order_answer(const transport::small_reply& reply) const
+        -> result<order_answer> override {
+        return reply.status_ == 202 ? order_answer::accepted
+                                    : order_answer::invalid;
+    }
+    [[nodiscard]] auto report_call(const std::string& /*runner*/,
+                                   const std::string& address) const
+        -> transport::small_call override {
+        return {.address_ = address, .target_ = "/report"};
+    }
+    [[nodiscard]] auto read_report(const transport::small_reply& reply) const
+        -> result<runner_report> override {
+        auto report = runner_report{};
+        const auto gap = reply.body_.find(' ');
+        report.orders_ = std::stoul(reply.body_.substr(0, gap));
+        if (const auto model = reply.body_.substr(gap + 1); !model.empty()) {
+            report.models_ = {{model, 1, {}}};
+        }
+        return report;
+    }
+    [[nodiscard]] auto
+    read_endpoint_request(const transport::request_message& request) const
+        -> std::optional<std::string> override {
+        return request.target_ == "/where" ? std::optional<std::string>{"a"}
+                                           : std::nullopt;
+    }
+    [[nodiscard]] auto
+    endpoint_body(const coordination::endpoint_answer& answer) const
+        -> std::string override {
+        auto text = std::string{};
+        for (const auto& address : answer.addresses_) {
+            text.append(address).append("\n");
+        }
+        return text;
+    }
+    [[nodiscard]] auto
+    is_readiness_request(const transport::request_message& request) const
+        -> bool override {
+        return request.target_ == "/ready";
+    }
+    [[nodiscard]] auto configuration(const store_record& /*record*/,
+                                     std::vector<error>& /*skipped*/) const
+        -> result<std::shared_ptr<const coordination::relay_config>> override {
+        return config_;
+    }
+    [[nodiscard]] auto backend(const store_record& record) const
+        -> result<coordination::backend_server> override {
+        return servers_.at(record.key_);
+    }
+
+    plain_dialect dialect_;
+    mutable memory_log log_;
+    std::shared_ptr<const coordination::relay_config> config_;
+    std::map<std::string, coordination::backend_server> servers_;
+};
+
+class whole_daemons : public testing::Test {
+protected:
+    whole_daemons() {
+        auto engine = std::make_shared<coordination::service_engine>();
+        engine->slots_ = 4;
+        engine->kv_tokens_ = 10'000;
+        engine->weights_mb_ = 100;
+        engine->loads_per_second_ = 10;
+        auto model = coordination::service_model{};
+        model.name_ = "m";
+        model.weights_mb_ = 50;
+        engine->models_ = {model};
+        auto route = coordination::relay_route{};
+        route.name_ = "all";
+        route.host_ = "x";
+        route.path_prefix_ = "/";
+        route.kind_ = coordination::request_kind::idempotent;
+        route.targets_ = {{"runners", 1}};
+        auto config = std::make_shared<coordination::relay_config>();
+        config->version_ = 7;
+        config->routes_ = {route};
+        config->services_ = {
+            {.name_ = "runners", .connection_limit_ = 50, .engine_ = engine}};
+        place_.config_ = config;
+        auto server = coordination::backend_server{};
+        server.id_ = "r1";
+        server.service_ = "runners";
+        server.address_ = runner_.address();
+        server.zone_ = "a";
+        server.slots_ = 4;
+        server.started_at_ = 1;
+        place_.servers_["r1"] = server;
+        place_.log_.append(shared_topic::configuration, std::nullopt,
+                           {"routes", "7"});
+        place_.log_.append(shared_topic::backends, std::nullopt, {"r1", "r1"});
+    }
+
+    auto start(const std::string& name) -> relay_program& {
+        auto settings = relay_daemon_settings{};
+        settings.name_ = name;
+        settings.zone_ = "a";
+        settings.caller_address_ = "127.0.0.1:0";
+        settings.readiness_address_ = "127.0.0.1:0";
+        settings.directory_address_ = "127.0.0.1:0";
+        settings.metrics_address_ = "127.0.0.1:0";
+        settings.peer_ip_ = "127.0.0.1";
+        settings.limits_.lease_ = milliseconds{100};
+        settings.stop_.grace_ = seconds{8};
+        settings.logging_ = {transport::log_level::off};
+        auto started = relay_program::start(settings, place_, [this] {
+            if (++ended_ == static_cast<int>(daemons_.size())) {
+                all_ended_.set_value();
+            }
+        });
+        EXPECT_TRUE(started);
+        daemons_.push_back(std::move(*started));
+        return *daemons_.back();
+    }
+
+    auto get(const std::string& address, const std::string& path,
+             std::vector<std::pair<std::string, std::string>> headers = {})
+        -> transport::http_reply {
+        auto reply = client_.fetch_wait({.url_ = "http://" + address + path,
+                                         .headers_ = std::move(headers),
+                                         .total_timeout_ = seconds{5},
+                                         .step_ = step::peer});
+        return reply ? *reply : transport::http_reply{};
+    }
+
+    // Asks until the answer is a 200 that `good` accepts, or time is over.
+    template <class Ask, class Good>
+    auto ask_until(Ask ask, Good good) -> transport::http_reply {
+        const auto until = clock_.now() + patience;
+        auto seen = transport::http_reply{};
+        while (clock_.now() < until) {
+            seen = ask();
+            if (seen.status_ == 200 && good(seen)) {
+                break;
+            }
+        }
+        return seen;
+    }
+
+    auto request(relay_program& to, const std::string& id)
+        -> transport::http_reply {
+        return get(to.caller_address(), "/x",
+                   {{"Host", "x"}, {"X-Id", id}, {"X-Model", "m"}});
+    }
+
+    auto explained(relay_program& by, const std::string& name) -> std::string {
+        return get(by.operator_address(), "/explain?name=" + name).body_;
+    }
+
+    steady_clock clock_;
+    stand_in_runner runner_{"r1"};
+    plain_installation place_;
+    transport::http_client client_{"test"};
+    std::atomic<int> ended_{0};
+    std::promise<void> all_ended_;
+    std::vector<std::unique_ptr<relay_program>> daemons_;
+};
+
+// An empty runner, two new daemons: one of them gives the order to load, and
+// requests through both are served.
+TEST_F(whole_daemons, load_what_is_asked_for_and_serve_it) {
+    auto& first = start("d1");
+    auto& second = start("d2");
+    const auto any = [](const auto&) {
+        return true;
+    };
+    auto ids = 0;
+    for (auto* const daemon : {&first, &second}) {
+        const auto seen = ask_until(
+            [&] { return request(*daemon, "q" + std::to_string(++ids)); }, any);
+        EXPECT_EQ(seen.status_, 200);
+        EXPECT_EQ(seen.body_, "r1");
+    }
+    // One attempt of a client runs once.
+    EXPECT_EQ(runner_.runs(), 2);
+
+    const auto named =
+        ask_until([&] { return get(first.directory_address(), "/where"); },
+                  [&](const auto& seen) {
+                      return seen.body_.find(first.caller_address()) !=
+                                 std::string::npos &&
+                             seen.body_.find(second.caller_address()) !=
+                                 std::string::npos;
+                  });
+    EXPECT_EQ(named.status_, 200);
+
+    const auto last = "q" + std::to_string(ids);
+    EXPECT_NE(explained(second, last).find("answered"), std::string::npos);
+    EXPECT_EQ(explained(first, last).find("answered"), std::string::npos);
+    EXPECT_NE(explained(first, "r1").find("holds m"), std::string::npos);
+    EXPECT_NE(explained(first, "m").find("on r1"), std::string::npos);
+
+    auto owners = 0;
+    for (const auto& daemon : daemons_) {
+        const auto status = protocol::parse_json(
+            get(daemon->operator_address(), "/status").body_, "status",
+            step::peer);
+        ASSERT_TRUE(status);
+        EXPECT_EQ((*status)["ready"], true);
+        EXPECT_EQ((*status)["log"]["offset"], 7);
+        EXPECT_EQ((*status)["members"].size(), 2U);
+        owners += (*status)["shards"].empty() ? 0 : 1;
+    }
+    EXPECT_EQ(owners, 1);
+    EXPECT_NE(get(first.operator_address(), "/metrics")
+                  .body_.find("basilstream_relay_requests_total"),
+              std::string::npos);
+}
+
+// Operators' view: every command that needs no log works on relaying daemons.
+TEST_F(whole_daemons, are_shown_by_basilctl) {
+    auto& daemon = start("d1");
+    const auto any = [](const auto&) {
+        return true;
+    };
+    EXPECT_EQ(ask_until([&] { return request(daemon, "q"); }, any).status_,
+              200);
+    const auto run = [&](const std::string& command,
+                         std::vector<std::string> arguments = {}) {
+        auto link = ctl::session{{.admins_ = {daemon.operator_address()}}};
+        auto out = std::ostringstream{};
+        EXPECT_EQ(ctl::run_command(
+                      {.command_ = command, .arguments_ = std::move(arguments)},
+                      link, out, out),
+                  ctl::exit_status::ok)
+            << command << ": " << out.str();
+        return out.str();
+    };
+    EXPECT_NE(run("status").find("serving"), std::string::npos);
+    EXPECT_NE(run("endpoints").find(daemon.caller_address()),
+              std::string::npos);
+    EXPECT_NE(run("explain", {"q"}).find("answered"), std::string::npos);
+    EXPECT_NE(run("explain", {"r1"}).find("holds m"), std::string::npos);
+    EXPECT_NE(run("metrics").find("basilstream_relay_answered_total"),
+              std::string::npos);
+}
+
+TEST_F(whole_daemons, refuse_what_no_runner_of_the_service_can_have) {
+    auto& only = start("d1");
+    const auto seen = ask_until(
+        [&] {
+            auto answer =
+                get(only.caller_address(), "/x",
+                    {{"Host", "x"}, {"X-Id", "z"}, {"X-Model", "no"}});
+            // Ready daemons refuse; before, there is nothing to explain.
+            return explained(only, "z").find("refused") != std::string::npos
+                       ? get(only.operator_address(), "/status")
+                       : answer;
+        },
+        [](const auto&) { return true; });
+    EXPECT_EQ(seen.status_, 200);
+    EXPECT_EQ(runner_.runs(), 0);
+}
+
+TEST_F(whole_daemons, end_when_they_are_told_to) {
+    start("d1");
+    start("d2");
+    for (const auto& daemon : daemons_) {
+        daemon->request_stop();
+    }
+    EXPECT_EQ(all_ended_.get_future().wait_for(patience),
+              std::future_status::ready);
+}
+
+} // namespace
+} // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/daemon/relay_status/relay_status.cpp
@@ -0,0 +1,209 @@
+#include "basilstream/daemon/relay_status/relay_status.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "basilstream/base/invariant/invariant.hpp"
+
+namespace basilstream::daemon {
+namespace {
+
+using coordination::backend_server;
+using coordination::shared_topic;
+using protocol::json;
+
+// Copies of a model, and where.
+struct model_copies {
+    int ready_ = 0;
+    std::set<std::string> zones_;
+};
+
+auto seconds_since(std::optional<time_point> moment, time_point now) -> double {
+    return moment ? std::chrono::duration<double>(now - *moment).count() : -1.0;
+}
+
+auto adapters_text(const coordination::backend_model& model) -> std::string {
+    auto text = std::string{};
+    for (const auto& adapter : model.adapters_) {
+        text.append(text.empty() ? " with adapters " : ", ").append(adapter);
+    }
+    return text;
+}
+
+} // namespace
+
+auto relay_status::add_gauges(transport::metrics_registry& metrics) const
+    -> void {
+    const auto& parts = parts_;
+    const auto add = [&](const char* name, const char* help, auto value) {
+        metrics.add_gauge(name, help, [value = std::move(value)] {
+            return static_cast<double>(value());
+        });
+    };
+    add("basilstream_log_lines_dropped",
+        "Log lines dropped because the queue was full.",
+        [parts] { return parts.log_.dropped(); });
+    add("basilstream_relay_in_progress", "Requests in progress.",
+        [parts] { return parts.traffic_.in_progress(); });
+    add("basilstream_backend_servers", "Backend servers known.",
+        [parts] { return parts.watch_.backends().servers().size(); });
+    add("basilstream_daemons", "Daemons known.",
+        [parts] { return parts.peers_ ? parts.peers_->members().size() : 0U; });
+    add("basilstream_placement_epoch",
+        "Epoch of the placement lease, -1 if not held.", [parts] {
+            const auto epoch = parts.models_.epoch();
+            return epoch ? static_cast<double>(*epoch) : -1.0;
+        });
+    add("basilstream_backend_connections_opened",
+        "Connections opened to backend servers.",
+        [parts] { return parts.traffic_.calls().statistics().opened_; });
+    add("basilstream_backend_connections_reused",
+        "Requests sent on kept connections.",
+        [parts] { return parts.traffic_.calls().statistics().reused_; });
+    const auto age = [parts](shared_topic topic) {
+        return [parts, topic] {
+            return seconds_since(parts.watch_.last_read(topic),
+                                 parts.clock_.now());
+        };
+    };
+    add("basilstream_config_age_seconds",
+        "Time since the configuration was last read.",
+        age(shared_topic::configuration));
+    add("basilstream_backends_age_seconds",
+        "Time since the backend servers were last read.",
+        age(shared_topic::backends));
+}
+
+auto relay_status::ready() const -> bool {
+    return parts_.traffic_.configured() && parts_.watch_.backends_known() &&
+           parts_.drain_.phase() == coordination::drain_phase::serving;
+}
+
+auto relay_status::status() const -> json {
+    const auto now = parts_.clock_.now();
+    auto shards = json::object();
+    if (const auto epoch = parts_.models_.epoch()) {
+        shards["placement"] = *epoch;
+    }
+    const auto connections = parts_.traffic_.calls().statistics();
+    auto quarantine = json::array();
+    for (const auto& entry : parts_.traffic_.marks().list(now)) {
+        quarantine.push_back(
+            {{"fingerprint", entry.fingerprint_.to_string()},
+             {"quarantined",
+              entry.verdict_ == coordination::quarantine_verdict::quarantined},
+             {"runners", entry.runners_}});
+    }
+    return {{"name", name_},
+            {"zone", zone_},
+            {"ready", ready()},
+            {"phase",
+             coordination::drain_phase_names.name_of(parts_.drain_.phase())},
+            {"log",
+             {{"offset", parts_.traffic_.config_version()},
+              {"config_age_s",
+               seconds_since(
+                   parts_.watch_.last_read(shared_topic::configuration), now)},
+              {"backends_age_s",
+               seconds_since(parts_.watch_.last_read(shared_topic::backends),
+                             now)}}},
+            {"shards", shards},
+            {"owner", parts_.models_.owner()},
+            {"members", members()},
+            {"models", models()},
+            {"quarantine", quarantine},
+            {"counters",
+             {{"in_progress", parts_.traffic_.in_progress()},
+              {"backend_servers", parts_.watch_.backends().servers().size()},
+              {"connections_opened", connections.opened_},
+              {"connections_reused", connections.reused_},
+              {"log_lines_dropped", parts_.log_.dropped()},
+              {"invariant_violations", invariant_violations()}}}};
+}
+
+auto relay_status::members() const -> json {
+    auto list = json::array();
+    if (!parts_.peers_) {
+        return list;
+    }
+    for (const auto& member : parts_.peers_->members()) {
+        list.push_back(
+            {{"name", member.name_},
+             {"zone", member.zone_},
+             {"state", coordination::member_state_names.name_of(member.state_)},
+             {"caller_address", member.caller_address_}});
+    }
+    return list;
+}
+
+auto relay_status::models() const -> json {
+    auto copies = std::map<std::string, model_copies>{};
+    for (const auto& server : parts_.models_.servers()) {
+        for (const auto& model : server.models_) {
+            auto& known = copies[model.name_];
+            ++known.ready_;
+            known.zones_.insert(server.zone_);
+        }
+    }
+    auto list = json::array();
+    for (const auto& [name, known] : copies) {
+        list.push_back({{"name", name},
+                        {"ready_replicas", known.ready_},
+                        {"wanted_replicas", "-"},
+                        {"zones", known.zones_},
+                        {"reason", "placed by demand"}});
+    }
+    return list;
+}
+
+auto relay_status::explain_model(const std::string& name) const
+    -> std::vector<std::string> {
+    auto lines = std::vector<std::string>{};
+    for (const auto& server : parts_.models_.servers()) {
+        for (const auto& model : server.models_) {
+            if (model.name_ == name) {
+                lines.push_back("on " + server.id_ + " in " + server.zone_ +
+                                (server.draining_ ? ", leaving" : "") +
+                                adapters_text(model));
+            }
+        }
+    }
+    const auto demand = parts_.models_.describe_demand(name);
+    lines.insert(lines.end(), demand.begin(), demand.end());
+    return lines;
+}
+
+auto relay_status::explain_backend(const backend_server& server) const
+    -> std::vector<std::string> {
+    auto lines = std::vector<std::string>{
+        "service " + server.service_ + " at " + server.address_ + " in " +
+            server.zone_ + ", slots " + std::to_string(server.slots_) +
+            (server.draining_ ? ", leaving" : ""),
+        "requests of this daemon on it: " +
+            std::to_string(parts_.traffic_.loads()[server.id_])};
+    for (const auto& model : server.models_) {
+        lines.push_back("holds " + model.name_ + adapters_text(model));
+    }
+    return lines;
+}
+
+auto relay_status::explain(const std::string& name) const -> json {
+    auto lines = std::vector<std::string>{};
+    const auto add = [&](const std::vector<std::string>& more) {
+        lines.insert(lines.end(), more.begin(), more.end());
+    };
+    for (const auto& entry : parts_.traffic_.journal().find(name)) {
+        add(describe(entry, parts_.clock_.now()));
+    }
+    for (const auto& server : parts_.models_.servers()) {
+        if (server.id_ == name) {
+            add(explain_backend(server));
+        }
+    }
+    add(explain_model(name));
+    return {{"name", name}, {"planner", !lines.empty()}, {"lines", lines}};
+}
+
+} // namespace basilstream::daemon
