Count the owner's loads from what was heard and reported

The next owner, from 26.3 s on, ordered its first load from the weight store at 28.0 s, since it assumed that the one before had used up the window of loads until its lease ended. Now daemons count the loads that they hear of, and a new owner asks every runner what it holds: only models that it had not seen before the window count as loads of the owner before. Without all reports the old assumption stands. Ruled out: the pause between owners (the platform asks for it).

--- a/basilstream/daemon/model_control/lease.cpp
+++ b/basilstream/daemon/model_control/lease.cpp
@@ -31,25 +31,24 @@
     context_.log_.info("placement lease gained",
                        {{"epoch", std::to_string(epoch().value_or(0))}});
     ledger_.reset();
-    store_loads_.clear();
     const auto earlier = lease_.earlier_owner_until();
-    if (!earlier) {
+    if (!earlier || !config_) {
+        store_loads_.begin();
         return;
     }
-    // How much of the window the owner before has used is not known: all of
-    // it, at the last moment that it had.
-    const auto ago = context_.boot_clock_.now() - *earlier;
-    const auto window =
-        std::chrono::duration<double>(settings_.load_window_).count();
+    auto capacity = std::size_t{0};
     for (const auto& service : config_->services_) {
-        if (service.engine_) {
-            store_loads_.insert(
-                store_loads_.end(),
-                static_cast<std::size_t>(service.engine_->loads_per_second_ *
-                                         window),
-                context_.clock_.now() - ago);
+        capacity += service.engine_ ? capacity_of(*service.engine_) : 0;
+    }
+    auto runners = std::set<std::string>{};
+    for (const auto& [id, known] : servers_) {
+        if (!service_of(id).empty()) {
+            runners.insert(id);
         }
     }
+    const auto ago = context_.boot_clock_.now() - *earlier;
+    store_loads_.take_over(capacity, context_.clock_.now() - ago,
+                           std::move(runners));
 }
 
 auto model_control::read_lease() -> void {
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -30,6 +30,15 @@
 // the plan, the order and the runner's report.
 constexpr auto load_overhead = milliseconds{700};
 
+auto names_of(const std::vector<coordination::backend_model>& models)
+    -> std::vector<std::string> {
+    auto names = std::vector<std::string>{};
+    for (const auto& model : models) {
+        names.push_back(model.name_);
+    }
+    return names;
+}
+
 auto state_of(holding_state state) -> residency_state {
     switch (state) {
     case holding_state::ready:
@@ -78,10 +87,9 @@
                              transport::http_pool& calls,
                              model_observer& observer)
     : context_{context}, settings_{std::move(settings)}, place_{place},
-      store_{store}, calls_{calls}, observer_{observer}, lease_{
-                                                             settings_.lease_,
-                                                             settings_.holder_,
-                                                             context.random_} {}
+      store_{store}, calls_{calls}, observer_{observer},
+      lease_{settings_.lease_, settings_.holder_, context.random_},
+      store_loads_{settings_.load_window_} {}
 
 auto model_control::on_request(const model_want& want, std::int64_t tokens,
                                bool served) -> void {
@@ -202,6 +210,8 @@
         overlay_.forget(server.id_);
     }
     known = {server, context_.clock_.now()};
+    store_loads_.on_announced(server.id_, names_of(server.models_),
+                              known.announced_at_);
     if (!server.models_.empty() || !service_of(server.id_).empty()) {
         ledger_.set_runner(server);
     }
@@ -210,6 +220,7 @@
 
 auto model_control::remove_backend(const std::string& id) -> void {
     servers_.erase(id);
+    store_loads_.remove_runner(id);
     overlay_.forget(id);
     ledger_.remove_runner(id);
 }
@@ -249,6 +260,10 @@
         overlay_.add({change.backend_, change.model_, change.adapter_,
                       state_of(change.state_), change.ready_in_},
                      now);
+        if (change.state_ == protocol::residency_state::coming &&
+            change.adapter_.empty()) {
+            store_loads_.on_heard(change.backend_, change.model_, now);
+        }
         changed.insert(change.backend_);
     }
     for (const auto& id : changed) {
@@ -335,6 +350,8 @@
                     ledger_.on_report_failed(id, now);
                     return;
                 }
+                store_loads_.on_report(id, names_of(report->models_),
+                                       report->ordered_, now);
                 ledger_.on_report(id,
                                   {report->models_, report->coming_,
                                    report->ordered_, report->orders_},
@@ -344,16 +361,17 @@
     }
 }
 
+auto model_control::capacity_of(
+    const coordination::service_engine& engine) const -> std::size_t {
+    return static_cast<std::size_t>(
+        engine.loads_per_second_ *
+        std::chrono::duration<double>(settings_.load_window_).count());
+}
+
 auto model_control::store_loads_left(const coordination::service_engine& engine)
     -> int {
-    const auto now = context_.clock_.now();
-    const auto window = settings_.load_window_;
-    std::erase_if(store_loads_,
-                  [&](time_point each) { return now - each > window; });
-    const auto allowed =
-        static_cast<int>(engine.loads_per_second_ *
-                         std::chrono::duration<double>(window).count());
-    return allowed - static_cast<int>(store_loads_.size());
+    return static_cast<int>(capacity_of(engine)) -
+           static_cast<int>(store_loads_.used(context_.clock_.now()));
 }
 
 auto model_control::request_plan() -> void {
@@ -411,7 +429,7 @@
         return;
     }
     if (step.from_store_ && step.load_) {
-        store_loads_.push_back(now);
+        store_loads_.add(now);
     }
     context_.log_.info(
         "order to runner",
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -22,6 +22,7 @@
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/coordination/demand_placement/demand_placement.hpp"
 #include "basilstream/coordination/fleet_ledger/fleet_ledger.hpp"
+#include "basilstream/coordination/load_window/load_window.hpp"
 #include "basilstream/coordination/placement_lease/placement_lease.hpp"
 #include "basilstream/coordination/residency_overlay/residency_overlay.hpp"
 #include "basilstream/daemon/installation/installation.hpp"
@@ -128,6 +129,10 @@
                          const result<transport::small_reply>& reply) -> void;
     auto publish_changes() -> void;
     auto publish_server(const std::string& id) -> void;
+    // Loads from the weight store that the window may hold.
+    [[nodiscard]] auto
+    capacity_of(const coordination::service_engine& engine) const
+        -> std::size_t;
     [[nodiscard]] auto
     store_loads_left(const coordination::service_engine& engine) -> int;
     [[nodiscard]] auto service_of(const std::string& runner) const
@@ -156,8 +161,7 @@
     coordination::fleet_ledger ledger_;
     coordination::residency_overlay overlay_;
     std::map<std::string, announced_server> servers_;
-    // When loads from the weight store were ordered, within the window.
-    std::vector<time_point> store_loads_;
+    coordination::load_window store_loads_;
 };
 
 } // namespace basilstream::daemon
