Wait for a silent server once its answer has begun

Ruled out: trying the next server first (a request would run twice at a time). Test: a_stream_that_has_begun_is_waited_for (failed before: two requests). What hangs after its head is left to the client's deadline.

--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -124,8 +124,9 @@
         return;
     }
     // A server that answers others has this request in its queue. One that
-    // answers nobody is waited for if no other may have the request.
-    if (alive || !may_run_again(runs_ + 1)) {
+    // answers nobody is waited for if no other may have the request, and if its
+    // answer has begun: should all others refuse, it could only be broken off.
+    if (alive || stream_begun_ || !may_run_again(runs_ + 1)) {
         watch_call();
         return;
     }
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -367,10 +367,8 @@
     EXPECT_EQ(a_.requests_.size(), 2U);
 }
 
-// The retry budget is used up: the server is waited for, and its late answer
-// passed on.
-TEST_F(relay_world, a_silent_stream_without_budget_is_waited_for) {
-    relay_.set_retry_limits(0, 0, seconds{10});
+// A busy server that reads a long prompt, while all others are full.
+TEST_F(relay_world, a_stream_that_has_begun_is_waited_for) {
     add_b();
     a_.otherwise_ = begin_and_end_late();
     b_.otherwise_ = begin_and_end_late();
@@ -380,6 +378,23 @@
     EXPECT_EQ(a_.requests_.size() + b_.requests_.size(), 1U);
 }
 
+// The retry budget is used up: the server is waited for, and its late answer
+// passed on.
+TEST_F(relay_world, a_silent_server_is_waited_for_without_budget) {
+    relay_.set_retry_limits(0, 0, seconds{10});
+    add_b();
+    const auto answer_late = [this](const transport::request_message& request,
+                                    test_backend::connection& to) {
+        thread_.after(milliseconds{900},
+                      [request, &to] { answer(200, "late")(request, to); });
+    };
+    a_.otherwise_ = answer_late;
+    b_.otherwise_ = answer_late;
+    const auto seen = call("/safe/", "X-Patience", "5000");
+    EXPECT_EQ(seen.body_, "late");
+    EXPECT_EQ(a_.requests_.size() + b_.requests_.size(), 1U);
+}
+
 // The client has a part of the stream: another answer cannot follow it.
 TEST_F(relay_world, a_failure_after_a_stream_has_begun_is_not_mixed_into_it) {
     a_.scripts_ = {stream("id: 1\ndata: x\n\n", false), answer(500, "sorry")};
