Spread requests by old counts in large deployments

Cause: with many daemons the counts of others' requests are 0.8 s old or more, and all daemons send to the less loaded of two replicas by the same old counts until the next ones. Now the choice is spread so that the counts would become level, given how much of them may have turned over (Dahlin 1999). Few daemons, whose counts are fresh, choose as before. Test: a crowd of 80 daemons with counts one interval old; the fullest of three runners gets over 1.8 times the mean under the former rule, less now.

--- a/basilstream/coordination/routing/internal/decision.cpp
+++ b/basilstream/coordination/routing/internal/decision.cpp
@@ -199,6 +199,65 @@
                : left;
 }
 
+// Daemons that all send to the least loaded by the same old counts overfill it.
+// What has arrived since is spread so that the counts become level (Dahlin,
+// "Interpreting stale load information", 1999): of the old counts the share
+// that has not turned over is left, and as much as has ended has come anew.
+auto router::pick_by_stale_load(unsigned tier, time_point now) -> std::size_t {
+    constexpr auto load_bits = internal::over_load_bound | internal::saturated;
+    auto order = std::vector<std::size_t>{};
+    auto total = 0.0;
+    auto age = report_lag_;
+    for (auto index = std::size_t{0}; index < candidates_.size(); ++index) {
+        const auto& each = candidates_[index];
+        if ((each.tier_ & ~load_bits) != (tier & ~load_bits)) {
+            continue;
+        }
+        order.push_back(index);
+        total += each.load_;
+        if (const auto& foreign = each.replica_->runner_->foreign_) {
+            age = std::max(age, report_lag_ + (now - foreign->received_));
+        }
+    }
+    const auto turned_over =
+        std::min(1.0, static_cast<double>(age.count()) /
+                          static_cast<double>(settings_.turnover_.count()));
+    const auto arrivals = 1.0 + total * turned_over;
+    const auto load_of = [&](std::size_t index) {
+        return (1.0 - turned_over) * relative_load(candidates_[index]);
+    };
+    std::sort(order.begin(), order.end(),
+              [&](std::size_t left, std::size_t right) {
+                  return load_of(left) < load_of(right);
+              });
+    // Raises the level until the space below it takes the arrivals.
+    auto slots = 0.0;
+    auto filled = 0.0;
+    auto level = 0.0;
+    auto below = std::size_t{0};
+    for (; below < order.size(); ++below) {
+        const auto next = load_of(order[below]);
+        if (below > 0 && slots * next - filled >= arrivals) {
+            break;
+        }
+        const auto width =
+            candidates_[order[below]].replica_->runner_->info_.slots_;
+        slots += width;
+        filled += width * next;
+        level = (arrivals + filled) / slots;
+    }
+    auto point = random_.fraction() * arrivals;
+    for (auto rank = std::size_t{0}; rank < below; ++rank) {
+        const auto width =
+            candidates_[order[rank]].replica_->runner_->info_.slots_;
+        point -= width * (level - load_of(order[rank]));
+        if (point < 0) {
+            return order[rank];
+        }
+    }
+    return order.front();
+}
+
 auto router::make_route(std::size_t chosen, const route_request& request) const
     -> route {
     const auto& taken = candidates_[chosen];
@@ -273,9 +332,10 @@
     }
     grade(request);
     const auto tier = best_tier();
-    const auto chosen = request.prefix_hash_ != 0
-                            ? pick_by_affinity(request, tier)
-                            : pick_by_load(tier);
+    const auto chosen =
+        request.prefix_hash_ != 0   ? pick_by_affinity(request, tier)
+        : report_lag_ > duration{0} ? pick_by_stale_load(tier, now)
+                                    : pick_by_load(tier);
     const auto& runner = *candidates_[chosen].replica_->runner_;
     if (!holds(!runner.leaving_, "leaving_runner_gets_no_work",
                runner.info_.name_)) {
--- a/basilstream/coordination/routing/routing.hpp
+++ b/basilstream/coordination/routing/routing.hpp
@@ -166,6 +166,9 @@
     /// The age at which a load report counts for nothing; it counts in full
     /// when new and proportionally less in between.
     duration report_lifetime_ = seconds{5};
+    /// How long a request stays on a runner, about: so fast do reported loads
+    /// turn over. A stream of some forty events at 20 ms each takes a second.
+    duration turnover_ = seconds{1};
     /// Failures in a row after which a runner is ejected for a while.
     int failures_before_ejection_ = 3;
     duration first_ejection_ = seconds{1};
@@ -210,6 +213,10 @@
     /// Also holds for a runner that becomes known later under this name.
     auto mark_leaving(std::string_view runner) -> void;
 
+    /// Sets how old the loads in reports are when they are received. Without
+    /// lag the less loaded of two random replicas is chosen, with it the choice
+    /// is spread by what may have changed since.
+    auto set_report_lag(duration lag) -> void { report_lag_ = lag; }
     /// Takes in a load report received at `now`.
     auto on_load_report(const load_report& report, time_point now) -> void;
 
@@ -277,10 +284,12 @@
     auto pick_by_affinity(const route_request& request, unsigned tier) const
         -> std::size_t;
     auto pick_by_load(unsigned tier) -> std::size_t;
+    auto pick_by_stale_load(unsigned tier, time_point now) -> std::size_t;
     auto make_route(std::size_t chosen, const route_request& request) const
         -> route;
     auto no_candidate(const route_request& request) const -> error;
 
+    duration report_lag_{0};
     router_settings settings_;
     random_source& random_;
     router_guards guards_;
--- a/basilstream/coordination/routing/routing_test.cpp
+++ b/basilstream/coordination/routing/routing_test.cpp
@@ -1,6 +1,8 @@
 #include "basilstream/coordination/routing/routing.hpp"
 
 #include <algorithm>
+#include <map>
+#include <memory>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -96,6 +98,75 @@
     EXPECT_EQ(chosen({}), "near");
 }
 
+// Many daemons know the same old counts. Between two reports they send four
+// requests for each runner's share of the load.
+class stale_reports : public ::testing::Test {
+protected:
+    // Returns the largest count on a runner, over the mean, after each interval
+    // of a daemon crowd whose counts are one interval old.
+    auto largest_over_mean(duration lag) -> double {
+        constexpr auto daemons = 80;
+        constexpr auto arrivals = 60;
+        auto counts = std::map<std::string, int>{};
+        auto worst = 0.0;
+        auto crowd = std::vector<std::unique_ptr<router>>{};
+        for (auto each = 0; each < daemons; ++each) {
+            crowd.push_back(std::make_unique<router>(
+                router_settings{.turnover_ = interval_}, random_));
+            crowd.back()->set_report_lag(lag);
+            for (const auto* name : {"r1", "r2", "r3"}) {
+                crowd.back()->update_runner(runner(name));
+                counts[name] = arrivals / 3;
+            }
+        }
+        for (auto turn = std::uint64_t{1}; turn < 50; ++turn) {
+            now_ += interval_;
+            for (const auto& daemon : crowd) {
+                for (const auto& [name, count] : counts) {
+                    daemon->on_load_report({name, turn, count, 0}, now_);
+                }
+            }
+            // All that was there before has ended at the interval's end.
+            auto arrived =
+                std::map<std::string, int>{{"r1", 0}, {"r2", 0}, {"r3", 0}};
+            for (auto each = 0; each < arrivals; ++each) {
+                const auto answer = crowd[random_.below(daemons)]->choose(
+                    {.model_ = "m"}, now_);
+                ++arrived[answer->runner_];
+            }
+            counts = arrived;
+            for (const auto& [name, count] : counts) {
+                worst = std::max(worst, 3.0 * count / arrivals);
+            }
+        }
+        return worst;
+    }
+
+    static constexpr auto interval_ = milliseconds{800};
+    seeded_random random_{1};
+    time_point now_{seconds{100}};
+};
+
+TEST_F(stale_reports, do_not_draw_all_daemons_to_one_runner) {
+    // Two of three random candidates: the fullest by the old counts gets
+    // nothing.
+    EXPECT_GT(largest_over_mean(duration{0}), 1.8);
+    // Random arrivals alone reach about 1.5 in 50 turns.
+    EXPECT_LT(largest_over_mean(interval_), 1.8);
+}
+
+TEST_F(routing, fresh_counts_decide_alone) {
+    auto fresh = router{{}, random_};
+    for (const auto* name : {"r1", "r2"}) {
+        fresh.update_runner(runner(name));
+    }
+    fresh.begin("r1");
+    fresh.begin("r1");
+    for (auto repeat = 0; repeat < 50; ++repeat) {
+        EXPECT_EQ(fresh.choose({.model_ = "m"}, now_)->runner_, "r2");
+    }
+}
+
 TEST_F(routing, adapter_in_place_goes_before_adapter_to_be_loaded) {
     add("near", "a");
     auto info = runner("far", "b");
--- a/basilstream/daemon/load_sharing/load_sharing.cpp
+++ b/basilstream/daemon/load_sharing/load_sharing.cpp
@@ -101,6 +101,8 @@
         return;
     }
     next_share_ = now + interval();
+    // What the owner passes on is an interval old when it is sent.
+    traffic_.set_load_lag(few() ? duration{0} : interval());
     if (few()) {
         share_directly(now);
     } else {
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -102,9 +102,10 @@
                          const backend_dialect& dialect, model_supply& supply)
     : context_{context}, settings_{std::move(settings)}, dialect_{dialect},
       supply_{supply}, counters_{context.metrics_},
-      router_{router_settings_of(), context.random_},
-      marks_{quarantine_settings_of(), settings_.name_},
-      pool_{context.thread_, context.clock_}, silence_{silence_limits} {}
+      router_{router_settings_of(), context.random_}, pool_{context.thread_,
+                                                            context.clock_},
+      marks_{quarantine_settings_of(), settings_.name_}, silence_{
+                                                             silence_limits} {}
 
 relay_parts::~relay_parts() = default;
 
@@ -303,6 +304,10 @@
                                  parts.context_.clock_.now());
 }
 
+auto relay::set_load_lag(duration lag) -> void {
+    parts_->router_.set_report_lag(lag);
+}
+
 auto relay::calls() -> transport::http_pool& {
     return parts_->pool_;
 }
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -113,6 +113,8 @@
     auto set_daemons(std::size_t count) -> void;
     /// Sets how many requests the other daemons have on a backend server.
     auto set_foreign_load(const std::string& backend, int requests) -> void;
+    /// Sets how old such numbers are when they are set.
+    auto set_load_lag(duration lag) -> void;
     /// The connections to backend servers, for other calls to them.
     [[nodiscard]] auto calls() -> transport::http_pool&;
     /// How the last requests ended.
