End reads of one's own when another daemon reads

A daemon that once read for itself, as at its start or after word of a large configuration, had its next read set by the end of the last one, which forgot that a page had arrived meanwhile, and so went on for good. Now the deferral holds. Also: configurations are passed on when the group can take them, and followers read the list of daemons each 30 s instead of 10 s. New is counted_store: calls by topic and outcome in the metrics, as it was needed to find this; basilctl metrics shows them. Test: a_relayed_page_during_a_read_defers_the_next_one failed first.

--- a/basilstream/ctl/commands/views.cpp
+++ b/basilstream/ctl/commands/views.cpp
@@ -86,15 +86,16 @@
                : exit_status::unreachable;
 }
 
-// Values by name out of Prometheus text. Histograms show by sum and count.
+// Values by name and labels out of Prometheus text. Histograms show by sum and
+// count.
 auto plain_values(const std::string& text)
     -> std::map<std::string, std::string> {
     auto values = std::map<std::string, std::string>{};
     auto lines = std::istringstream{text};
     for (auto line = std::string{}; std::getline(lines, line);) {
-        const auto gap = line.find(' ');
+        const auto gap = line.rfind(' ');
         if (!line.starts_with('#') && gap != std::string::npos &&
-            line.find('{') == std::string::npos) {
+            line.find("_bucket{") == std::string::npos) {
             values[line.substr(0, gap)] = line.substr(gap + 1);
         }
     }
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -7,6 +7,7 @@
 
 #include "basilstream/coordination/discovery/discovery.hpp"
 #include "basilstream/daemon/cluster/cluster.hpp"
+#include "basilstream/daemon/counted_store/counted_store.hpp"
 #include "basilstream/daemon/load_sharing/load_sharing.hpp"
 #include "basilstream/daemon/model_control/model_control.hpp"
 #include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
@@ -34,6 +35,12 @@
 // How often the store's list of daemons is read again, for daemons that the
 // probes have lost.
 constexpr auto daemon_list_interval = seconds{10};
+// How often daemons read it for which another one reads the store: the reader's
+// probes find whom it has lost, and gossip tells the others.
+constexpr auto follower_list_interval = seconds{30};
+// Bytes that a reader sends its group for one page: a tenth of a second on a
+// link of 10 Mbit/s.
+constexpr auto most_passed_on = std::size_t{125'000};
 // A daemon that is silent for longer is not named to clients.
 constexpr auto longest_silence = milliseconds{2000};
 // The process ends this long before it would be killed.
@@ -62,9 +69,11 @@
           thread_{"traffic", ring_capacity}, context_{clock_, random_, thread_,
                                                       log_, metrics_},
           relay_{context_, relay_settings_of(settings), place.dialect(), *this},
-          control_calls_{thread_, clock_}, store_{place.open_store(
-                                               control_calls_, thread_,
-                                               settings.store_address_)},
+          control_calls_{thread_, clock_},
+          store_{std::make_unique<counted_store>(
+              place.open_store(control_calls_, thread_,
+                               settings.store_address_),
+              metrics_)},
           models_{{clock_, boot_clock_, random_, thread_, log_},
                   model_settings_of(settings),
                   place,
@@ -175,9 +184,12 @@
             return;
         }
         auto update = protocol::relay_update{};
-        // A configuration may take a weak VM's link seconds for all daemons.
-        const auto large = topic == coordination::shared_topic::configuration &&
-                           !page.records_.empty();
+        auto bytes = std::size_t{0};
+        for (const auto& record : page.records_) {
+            bytes += record.value_ ? record.value_->size() : 0;
+        }
+        // What would take a weak VM's link too long each reads for itself.
+        const auto large = bytes * followers.size() > most_passed_on;
         update.pages_ = {
             {topic, from, large ? from : page.end_,
              large ? std::vector<coordination::store_record>{} : page.records_,
@@ -404,7 +416,11 @@
         if (!joined_at_) {
             joined_at_ = clock_.now();
         }
-        thread_.after(daemon_list_interval, [this] { read_daemons(); });
+        const auto reads_for_itself =
+            cluster_->members().size() == 1 || !sharing_.followers().empty();
+        thread_.after(reads_for_itself ? daemon_list_interval
+                                       : follower_list_interval,
+                      [this] { read_daemons(); });
     }
 
     auto tick_cluster() -> void {
--- a/basilstream/daemon/store_watch/store_watch.cpp
+++ b/basilstream/daemon/store_watch/store_watch.cpp
@@ -83,7 +83,8 @@
     }
     const auto begun = from.next_.value_or(page->end_);
     from.next_ = listing ? page->end_ : std::max(*from.next_, page->end_);
-    from.due_ = std::max(now, from.started_ + from.interval_);
+    from.due_ =
+        std::max({now, from.started_ + from.interval_, from.deferred_until_});
     auto news = (this->*from.take_)(*page, listing);
     const auto in_time =
         now - from.started_ <= from.wait_ + settings_.longest_read_;
@@ -111,7 +112,8 @@
     reader.next_ = std::max(*reader.next_, page.end_);
     reader.last_read_ = now;
     reader.failures_ = 0;
-    reader.due_ = std::max(reader.due_, now + reader.deferral_);
+    reader.deferred_until_ = now + reader.deferral_;
+    reader.due_ = std::max(reader.due_, reader.deferred_until_);
     if (topic == shared_topic::backends) {
         backends_.set_store_available(true, now);
     }
@@ -121,6 +123,7 @@
 auto store_watch::on_news(shared_topic topic) -> void {
     auto& reader =
         topic == shared_topic::configuration ? config_reader_ : backend_reader_;
+    reader.deferred_until_ = time_point{};
     reader.due_ = std::min(reader.due_, context_.clock_.now());
 }
 
--- a/basilstream/daemon/store_watch/store_watch.hpp
+++ b/basilstream/daemon/store_watch/store_watch.hpp
@@ -113,6 +113,8 @@
         std::optional<std::uint64_t> next_ = {};
         bool reading_ = false;
         time_point due_{};
+        // Until when pages that others have read stand for reads.
+        time_point deferred_until_{};
         time_point started_{};
         std::optional<time_point> last_read_ = {};
         int failures_ = 0;
--- a/basilstream/daemon/store_watch/store_watch_test.cpp
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -232,6 +232,28 @@
 }
 
 // A configuration is too large to be passed on; the word of it is not.
+// A daemon that has begun a read of its own, as after word of news, must not go
+// on reading beside the one that reads for it.
+TEST_F(store_watch_test, a_relayed_page_during_a_read_defers_the_next_one) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::configuration,
+                  record_page{{{"config", "1"}}, 1, false});
+    advance(milliseconds{100});
+    ASSERT_TRUE(store_.reading(shared_topic::configuration));
+    for (auto turn = 0; turn < 5; ++turn) {
+        advance(milliseconds{500});
+        watch_.on_relayed(shared_topic::configuration, 1, {{}, 1, false});
+        if (store_.reading(shared_topic::configuration)) {
+            EXPECT_EQ(turn, 0);
+            store_.answer(shared_topic::configuration,
+                          record_page{{}, 1, false});
+        }
+    }
+    EXPECT_FALSE(store_.reading(shared_topic::configuration));
+    advance(milliseconds{1400});
+    EXPECT_TRUE(store_.reading(shared_topic::configuration));
+}
+
 TEST_F(store_watch_test, word_of_news_makes_it_read_at_once) {
     advance(milliseconds{0});
     store_.answer(shared_topic::configuration,
