--- a/basilstream/coordination/routing/internal/decision.cpp
+++ b/basilstream/coordination/routing/internal/decision.cpp
@@ -51,6 +51,35 @@
     return each.load_ / each.replica_->runner_->info_.slots_;
 }
 
+// A candidate as a column that arrivals fill up: its slots wide, and as high as
+// its load for each of them.
+struct column {
+    std::size_t candidate_ = 0;
+    double width_ = 1;
+    double height_ = 0;
+};
+
+// Sorts the columns by height; returns the level up to which `arrivals` fill
+// them.
+auto level_of(std::vector<column>& columns, double arrivals) -> double {
+    std::sort(columns.begin(), columns.end(),
+              [](const column& left, const column& right) {
+                  return left.height_ < right.height_;
+              });
+    auto width = 0.0;
+    auto filled = 0.0;
+    auto level = 0.0;
+    for (const auto& each : columns) {
+        if (width > 0 && each.height_ >= level) {
+            break;
+        }
+        width += each.width_;
+        filled += each.width_ * each.height_;
+        level = (arrivals + filled) / width;
+    }
+    return level;
+}
+
 } // namespace
 
 auto router::hard_rejection(const replica& candidate,
@@ -205,7 +234,7 @@
 // that has not turned over is left, and as much as has ended has come anew.
 auto router::pick_by_stale_load(unsigned tier, time_point now) -> std::size_t {
     constexpr auto load_bits = internal::over_load_bound | internal::saturated;
-    auto order = std::vector<std::size_t>{};
+    auto columns = std::vector<column>{};
     auto total = 0.0;
     auto age = report_lag_;
     for (auto index = std::size_t{0}; index < candidates_.size(); ++index) {
@@ -213,49 +242,31 @@
         if ((each.tier_ & ~load_bits) != (tier & ~load_bits)) {
             continue;
         }
-        order.push_back(index);
+        const auto& runner = *each.replica_->runner_;
+        columns.push_back({index, static_cast<double>(runner.info_.slots_),
+                           relative_load(each)});
         total += each.load_;
-        if (const auto& foreign = each.replica_->runner_->foreign_) {
-            age = std::max(age, report_lag_ + (now - foreign->received_));
+        if (runner.foreign_) {
+            age =
+                std::max(age, report_lag_ + (now - runner.foreign_->received_));
         }
     }
     const auto turned_over =
         std::min(1.0, static_cast<double>(age.count()) /
                           static_cast<double>(settings_.turnover_.count()));
-    const auto arrivals = 1.0 + total * turned_over;
-    const auto load_of = [&](std::size_t index) {
-        return (1.0 - turned_over) * relative_load(candidates_[index]);
-    };
-    std::sort(order.begin(), order.end(),
-              [&](std::size_t left, std::size_t right) {
-                  return load_of(left) < load_of(right);
-              });
-    // Raises the level until the space below it takes the arrivals.
-    auto slots = 0.0;
-    auto filled = 0.0;
-    auto level = 0.0;
-    auto below = std::size_t{0};
-    for (; below < order.size(); ++below) {
-        const auto next = load_of(order[below]);
-        if (below > 0 && slots * next - filled >= arrivals) {
-            break;
-        }
-        const auto width =
-            candidates_[order[below]].replica_->runner_->info_.slots_;
-        slots += width;
-        filled += width * next;
-        level = (arrivals + filled) / slots;
+    for (auto& each : columns) {
+        each.height_ *= 1.0 - turned_over;
     }
+    const auto arrivals = 1.0 + total * turned_over;
+    const auto level = level_of(columns, arrivals);
     auto point = random_.fraction() * arrivals;
-    for (auto rank = std::size_t{0}; rank < below; ++rank) {
-        const auto width =
-            candidates_[order[rank]].replica_->runner_->info_.slots_;
-        point -= width * (level - load_of(order[rank]));
+    for (const auto& each : columns) {
+        point -= each.width_ * std::max(level - each.height_, 0.0);
         if (point < 0) {
-            return order[rank];
+            return each.candidate_;
         }
     }
-    return order.front();
+    return columns.front().candidate_;
 }
 
 auto router::make_route(std::size_t chosen, const route_request& request) const
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -161,7 +161,10 @@
     finish();
 }
 
-auto exchange::retry_hint() -> milliseconds {
+auto exchange::retry_hint(const error& cause) -> milliseconds {
+    if (cause.code_ == error_code::quarantined && cause.retry_after_) {
+        return *cause.retry_after_;
+    }
     // Spread, so that clients refused together do not return together.
     const auto base =
         expected_wait_.value_or(parts_.settings_.retry_hint_).count();
@@ -187,11 +190,7 @@
         const auto timed_out = cause.code_ == error_code::timeout;
         const auto status = not_run ? 503 : timed_out ? 504 : 502;
         const auto hint =
-            not_run ? std::optional{cause.code_ == error_code::quarantined
-                                        ? cause.retry_after_.value_or(
-                                              parts_.settings_.retry_hint_)
-                                        : retry_hint()}
-                    : std::nullopt;
+            not_run ? std::optional{retry_hint(cause)} : std::nullopt;
         client_->respond(status,
                          parts_.dialect_.own_headers(request_.id_, hint),
                          error_body(cause));
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -81,7 +81,7 @@
     [[nodiscard]] auto want() const -> model_want;
     // Whether it may be sent after it may have run on so many servers.
     [[nodiscard]] auto may_run_again(int runs) const -> bool;
-    [[nodiscard]] auto retry_hint() -> milliseconds;
+    [[nodiscard]] auto retry_hint(const error& cause) -> milliseconds;
 
     relay_parts& parts_;
     transport::http_session* client_;
