Log and count what becomes of attempts that end without an answer

Before, no line connected requests of equal content, and an attempt that was lost, forgotten, merged into a known crash or cleared left nothing.

Lines: 'attempt ended without an answer' (request, fingerprint, server and its start, failure, time), 'backend server crashed' (evidence, runs on it), 'crash suspicion received' (peer, age); the fingerprint in 'request failed', 'request refused' and 'retrying request'. Gauges basilstream_quarantine_*.

--- a/basilstream/coordination/quarantine/isolation.cpp
+++ b/basilstream/coordination/quarantine/isolation.cpp
@@ -58,7 +58,7 @@
                                       time_point now) -> isolation_answer {
     const auto& id = request.run_.request_id_;
     for (const auto& crash : request.crashes_) {
-        merge(crash, now);
+        static_cast<void>(merge(crash, now));
     }
     if (request.renewal_) {
         // The run is already in flight, so a refusal could not stop it. Record
--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -106,8 +106,10 @@
         });
     if (existing == crashes.end()) {
         crashes.push_back(std::move(observed));
+        ++statistics_.crashes_;
         return true;
     }
+    ++statistics_.duplicate_crashes_;
     const auto confirmed = observed.isolated_ && !existing->isolated_;
     existing->isolated_ = existing->isolated_ || observed.isolated_;
     return confirmed;
@@ -125,6 +127,7 @@
         (marked && (entry.confirmed_ || !confirmed))) {
         return;
     }
+    ++statistics_.marks_;
     entry.marked_until_ = now + (confirmed ? settings_.mark_lifetime_
                                            : settings_.unconfirmed_lifetime_);
     entry.confirmed_ = confirmed;
@@ -183,6 +186,7 @@
     if (verdict == quarantine_verdict::quarantined ||
         (verdict == quarantine_verdict::suspected && !granted &&
          settings_.isolate_suspects_)) {
+        ++statistics_.refusals_;
         drop_grant(run.request_id_);
         return false;
     }
@@ -212,6 +216,7 @@
     const auto found = runs_.find(std::string{request_id});
     if (found != runs_.end() && !found->second.lost_at_) {
         found->second.lost_at_ = now;
+        ++statistics_.lost_runs_;
     }
 }
 
@@ -224,6 +229,7 @@
             expired.push_back(id);
         }
     }
+    statistics_.expired_runs_ += expired.size();
     for (const auto& id : expired) {
         on_finish(id, false, now);
     }
@@ -233,6 +239,7 @@
     if (check(print, now) != quarantine_verdict::suspected) {
         return;
     }
+    ++statistics_.clearances_;
     auto cleared = clearance{print, active_crashes(print, now)};
     for (auto& observed : records_[print].crashes_) {
         observed.cleared_ = true;
@@ -251,7 +258,8 @@
     }
 }
 
-auto quarantine::on_crash(std::string_view runner, time_point now) -> void {
+auto quarantine::on_crash(std::string_view runner, time_point now)
+    -> std::size_t {
     auto affected_runs = std::vector<local_run>{};
     for (const auto& [id, candidate] : runs_) {
         if (candidate.run_.runner_ == runner) {
@@ -274,6 +282,7 @@
             issued_grant.crashed_at_ = now;
         }
     }
+    return affected_runs.size();
 }
 
 auto quarantine::announce(std::variant<suspicion, clearance> gossip,
@@ -307,13 +316,15 @@
     });
 }
 
-auto quarantine::merge(const suspicion& received, time_point now) -> void {
+auto quarantine::merge(const suspicion& received, time_point now) -> bool {
     const auto observed = crash{received.runner_, received.boot_id_,
                                 now - received.age_, received.isolated_};
-    if (add_crash(received.fingerprint_, observed, now)) {
-        update_mark(received.fingerprint_, records_[received.fingerprint_],
-                    arbiter_ == self_, now);
+    if (!add_crash(received.fingerprint_, observed, now)) {
+        return false;
     }
+    update_mark(received.fingerprint_, records_[received.fingerprint_],
+                arbiter_ == self_, now);
+    return true;
 }
 
 auto quarantine::merge(const clearance& received, time_point now) -> void {
@@ -389,12 +400,13 @@
     }
 }
 
-auto quarantine::expire(record& entry, time_point now) const -> void {
+auto quarantine::expire(record& entry, time_point now) -> void {
     if (entry.marked_until_ && now < *entry.marked_until_) {
         return;
     }
     if (entry.marked_until_) {
         entry.marked_until_.reset();
+        ++statistics_.expired_marks_;
         // The fingerprint becomes suspected again for `suspicion_lifetime_`:
         // one more crash renews the mark, a complete answer clears the
         // fingerprint.
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -228,6 +228,24 @@
         };
 };
 
+/// Counters of a quarantine, for metrics.
+struct quarantine_statistics {
+    /// Runs that were refused.
+    std::uint64_t refusals_ = 0;
+    /// Runs whose connection was lost, and those of them that expired before a
+    /// crash of their runner was detected.
+    std::uint64_t lost_runs_ = 0;
+    std::uint64_t expired_runs_ = 0;
+    /// Crashes of runners that were counted for a fingerprint, and reports of
+    /// a crash that was already counted.
+    std::uint64_t crashes_ = 0;
+    std::uint64_t duplicate_crashes_ = 0;
+    std::uint64_t clearances_ = 0;
+    /// Marks set, and marks that expired.
+    std::uint64_t marks_ = 0;
+    std::uint64_t expired_marks_ = 0;
+};
+
 /// Tracks suspected and quarantined fingerprints for one daemon, and grants
 /// isolated runs while that daemon is the arbiter.
 class quarantine {
@@ -294,10 +312,12 @@
     /// Records a crash of a runner: its process disappeared or its boot id
     /// changed without a regular departure. Call it before the failed runs on
     /// the runner are handled (retried, for example).
-    auto on_crash(std::string_view runner, time_point now) -> void;
+    /// Returns the number of runs that were on the runner.
+    auto on_crash(std::string_view runner, time_point now) -> std::size_t;
 
-    /// Merges a suspicion or a clearance received from a peer.
-    auto merge(const suspicion& received, time_point now) -> void;
+    /// Merges a suspicion or a clearance received from a peer. Returns whether
+    /// the suspicion is of a crash that was not known.
+    auto merge(const suspicion& received, time_point now) -> bool;
     auto merge(const clearance& received, time_point now) -> void;
     /// Applies a mark, or its removal by an operator, read from the log.
     auto apply(const quarantine_mark& mark, time_point now) -> void;
@@ -308,6 +328,9 @@
     /// Returns all suspected and quarantined fingerprints.
     [[nodiscard]] auto list(time_point now) const
         -> std::vector<quarantine_entry>;
+    [[nodiscard]] auto statistics() const -> const quarantine_statistics& {
+        return statistics_;
+    }
 
 private:
     struct crash {
@@ -357,8 +380,6 @@
         -> std::size_t;
     auto add_crash(const fingerprint& print, crash observed, time_point now)
         -> bool;
-    auto on_local_crash(const fingerprint_run& run, bool isolated,
-                        time_point now) -> void;
     auto announce(std::variant<suspicion, clearance> gossip, time_point now)
         -> void;
     auto repeat_announcements(time_point now) -> void;
@@ -379,7 +400,7 @@
     auto evict_oldest_suspect() -> void;
     auto expire_lost_runs(time_point now) -> void;
     auto expire(time_point now) -> void;
-    auto expire(record& entry, time_point now) const -> void;
+    auto expire(record& entry, time_point now) -> void;
 
     quarantine_settings settings_;
     std::string self_;
@@ -397,6 +418,7 @@
     std::unordered_map<std::string, time_point> received_grants_;
     std::vector<announcement> announcements_;
     std::vector<quarantine_event> events_;
+    quarantine_statistics statistics_;
 };
 
 } // namespace basilstream::coordination
--- a/basilstream/daemon/quarantine_gossip/quarantine_gossip.cpp
+++ b/basilstream/daemon/quarantine_gossip/quarantine_gossip.cpp
@@ -72,7 +72,16 @@
     }
     const auto now = clock_.now();
     if (const auto* crash = std::get_if<coordination::suspicion>(&*message)) {
-        quarantine_.merge(*crash, now);
+        if (quarantine_.merge(*crash, now)) {
+            log_.info("crash suspicion received",
+                      {{"peer", sender},
+                       {"fingerprint", crash->fingerprint_.to_string()},
+                       {"runner", crash->runner_},
+                       {"age_ms",
+                        std::to_string(std::chrono::duration_cast<milliseconds>(
+                                           crash->age_)
+                                           .count())}});
+        }
     } else if (const auto* cleared =
                    std::get_if<coordination::clearance>(&*message)) {
         quarantine_.merge(*cleared, now);
--- a/basilstream/daemon/quarantine_link/quarantine_link.cpp
+++ b/basilstream/daemon/quarantine_link/quarantine_link.cpp
@@ -143,7 +143,7 @@
     const auto now = base_.clock_.now();
     if (const auto* suspicion =
             std::get_if<coordination::suspicion>(&*message)) {
-        quarantine_.merge(*suspicion, now);
+        static_cast<void>(quarantine_.merge(*suspicion, now));
     } else if (const auto* clearance =
                    std::get_if<coordination::clearance>(&*message)) {
         quarantine_.merge(*clearance, now);
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -244,6 +244,7 @@
          {"model", request_.model_},
          {"adapter", request_.adapter_},
          {"backend", backend_},
+         {"fingerprint", fingerprint_.to_string()},
          {"code", error_code_names.name_of(cause.code_)},
          {"step", step_names.name_of(cause.step_)},
          {"run", run_status_names.name_of(cause.run_)},
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -95,6 +95,9 @@
     // Returns the journal entry of a request that ends now.
     [[nodiscard]] auto make_record(request_outcome outcome) const
         -> request_record;
+    // Logs that the connection of the current attempt ended before its answer
+    // was complete.
+    auto log_lost_attempt(transport::call_failure failure) const -> void;
     auto log_answer(int status) -> void;
     auto log_failure(request_outcome outcome, const error& cause) -> void;
     [[nodiscard]] auto time_left(time_point now) const -> milliseconds;
@@ -126,6 +129,7 @@
     // Number of the current attempt, unique in the relay; 0 before the first
     // one.
     std::uint64_t call_number_ = 0;
+    time_point attempt_started_{};
     // For logs and the journal: load of the last selected backend server, and
     // reason of the last retry decision.
     double chosen_backend_load_ = 0;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -44,13 +44,11 @@
 
 auto exchange::register_run(time_point now) -> result<void> {
     call_number_ = ++state_.last_call_number_;
-    const auto found_backend = state_.backends_.find(backend_);
-    const auto started_at = found_backend == state_.backends_.end()
-                                ? 0
-                                : found_backend->second.started_at_;
-    if (!state_.quarantine_.on_dispatch({fingerprint_, quarantine_run_id(),
-                                         backend_, std::to_string(started_at)},
-                                        now)) {
+    attempt_started_ = now;
+    if (!state_.quarantine_.on_dispatch(
+            {fingerprint_, quarantine_run_id(), backend_,
+             std::to_string(state_.start_time(backend_))},
+            now)) {
         return tl::unexpected(
             state_.quarantine_.make_quarantined_error(fingerprint_, now));
     }
@@ -314,19 +312,33 @@
 auto exchange::on_call_failed(transport::call_failure failure) -> void {
     const auto self = shared_from_this();
     const auto sent = failure != transport::call_failure::not_sent;
+    const auto now = state_.context_.clock_.now();
     if (sent) {
-        state_.quarantine_.on_connection_lost(quarantine_run_id(),
-                                              state_.context_.clock_.now());
+        log_lost_attempt(failure);
+        state_.quarantine_.on_connection_lost(quarantine_run_id(), now);
     }
     end_attempt();
     possible_runs_ += sent ? 1 : 0;
-    state_.router_.on_failure(backend_, state_.context_.clock_.now());
+    state_.router_.on_failure(backend_, now);
     on_attempt_failed(
         error{failure_code(failure), step::attempt, backend_,
               std::string{transport::call_failure_names.name_of(failure)},
               sent ? run_status::unknown : run_status::not_run});
 }
 
+auto exchange::log_lost_attempt(transport::call_failure failure) const -> void {
+    const auto ran = std::chrono::duration_cast<milliseconds>(
+        state_.context_.clock_.now() - attempt_started_);
+    state_.context_.log_.info(
+        "attempt ended without an answer",
+        {{"request_id", request_.id_},
+         {"fingerprint", fingerprint_.to_string()},
+         {"backend", backend_},
+         {"backend_start", std::to_string(state_.start_time(backend_))},
+         {"failure", transport::call_failure_names.name_of(failure)},
+         {"ran_ms", std::to_string(ran.count())}});
+}
+
 auto exchange::may_run_again(int possible_runs) const -> bool {
     const auto continuable =
         !stream_started_ || events_.events() == 0 || events_.last_id();
@@ -384,6 +396,7 @@
     -> void {
     state_.context_.log_.info("retrying request",
                               {{"request_id", request_.id_},
+                               {"fingerprint", fingerprint_.to_string()},
                                {"backend", backend_},
                                {"cause", cause.detail_},
                                {"attempts", std::to_string(attempts_sent_)}});
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -48,6 +48,14 @@
     /// backend server of the service; at least 1.
     [[nodiscard]] auto connection_limit(const std::string& service) const
         -> int;
+    /// Returns when the process of a backend server started, in Unix
+    /// milliseconds; 0 if not known.
+    [[nodiscard]] auto start_time(const std::string& backend) const
+        -> std::int64_t;
+    /// Counts a crash of a backend server for the requests that were on it.
+    /// `evidence` is logged.
+    auto on_backend_crash(const std::string& backend, const char* evidence)
+        -> void;
     /// Routes a client request and starts its exchange, or refuses it.
     auto on_request(transport::request_message message,
                     transport::http_session& session) -> void;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -141,6 +141,21 @@
                                         static_cast<double>(daemons_)));
 }
 
+auto relay_state::start_time(const std::string& backend) const -> std::int64_t {
+    const auto found = backends_.find(backend);
+    return found == backends_.end() ? 0 : found->second.started_at_;
+}
+
+auto relay_state::on_backend_crash(const std::string& backend,
+                                   const char* evidence) -> void {
+    const auto runs = quarantine_.on_crash(backend, context_.clock_.now());
+    context_.log_.info("backend server crashed",
+                       {{"backend", backend},
+                        {"backend_start", std::to_string(start_time(backend))},
+                        {"evidence", evidence},
+                        {"runs", std::to_string(runs)}});
+}
+
 auto relay_state::refuse(transport::http_session& session, int status,
                          const std::string& request_id, const char* reason)
     -> void {
@@ -272,7 +287,7 @@
     if (previous != state.backends_.end() && server.started_at_ != 0 &&
         previous->second.started_at_ != 0 &&
         previous->second.started_at_ != server.started_at_) {
-        state.quarantine_.on_crash(server.id_, state.context_.clock_.now());
+        state.on_backend_crash(server.id_, "started anew");
     }
     state.backends_[server.id_] = {server.service_, server.started_at_,
                                    server.draining_};
@@ -288,7 +303,7 @@
     auto& state = *state_;
     const auto previous = state.backends_.find(id);
     if (previous != state.backends_.end() && !previous->second.draining_) {
-        state.quarantine_.on_crash(id, state.context_.clock_.now());
+        state.on_backend_crash(id, "announcement gone");
     }
     state_->router_.remove_runner(id);
     state_->backends_.erase(id);
--- a/basilstream/daemon/relay_status/relay_status.cpp
+++ b/basilstream/daemon/relay_status/relay_status.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/daemon/relay_status/relay_status.hpp"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
 #include <utility>
@@ -64,6 +65,7 @@
     add("basilstream_backend_connections_reused",
         "Requests sent on kept connections.",
         [parts] { return parts.relay_.backend_pool().statistics().reused_; });
+    add_quarantine_gauges(metrics);
     const auto age = [parts](shared_topic topic) {
         return [parts, topic] {
             return seconds_since(parts.watch_.last_read(topic),
@@ -78,6 +80,47 @@
         age(shared_topic::backends));
 }
 
+auto relay_status::add_quarantine_gauges(
+    transport::metrics_registry& metrics) const -> void {
+    using coordination::quarantine_statistics;
+    struct gauge {
+        const char* name_;
+        const char* help_;
+        std::uint64_t quarantine_statistics::*value_;
+    };
+    constexpr auto gauges = std::array{
+        gauge{"basilstream_quarantine_refusals",
+              "Attempts refused because the request is quarantined.",
+              &quarantine_statistics::refusals_},
+        gauge{"basilstream_quarantine_lost_runs",
+              "Attempts whose connection was lost.",
+              &quarantine_statistics::lost_runs_},
+        gauge{"basilstream_quarantine_expired_runs",
+              "Lost attempts that expired without a known crash.",
+              &quarantine_statistics::expired_runs_},
+        gauge{"basilstream_quarantine_crashes",
+              "Crashes counted, once for each request on the server.",
+              &quarantine_statistics::crashes_},
+        gauge{"basilstream_quarantine_duplicate_crashes",
+              "Reports of crashes that were already counted.",
+              &quarantine_statistics::duplicate_crashes_},
+        gauge{"basilstream_quarantine_clearances",
+              "Requests cleared by a complete answer.",
+              &quarantine_statistics::clearances_},
+        gauge{"basilstream_quarantine_marks", "Quarantine marks set.",
+              &quarantine_statistics::marks_},
+        gauge{"basilstream_quarantine_expired_marks",
+              "Quarantine marks expired.",
+              &quarantine_statistics::expired_marks_}};
+    for (const auto& entry : gauges) {
+        metrics.add_gauge(
+            entry.name_, entry.help_, [parts = parts_, value = entry.value_] {
+                return static_cast<double>(
+                    parts.relay_.crash_quarantine().statistics().*value);
+            });
+    }
+}
+
 auto relay_status::ready() const -> bool {
     return parts_.relay_.configured() && parts_.watch_.has_listed_backends() &&
            parts_.drain_.phase() == coordination::drain_phase::serving;
--- a/basilstream/daemon/relay_status/relay_status.hpp
+++ b/basilstream/daemon/relay_status/relay_status.hpp
@@ -54,6 +54,8 @@
     [[nodiscard]] auto explain(const std::string& name) const -> protocol::json;
 
 private:
+    auto add_quarantine_gauges(transport::metrics_registry& metrics) const
+        -> void;
     [[nodiscard]] auto members() const -> protocol::json;
     [[nodiscard]] auto models() const -> protocol::json;
     [[nodiscard]] auto explain_model(const std::string& name) const
