--- a/basilstream/daemon/relay_program/relay_program_test.cpp
+++ b/basilstream/daemon/relay_program/relay_program_test.cpp
@@ -2,12 +2,12 @@
 
 #include <atomic>
 #include <future>
-#include <mutex>
 #include <sstream>
 
 #include <gtest/gtest.h>
 
 #include "basilstream/ctl/commands/commands.hpp"
+#include "basilstream/daemon/relay_program/relay_program_test_world.hpp"
 #include "basilstream/protocol/json/json.hpp"
 #include "basilstream/transport/http_client/http_client.hpp"
 #include "basilstream/transport/http_session/http_session.hpp"
@@ -18,86 +18,10 @@
 namespace basilstream::daemon {
 namespace {
 
-using coordination::record_page;
-using coordination::shared_topic;
-using coordination::store_record;
-
 // Covers the time in which a new daemon joins, acquires the lease and has a
 // model loaded, and the time of a stop.
 constexpr auto reply_timeout = seconds{15};
 
-// Holds one log per topic, shared by all daemons.
-class memory_log {
-public:
-    auto append(shared_topic topic, std::optional<std::uint64_t> at,
-                store_record record) -> coordination::append_outcome {
-        const auto guard = std::lock_guard{mutex_};
-        auto& log = logs_[topic];
-        if (at && *at != log.size()) {
-            return {false, log.size()};
-        }
-        record.offset_ = log.size();
-        log.push_back(std::move(record));
-        return {true, log.size() - 1};
-    }
-    auto read(shared_topic topic, std::uint64_t from) -> record_page {
-        const auto guard = std::lock_guard{mutex_};
-        const auto& log = logs_[topic];
-        auto page = record_page{{}, log.size(), false};
-        for (auto offset = from; offset < log.size(); ++offset) {
-            page.records_.push_back(log[offset]);
-        }
-        return page;
-    }
-    auto newest(shared_topic topic) -> record_page {
-        const auto all = read(topic, 0);
-        auto by_key = std::map<std::string, store_record>{};
-        for (const auto& record : all.records_) {
-            by_key[record.key_] = record;
-        }
-        auto page = record_page{{}, all.end_, false};
-        for (const auto& [key, record] : by_key) {
-            page.records_.push_back(record);
-        }
-        return page;
-    }
-
-private:
-    std::mutex mutex_;
-    std::map<shared_topic, std::vector<store_record>> logs_;
-};
-
-class memory_store final : public coordination::record_store {
-public:
-    memory_store(memory_log& log, transport::reactor_thread& thread)
-        : log_{log}, thread_{thread} {}
-    auto read_newest(shared_topic topic, handler<record_page> done)
-        -> void override {
-        thread_.after(milliseconds{1}, [this, topic, done = std::move(done)] {
-            done(log_.newest(topic));
-        });
-    }
-    auto read_from(shared_topic topic, std::uint64_t offset, milliseconds wait,
-                   handler<record_page> done) -> void override {
-        thread_.after(std::min(wait, milliseconds{20}),
-                      [this, topic, offset, done = std::move(done)] {
-                          done(log_.read(topic, offset));
-                      });
-    }
-    auto append(shared_topic topic, std::optional<std::uint64_t> at,
-                store_record record, handler<coordination::append_outcome> done)
-        -> void override {
-        thread_.after(milliseconds{1}, [this, topic, at, done = std::move(done),
-                                        record = std::move(record)] {
-            done(log_.append(topic, at, record));
-        });
-    }
-
-private:
-    memory_log& log_;
-    transport::reactor_thread& thread_;
-};
-
 // Loads the model it is ordered to load and answers requests with its id.
 class fake_runner {
 public:
@@ -152,127 +76,6 @@
     std::atomic<int> served_count_{0};
 };
 
-class fake_dialect final : public backend_dialect {
-public:
-    [[nodiscard]] auto read(transport::request_message message) const
-        -> result<relayed_request> override {
-        auto request = relayed_request{};
-        request.id_ = message.headers_.find("X-Id");
-        request.host_ = message.headers_.find("Host");
-        request.model_ = message.headers_.find("X-Model");
-        request.prompt_tokens_ = 100;
-        request.output_tokens_ = 10;
-        request.message_ = std::move(message);
-        return request;
-    }
-    [[nodiscard]] auto request_headers(const relayed_request& request,
-                                       const relay_attempt& /*attempt*/) const
-        -> transport::header_list override {
-        return request.message_.headers_;
-    }
-    [[nodiscard]] auto classify_answer(const transport::answer_head& head,
-                                       const std::string& /*request_id*/) const
-        -> answer_verdict override {
-        return head.headers_.contains("X-Not-Run") ? answer_verdict::misdirected
-                                                   : answer_verdict::answer;
-    }
-    [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
-        -> transport::header_list override {
-        return head.headers_;
-    }
-    [[nodiscard]] auto
-    local_reply_headers(const std::string& request_id,
-                        std::optional<milliseconds> /*retry_after*/) const
-        -> transport::header_list override {
-        auto headers = transport::header_list{};
-        headers.add("X-Id", request_id);
-        return headers;
-    }
-};
-
-// Resolves store records, which hold only names, to the configuration and
-// backend servers set by the test.
-class fake_installation final : public installation,
-                                public coordination::record_decoder {
-public:
-    [[nodiscard]] auto dialect() const -> const backend_dialect& override {
-        return dialect_;
-    }
-    [[nodiscard]] auto decoder() const
-        -> const coordination::record_decoder& override {
-        return *this;
-    }
-    [[nodiscard]] auto open_store(transport::http_pool& /*pool*/,
-                                  transport::reactor_thread& thread,
-                                  std::string /*address*/) const
-        -> std::unique_ptr<coordination::record_store> override {
-        return std::make_unique<memory_store>(log_, thread);
-    }
-    [[nodiscard]] auto order_call(const runner_order& order) const
-        -> transport::small_call override {
-        return {.address_ = order.address_,
-                .method_ = "POST",
-                .target_ = "/order",
-                .body_ = order.model_};
-    }
-    [[nodiscard]] auto
-    read_order_answer(const transport::small_reply& reply) const
-        -> result<order_answer> override {
-        return reply.status_ == 202 ? order_answer::accepted
-                                    : order_answer::invalid;
-    }
-    [[nodiscard]] auto report_call(const std::string& /*runner*/,
-                                   const std::string& address) const
-        -> transport::small_call override {
-        return {.address_ = address, .target_ = "/report"};
-    }
-    [[nodiscard]] auto read_report(const transport::small_reply& reply) const
-        -> result<runner_report> override {
-        auto report = runner_report{};
-        const auto separator = reply.body_.find(' ');
-        report.accepted_orders_ = std::stoul(reply.body_.substr(0, separator));
-        if (const auto model = reply.body_.substr(separator + 1);
-            !model.empty()) {
-            report.models_ = {{model, 1, {}}};
-        }
-        return report;
-    }
-    [[nodiscard]] auto
-    read_endpoint_request(const transport::request_message& request) const
-        -> std::optional<std::string> override {
-        return request.target_ == "/where" ? std::optional<std::string>{"a"}
-                                           : std::nullopt;
-    }
-    [[nodiscard]] auto
-    endpoint_body(const coordination::endpoint_answer& answer) const
-        -> std::string override {
-        auto text = std::string{};
-        for (const auto& address : answer.addresses_) {
-            text.append(address).append("\n");
-        }
-        return text;
-    }
-    [[nodiscard]] auto
-    is_readiness_request(const transport::request_message& request) const
-        -> bool override {
-        return request.target_ == "/ready";
-    }
-    [[nodiscard]] auto configuration(const store_record& /*record*/,
-                                     std::vector<error>& /*skipped*/) const
-        -> result<std::shared_ptr<const coordination::relay_config>> override {
-        return config_;
-    }
-    [[nodiscard]] auto backend(const store_record& record) const
-        -> result<coordination::backend_server> override {
-        return servers_.at(record.key_);
-    }
-
-    fake_dialect dialect_;
-    mutable memory_log log_;
-    std::shared_ptr<const coordination::relay_config> config_;
-    std::map<std::string, coordination::backend_server> servers_;
-};
-
 class relay_program_test : public testing::Test {
 protected:
     relay_program_test() {
--- a/basilstream/transport/http_pool/http_pool.cpp
+++ b/basilstream/transport/http_pool/http_pool.cpp
@@ -278,7 +278,9 @@
         : call_{std::move(call)}, done_{std::move(done)} {}
 
     auto start(http_pool& pool, reactor_thread& thread) -> void {
-        call_.headers_.set("Host", call_.address_);
+        if (!call_.headers_.contains("Host")) {
+            call_.headers_.add("Host", call_.address_);
+        }
         const auto bytes = write_request(call_.method_, call_.target_,
                                          call_.headers_, call_.body_);
         const auto self = shared_from_this();
--- a/basilstream/transport/http_pool/http_pool.hpp
+++ b/basilstream/transport/http_pool/http_pool.hpp
@@ -175,6 +175,7 @@
     std::string address_;
     std::string method_ = "GET";
     std::string target_;
+    /// "Host" is the address unless given here.
     header_list headers_ = {};
     std::string body_ = {};
     milliseconds timeout_{1000};
