Count crashes of one server that follow each other as different ones

Seen by callers: a request that crashes its servers kept crashing the only server of a service, 8 times in 12 s, and was never held back.

Cause: two crashes of a server of the same name within 15 s were taken for two reports of one crash, and so were two with the same start, which a run sent before the new start is announced still names. The window stands for how late daemons detect a crash; it says nothing about which crash it was.

Fix: a crash ends all runs on its server, so two runs ended with the same crash only if they overlapped in time. A suspicion now says how long its run had lasted; where that is not known (other versions, the arbiter's own count), the former rule holds.

--- a/basilstream/coordination/quarantine/isolation.cpp
+++ b/basilstream/coordination/quarantine/isolation.cpp
@@ -96,11 +96,20 @@
     }
 }
 
+auto quarantine::make_isolated_crash(const fingerprint_run& run,
+                                     time_point seen_at) -> crash {
+    return {.runner_ = run.runner_,
+            .boot_id_ = run.boot_id_,
+            .seen_at_ = seen_at,
+            .isolated_ = true};
+}
+
 auto quarantine::on_isolation_release(const isolation_release& release,
                                       time_point now) -> void {
     const auto ended = grants_.extract(release.request_id_);
     if (!ended.empty() && release.crashed_) {
-        record_crash(ended.mapped().run_, true, now, now);
+        record_crash(ended.mapped().run_,
+                     make_isolated_crash(ended.mapped().run_, now), now);
     }
 }
 
@@ -116,7 +125,10 @@
         return !grant.crashed_at_ && now >= grant.expires_at_;
     });
     for (const auto& run : unreported) {
-        record_crash(run, true, now - settings_.holder_report_timeout_, now);
+        record_crash(
+            run,
+            make_isolated_crash(run, now - settings_.holder_report_timeout_),
+            now);
     }
 }
 
--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -52,6 +52,12 @@
     if (left.runner_ != right.runner_) {
         return false;
     }
+    // A crash ends all runs on the runner, so that a run which began after the
+    // crash ended with another one.
+    if (left.run_started_at_ && right.run_started_at_) {
+        return *left.run_started_at_ <= right.seen_at_ &&
+               *right.run_started_at_ <= left.seen_at_;
+    }
     const auto same_boot =
         !left.boot_id_.empty() && left.boot_id_ == right.boot_id_;
     const auto distance = left.seen_at_ > right.seen_at_
@@ -60,6 +66,26 @@
     return same_boot || distance < settings_.same_crash_window_;
 }
 
+auto quarantine::make_crash(const suspicion& received, time_point now)
+    -> crash {
+    auto observed = crash{received.runner_, received.boot_id_,
+                          now - received.age_, received.isolated_};
+    if (received.ran_for_) {
+        observed.run_started_at_ = observed.seen_at_ - *received.ran_for_;
+    }
+    return observed;
+}
+
+auto quarantine::make_suspicion(const fingerprint& print, const crash& observed,
+                                time_point now) -> suspicion {
+    auto result = suspicion{print, observed.runner_, observed.boot_id_,
+                            now - observed.seen_at_, observed.isolated_};
+    if (observed.run_started_at_) {
+        result.ran_for_ = observed.seen_at_ - *observed.run_started_at_;
+    }
+    return result;
+}
+
 auto quarantine::is_active(const crash& observed, time_point now) const
     -> bool {
     return !observed.cleared_ &&
@@ -82,8 +108,7 @@
     }
     for (const auto& observed : found->second.crashes_) {
         if (is_active(observed, now)) {
-            result.push_back({print, observed.runner_, observed.boot_id_,
-                              now - observed.seen_at_, observed.isolated_});
+            result.push_back(make_suspicion(print, observed, now));
         }
     }
     return result;
@@ -191,7 +216,7 @@
         return false;
     }
     received_grants_.erase(run.request_id_);
-    runs_[run.request_id_] = {run, granted, now};
+    runs_[run.request_id_] = {run, granted, now, now};
     return true;
 }
 
@@ -247,13 +272,11 @@
     announce(std::move(cleared), now);
 }
 
-auto quarantine::record_crash(const fingerprint_run& run, bool isolated,
-                              time_point seen_at, time_point now) -> void {
+auto quarantine::record_crash(const fingerprint_run& run, crash observed,
+                              time_point now) -> void {
     const auto& print = run.fingerprint_;
-    announce(
-        suspicion{print, run.runner_, run.boot_id_, now - seen_at, isolated},
-        now);
-    if (add_crash(print, {run.runner_, run.boot_id_, seen_at, isolated}, now)) {
+    announce(make_suspicion(print, observed, now), now);
+    if (add_crash(print, std::move(observed), now)) {
         update_mark(print, records_[print], true, now);
     }
 }
@@ -268,7 +291,13 @@
     }
     for (const auto& affected : affected_runs) {
         runs_.erase(affected.run_.request_id_);
-        record_crash(affected.run_, affected.isolated_, now, now);
+        record_crash(affected.run_,
+                     {.runner_ = affected.run_.runner_,
+                      .boot_id_ = affected.run_.boot_id_,
+                      .seen_at_ = affected.lost_at_.value_or(now),
+                      .isolated_ = affected.isolated_,
+                      .run_started_at_ = affected.started_at_},
+                     now);
         if (affected.isolated_) {
             release_isolation(affected.run_.request_id_, true);
         }
@@ -317,9 +346,7 @@
 }
 
 auto quarantine::merge(const suspicion& received, time_point now) -> bool {
-    const auto observed = crash{received.runner_, received.boot_id_,
-                                now - received.age_, received.isolated_};
-    if (!add_crash(received.fingerprint_, observed, now)) {
+    if (!add_crash(received.fingerprint_, make_crash(received, now), now)) {
         return false;
     }
     update_mark(received.fingerprint_, records_[received.fingerprint_],
@@ -332,8 +359,7 @@
         return;
     }
     for (const auto& crash : received.crashes_) {
-        const auto observed =
-            quarantine::crash{crash.runner_, crash.boot_id_, now - crash.age_};
+        const auto observed = make_crash(crash, now);
         add_crash(received.fingerprint_, observed, now);
         for (auto& existing : records_[received.fingerprint_].crashes_) {
             existing.cleared_ =
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -92,6 +92,9 @@
     /// Whether the run was isolated, so that no other suspect was running on
     /// the runner.
     bool isolated_ = false;
+    /// How long the run had lasted when the crash was detected; absent if not
+    /// known.
+    std::optional<duration> ran_for_ = {};
 };
 
 /// Reports that a suspected fingerprint got a complete answer and so did not
@@ -190,7 +193,8 @@
     /// Time between two of these transmissions.
     duration announcement_interval_ = seconds{1};
     /// Two crash reports for one runner that are less than this apart count as
-    /// one crash.
+    /// one crash if it is not known when one of the runs began. Otherwise they
+    /// do if the runs overlapped in time.
     duration same_crash_window_ = seconds{15};
     /// Lease of a grant. Holders renew it after a third of this time.
     duration grant_lifetime_ = seconds{30};
@@ -338,6 +342,8 @@
         std::string boot_id_;
         time_point seen_at_;
         bool isolated_ = false;
+        /// When the run that ended with the crash began.
+        std::optional<time_point> run_started_at_ = {};
         /// Cleared crashes are kept, so that late gossip about them does not
         /// raise a new suspicion.
         bool cleared_ = false;
@@ -368,6 +374,7 @@
     struct local_run {
         fingerprint_run run_;
         bool isolated_ = false;
+        time_point started_at_;
         // When the grant was last renewed; only used for isolated runs.
         time_point renewed_at_;
         // When the connection was lost; absent if it was not.
@@ -375,6 +382,9 @@
     };
 
     auto is_same_crash(const crash& left, const crash& right) const -> bool;
+    static auto make_crash(const suspicion& received, time_point now) -> crash;
+    static auto make_suspicion(const fingerprint& print, const crash& observed,
+                               time_point now) -> suspicion;
     auto is_active(const crash& observed, time_point now) const -> bool;
     auto count_active_crashes(const record& entry, time_point now) const
         -> std::size_t;
@@ -391,8 +401,11 @@
     auto retry_after(const fingerprint& print, time_point now) const
         -> std::optional<milliseconds>;
     auto release_isolation(const std::string& request_id, bool crashed) -> void;
-    auto record_crash(const fingerprint_run& run, bool isolated,
-                      time_point seen_at, time_point now) -> void;
+    auto record_crash(const fingerprint_run& run, crash observed,
+                      time_point now) -> void;
+    // Returns the crash of a granted run, as the arbiter knows it.
+    static auto make_isolated_crash(const fingerprint_run& run,
+                                    time_point seen_at) -> crash;
     auto expire_grants(time_point now) -> void;
     auto find_refusal(const isolation_request& request, time_point now)
         -> std::optional<isolation_refusal>;
--- a/basilstream/coordination/quarantine/quarantine_test.cpp
+++ b/basilstream/coordination/quarantine/quarantine_test.cpp
@@ -82,6 +82,45 @@
     EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::quarantined);
 }
 
+// The only runner of a service crashes, is back within seconds under its name
+// and gets the request again.
+TEST_F(quarantine_test, crashes_of_one_runner_in_short_order_are_merged) {
+    auto local = quarantine{{.isolate_suspects_ = false}, "d1"};
+    auto peer = quarantine{{.isolate_suspects_ = false}, "d2"};
+    for (const auto* const run : {"1", "2"}) {
+        // The second run may still name the first start of the runner.
+        EXPECT_TRUE(local.on_dispatch({poison, run, "r1", "b"}, now_));
+        now_ += milliseconds{100};
+        local.on_connection_lost(run, now_);
+        now_ += seconds{1};
+        local.on_crash("r1", now_);
+        for (const auto& event : local.poll(now_)) {
+            if (const auto* crash = std::get_if<suspicion>(&event)) {
+                peer.merge(*crash, now_);
+            }
+        }
+    }
+    EXPECT_EQ(local.check(poison, now_), quarantine_verdict::quarantined);
+    EXPECT_EQ(peer.check(poison, now_), quarantine_verdict::quarantined);
+}
+
+// Two runs of one request are on a runner when it crashes; one daemon detects
+// the crash a second after the other.
+TEST_F(quarantine_test, crash_that_ends_two_runs_counts_once) {
+    auto local = quarantine{{.isolate_suspects_ = false}, "d1"};
+    auto other = quarantine{{.isolate_suspects_ = false}, "d2"};
+    EXPECT_TRUE(local.on_dispatch({poison, "1", "r1", "b"}, now_));
+    EXPECT_TRUE(other.on_dispatch({poison, "1", "r1", "b"}, now_));
+    now_ += seconds{20};
+    local.on_crash("r1", now_);
+    now_ += seconds{1};
+    other.on_crash("r1", now_);
+    for (const auto& event : other.poll(now_)) {
+        local.merge(std::get<suspicion>(event), now_);
+    }
+    EXPECT_EQ(local.check(poison, now_), quarantine_verdict::suspected);
+}
+
 TEST_F(quarantine_test,
        unconfirmed_mark_expires_early_and_allows_isolated_run) {
     EXPECT_TRUE(quarantine_.on_dispatch({poison, "1", "r1", "b"}, now_));
--- a/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
@@ -15,14 +15,24 @@
     target.set_isolated(source.isolated_);
     target.set_age_ms(static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(source.age_).count()));
+    if (source.ran_for_) {
+        target.set_ran_ms(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(*source.ran_for_)
+                .count()));
+    }
 }
 
 auto read(const wire::crash_mark& source) -> suspicion {
-    return {{source.fingerprint_high(), source.fingerprint_low()},
-            source.runner(),
-            source.boot_id(),
-            milliseconds{source.age_ms()},
-            source.isolated()};
+    auto result =
+        suspicion{{source.fingerprint_high(), source.fingerprint_low()},
+                  source.runner(),
+                  source.boot_id(),
+                  milliseconds{source.age_ms()},
+                  source.isolated()};
+    if (source.has_ran_ms()) {
+        result.ran_for_ = milliseconds{source.ran_ms()};
+    }
+    return result;
 }
 
 template <class List>
