Count a lost connection as a possible crash at once

Cause: a crash counted only once the list of servers showed it: after three missed heartbeats, the next read and, around an outage of the store, a grace time of 2.3 s. An attempt whose connection was lost was forgotten after 6 s, so that a crash listed later never counted.

Fix: the daemon that loses the connection knows of the possible crash within milliseconds, without store and list. A request is held back when connections to three server processes were lost, or four at all, and no run was complete; two crashes that the list confirms suffice as before. The start 0 of a server is no longer taken for the name of a process.

--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -1,6 +1,9 @@
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -11,6 +14,12 @@
 
 // Number of distinct runner crashes after which a fingerprint is quarantined.
 constexpr auto crashes_to_quarantine = std::size_t{2};
+// Thresholds for possible crashes, of which only the lost connection is known:
+// number of runner processes, and number of runs on any of them. A connection
+// may also be lost to a runner that lives, and a runner's new start may not be
+// known yet.
+constexpr auto processes_to_quarantine = std::size_t{3};
+constexpr auto lost_runs_to_quarantine = std::size_t{4};
 
 } // namespace
 
@@ -52,11 +61,17 @@
     if (left.runner_ != right.runner_) {
         return false;
     }
+    if (!left.run_id_.empty() && left.run_id_ == right.run_id_) {
+        return true;
+    }
     // A crash ends all runs on the runner, so that a run which began after the
     // crash ended with another one.
     if (left.run_started_at_ && right.run_started_at_) {
-        return *left.run_started_at_ <= right.seen_at_ &&
-               *right.run_started_at_ <= left.seen_at_;
+        const auto& [earlier, later] = left.seen_at_ < right.seen_at_
+                                           ? std::tie(left, right)
+                                           : std::tie(right, left);
+        return *later.run_started_at_ < earlier.seen_at_ ||
+               later.seen_at_ == earlier.seen_at_;
     }
     const auto same_boot =
         !left.boot_id_.empty() && left.boot_id_ == right.boot_id_;
@@ -73,9 +88,22 @@
     if (received.ran_for_) {
         observed.run_started_at_ = observed.seen_at_ - *received.ran_for_;
     }
+    observed.evidence_ = received.evidence_;
+    observed.run_id_ = received.run_id_;
     return observed;
 }
 
+auto quarantine::make_crash(const local_run& ended, crash_evidence evidence,
+                            time_point seen_at) -> crash {
+    return {.runner_ = ended.run_.runner_,
+            .boot_id_ = ended.run_.boot_id_,
+            .seen_at_ = seen_at,
+            .isolated_ = ended.isolated_,
+            .run_started_at_ = ended.started_at_,
+            .evidence_ = evidence,
+            .run_id_ = ended.run_.request_id_};
+}
+
 auto quarantine::make_suspicion(const fingerprint& print, const crash& observed,
                                 time_point now) -> suspicion {
     auto result = suspicion{print, observed.runner_, observed.boot_id_,
@@ -83,6 +111,8 @@
     if (observed.run_started_at_) {
         result.ran_for_ = observed.seen_at_ - *observed.run_started_at_;
     }
+    result.evidence_ = observed.evidence_;
+    result.run_id_ = observed.run_id_;
     return result;
 }
 
@@ -114,8 +144,26 @@
     return result;
 }
 
-// Returns whether the crash is new, or is now known to have happened in
-// isolation.
+auto quarantine::has_crashed_enough(const record& entry, time_point now) const
+    -> bool {
+    auto processes = std::set<std::pair<std::string, std::string>>{};
+    auto runs = std::size_t{0};
+    auto certain = std::size_t{0};
+    for (const auto& observed : entry.crashes_) {
+        if (is_active(observed, now)) {
+            processes.emplace(observed.runner_, observed.boot_id_);
+            ++runs;
+            certain +=
+                observed.evidence_ == crash_evidence::runner_gone ? 1U : 0U;
+        }
+    }
+    return certain >= crashes_to_quarantine ||
+           processes.size() >= processes_to_quarantine ||
+           runs >= lost_runs_to_quarantine;
+}
+
+// Returns whether the crash is new, or more is known of it now: that the runner
+// is gone, or that the run was isolated.
 auto quarantine::add_crash(const fingerprint& print, crash observed,
                            time_point now) -> bool {
     if (now >= observed.seen_at_ + settings_.suspicion_lifetime_) {
@@ -136,8 +184,13 @@
     }
     ++statistics_.duplicate_crashes_;
     const auto confirmed = observed.isolated_ && !existing->isolated_;
+    const auto certain = observed.evidence_ == crash_evidence::runner_gone &&
+                         existing->evidence_ != crash_evidence::runner_gone;
     existing->isolated_ = existing->isolated_ || observed.isolated_;
-    return confirmed;
+    if (certain) {
+        existing->evidence_ = crash_evidence::runner_gone;
+    }
+    return confirmed || certain;
 }
 
 auto quarantine::update_mark(const fingerprint& print, record& entry,
@@ -148,7 +201,7 @@
                         return is_active(observed, now) && observed.isolated_;
                     });
     const auto marked = entry.marked_until_ && now < *entry.marked_until_;
-    if (count_active_crashes(entry, now) < crashes_to_quarantine ||
+    if (!has_crashed_enough(entry, now) ||
         (marked && (entry.confirmed_ || !confirmed))) {
         return;
     }
@@ -239,9 +292,17 @@
 auto quarantine::on_connection_lost(std::string_view request_id, time_point now)
     -> void {
     const auto found = runs_.find(std::string{request_id});
-    if (found != runs_.end() && !found->second.lost_at_) {
-        found->second.lost_at_ = now;
-        ++statistics_.lost_runs_;
+    if (found == runs_.end() || found->second.lost_at_) {
+        return;
+    }
+    auto& lost = found->second;
+    lost.lost_at_ = now;
+    ++statistics_.lost_runs_;
+    if (settings_.count_lost_connections_) {
+        const auto evidence = lost.runner_gone_
+                                  ? crash_evidence::runner_gone
+                                  : crash_evidence::connection_lost;
+        record_crash(lost.run_, make_crash(lost, evidence, now), now);
     }
 }
 
@@ -289,14 +350,26 @@
             affected_runs.push_back(candidate);
         }
     }
+    std::sort(affected_runs.begin(), affected_runs.end(),
+              [](const local_run& left, const local_run& right) {
+                  return left.lost_at_.value_or(time_point::max()) >
+                         right.lost_at_.value_or(time_point::max());
+              });
+    auto counted = std::set<fingerprint>{};
     for (const auto& affected : affected_runs) {
+        if (settings_.count_lost_connections_ && !affected.lost_at_) {
+            runs_[affected.run_.request_id_].runner_gone_ = true;
+            continue;
+        }
         runs_.erase(affected.run_.request_id_);
+        // Connections lost earlier were lost to a runner that was still alive.
+        if (settings_.count_lost_connections_ &&
+            !counted.insert(affected.run_.fingerprint_).second) {
+            continue;
+        }
         record_crash(affected.run_,
-                     {.runner_ = affected.run_.runner_,
-                      .boot_id_ = affected.run_.boot_id_,
-                      .seen_at_ = affected.lost_at_.value_or(now),
-                      .isolated_ = affected.isolated_,
-                      .run_started_at_ = affected.started_at_},
+                     make_crash(affected, crash_evidence::runner_gone,
+                                affected.lost_at_.value_or(now)),
                      now);
         if (affected.isolated_) {
             release_isolation(affected.run_.request_id_, true);
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -30,6 +30,12 @@
 /// With `isolate_suspects_` off no arbiter is asked, and suspected requests run
 /// like others until their second crash. A request that was merely in flight
 /// during another request's crash can then be retried elsewhere at once.
+///
+/// With `count_lost_connections_` a lost connection counts as a possible crash
+/// at once, because the crash of a runner becomes known seconds later, or never
+/// if the list of runners cannot be read. A request then is also quarantined
+/// when its connections to three runner processes were lost, or four
+/// connections at all, and no run was complete.
 #pragma once
 
 #include <cstdint>
@@ -82,6 +88,15 @@
     std::string boot_id_ = {};
 };
 
+/// What a crash was concluded from.
+enum class crash_evidence {
+    /// The connection ended before the answer was complete. The runner may have
+    /// survived.
+    connection_lost,
+    /// The runner's process disappeared or started anew.
+    runner_gone,
+};
+
 /// Reports that a fingerprint was in flight on a runner that crashed. Gossiped.
 struct suspicion {
     fingerprint fingerprint_;
@@ -95,6 +110,9 @@
     /// How long the run had lasted when the crash was detected; absent if not
     /// known.
     std::optional<duration> ran_for_ = {};
+    crash_evidence evidence_ = crash_evidence::runner_gone;
+    /// Identifies the run among those of all daemons; empty if not known.
+    std::string run_id_ = {};
 };
 
 /// Reports that a suspected fingerprint got a complete answer and so did not
@@ -205,6 +223,8 @@
     duration takeover_delay_ = seconds{12};
     /// Whether a suspected request runs only with a grant of the arbiter.
     bool isolate_suspects_ = true;
+    /// Whether a lost connection counts as a possible crash of the runner.
+    bool count_lost_connections_ = false;
     /// How long a run still counts as in flight after its connection was lost.
     /// A crash of its runner is detected later than the loss: when the runner's
     /// announcement expires or the runner announces its next start.
@@ -315,7 +335,9 @@
         -> void;
     /// Records a crash of a runner: its process disappeared or its boot id
     /// changed without a regular departure. Call it before the failed runs on
-    /// the runner are handled (retried, for example).
+    /// the runner are handled (retried, for example). With
+    /// `count_lost_connections_` a run in flight counts only once its
+    /// connection is lost, as a runner may leave the list and still answer.
     /// Returns the number of runs that were on the runner.
     auto on_crash(std::string_view runner, time_point now) -> std::size_t;
 
@@ -344,6 +366,8 @@
         bool isolated_ = false;
         /// When the run that ended with the crash began.
         std::optional<time_point> run_started_at_ = {};
+        crash_evidence evidence_ = crash_evidence::runner_gone;
+        std::string run_id_ = {};
         /// Cleared crashes are kept, so that late gossip about them does not
         /// raise a new suspicion.
         bool cleared_ = false;
@@ -379,6 +403,9 @@
         time_point renewed_at_;
         // When the connection was lost; absent if it was not.
         std::optional<time_point> lost_at_ = {};
+        // Whether the runner has disappeared, according to the list of runners,
+        // while the connection was up.
+        bool runner_gone_ = false;
     };
 
     auto is_same_crash(const crash& left, const crash& right) const -> bool;
@@ -388,6 +415,11 @@
     auto is_active(const crash& observed, time_point now) const -> bool;
     auto count_active_crashes(const record& entry, time_point now) const
         -> std::size_t;
+    // Returns whether the active crashes justify a mark.
+    auto has_crashed_enough(const record& entry, time_point now) const -> bool;
+    // Returns the crash that ended a run of this daemon.
+    static auto make_crash(const local_run& ended, crash_evidence evidence,
+                           time_point seen_at) -> crash;
     auto add_crash(const fingerprint& print, crash observed, time_point now)
         -> bool;
     auto announce(std::variant<suspicion, clearance> gossip, time_point now)
--- a/basilstream/coordination/quarantine/quarantine_test.cpp
+++ b/basilstream/coordination/quarantine/quarantine_test.cpp
@@ -274,5 +274,81 @@
               quarantine_verdict::clear);
 }
 
+// Quarantine that counts lost connections, as the relay uses it.
+class lost_connections_test : public ::testing::Test {
+protected:
+    // A run of the poison request whose connection is lost after 100 ms.
+    auto lose(const std::string& id, const std::string& runner) -> bool {
+        const auto sent =
+            quarantine_.on_dispatch({poison, id, runner, "b"}, now_);
+        now_ += milliseconds{100};
+        quarantine_.on_connection_lost(id, now_);
+        quarantine_.on_finish(id, false, now_);
+        return sent;
+    }
+
+    quarantine quarantine_{
+        {.isolate_suspects_ = false, .count_lost_connections_ = true}, "d1"};
+    time_point now_{seconds{100}};
+};
+
+// The list of runners cannot be read, so that no crash is confirmed.
+TEST_F(lost_connections_test, request_is_sent_on_until_crashes_are_listed) {
+    EXPECT_TRUE(lose("1", "r1"));
+    EXPECT_TRUE(lose("2", "r2"));
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+    EXPECT_TRUE(lose("3", "r3"));
+    EXPECT_FALSE(lose("4", "r4"));
+}
+
+// The first crash is confirmed after the second; the lost connection and the
+// crash are one.
+TEST_F(lost_connections_test, confirmed_crashes_count_once) {
+    EXPECT_TRUE(lose("1", "r1"));
+    now_ += seconds{4};
+    EXPECT_EQ(quarantine_.on_crash("r1", now_), 1U);
+    EXPECT_TRUE(lose("2", "r2"));
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+    quarantine_.on_crash("r2", now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::quarantined);
+}
+
+// A runner that is alive resets connections.
+TEST_F(lost_connections_test, lost_connections_to_one_runner_weigh_less) {
+    for (const auto* const id : {"1", "2", "3"}) {
+        EXPECT_TRUE(lose(id, "r1"));
+    }
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+    EXPECT_TRUE(quarantine_.on_dispatch({poison, "4", "r1", "b"}, now_));
+    quarantine_.on_finish("4", true, now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::clear);
+    for (const auto* const id : {"5", "6", "7", "8"}) {
+        EXPECT_TRUE(lose(id, "r1"));
+    }
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::quarantined);
+}
+
+// A runner loses two answers to a request and crashes seconds later.
+TEST_F(lost_connections_test, one_crash_confirms_one_of_two_lost_runs) {
+    EXPECT_TRUE(lose("1", "r1"));
+    EXPECT_TRUE(lose("2", "r1"));
+    now_ += seconds{1};
+    quarantine_.on_crash("r1", now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+}
+
+// A runner leaves the list without notice and still answers.
+TEST_F(lost_connections_test, unlisted_runner_that_answers_has_not_crashed) {
+    EXPECT_TRUE(quarantine_.on_dispatch({poison, "1", "r1", "b"}, now_));
+    EXPECT_TRUE(quarantine_.on_dispatch({poison, "2", "r2", "b"}, now_));
+    quarantine_.on_crash("r1", now_);
+    quarantine_.on_crash("r2", now_);
+    quarantine_.on_finish("1", true, now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::clear);
+    quarantine_.on_connection_lost("2", now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+    EXPECT_EQ(quarantine_.statistics().crashes_, 1U);
+}
+
 } // namespace
 } // namespace basilstream::coordination
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 auto exchange::quarantine_run_id() const -> std::string {
-    return std::to_string(call_number_);
+    return state_.run_id_prefix_ + std::to_string(call_number_);
 }
 
 auto exchange::register_run(time_point now) -> result<void> {
@@ -47,7 +47,7 @@
     attempt_started_ = now;
     if (!state_.quarantine_.on_dispatch(
             {fingerprint_, quarantine_run_id(), backend_,
-             std::to_string(state_.start_time(backend_))},
+             boot_id_of(state_.start_time(backend_))},
             now)) {
         return tl::unexpected(
             state_.quarantine_.make_quarantined_error(fingerprint_, now));
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -73,6 +73,8 @@
     const backend_dialect& dialect_;
     model_provisioner& provisioner_;
     relay_counters counters_;
+    // Makes the ids of runs unique among those of all daemons and processes.
+    const std::string run_id_prefix_;
     coordination::route_table routes_;
     coordination::router router_;
     transport::http_pool pool_;
@@ -100,6 +102,10 @@
     bool accepting_ = true;
 };
 
+/// Returns the id of a backend server's process, which started at `started_at`
+/// (Unix milliseconds); empty if that is 0, not known.
+[[nodiscard]] auto boot_id_of(std::int64_t started_at) -> std::string;
+
 /// Returns the key under which the router knows a model of a service. For a
 /// service without models, `model` is empty and the key is the service name.
 [[nodiscard]] auto routing_key(const std::string& service,
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -25,6 +25,8 @@
 // among themselves. The rest is a margin for daemons that are starting and for
 // daemons that do not yet know all members.
 constexpr auto connection_share = 0.8;
+// Bound of the random number that distinguishes the runs of a restarted daemon.
+constexpr auto max_run_id_nonce = std::uint64_t{1} << 32U;
 // Connections per backend server for services without a configured limit.
 constexpr auto default_connection_limit = 64;
 
@@ -68,6 +70,7 @@
 auto make_quarantine_settings() -> coordination::quarantine_settings {
     auto policy_settings = coordination::quarantine_settings{};
     policy_settings.isolate_suspects_ = false;
+    policy_settings.count_lost_connections_ = true;
     policy_settings.announcement_count_ = 1;
     return policy_settings;
 }
@@ -80,6 +83,10 @@
 
 } // namespace
 
+auto boot_id_of(std::int64_t started_at) -> std::string {
+    return started_at == 0 ? std::string{} : std::to_string(started_at);
+}
+
 auto routing_key(const std::string& service, const std::string& model)
     -> std::string {
     return model.empty() ? service : service + "/" + model;
@@ -111,6 +118,9 @@
                          model_provisioner& provisioner)
     : context_{context}, settings_{std::move(settings)}, dialect_{dialect},
       provisioner_{provisioner}, counters_{context.metrics_},
+      run_id_prefix_{settings_.name_ + "/" +
+                     std::to_string(context.random_.below(max_run_id_nonce)) +
+                     "/"},
       router_{make_router_settings(), context.random_}, pool_{context.thread_,
                                                               context.clock_},
       quarantine_{make_quarantine_settings(), settings_.name_},
@@ -271,7 +281,7 @@
         .name_ = server.id_,
         .address_ = server.address_,
         .zone_ = server.zone_,
-        .boot_id_ = std::to_string(server.started_at_),
+        .boot_id_ = internal::boot_id_of(server.started_at_),
         .slots_ = server.slots_,
         .leaving_ = server.draining_,
         .residents_ = {}};
--- a/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
@@ -15,6 +15,9 @@
     target.set_isolated(source.isolated_);
     target.set_age_ms(static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(source.age_).count()));
+    target.set_connection_lost(source.evidence_ ==
+                               crash_evidence::connection_lost);
+    target.set_run_id(source.run_id_);
     if (source.ran_for_) {
         target.set_ran_ms(static_cast<std::uint64_t>(
             std::chrono::duration_cast<milliseconds>(*source.ran_for_)
@@ -29,6 +32,10 @@
                   source.boot_id(),
                   milliseconds{source.age_ms()},
                   source.isolated()};
+    if (source.connection_lost()) {
+        result.evidence_ = crash_evidence::connection_lost;
+    }
+    result.run_id_ = source.run_id();
     if (source.has_ran_ms()) {
         result.ran_for_ = milliseconds{source.ran_ms()};
     }
