Keep crash suspicions of a request that a server answers with an error

Seen by callers: a request that crashes its servers is let through twice more after each 5xx answer of a server that fails part of its requests.

Cause: any whole answer cleared the suspicions, also a server's own 500 or 504, which does not show that the request is harmless. Found by the search for the same cause elsewhere.

Before: server_error_clears_crash_suspicions fails (200 after two crashes). After: it passes, with the 35 other relay tests.

--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -240,8 +240,10 @@
 
 auto exchange::on_answer_end() -> void {
     const auto self = shared_from_this();
-    state_.quarantine_.on_finish(quarantine_run_id(),
-                                 mode_ != answer_mode::not_run,
+    // A server error does not show that the request is harmless.
+    const auto executed = mode_ != answer_mode::not_run &&
+                          head_.status_ < min_server_error_status;
+    state_.quarantine_.on_finish(quarantine_run_id(), executed,
                                  state_.context_.clock_.now());
     end_attempt();
     if (mode_ == answer_mode::not_run) {
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -376,6 +376,26 @@
     EXPECT_LE(runs, 4U);
 }
 
+// Between two crashes, a server answers the request with an error of its own.
+TEST_F(relay_test, server_error_clears_crash_suspicions) {
+    const auto crash = [&](std::int64_t next_start) {
+        EXPECT_EQ(call("/once/bad").status_, 502);
+        run_on_thread([&] {
+            auto restarted = a_.server("app");
+            restarted.started_at_ = next_start;
+            relay_.set_backend(restarted);
+        });
+    };
+    a_.scripts_ = {close_without_answer(), answer(500, "sorry"),
+                   close_without_answer()};
+    a_.default_script_ = answer(200, "ok");
+    crash(2);
+    EXPECT_EQ(call("/once/bad").status_, 500);
+    crash(3);
+    EXPECT_EQ(call("/once/bad").status_, 503);
+    EXPECT_EQ(a_.requests_.size(), 3U);
+}
+
 // The backend server fails after the head of a stream, for example during
 // prefill of a long prompt. The client has no event yet, so the request can
 // start again.
