Keep silent attempts that are cancelled until their crash is listed

Seen by callers: a request under which servers fall silent, as when their VM loses power, is sent on without end if its clients leave before the list shows the crash.

Cause: an attempt that was cancelled (client gone, deadline) was forgotten at once, so that the crash, listed seconds later, found no run. One that was left for silence counted as a lost connection, though its server may only be slow.

Fix: an attempt that is cancelled while its server has sent nothing for 600 ms on any connection of the daemon counts as in flight for 30 s, as a lost one now does, and counts as a crash only if the list confirms it.

Before: crash_is_forgotten_when_client_leaves_silent_server fails.

--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -306,6 +306,21 @@
     }
 }
 
+auto quarantine::on_cancelled(std::string_view request_id, time_point now)
+    -> void {
+    const auto found = runs_.find(std::string{request_id});
+    if (found == runs_.end() || found->second.lost_at_) {
+        return;
+    }
+    auto& cancelled = found->second;
+    cancelled.lost_at_ = now;
+    if (cancelled.runner_gone_) {
+        record_crash(cancelled.run_,
+                     make_crash(cancelled, crash_evidence::runner_gone, now),
+                     now);
+    }
+}
+
 auto quarantine::expire_lost_runs(time_point now) -> void {
     auto expired = std::vector<std::string>{};
     for (auto& [id, active_run] : runs_) {
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -333,6 +333,10 @@
     /// crash of its runner may be detected later; on_finish() is then ignored.
     auto on_connection_lost(std::string_view request_id, time_point now)
         -> void;
+    /// Records that a run was cancelled while its runner was silent, which a
+    /// crashed runner may be. The run counts as in flight for
+    /// `crash_detection_window_`.
+    auto on_cancelled(std::string_view request_id, time_point now) -> void;
     /// Records a crash of a runner: its process disappeared or its boot id
     /// changed without a regular departure. Call it before the failed runs on
     /// the runner are handled (retried, for example). With
@@ -401,7 +405,8 @@
         time_point started_at_;
         // When the grant was last renewed; only used for isolated runs.
         time_point renewed_at_;
-        // When the connection was lost; absent if it was not.
+        // When the connection was lost, or the silent run cancelled; absent if
+        // neither was.
         std::optional<time_point> lost_at_ = {};
         // Whether the runner has disappeared, according to the list of runners,
         // while the connection was up.
--- a/basilstream/coordination/quarantine/quarantine_test.cpp
+++ b/basilstream/coordination/quarantine/quarantine_test.cpp
@@ -328,6 +328,21 @@
     EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::quarantined);
 }
 
+// A runner goes silent; the client leaves before its crash is listed, or after.
+TEST_F(lost_connections_test, crash_is_forgotten_when_silent_run_is_cancelled) {
+    EXPECT_TRUE(quarantine_.on_dispatch({poison, "1", "r1", "b"}, now_));
+    quarantine_.on_cancelled("1", now_);
+    quarantine_.on_finish("1", false, now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::clear);
+    now_ += seconds{4};
+    quarantine_.on_crash("r1", now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+    EXPECT_TRUE(quarantine_.on_dispatch({poison, "2", "r2", "b"}, now_));
+    quarantine_.on_crash("r2", now_);
+    quarantine_.on_cancelled("2", now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::quarantined);
+}
+
 // A runner loses two answers to a request and crashes seconds later.
 TEST_F(lost_connections_test, one_crash_confirms_one_of_two_lost_runs) {
     EXPECT_TRUE(lose("1", "r1"));
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -125,8 +125,7 @@
     if (now >= deadline_) {
         const auto may_have_run = possible_runs_ > 0 || call_;
         if (call_) {
-            std::exchange(call_, nullptr)->cancel();
-            end_attempt();
+            cancel_attempt();
         }
         give_up(
             error{error_code::timeout, step::attempt, service_,
@@ -146,8 +145,7 @@
     }
     const auto may_have_run = possible_runs_ > 0 || call_;
     if (call_) {
-        std::exchange(call_, nullptr)->cancel();
-        end_attempt();
+        cancel_attempt();
     }
     give_up(error{error_code::unavailable, step::caller, service_,
                   "the daemon is stopping",
@@ -267,8 +265,7 @@
         return;
     }
     if (call_) {
-        std::exchange(call_, nullptr)->cancel();
-        end_attempt();
+        cancel_attempt();
     }
     finish();
 }
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -65,6 +65,10 @@
     auto wait_for_model(const error& cause) -> void;
     // Starts, or restarts, silence detection for the current attempt.
     auto monitor_call() -> void;
+    // Returns whether the current backend server has sent anything lately.
+    [[nodiscard]] auto backend_active(time_point now) const -> bool;
+    // Cancels the attempt in flight and ends it.
+    auto cancel_attempt() -> void;
     // Releases what the attempt holds in the router, quarantine and call
     // monitor.
     auto end_attempt() -> void;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -119,13 +119,24 @@
     state_.call_monitor_.on_sent(call_number_, request_.id_, now);
 }
 
+auto exchange::backend_active(time_point now) const -> bool {
+    const auto last_received = state_.last_received_at_.find(backend_);
+    return last_received != state_.last_received_at_.end() &&
+           now - last_received->second < backend_activity_window;
+}
+
+auto exchange::cancel_attempt() -> void {
+    const auto now = state_.context_.clock_.now();
+    std::exchange(call_, nullptr)->cancel();
+    if (!backend_active(now)) {
+        state_.quarantine_.on_cancelled(quarantine_run_id(), now);
+    }
+    end_attempt();
+}
+
 auto exchange::on_backend_silent() -> void {
     const auto self = shared_from_this();
     const auto now = state_.context_.clock_.now();
-    const auto last_received = state_.last_received_at_.find(backend_);
-    const auto recently_active =
-        last_received != state_.last_received_at_.end() &&
-        now - last_received->second < backend_activity_window;
     if (done_ || !call_) {
         return;
     }
@@ -133,7 +144,7 @@
     // then queued there; if the request may not be sent again; or if the stream
     // to the client has started, as it would have to be aborted if all other
     // backend servers refused the request.
-    if (recently_active || stream_started_ ||
+    if (backend_active(now) || stream_started_ ||
         !may_run_again(possible_runs_ + 1)) {
         monitor_call();
         return;
@@ -147,9 +158,7 @@
         monitor_call();
         return;
     }
-    std::exchange(call_, nullptr)->cancel();
-    state_.quarantine_.on_connection_lost(quarantine_run_id(), now);
-    end_attempt();
+    cancel_attempt();
     ++possible_runs_;
     state_.router_.on_failure(backend_, now);
     start_retry(cause, decision);
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -25,6 +25,9 @@
 // among themselves. The rest is a margin for daemons that are starting and for
 // daemons that do not yet know all members.
 constexpr auto connection_share = 0.8;
+// Covers the expiry of an announcement and an outage of the store, during which
+// removals are not listed.
+constexpr auto crash_detection_window = seconds{30};
 // Bound of the random number that distinguishes the runs of a restarted daemon.
 constexpr auto max_run_id_nonce = std::uint64_t{1} << 32U;
 // Connections per backend server for services without a configured limit.
@@ -72,6 +75,7 @@
     policy_settings.isolate_suspects_ = false;
     policy_settings.count_lost_connections_ = true;
     policy_settings.announcement_count_ = 1;
+    policy_settings.crash_detection_window_ = crash_detection_window;
     return policy_settings;
 }
 
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -376,6 +376,27 @@
     EXPECT_LE(runs, 4U);
 }
 
+// Servers fall silent under a request, and its client leaves before the list
+// shows that they have crashed.
+TEST_F(relay_test, crash_is_forgotten_when_client_leaves_silent_server) {
+    const auto silent = [](const auto&, auto&) {
+    };
+    a_.default_script_ = silent;
+    b_.default_script_ = silent;
+    EXPECT_EQ(call("/once/bad", "X-Patience", "50").status_, 504);
+    run_on_thread([&] {
+        relay_.remove_backend("a");
+        relay_.set_backend(b_.server("app"));
+    });
+    EXPECT_EQ(call("/once/bad", "X-Patience", "50").status_, 504);
+    run_on_thread([&] {
+        relay_.remove_backend("b");
+        relay_.set_backend(a_.server("app"));
+    });
+    EXPECT_EQ(call("/once/bad", "X-Patience", "50").status_, 503);
+    EXPECT_EQ(a_.requests_.size(), 1U);
+}
+
 // Between two crashes, a server answers the request with an error of its own.
 TEST_F(relay_test, server_error_clears_crash_suspicions) {
     const auto crash = [&](std::int64_t next_start) {
