Share crash suspicions and quarantine marks through the shared store

Seen by callers: a request that was held back runs again after daemons were replaced, or through daemons that the gossip did not reach; each daemon let it crash two more servers.

Cause: suspicions and marks lived in the memory of the daemons and in gossip that is sent once, in probe messages of 400 bytes (8 suspicions need about 8 s with six daemons), under a key that the next suspicion of the same server replaced. A daemon that starts, was cut off or lost a message had no way to learn of them.

Fix: a keyed topic of the platform's store. Each daemon writes its suspicions and clearances in batches, a mark is kept under its request; both are read by the watch that also reads configuration and servers (one daemon of twenty reads and passes on), in log order, and listed before a daemon is ready. What the store does not take is written again. Gossip stays as the way around an outage.

--- a/basilstream/base/clock/clock.cpp
+++ b/basilstream/base/clock/clock.cpp
@@ -16,4 +16,9 @@
                       std::chrono::nanoseconds{value.tv_nsec}};
 }
 
+auto system_wall_clock::unix_time() const -> milliseconds {
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
 } // namespace basilstream
--- a/basilstream/base/clock/clock.hpp
+++ b/basilstream/base/clock/clock.hpp
@@ -44,6 +44,25 @@
     [[nodiscard]] auto now() const -> time_point override;
 };
 
+/// Source of the time of day, for times that outlast a process. It differs
+/// between machines and may jump by seconds in either direction.
+class wall_clock {
+public:
+    wall_clock() = default;
+    wall_clock(const wall_clock&) = delete;
+    auto operator=(const wall_clock&) -> wall_clock& = delete;
+    virtual ~wall_clock() = default;
+
+    /// Returns the Unix time.
+    [[nodiscard]] virtual auto unix_time() const -> milliseconds = 0;
+};
+
+/// The machine's time of day (CLOCK_REALTIME).
+class system_wall_clock final : public wall_clock {
+public:
+    [[nodiscard]] auto unix_time() const -> milliseconds override;
+};
+
 /// A clock that moves only when told. Not safe for concurrent use.
 class manual_clock final : public clock {
 public:
--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -459,9 +459,9 @@
 auto quarantine::apply(const quarantine_mark& mark, time_point now) -> void {
     auto& entry = records_[mark.fingerprint_];
     entry.confirmed_ = mark.confirmed_;
-    entry.marked_until_ =
-        now + (mark.confirmed_ ? settings_.mark_lifetime_
-                               : settings_.unconfirmed_lifetime_);
+    entry.marked_until_ = now - mark.age_ +
+                          (mark.confirmed_ ? settings_.mark_lifetime_
+                                           : settings_.unconfirmed_lifetime_);
     entry.marked_runners_ = mark.runners_;
 }
 
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -3,7 +3,8 @@
 ///
 /// Each daemon holds one `quarantine`. The daemons share what they know:
 /// suspicions and clearances are gossiped to the peers, quarantine marks are
-/// appended to the log, and isolation requests are sent to the arbiter.
+/// appended to the log, and isolation requests are sent to the arbiter. Marks
+/// must be kept in a log that outlasts the daemons.
 ///
 ///     const auto print = make_fingerprint("acme", "acme/chat", prompt);
 ///     switch (quarantine.check(print, now)) {
@@ -131,6 +132,8 @@
     /// request may have caused both crashes; the mark then expires early and
     /// the fingerprint is run in isolation.
     bool confirmed_ = true;
+    /// Time since the mark was set.
+    duration age_ = {};
 };
 
 /// Asks the arbiter for a grant to run a suspected fingerprint, or renews one.
--- a/basilstream/coordination/record_store/record_store.hpp
+++ b/basilstream/coordination/record_store/record_store.hpp
@@ -32,13 +32,17 @@
     daemons,
     /// Claims and renewals of the placement lease; keyed.
     placement_lease,
+    /// Crash suspicions of each daemon, and quarantine marks of requests;
+    /// keyed.
+    quarantine,
 };
 
-inline constexpr auto shared_topic_names = name_table<shared_topic, 4>{
+inline constexpr auto shared_topic_names = name_table<shared_topic, 5>{
     {{{shared_topic::configuration, "configuration"},
       {shared_topic::backends, "backends"},
       {shared_topic::daemons, "daemons"},
-      {shared_topic::placement_lease, "placement_lease"}}}};
+      {shared_topic::placement_lease, "placement_lease"},
+      {shared_topic::quarantine, "quarantine"}}}};
 
 /// One record. In a keyed topic, a record without a value deletes its key.
 struct store_record {
--- a/basilstream/daemon/quarantine_gossip/quarantine_gossip.cpp
+++ b/basilstream/daemon/quarantine_gossip/quarantine_gossip.cpp
@@ -1,9 +1,8 @@
 #include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
 
+#include <utility>
 #include <variant>
 
-#include "basilstream/protocol/quarantine_codec/quarantine_codec.hpp"
-
 namespace basilstream::daemon {
 
 using coordination::payload_kind;
@@ -13,8 +12,11 @@
     log.warning("request was in flight on a crashed backend server",
                 {{"fingerprint", event.fingerprint_.to_string()},
                  {"runner", event.runner_}});
+    // Suspicions under one key replace each other.
     peers.gossip(payload_kind::quarantine_suspicion,
-                 event.fingerprint_.to_string() + event.runner_,
+                 event.run_id_.empty()
+                     ? event.fingerprint_.to_string() + event.runner_
+                     : event.run_id_,
                  protocol::encode_quarantine(event));
 }
 
@@ -38,8 +40,9 @@
 
 quarantine_gossip::quarantine_gossip(transport::logger& log, const clock& time,
                                      coordination::quarantine& tracker,
-                                     cluster& peers)
-    : log_{log}, clock_{time}, quarantine_{tracker}, peers_{peers} {
+                                     cluster& peers, event_observer observer)
+    : log_{log}, clock_{time},
+      quarantine_{tracker}, peers_{peers}, observer_{std::move(observer)} {
     peers_.on_payload(payload_kind::quarantine_suspicion,
                       [this](const coordination::gossip_payload& payload) {
                           on_message(payload.origin_, payload.bytes_);
@@ -48,6 +51,7 @@
 
 auto quarantine_gossip::tick() -> void {
     for (const auto& event : quarantine_.poll(clock_.now())) {
+        observer_(event);
         if (const auto* crash = std::get_if<coordination::suspicion>(&event)) {
             gossip_event(*crash, peers_, log_);
         } else if (const auto* cleared =
@@ -70,24 +74,40 @@
                      message.error());
         return;
     }
-    const auto now = clock_.now();
-    if (const auto* crash = std::get_if<coordination::suspicion>(&*message)) {
-        if (quarantine_.merge(*crash, now)) {
-            log_.info("crash suspicion received",
-                      {{"peer", sender},
-                       {"fingerprint", crash->fingerprint_.to_string()},
-                       {"runner", crash->runner_},
-                       {"age_ms",
-                        std::to_string(std::chrono::duration_cast<milliseconds>(
-                                           crash->age_)
-                                           .count())}});
+    merge_message(*message, duration{0}, sender, quarantine_, clock_, log_);
+}
+
+auto merge_message(const protocol::quarantine_message& message, duration delay,
+                   const std::string& sender, coordination::quarantine& tracker,
+                   const clock& time, transport::logger& log) -> void {
+    const auto now = time.now();
+    if (const auto* suspicion =
+            std::get_if<coordination::suspicion>(&message)) {
+        auto crash = *suspicion;
+        crash.age_ += delay;
+        if (!tracker.merge(crash, now)) {
+            return;
+        }
+        const auto age =
+            std::chrono::duration_cast<milliseconds>(crash.age_).count();
+        log.info("crash suspicion received",
+                 {{"peer", sender},
+                  {"fingerprint", crash.fingerprint_.to_string()},
+                  {"runner", crash.runner_},
+                  {"age_ms", std::to_string(age)}});
+    } else if (const auto* clearance =
+                   std::get_if<coordination::clearance>(&message)) {
+        auto cleared = *clearance;
+        for (auto& crash : cleared.crashes_) {
+            crash.age_ += delay;
         }
-    } else if (const auto* cleared =
-                   std::get_if<coordination::clearance>(&*message)) {
-        quarantine_.merge(*cleared, now);
+        tracker.merge(cleared, now);
+        log.info("crash suspicions cleared by a peer",
+                 {{"peer", sender},
+                  {"fingerprint", cleared.fingerprint_.to_string()}});
     } else {
-        log_.warning("quarantine gossip of unexpected kind ignored",
-                     {{"peer", sender}});
+        log.warning("quarantine message of unexpected kind ignored",
+                    {{"peer", sender}});
     }
 }
 
--- /dev/null
+++ b/basilstream/daemon/quarantine_log/quarantine_log.cpp
@@ -0,0 +1,195 @@
+#include "basilstream/daemon/quarantine_log/quarantine_log.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+#include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
+
+namespace basilstream::daemon {
+namespace {
+
+using coordination::clearance;
+using coordination::quarantine_mark;
+using coordination::suspicion;
+
+// Records of marks and of batches share the topic and differ in this prefix.
+constexpr auto mark_prefix = std::string_view{"mark/"};
+constexpr auto batch_prefix = std::string_view{"daemon/"};
+// Keeps a record of about 100 bytes a message below the store's 256 KB.
+constexpr auto max_batch = std::size_t{1000};
+// A runner has at most some hundred requests of one daemon; several may crash
+// while the store is unavailable. Above this, the oldest messages are dropped.
+constexpr auto max_pending = std::size_t{10'000};
+// Time for which messages are collected into one batch. Other daemons should
+// know of a crash well within a second.
+constexpr auto batch_interval = milliseconds{100};
+// Bounds of the backoff after a failed write; jitter takes off up to half.
+constexpr auto initial_backoff = milliseconds{200};
+constexpr auto max_backoff = milliseconds{1000};
+
+auto mark_key(const coordination::fingerprint& print) -> std::string {
+    return std::string{mark_prefix} + print.to_string();
+}
+
+// Makes the ages in a message relative to a moment that is `elapsed` later.
+struct age_adjustment {
+    auto operator()(suspicion& message) const -> void {
+        message.age_ += elapsed_;
+    }
+    auto operator()(clearance& message) const -> void {
+        for (auto& crash : message.crashes_) {
+            crash.age_ += elapsed_;
+        }
+    }
+    auto operator()(quarantine_mark& message) const -> void {
+        message.age_ += elapsed_;
+    }
+    template <class Other>
+    auto operator()(Other& /*without ages*/) const -> void {}
+    duration elapsed_;
+};
+
+} // namespace
+
+quarantine_log::quarantine_log(const quarantine_log_context& context,
+                               std::string name,
+                               coordination::quarantine& tracker,
+                               coordination::record_store& store)
+    : context_{context}, name_{std::move(name)},
+      quarantine_{tracker}, store_{store} {}
+
+auto quarantine_log::publish(const coordination::quarantine_event& event)
+    -> void {
+    if (const auto* crash = std::get_if<suspicion>(&event)) {
+        queue(*crash);
+    } else if (const auto* cleared = std::get_if<clearance>(&event)) {
+        queue(*cleared);
+    } else if (const auto* mark = std::get_if<quarantine_mark>(&event)) {
+        queue(*mark);
+    }
+}
+
+auto quarantine_log::queue(protocol::quarantine_message message) -> void {
+    if (pending_.size() >= max_pending) {
+        context_.log_.warning("quarantine message dropped: too many wait to be "
+                              "written to the shared store");
+        pending_.pop_front();
+    }
+    pending_.push_back({std::move(message), context_.clock_.now()});
+}
+
+auto quarantine_log::take_batch() -> std::string {
+    const auto is_mark = [](const pending_message& pending) {
+        return std::holds_alternative<quarantine_mark>(pending.message_);
+    };
+    if (is_mark(pending_.front())) {
+        in_flight_.push_back(std::move(pending_.front()));
+        pending_.pop_front();
+        return mark_key(std::get<quarantine_mark>(in_flight_.front().message_)
+                            .fingerprint_);
+    }
+    while (!pending_.empty() && !is_mark(pending_.front()) &&
+           in_flight_.size() < max_batch) {
+        in_flight_.push_back(std::move(pending_.front()));
+        pending_.pop_front();
+    }
+    return std::string{batch_prefix} + name_;
+}
+
+auto quarantine_log::encode_in_flight() const -> std::string {
+    auto record =
+        protocol::quarantine_record{context_.wall_clock_.unix_time(), {}};
+    const auto now = context_.clock_.now();
+    for (const auto& pending : in_flight_) {
+        auto message = pending.message_;
+        std::visit(age_adjustment{now - pending.created_at_}, message);
+        record.messages_.push_back(std::move(message));
+    }
+    return protocol::encode_quarantine(record);
+}
+
+auto quarantine_log::tick() -> void {
+    const auto now = context_.clock_.now();
+    if (pending_.empty() || !in_flight_.empty() || now < next_append_at_) {
+        return;
+    }
+    next_append_at_ = now + batch_interval;
+    auto key = take_batch();
+    store_.append(coordination::shared_topic::quarantine, std::nullopt,
+                  {std::move(key), encode_in_flight()},
+                  [this](const result<coordination::append_outcome>& outcome) {
+                      on_appended(outcome);
+                  });
+}
+
+auto quarantine_log::on_appended(
+    const result<coordination::append_outcome>& outcome) -> void {
+    if (outcome) {
+        in_flight_.clear();
+        if (std::exchange(failures_, 0) > 0) {
+            context_.log_.info("quarantine records are written again");
+        }
+        return;
+    }
+    if (failures_ == 0) {
+        context_.log_.failure(transport::log_level::warning,
+                              "writing a quarantine record failed",
+                              outcome.error());
+    }
+    pending_.insert(pending_.begin(),
+                    std::make_move_iterator(in_flight_.begin()),
+                    std::make_move_iterator(in_flight_.end()));
+    in_flight_.clear();
+    const auto doublings = std::min(failures_++, 10);
+    const auto bound =
+        std::min(initial_backoff * (1 << doublings), max_backoff);
+    const auto jitter = 0.5 + 0.5 * context_.random_.fraction();
+    next_append_at_ =
+        context_.clock_.now() +
+        duration{static_cast<duration::rep>(
+            jitter * static_cast<double>(duration{bound}.count()))};
+}
+
+auto quarantine_log::apply(const coordination::store_record& record) -> void {
+    if (!record.value_) {
+        return;
+    }
+    const auto decoded = protocol::decode_quarantine_record(*record.value_);
+    if (!decoded) {
+        context_.log_.failure(transport::log_level::warning,
+                              "undecodable quarantine record ignored",
+                              decoded.error());
+        return;
+    }
+    const auto delay =
+        std::max(context_.wall_clock_.unix_time() - decoded->written_at_,
+                 milliseconds{0});
+    for (const auto& message : decoded->messages_) {
+        apply_message(message, delay, record.key_);
+    }
+}
+
+auto quarantine_log::apply_message(const protocol::quarantine_message& message,
+                                   duration delay, const std::string& key)
+    -> void {
+    const auto* const stored = std::get_if<quarantine_mark>(&message);
+    if (stored == nullptr) {
+        merge_message(message, delay, key, quarantine_, context_.clock_,
+                      context_.log_);
+        return;
+    }
+    const auto now = context_.clock_.now();
+    const auto known = quarantine_.check(stored->fingerprint_, now) ==
+                       coordination::quarantine_verdict::quarantined;
+    auto mark = *stored;
+    mark.age_ += delay;
+    quarantine_.apply(mark, now);
+    if (!known) {
+        context_.log_.info("quarantine mark read from the shared store",
+                           {{"fingerprint", mark.fingerprint_.to_string()}});
+    }
+}
+
+} // namespace basilstream::daemon
--- /dev/null
+++ b/basilstream/daemon/quarantine_log/quarantine_log.hpp
@@ -0,0 +1,82 @@
+/// Keeps the crash suspicions and marks of a quarantine in the shared store, so
+/// that they reach daemons that gossip does not, and outlast every daemon.
+///
+///     auto shared = quarantine_log{context, "entry-1", tracker, store};
+///     shared.publish(event);            // each event of the quarantine
+///     shared.apply(record);             // each record read from the topic
+///     shared.tick();                    // every 50 ms or so
+///
+/// Suspicions and clearances are written in batches under the daemon's name, so
+/// that the store keeps one batch for each daemon; running daemons read all of
+/// them in order. A mark is written under the fingerprint of its request and is
+/// kept until it is removed. While the store is unavailable, what is to be
+/// written waits, and is written again after a failure: records may be read
+/// twice. Use on one thread only.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <string>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/random/random.hpp"
+#include "basilstream/coordination/quarantine/quarantine.hpp"
+#include "basilstream/coordination/record_store/record_store.hpp"
+#include "basilstream/protocol/quarantine_codec/quarantine_codec.hpp"
+#include "basilstream/transport/logging/logging.hpp"
+
+namespace basilstream::daemon {
+
+/// Dependencies of a quarantine_log; all must outlive it.
+struct quarantine_log_context {
+    const clock& clock_;
+    const wall_clock& wall_clock_;
+    random_source& random_;
+    transport::logger& log_;
+};
+
+class quarantine_log {
+public:
+    /// `name` is the name of this daemon.
+    quarantine_log(const quarantine_log_context& context, std::string name,
+                   coordination::quarantine& tracker,
+                   coordination::record_store& store);
+
+    /// Queues an event to be written. Events that concern only the arbiter of
+    /// isolated runs are ignored.
+    auto publish(const coordination::quarantine_event& event) -> void;
+    /// Writes what is queued, unless a write is in flight or a failed one is to
+    /// be repeated later.
+    auto tick() -> void;
+    /// Applies a record that this or another daemon has written.
+    auto apply(const coordination::store_record& record) -> void;
+
+private:
+    // A message that waits to be written; the ages in it are relative to
+    // `created_at_`.
+    struct pending_message {
+        protocol::quarantine_message message_;
+        time_point created_at_;
+    };
+
+    auto queue(protocol::quarantine_message message) -> void;
+    // Moves the next messages that share a key to in_flight_.
+    auto take_batch() -> std::string;
+    [[nodiscard]] auto encode_in_flight() const -> std::string;
+    auto on_appended(const result<coordination::append_outcome>& outcome)
+        -> void;
+    auto apply_message(const protocol::quarantine_message& message,
+                       duration delay, const std::string& key) -> void;
+
+    quarantine_log_context context_;
+    std::string name_;
+    coordination::quarantine& quarantine_;
+    coordination::record_store& store_;
+    std::deque<pending_message> pending_;
+    std::deque<pending_message> in_flight_;
+    time_point next_append_at_{};
+    // Consecutive failed appends.
+    int failures_ = 0;
+};
+
+} // namespace basilstream::daemon
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -11,6 +11,7 @@
 #include "basilstream/daemon/load_sharing/load_sharing.hpp"
 #include "basilstream/daemon/model_control/model_control.hpp"
 #include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
+#include "basilstream/daemon/quarantine_log/quarantine_log.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
 #include "basilstream/daemon/relay_status/relay_status.hpp"
 #include "basilstream/daemon/store_watch/store_watch.hpp"
@@ -86,6 +87,10 @@
                   relay_.backend_pool(),
                   *this},
           sharing_{clock_, settings.name_, relay_, models_},
+          quarantine_log_{{clock_, wall_clock_, random_, log_},
+                          settings.name_,
+                          relay_.crash_quarantine(),
+                          *store_},
           watch_{{clock_, random_, log_},
                  {},
                  *store_,
@@ -185,6 +190,10 @@
         models_.remove_backend(id);
         relay_.remove_backend(id);
     }
+    auto on_quarantine_record(const coordination::store_record& record)
+        -> void override {
+        quarantine_log_.apply(record);
+    }
     // Forwards a page read from the store to the followers in its group.
     auto on_read(coordination::shared_topic topic, std::uint64_t from,
                  const coordination::record_page& page) -> void override {
@@ -345,6 +354,7 @@
             sharing_.tick();
             quarantine_gossip_->tick();
         }
+        quarantine_log_.tick();
         advance_drain();
     }
 
@@ -381,9 +391,13 @@
                                           .longest_silence_ = max_peer_silence},
                          relay_.address(), std::move(link_));
         sharing_.join(*cluster_);
-        quarantine_gossip_.emplace(log_, clock_, relay_.crash_quarantine(),
-                                   *cluster_);
+        quarantine_gossip_.emplace(
+            log_, clock_, relay_.crash_quarantine(), *cluster_,
+            [this](const coordination::quarantine_event& event) {
+                quarantine_log_.publish(event);
+            });
         cluster_->on_members([this](const std::vector<std::string>& owners) {
+            relay_.crash_quarantine().set_members(owners, clock_.now());
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
             models_.set_daemons(owners.size());
         });
@@ -502,6 +516,7 @@
     std::function<void()> on_stopped_;
     steady_clock clock_;
     boot_clock boot_clock_;
+    system_wall_clock wall_clock_;
     seeded_random random_{entropy_seed()};
     transport::logger log_;
     transport::metrics_registry metrics_;
@@ -513,6 +528,7 @@
     std::unique_ptr<coordination::record_store> store_;
     model_control models_;
     load_sharing sharing_;
+    quarantine_log quarantine_log_;
     store_watch watch_;
     coordination::drain_controller drain_;
     std::vector<std::unique_ptr<transport::http_session_server>> servers_;
--- a/basilstream/daemon/relay_program/relay_program_test_world.hpp
+++ b/basilstream/daemon/relay_program/relay_program_test_world.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
                 store_record record) -> coordination::append_outcome {
         const auto guard = std::lock_guard{mutex_};
         auto& log = logs_[topic];
+        if (discarded_topics_.contains(topic)) {
+            return {true, log.size()};
+        }
         if (at && *at != log.size()) {
             return {false, log.size()};
         }
@@ -59,10 +63,20 @@
     // is done.
     auto set_available(bool available) -> void { available_ = available; }
     [[nodiscard]] auto available() const -> bool { return available_; }
+    // Records appended to a topic that is not writable are lost.
+    auto set_writable(shared_topic topic, bool writable) -> void {
+        const auto guard = std::lock_guard{mutex_};
+        if (writable) {
+            discarded_topics_.erase(topic);
+        } else {
+            discarded_topics_.insert(topic);
+        }
+    }
 
 private:
     std::mutex mutex_;
     std::map<shared_topic, std::vector<store_record>> logs_;
+    std::set<shared_topic> discarded_topics_;
     std::atomic<bool> available_{true};
 };
 
--- a/basilstream/daemon/relay_status/relay_status.cpp
+++ b/basilstream/daemon/relay_status/relay_status.cpp
@@ -78,6 +78,9 @@
     add("basilstream_backends_age_seconds",
         "Time since the backend servers were last read.",
         age(shared_topic::backends));
+    add("basilstream_quarantine_age_seconds",
+        "Time since the quarantine records were last read.",
+        age(shared_topic::quarantine));
 }
 
 auto relay_status::add_quarantine_gauges(
@@ -123,6 +126,7 @@
 
 auto relay_status::ready() const -> bool {
     return parts_.relay_.configured() && parts_.watch_.has_listed_backends() &&
+           parts_.watch_.last_read(shared_topic::quarantine) &&
            parts_.drain_.phase() == coordination::drain_phase::serving;
 }
 
--- a/basilstream/daemon/relay_status/relay_status.hpp
+++ b/basilstream/daemon/relay_status/relay_status.hpp
@@ -45,7 +45,8 @@
     /// Registers the gauges that complement the relay's counters.
     auto add_gauges(transport::metrics_registry& metrics) const -> void;
     /// Returns whether the daemon can serve requests: it has read the
-    /// configuration and the backend servers, and is not draining.
+    /// configuration, the backend servers and the quarantine, and is not
+    /// draining.
     [[nodiscard]] auto ready() const -> bool;
     [[nodiscard]] auto status() const -> protocol::json;
     /// Explains `name`, which is a model, the id of a backend server or the id
--- a/basilstream/daemon/store_watch/store_watch.cpp
+++ b/basilstream/daemon/store_watch/store_watch.cpp
@@ -25,11 +25,23 @@
       backend_reader_{.topic_ = shared_topic::backends,
                       .interval_ = settings.backend_interval_,
                       .deferral_ = settings.backend_deferral_,
-                      .apply_ = &store_watch::apply_backends} {}
+                      .apply_ = &store_watch::apply_backends},
+      quarantine_reader_{.topic_ = shared_topic::quarantine,
+                         .wait_ = settings.quarantine_wait_,
+                         .interval_ = settings.quarantine_interval_,
+                         .deferral_ = settings.quarantine_deferral_,
+                         .apply_ = &store_watch::apply_quarantine} {}
+
+auto store_watch::reader_of(shared_topic topic) -> reader& {
+    return topic == shared_topic::configuration ? config_reader_
+           : topic == shared_topic::quarantine  ? quarantine_reader_
+                                                : backend_reader_;
+}
 
 auto store_watch::tick() -> void {
     const auto now = context_.clock_.now();
-    for (auto* const topic_reader : {&config_reader_, &backend_reader_}) {
+    for (auto* const topic_reader :
+         {&config_reader_, &backend_reader_, &quarantine_reader_}) {
         if (!topic_reader->read_in_flight_ &&
             now >= topic_reader->next_read_at_) {
             start_read(*topic_reader);
@@ -42,6 +54,7 @@
 auto store_watch::last_read(shared_topic topic) const
     -> std::optional<time_point> {
     return topic == shared_topic::configuration ? config_reader_.last_read_
+           : topic == shared_topic::quarantine  ? quarantine_reader_.last_read_
                                                 : backend_reader_.last_read_;
 }
 
@@ -104,8 +117,7 @@
 auto store_watch::on_relayed(shared_topic topic, std::uint64_t from,
                              const record_page& page) -> void {
     const auto now = context_.clock_.now();
-    auto& topic_reader =
-        topic == shared_topic::configuration ? config_reader_ : backend_reader_;
+    auto& topic_reader = reader_of(topic);
     const auto is_contiguous =
         topic_reader.next_offset_ && from <= *topic_reader.next_offset_;
     if (!is_contiguous) {
@@ -130,8 +142,7 @@
 }
 
 auto store_watch::on_update_notice(shared_topic topic) -> void {
-    auto& topic_reader =
-        topic == shared_topic::configuration ? config_reader_ : backend_reader_;
+    auto& topic_reader = reader_of(topic);
     topic_reader.deferred_until_ = time_point{};
     topic_reader.next_read_at_ =
         std::min(topic_reader.next_read_at_, context_.clock_.now());
@@ -214,6 +225,14 @@
     return changed_records;
 }
 
+auto store_watch::apply_quarantine(const record_page& page, bool /*listing*/)
+    -> std::vector<coordination::store_record> {
+    for (const auto& record : page.records_) {
+        observer_.on_quarantine_record(record);
+    }
+    return page.records_;
+}
+
 auto store_watch::publish_backends() -> void {
     for (const auto& id : backends_.take_changes()) {
         if (const auto* const server = backends_.find(id)) {
--- a/basilstream/daemon/store_watch/store_watch.hpp
+++ b/basilstream/daemon/store_watch/store_watch.hpp
@@ -1,5 +1,5 @@
-/// Watches the configuration and the announcements of backend servers in the
-/// shared store.
+/// Watches the configuration, the announcements of backend servers and the
+/// quarantine records in the shared store.
 ///
 ///     auto watch = store_watch{context, store, decoder, observer};
 ///     thread.every(milliseconds{50}, [&] { watch.tick(); });
@@ -36,6 +36,10 @@
     virtual auto on_backend(const coordination::backend_server& server)
         -> void = 0;
     virtual auto on_backend_gone(const std::string& id) -> void = 0;
+    /// Called with each record of the quarantine topic in log order, and with
+    /// the newest of each key after a listing.
+    virtual auto on_quarantine_record(const coordination::store_record& record)
+        -> void = 0;
     /// Called when this daemon has read a page without lagging (see
     /// max_read_overrun_), so that it can be relayed to other daemons. `page`
     /// covers the offsets from `from` to its end; records that change nothing
@@ -58,12 +62,16 @@
     milliseconds config_wait_{1000};
     /// Shortest time between the starts of two reads of the configuration.
     milliseconds config_interval_{100};
+    /// The same for the quarantine records, which are rare.
+    milliseconds quarantine_wait_{1000};
+    milliseconds quarantine_interval_{200};
     /// Shortest time between the starts of two reads of the announcements.
     /// Announcements arrive so often that a long poll would return at once.
     milliseconds backend_interval_{600};
     /// How long a page relayed by another daemon defers this daemon's next read
     /// of the topic.
     milliseconds config_deferral_{1300};
+    milliseconds quarantine_deferral_{1300};
     milliseconds backend_deferral_{1000};
     /// A page whose read took longer than its wait by more than this is not
     /// relayed: this daemon lags, and others may have read further.
@@ -130,6 +138,8 @@
         int failures_ = 0;
     };
 
+    // Returns the reader of a topic that is watched.
+    [[nodiscard]] auto reader_of(coordination::shared_topic topic) -> reader&;
     auto start_read(reader& topic_reader) -> void;
     auto on_page(reader& topic_reader, bool is_listing,
                  const result<coordination::record_page>& page) -> void;
@@ -138,6 +148,9 @@
         -> std::vector<coordination::store_record>;
     auto apply_backends(const coordination::record_page& page, bool is_listing)
         -> std::vector<coordination::store_record>;
+    auto apply_quarantine(const coordination::record_page& page,
+                          bool is_listing)
+        -> std::vector<coordination::store_record>;
     auto decode_backend(const coordination::store_record& record)
         -> coordination::backend_record;
     auto publish_backends() -> void;
@@ -151,6 +164,7 @@
     std::uint64_t config_version_ = 0;
     reader config_reader_;
     reader backend_reader_;
+    reader quarantine_reader_;
 };
 
 } // namespace basilstream::daemon
--- a/basilstream/daemon/store_watch/store_watch_test.cpp
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -97,6 +97,10 @@
     auto on_backend_gone(const std::string& id) -> void override {
         events_.push_back(id + " gone");
     }
+    auto on_quarantine_record(const coordination::store_record& record)
+        -> void override {
+        quarantine_keys_.push_back(record.key_);
+    }
     auto on_read(shared_topic topic, std::uint64_t from,
                  const record_page& page) -> void override {
         if (topic == shared_topic::backends) {
@@ -122,6 +126,7 @@
     store_watch watch_{{clock_, random_, log_}, {}, store_, decoder_, *this};
     std::vector<std::uint64_t> versions_;
     std::vector<std::string> events_;
+    std::vector<std::string> quarantine_keys_;
     std::vector<std::pair<std::uint64_t, record_page>> relayed_;
 };
 
@@ -139,6 +144,22 @@
     EXPECT_EQ(events_.back(), "a draining");
 }
 
+TEST_F(store_watch_test, reports_quarantine_records_that_others_wrote_before) {
+    advance(milliseconds{0});
+    EXPECT_FALSE(watch_.last_read(shared_topic::quarantine));
+    store_.answer(shared_topic::quarantine,
+                  record_page{{{"mark", "1"}}, 3, false});
+    EXPECT_TRUE(watch_.last_read(shared_topic::quarantine));
+    advance(seconds{1});
+    EXPECT_EQ(store_.answer(shared_topic::quarantine,
+                            record_page{{{"mark", std::nullopt, 3}}, 4, false}),
+              3U);
+    watch_.on_relayed(shared_topic::quarantine, 4,
+                      {{{"d2", "2", 4}}, 5, false});
+    EXPECT_EQ(quarantine_keys_,
+              (std::vector<std::string>{"mark", "mark", "d2"}));
+}
+
 TEST_F(store_watch_test, reports_only_higher_configuration_versions) {
     advance(milliseconds{0});
     store_.answer(shared_topic::configuration,
--- a/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
@@ -7,21 +7,23 @@
 
 using namespace coordination;
 
+auto milliseconds_of(duration value) -> std::uint64_t {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(value).count());
+}
+
 auto fill(wire::crash_mark& target, const suspicion& source) -> void {
     target.set_fingerprint_high(source.fingerprint_.high_);
     target.set_fingerprint_low(source.fingerprint_.low_);
     target.set_runner(source.runner_);
     target.set_boot_id(source.boot_id_);
     target.set_isolated(source.isolated_);
-    target.set_age_ms(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(source.age_).count()));
+    target.set_age_ms(milliseconds_of(source.age_));
     target.set_connection_lost(source.evidence_ ==
                                crash_evidence::connection_lost);
     target.set_run_id(source.run_id_);
     if (source.ran_for_) {
-        target.set_ran_ms(static_cast<std::uint64_t>(
-            std::chrono::duration_cast<milliseconds>(*source.ran_for_)
-                .count()));
+        target.set_ran_ms(milliseconds_of(*source.ran_for_));
     }
 }
 
@@ -90,9 +92,26 @@
         target_.mutable_end()->set_request_id(source.request_id_);
         target_.mutable_end()->set_crashed(source.crashed_);
     }
+    auto operator()(const quarantine_mark& source) const -> void {
+        auto& body = *target_.mutable_mark();
+        body.set_fingerprint_high(source.fingerprint_.high_);
+        body.set_fingerprint_low(source.fingerprint_.low_);
+        for (const auto& runner : source.runners_) {
+            body.add_runners(runner);
+        }
+        body.set_confirmed(source.confirmed_);
+        body.set_age_ms(milliseconds_of(source.age_));
+    }
     wire::quarantine_message& target_;
 };
 
+auto read_mark(const wire::mark& source) -> quarantine_mark {
+    return {{source.fingerprint_high(), source.fingerprint_low()},
+            {source.runners().begin(), source.runners().end()},
+            source.confirmed(),
+            milliseconds{source.age_ms()}};
+}
+
 auto read_ask(const wire::isolation_ask& source) -> isolation_request {
     return {{{source.fingerprint_high(), source.fingerprint_low()},
              source.request_id(),
@@ -119,42 +138,81 @@
     return answer;
 }
 
-} // namespace
-
-auto encode_quarantine(const quarantine_message& message) -> std::string {
-    auto target = wire::quarantine_message{};
-    std::visit(writer{target}, message);
-    return target.SerializeAsString();
-}
-
-auto decode_quarantine(std::string_view bytes) -> result<quarantine_message> {
-    auto source = wire::quarantine_message{};
-    const auto parsed =
-        source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
-    if (parsed && source.has_suspicion()) {
+auto read_message(const wire::quarantine_message& source)
+    -> std::optional<quarantine_message> {
+    if (source.has_suspicion()) {
         return read(source.suspicion());
     }
-    if (parsed && source.has_clearance()) {
+    if (source.has_clearance()) {
         const auto& body = source.clearance();
         return clearance{{body.fingerprint_high(), body.fingerprint_low()},
                          read_crashes(body.crashes())};
     }
-    if (parsed && source.has_ask()) {
+    if (source.has_ask()) {
         return read_ask(source.ask());
     }
-    if (parsed && source.has_reply()) {
+    if (source.has_reply()) {
         if (auto answer = read_reply(source.reply())) {
             return *answer;
         }
     }
-    if (parsed && source.has_end()) {
+    if (source.has_end()) {
         return isolation_release{source.end().request_id(),
                                  source.end().crashed()};
     }
+    if (source.has_mark()) {
+        return read_mark(source.mark());
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto encode_quarantine(const quarantine_message& message) -> std::string {
+    auto target = wire::quarantine_message{};
+    std::visit(writer{target}, message);
+    return target.SerializeAsString();
+}
+
+auto decode_quarantine(std::string_view bytes) -> result<quarantine_message> {
+    auto source = wire::quarantine_message{};
+    if (source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        if (auto message = read_message(source)) {
+            return std::move(*message);
+        }
+    }
     return tl::unexpected(error{error_code::invalid_argument,
                                 step::peer,
                                 {},
                                 "not a quarantine message"});
 }
 
+auto encode_quarantine(const quarantine_record& record) -> std::string {
+    auto target = wire::quarantine_record{};
+    target.set_written_at_unix_ms(milliseconds_of(record.written_at_));
+    for (const auto& message : record.messages_) {
+        std::visit(writer{*target.add_messages()}, message);
+    }
+    return target.SerializeAsString();
+}
+
+auto decode_quarantine_record(std::string_view bytes)
+    -> result<quarantine_record> {
+    auto source = wire::quarantine_record{};
+    if (!source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return tl::unexpected(error{error_code::invalid_argument,
+                                    step::log,
+                                    {},
+                                    "not a quarantine record"});
+    }
+    auto record =
+        quarantine_record{milliseconds{source.written_at_unix_ms()}, {}};
+    for (const auto& item : source.messages()) {
+        if (auto message = read_message(item)) {
+            record.messages_.push_back(std::move(*message));
+        }
+    }
+    return record;
+}
+
 } // namespace basilstream::protocol
--- a/testing/crashing_requests/crashing_requests_test.cpp
+++ b/testing/crashing_requests/crashing_requests_test.cpp
@@ -30,7 +30,7 @@
 constexpr auto max_late_retries = 3;
 constexpr auto crashes_before_counting = std::size_t{3};
 constexpr auto crashing_body = "crash";
-constexpr auto daemon_count = 4;
+constexpr auto daemon_count = 6;
 
 struct scenario {
     const char* name_ = "";
@@ -47,9 +47,12 @@
     // When the store becomes unavailable, and for how long.
     milliseconds outage_at_{0};
     milliseconds outage_{0};
-    // Interval at which one daemon after the other is replaced by a new
-    // process; none if zero.
+    // Interval at which daemons in turn are replaced by new processes, none if
+    // zero, and the number replaced each time.
     milliseconds daemon_restart_interval_{0};
+    int daemons_replaced_together_ = 1;
+    // Whether the daemons reach each other; if not, they share the store only.
+    bool peers_connected_ = true;
     milliseconds length_{12'000};
 };
 
@@ -195,6 +198,8 @@
         installation_.config_ = config;
         installation_.log_.append(shared_topic::configuration, std::nullopt,
                                   {"routes", "1"});
+        installation_.log_.set_writable(shared_topic::daemons,
+                                        options_.peers_connected_);
         for (auto number = 0; number < options_.servers_; ++number) {
             servers_.push_back(std::make_unique<crashing_server>(
                 number, options_, thread_, clock_, installation_.log_, runs_));
@@ -306,26 +311,30 @@
         }
         if (options_.daemon_restart_interval_.count() > 0) {
             thread_.every(options_.daemon_restart_interval_, [this] {
-                next_restart_ = (next_restart_ + 1) % daemon_count;
-                daemons_[next_restart_].reset();
-                start_daemon(next_restart_);
+                for (auto number = 0;
+                     number < options_.daemons_replaced_together_; ++number) {
+                    next_restart_ = (next_restart_ + 1) % daemon_count;
+                    daemons_[next_restart_].reset();
+                    start_daemon(next_restart_);
+                }
             });
         }
     }
 
     auto send(const std::string& body, const std::string& path) -> void {
-        const auto index = ++requests_ % daemon_count;
+        const auto harmless = body != crashing_body;
+        const auto index =
+            (harmless ? harmless_sent_ : crashing_sent_++) % daemon_count;
         auto call = transport::small_call{};
         call.address_ = daemons_[index]->caller_address();
         call.method_ = "POST";
         call.target_ = path;
         call.body_ = body;
         call.headers_.add("Host", "x");
-        call.headers_.add("X-Id", "q" + std::to_string(requests_));
+        call.headers_.add("X-Id", "q" + std::to_string(++requests_));
         call.headers_.add(
             "X-Settled",
             clock_.now() > started_at_[index] + stable_window ? "1" : "0");
-        const auto harmless = body != crashing_body;
         transport::fetch(clients_, thread_, std::move(call),
                          [this, harmless](const auto& reply) {
                              const auto answered =
@@ -348,6 +357,7 @@
     std::optional<time_point> outage_started_;
     int requests_ = 0;
     int next_restart_ = 0;
+    int crashing_sent_ = 0;
     int harmless_sent_ = 0;
     int harmless_answered_ = 0;
 };
@@ -369,31 +379,40 @@
 
 INSTANTIATE_TEST_SUITE_P(
     scenarios, crashing_requests,
-    ::testing::Values(scenario{.name_ = "servers_return_under_their_id"},
-                      scenario{.name_ = "servers_return_under_new_ids",
-                               .same_id_ = false},
-                      scenario{.name_ = "only_server_returns_under_its_id",
-                               .servers_ = 1,
-                               .interval_ = milliseconds{500}},
-                      scenario{.name_ = "announcements_expire_late",
-                               .interval_ = milliseconds{500},
-                               .same_id_ = false,
-                               .announcement_lifetime_ = milliseconds{7000},
-                               .length_ = milliseconds{16'000}},
-                      scenario{.name_ = "servers_fall_silent",
-                               .interval_ = milliseconds{200},
-                               .same_id_ = false,
-                               .restart_delay_ = milliseconds{2500},
-                               .silent_ = true,
-                               .length_ = milliseconds{16'000}},
-                      scenario{.name_ = "store_is_away",
-                               .same_id_ = false,
-                               .outage_at_ = milliseconds{100},
-                               .outage_ = milliseconds{6000},
-                               .length_ = milliseconds{15'000}},
-                      scenario{.name_ = "daemons_are_replaced",
-                               .daemon_restart_interval_ = milliseconds{3500},
-                               .length_ = milliseconds{20'000}}),
+    ::testing::Values(
+        scenario{.name_ = "servers_return_under_their_id"},
+        scenario{.name_ = "servers_return_under_new_ids", .same_id_ = false},
+        scenario{.name_ = "only_server_returns_under_its_id",
+                 .servers_ = 1,
+                 .interval_ = milliseconds{500}},
+        scenario{.name_ = "announcements_expire_late",
+                 .interval_ = milliseconds{500},
+                 .same_id_ = false,
+                 .announcement_lifetime_ = milliseconds{7000},
+                 .length_ = milliseconds{16'000}},
+        scenario{.name_ = "servers_fall_silent",
+                 .interval_ = milliseconds{200},
+                 .same_id_ = false,
+                 .restart_delay_ = milliseconds{2500},
+                 .silent_ = true,
+                 .length_ = milliseconds{16'000}},
+        scenario{.name_ = "store_is_away",
+                 .same_id_ = false,
+                 .outage_at_ = milliseconds{100},
+                 .outage_ = milliseconds{6000},
+                 .length_ = milliseconds{15'000}},
+        scenario{.name_ = "daemons_are_replaced",
+                 .daemon_restart_interval_ = milliseconds{3500},
+                 .length_ = milliseconds{20'000}},
+        scenario{.name_ = "all_daemons_are_replaced_between_requests",
+                 .interval_ = milliseconds{2000},
+                 .daemon_restart_interval_ = milliseconds{9000},
+                 .daemons_replaced_together_ = daemon_count,
+                 .length_ = milliseconds{26'000}},
+        scenario{.name_ = "daemons_do_not_reach_each_other",
+                 .interval_ = milliseconds{2000},
+                 .peers_connected_ = false,
+                 .length_ = milliseconds{16'000}}),
     [](const auto& info) { return std::string{info.param.name_}; });
 
 } // namespace
