Try a request whose mark has expired once, at one daemon

Seen by callers: two minutes after a request was held back it runs again, at each daemon to which it comes, and crashes a server at each; so it goes on every two minutes.

Cause: a mark expired on all daemons at the same time and was forgotten; nothing bounded the runs after it, and a daemon that had the mark from elsewhere, with no crash of its own, took the request for harmless.

Fix: an expired mark is kept for a trial. The isolated runs of the product's own interface stay as they were.

--- a/basilstream/coordination/quarantine/deployment_test.cpp
+++ b/basilstream/coordination/quarantine/deployment_test.cpp
@@ -276,6 +276,8 @@
                                  }});
         }
     }
+    // Not emitted while suspects are isolated.
+    auto handle_event(std::size_t, const quarantine_release&) -> void {}
     auto handle_event(std::size_t from, const isolation_request& renewal)
         -> void {
         const auto arbiter = index_of(quarantines_[from]->arbiter());
--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -193,22 +193,54 @@
     return confirmed || certain;
 }
 
+auto quarantine::is_on_trial(const record& entry, time_point now) const
+    -> bool {
+    return !settings_.isolate_suspects_ && entry.marked_until_ &&
+           now >= *entry.marked_until_;
+}
+
+auto quarantine::may_try(const fingerprint& print, time_point now) const
+    -> bool {
+    // Runs whose crash may still be detected count too.
+    return has_members_ && arbiter_ == self_ && now >= grants_allowed_from_ &&
+           std::none_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
+               return entry.second.run_.fingerprint_ == print;
+           });
+}
+
+auto quarantine::mark_lifetime(const record& entry) const -> duration {
+    if (settings_.isolate_suspects_) {
+        return entry.confirmed_ ? settings_.mark_lifetime_
+                                : settings_.unconfirmed_lifetime_;
+    }
+    auto lifetime = settings_.unconfirmed_lifetime_;
+    for (auto trial = 0; trial < entry.failed_trials_ &&
+                         lifetime < settings_.max_mark_lifetime_;
+         ++trial) {
+        lifetime *= settings_.trial_backoff_factor_;
+    }
+    return std::min(lifetime, settings_.max_mark_lifetime_);
+}
+
 auto quarantine::update_mark(const fingerprint& print, record& entry,
-                             bool append_to_log, time_point now) -> void {
+                             time_point seen_at, bool append_to_log,
+                             time_point now) -> void {
     const auto confirmed =
         std::any_of(entry.crashes_.begin(), entry.crashes_.end(),
                     [&](const crash& observed) {
                         return is_active(observed, now) && observed.isolated_;
                     });
     const auto marked = entry.marked_until_ && now < *entry.marked_until_;
-    if (!has_crashed_enough(entry, now) ||
-        (marked && (entry.confirmed_ || !confirmed))) {
+    const auto on_trial = is_on_trial(entry, now);
+    const auto justified = on_trial ? seen_at >= *entry.marked_until_
+                                    : has_crashed_enough(entry, now);
+    if (!justified || (marked && (entry.confirmed_ || !confirmed))) {
         return;
     }
     ++statistics_.marks_;
-    entry.marked_until_ = now + (confirmed ? settings_.mark_lifetime_
-                                           : settings_.unconfirmed_lifetime_);
+    entry.failed_trials_ += on_trial ? 1 : 0;
     entry.confirmed_ = confirmed;
+    entry.marked_until_ = now + mark_lifetime(entry);
     entry.marked_runners_.clear();
     for (const auto& observed : entry.crashes_) {
         if (is_active(observed, now)) {
@@ -217,7 +249,10 @@
     }
     if (append_to_log) {
         events_.emplace_back(
-            quarantine_mark{print, entry.marked_runners_, confirmed});
+            quarantine_mark{.fingerprint_ = print,
+                            .runners_ = entry.marked_runners_,
+                            .confirmed_ = confirmed,
+                            .failed_trials_ = entry.failed_trials_});
     }
 }
 
@@ -231,6 +266,10 @@
     if (entry.marked_until_ && now < *entry.marked_until_) {
         return quarantine_verdict::quarantined;
     }
+    if (is_on_trial(entry, now)) {
+        return may_try(print, now) ? quarantine_verdict::suspected
+                                   : quarantine_verdict::quarantined;
+    }
     return count_active_crashes(entry, now) > 0 ? quarantine_verdict::suspected
                                                 : quarantine_verdict::clear;
 }
@@ -241,7 +280,10 @@
     if (found == records_.end() || !found->second.marked_until_) {
         return settings_.retry_hint_;
     }
-    return std::chrono::ceil<milliseconds>(*found->second.marked_until_ - now);
+    // Until the arbiter has made a trial of an expired mark, ask again soon.
+    return std::max(
+        std::chrono::ceil<milliseconds>(*found->second.marked_until_ - now),
+        settings_.retry_hint_);
 }
 
 auto quarantine::make_quarantined_error(const fingerprint& print,
@@ -268,6 +310,10 @@
         drop_grant(run.request_id_);
         return false;
     }
+    const auto found = records_.find(run.fingerprint_);
+    if (found != records_.end() && is_on_trial(found->second, now)) {
+        ++statistics_.trials_;
+    }
     received_grants_.erase(run.request_id_);
     runs_[run.request_id_] = {run, granted, now, now};
     return true;
@@ -342,9 +388,15 @@
     }
     ++statistics_.clearances_;
     auto cleared = clearance{print, active_crashes(print, now)};
-    for (auto& observed : records_[print].crashes_) {
+    auto& entry = records_[print];
+    for (auto& observed : entry.crashes_) {
         observed.cleared_ = true;
     }
+    if (is_on_trial(entry, now)) {
+        entry.marked_until_.reset();
+        entry.failed_trials_ = 0;
+        events_.emplace_back(quarantine_release{print});
+    }
     announce(std::move(cleared), now);
 }
 
@@ -352,8 +404,9 @@
                               time_point now) -> void {
     const auto& print = run.fingerprint_;
     announce(make_suspicion(print, observed, now), now);
+    const auto seen_at = observed.seen_at_;
     if (add_crash(print, std::move(observed), now)) {
-        update_mark(print, records_[print], true, now);
+        update_mark(print, records_[print], seen_at, true, now);
     }
 }
 
@@ -434,11 +487,12 @@
 }
 
 auto quarantine::merge(const suspicion& received, time_point now) -> bool {
-    if (!add_crash(received.fingerprint_, make_crash(received, now), now)) {
+    const auto observed = make_crash(received, now);
+    if (!add_crash(received.fingerprint_, observed, now)) {
         return false;
     }
     update_mark(received.fingerprint_, records_[received.fingerprint_],
-                arbiter_ == self_, now);
+                observed.seen_at_, arbiter_ == self_, now);
     return true;
 }
 
@@ -457,12 +511,23 @@
 }
 
 auto quarantine::apply(const quarantine_mark& mark, time_point now) -> void {
+    auto marked = record{};
+    marked.confirmed_ = mark.confirmed_;
+    marked.failed_trials_ = mark.failed_trials_;
+    marked.marked_runners_ = mark.runners_;
+    marked.marked_until_ = now - mark.age_ + mark_lifetime(marked);
+    if (now >= *marked.marked_until_ + settings_.trial_retention_) {
+        return;
+    }
     auto& entry = records_[mark.fingerprint_];
-    entry.confirmed_ = mark.confirmed_;
-    entry.marked_until_ = now - mark.age_ +
-                          (mark.confirmed_ ? settings_.mark_lifetime_
-                                           : settings_.unconfirmed_lifetime_);
-    entry.marked_runners_ = mark.runners_;
+    const auto newer =
+        !entry.marked_until_ ||
+        std::pair{marked.failed_trials_, *marked.marked_until_} >
+            std::pair{entry.failed_trials_, *entry.marked_until_};
+    if (settings_.isolate_suspects_ || newer) {
+        marked.crashes_ = std::move(entry.crashes_);
+        entry = std::move(marked);
+    }
 }
 
 auto quarantine::lift(const fingerprint& print, time_point) -> void {
@@ -471,6 +536,7 @@
         return;
     }
     found->second.marked_until_.reset();
+    found->second.failed_trials_ = 0;
     // Kept as cleared, so that late gossip about these crashes does not raise
     // a new suspicion.
     for (auto& observed : found->second.crashes_) {
@@ -508,19 +574,30 @@
     expire_lost_runs(now);
     for (auto it = records_.begin(); it != records_.end();) {
         auto& entry = it->second;
+        const auto was_marked = entry.marked_until_.has_value();
         expire(entry, now);
+        if (was_marked && !entry.marked_until_ &&
+            !settings_.isolate_suspects_ && arbiter_ == self_) {
+            events_.emplace_back(quarantine_release{it->first});
+        }
         const auto empty = entry.crashes_.empty() && !entry.marked_until_;
         it = empty ? records_.erase(it) : std::next(it);
     }
 }
 
-auto quarantine::expire(record& entry, time_point now) -> void {
+auto quarantine::expire(record& entry, time_point now) const -> void {
     if (entry.marked_until_ && now < *entry.marked_until_) {
         return;
     }
-    if (entry.marked_until_) {
+    const auto was_marked = entry.marked_until_.has_value();
+    const auto kept_for_trial =
+        is_on_trial(entry, now) &&
+        now < *entry.marked_until_ + settings_.trial_retention_;
+    if (entry.marked_until_ && !kept_for_trial) {
         entry.marked_until_.reset();
-        ++statistics_.expired_marks_;
+        entry.failed_trials_ = 0;
+    }
+    if (settings_.isolate_suspects_ && was_marked) {
         // The fingerprint becomes suspected again for `suspicion_lifetime_`:
         // one more crash renews the mark, a complete answer clears the
         // fingerprint.
@@ -550,12 +627,17 @@
         auto status = quarantine_entry{print, verdict, {}, {}};
         if (verdict == quarantine_verdict::quarantined) {
             status.runners_ = entry.marked_runners_;
-            status.remaining_ = *entry.marked_until_ - now;
+            status.remaining_ =
+                std::max(*entry.marked_until_ - now, duration{0});
         } else {
             const auto suspicions = active_crashes(print, now);
-            status.runners_.push_back(suspicions.back().runner_);
-            status.remaining_ =
-                settings_.suspicion_lifetime_ - suspicions.back().age_;
+            if (suspicions.empty()) {
+                status.runners_ = entry.marked_runners_;
+            } else {
+                status.runners_.push_back(suspicions.back().runner_);
+                status.remaining_ =
+                    settings_.suspicion_lifetime_ - suspicions.back().age_;
+            }
         }
         result.push_back(std::move(status));
     }
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -32,6 +32,10 @@
 /// like others until their second crash. A request that was merely in flight
 /// during another request's crash can then be retried elsewhere at once.
 ///
+/// An expired mark is then kept for trials: only the arbiter sends the request,
+/// one run at a time. A crash renews the mark for a longer time, a complete
+/// answer removes it.
+///
 /// With `count_lost_connections_` a lost connection counts as a possible crash
 /// at once, because the crash of a runner becomes known seconds later, or never
 /// if the list of runners cannot be read. A request then is also quarantined
@@ -134,6 +138,13 @@
     bool confirmed_ = true;
     /// Time since the mark was set.
     duration age_ = {};
+    /// Number of trials that crashed a runner; see `isolate_suspects_`.
+    int failed_trials_ = 0;
+};
+
+/// Removes the mark of a fingerprint from the log.
+struct quarantine_release {
+    fingerprint fingerprint_;
 };
 
 /// Asks the arbiter for a grant to run a suspected fingerprint, or renews one.
@@ -187,10 +198,11 @@
 };
 
 /// Action that poll() asks the caller to perform: gossip a suspicion or a
-/// clearance, append a mark to the log, or send an isolation request or
-/// release to arbiter().
-using quarantine_event = std::variant<suspicion, clearance, quarantine_mark,
-                                      isolation_request, isolation_release>;
+/// clearance, append a mark to the log or remove it, or send an isolation
+/// request or release to arbiter().
+using quarantine_event =
+    std::variant<suspicion, clearance, quarantine_mark, quarantine_release,
+                 isolation_request, isolation_release>;
 
 /// Status of a quarantined or suspected fingerprint, for operators.
 struct quarantine_entry {
@@ -209,6 +221,12 @@
     duration mark_lifetime_ = std::chrono::minutes{30};
     /// Lifetime of a mark that no isolated run has confirmed.
     duration unconfirmed_lifetime_ = std::chrono::minutes{2};
+    /// Without `isolate_suspects_`: factor by which each failed trial extends
+    /// the lifetime of the mark, and its limit. Three trials fail within a day.
+    int trial_backoff_factor_ = 15;
+    duration max_mark_lifetime_ = std::chrono::hours{24};
+    /// How long an expired mark is kept for a trial.
+    duration trial_retention_ = std::chrono::hours{24};
     /// How many times each suspicion and clearance is gossiped.
     int announcement_count_ = 3;
     /// Time between two of these transmissions.
@@ -268,9 +286,9 @@
     std::uint64_t crashes_ = 0;
     std::uint64_t duplicate_crashes_ = 0;
     std::uint64_t clearances_ = 0;
-    /// Marks set, and marks that expired.
+    /// Marks set, and runs sent after a mark had expired.
     std::uint64_t marks_ = 0;
-    std::uint64_t expired_marks_ = 0;
+    std::uint64_t trials_ = 0;
 };
 
 /// Tracks suspected and quarantined fingerprints for one daemon, and grants
@@ -387,6 +405,7 @@
         std::vector<std::string> marked_runners_;
         /// Whether the mark was confirmed by a crash in isolation.
         bool confirmed_ = false;
+        int failed_trials_ = 0;
     };
     struct grant {
         fingerprint_run run_;
@@ -433,8 +452,16 @@
     auto announce(std::variant<suspicion, clearance> gossip, time_point now)
         -> void;
     auto repeat_announcements(time_point now) -> void;
+    // Sets or renews the mark if the crashes justify it. `seen_at` is the time
+    // of the crash that was added.
     auto update_mark(const fingerprint& print, record& entry,
-                     bool append_to_log, time_point now) -> void;
+                     time_point seen_at, bool append_to_log, time_point now)
+        -> void;
+    // Returns whether the mark has expired and the request waits for a trial.
+    auto is_on_trial(const record& entry, time_point now) const -> bool;
+    // Returns whether this daemon may send the request of an expired mark.
+    auto may_try(const fingerprint& print, time_point now) const -> bool;
+    auto mark_lifetime(const record& entry) const -> duration;
     auto active_crashes(const fingerprint& print, time_point now) const
         -> std::vector<suspicion>;
     auto clear(const fingerprint& print, time_point now) -> void;
@@ -453,7 +480,7 @@
     auto evict_oldest_suspect() -> void;
     auto expire_lost_runs(time_point now) -> void;
     auto expire(time_point now) -> void;
-    auto expire(record& entry, time_point now) -> void;
+    auto expire(record& entry, time_point now) const -> void;
 
     quarantine_settings settings_;
     std::string self_;
--- a/basilstream/coordination/quarantine/quarantine_test.cpp
+++ b/basilstream/coordination/quarantine/quarantine_test.cpp
@@ -1,5 +1,7 @@
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 
+#include <memory>
+
 #include <gtest/gtest.h>
 
 namespace basilstream::coordination {
@@ -343,6 +345,115 @@
     EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::quarantined);
 }
 
+// Daemons of one deployment that all hold a mark of the poison request.
+class mark_end_test : public ::testing::Test {
+protected:
+    mark_end_test() {
+        for (const auto* const name : {"d1", "d2", "d3", "d4"}) {
+            daemons_.push_back(std::make_unique<quarantine>(
+                quarantine_settings{.isolate_suspects_ = false,
+                                    .count_lost_connections_ = true},
+                name));
+            names_.emplace_back(name);
+        }
+        for (const auto& daemon : daemons_) {
+            daemon->set_members(names_, now_);
+            daemon->apply(mark_, now_);
+        }
+        now_ += minutes{1};
+    }
+
+    // Offers the request to every daemon. Returns the daemons that sent it.
+    auto offer(const std::string& id) -> std::vector<quarantine*> {
+        auto sent = std::vector<quarantine*>{};
+        for (const auto& daemon : daemons_) {
+            if (daemon->on_dispatch({poison, id, "r9", "b"}, now_)) {
+                sent.push_back(daemon.get());
+            }
+        }
+        return sent;
+    }
+    // Advances the time and delivers suspicions and marks to all daemons.
+    auto advance(duration time) -> void {
+        now_ += time;
+        for (const auto& from : daemons_) {
+            for (const auto& event : from->poll(now_)) {
+                deliver(event);
+            }
+        }
+    }
+    auto deliver(const quarantine_event& event) -> void {
+        for (const auto& to : daemons_) {
+            if (const auto* crash = std::get_if<suspicion>(&event)) {
+                to->merge(*crash, now_);
+            } else if (const auto* mark =
+                           std::get_if<quarantine_mark>(&event)) {
+                to->apply(*mark, now_);
+            } else if (const auto* release =
+                           std::get_if<quarantine_release>(&event)) {
+                to->lift(release->fingerprint_, now_);
+            }
+        }
+    }
+
+    const quarantine_mark mark_{poison, {"r1", "r2", "r3"}, false};
+    std::vector<std::string> names_;
+    std::vector<std::unique_ptr<quarantine>> daemons_;
+    time_point now_{seconds{100}};
+};
+
+// The mark expires on all daemons at the same time.
+TEST_F(mark_end_test, expired_mark_lets_every_daemon_send_the_request) {
+    EXPECT_TRUE(offer("1").empty());
+    advance(minutes{1});
+    const auto sent = offer("2");
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_TRUE(offer("3").empty());
+    // A trial that is refused as not run may be repeated.
+    sent.front()->on_finish("2", false, now_);
+    EXPECT_EQ(offer("4").size(), 1U);
+}
+
+// The request crashes another runner in each trial.
+TEST_F(mark_end_test, expired_marks_allow_more_than_three_retries_in_a_day) {
+    auto runs = 0;
+    for (auto hour = 0; hour < 24; ++hour) {
+        for (auto minute = 0; minute < 60; ++minute) {
+            advance(minutes{1});
+            const auto id = std::to_string(hour * 60 + minute);
+            for (auto* const sender : offer(id)) {
+                ++runs;
+                sender->on_connection_lost(id, now_);
+                sender->on_finish(id, false, now_);
+            }
+        }
+    }
+    EXPECT_GE(runs, 1);
+    EXPECT_LE(runs, 3);
+}
+
+TEST_F(mark_end_test, complete_answer_in_a_trial_lifts_the_mark_everywhere) {
+    advance(minutes{1});
+    const auto sent = offer("1");
+    ASSERT_EQ(sent.size(), 1U);
+    sent.front()->on_finish("1", true, now_);
+    advance(seconds{1});
+    EXPECT_EQ(offer("2").size(), daemons_.size());
+}
+
+// A daemon that starts reads the mark of a trial that others wait for.
+TEST_F(mark_end_test, restarted_daemon_sends_a_request_on_trial) {
+    advance(minutes{1});
+    auto restarted = quarantine{
+        {.isolate_suspects_ = false, .count_lost_connections_ = true}, "d1"};
+    auto mark = mark_;
+    mark.age_ = minutes{3};
+    restarted.apply(mark, now_);
+    EXPECT_FALSE(restarted.on_dispatch({poison, "1", "r9", "b"}, now_));
+    restarted.set_members({"d1"}, now_);
+    EXPECT_FALSE(restarted.on_dispatch({poison, "2", "r9", "b"}, now_));
+}
+
 // A runner loses two answers to a request and crashes seconds later.
 TEST_F(lost_connections_test, one_crash_confirms_one_of_two_lost_runs) {
     EXPECT_TRUE(lose("1", "r1"));
--- a/basilstream/daemon/quarantine_link/quarantine_link.cpp
+++ b/basilstream/daemon/quarantine_link/quarantine_link.cpp
@@ -113,6 +113,11 @@
     }
 }
 
+auto quarantine_link::handle_event(
+    const coordination::quarantine_release& /*event*/) -> void {
+    // Marks in the control log expire by themselves.
+}
+
 auto quarantine_link::handle_event(const coordination::isolation_request& event)
     -> void {
     if (quarantine_.arbiter() == name_) {
--- a/basilstream/daemon/quarantine_link/quarantine_link.hpp
+++ b/basilstream/daemon/quarantine_link/quarantine_link.hpp
@@ -55,6 +55,7 @@
     auto handle_event(const coordination::suspicion& event) -> void;
     auto handle_event(const coordination::clearance& event) -> void;
     auto handle_event(const coordination::quarantine_mark& event) -> void;
+    auto handle_event(const coordination::quarantine_release& event) -> void;
     auto handle_event(const coordination::isolation_request& event) -> void;
     auto handle_event(const coordination::isolation_release& event) -> void;
     auto on_message(const std::string& sender, const std::string& bytes)
--- a/basilstream/daemon/quarantine_log/quarantine_log.cpp
+++ b/basilstream/daemon/quarantine_log/quarantine_log.cpp
@@ -12,6 +12,7 @@
 
 using coordination::clearance;
 using coordination::quarantine_mark;
+using coordination::quarantine_release;
 using coordination::suspicion;
 
 // Records of marks and of batches share the topic and differ in this prefix.
@@ -62,48 +63,64 @@
 
 auto quarantine_log::publish(const coordination::quarantine_event& event)
     -> void {
+    const auto now = context_.clock_.now();
     if (const auto* crash = std::get_if<suspicion>(&event)) {
-        queue(*crash);
+        queue({*crash, now});
     } else if (const auto* cleared = std::get_if<clearance>(&event)) {
-        queue(*cleared);
+        queue({*cleared, now});
     } else if (const auto* mark = std::get_if<quarantine_mark>(&event)) {
-        queue(*mark);
+        queue({*mark, now});
+    } else if (const auto* release = std::get_if<quarantine_release>(&event)) {
+        context_.log_.info(
+            "quarantine mark removed",
+            {{"fingerprint", release->fingerprint_.to_string()}});
+        queue({*release, now});
     }
 }
 
-auto quarantine_log::queue(protocol::quarantine_message message) -> void {
+auto quarantine_log::queue(pending_write write) -> void {
     if (pending_.size() >= max_pending) {
         context_.log_.warning("quarantine message dropped: too many wait to be "
                               "written to the shared store");
         pending_.pop_front();
     }
-    pending_.push_back({std::move(message), context_.clock_.now()});
+    pending_.push_back(std::move(write));
 }
 
 auto quarantine_log::take_batch() -> std::string {
-    const auto is_mark = [](const pending_message& pending) {
-        return std::holds_alternative<quarantine_mark>(pending.message_);
+    // A mark and its removal have a record of their own.
+    const auto own_key =
+        [](const pending_write& pending) -> std::optional<std::string> {
+        if (const auto* release =
+                std::get_if<quarantine_release>(&pending.content_)) {
+            return mark_key(release->fingerprint_);
+        }
+        const auto& message =
+            std::get<protocol::quarantine_message>(pending.content_);
+        const auto* mark = std::get_if<quarantine_mark>(&message);
+        return mark == nullptr ? std::nullopt
+                               : std::optional{mark_key(mark->fingerprint_)};
     };
-    if (is_mark(pending_.front())) {
-        in_flight_.push_back(std::move(pending_.front()));
-        pending_.pop_front();
-        return mark_key(std::get<quarantine_mark>(in_flight_.front().message_)
-                            .fingerprint_);
-    }
-    while (!pending_.empty() && !is_mark(pending_.front()) &&
-           in_flight_.size() < max_batch) {
+    auto key = own_key(pending_.front());
+    do {
         in_flight_.push_back(std::move(pending_.front()));
         pending_.pop_front();
-    }
-    return std::string{batch_prefix} + name_;
+    } while (!key && !pending_.empty() && !own_key(pending_.front()) &&
+             in_flight_.size() < max_batch);
+    return key.value_or(std::string{batch_prefix} + name_);
 }
 
-auto quarantine_log::encode_in_flight() const -> std::string {
+auto quarantine_log::encode_in_flight() const -> std::optional<std::string> {
     auto record =
         protocol::quarantine_record{context_.wall_clock_.unix_time(), {}};
     const auto now = context_.clock_.now();
     for (const auto& pending : in_flight_) {
-        auto message = pending.message_;
+        const auto* const content =
+            std::get_if<protocol::quarantine_message>(&pending.content_);
+        if (content == nullptr) {
+            return std::nullopt;
+        }
+        auto message = *content;
         std::visit(age_adjustment{now - pending.created_at_}, message);
         record.messages_.push_back(std::move(message));
     }
@@ -154,6 +171,7 @@
 
 auto quarantine_log::apply(const coordination::store_record& record) -> void {
     if (!record.value_) {
+        apply_removal(record.key_);
         return;
     }
     const auto decoded = protocol::decode_quarantine_record(*record.value_);
@@ -171,6 +189,16 @@
     }
 }
 
+auto quarantine_log::apply_removal(std::string_view key) -> void {
+    if (!key.starts_with(mark_prefix)) {
+        return;
+    }
+    key.remove_prefix(mark_prefix.size());
+    if (const auto print = coordination::parse_fingerprint(key)) {
+        quarantine_.lift(*print, context_.clock_.now());
+    }
+}
+
 auto quarantine_log::apply_message(const protocol::quarantine_message& message,
                                    duration delay, const std::string& key)
     -> void {
--- a/basilstream/daemon/quarantine_log/quarantine_log.hpp
+++ b/basilstream/daemon/quarantine_log/quarantine_log.hpp
@@ -16,7 +16,10 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <variant>
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/random/random.hpp"
@@ -52,19 +55,24 @@
     auto apply(const coordination::store_record& record) -> void;
 
 private:
-    // A message that waits to be written; the ages in it are relative to
-    // `created_at_`.
-    struct pending_message {
-        protocol::quarantine_message message_;
+    // What waits to be written: a message, whose ages are relative to
+    // `created_at_`, or the removal of a mark.
+    struct pending_write {
+        std::variant<protocol::quarantine_message,
+                     coordination::quarantine_release>
+            content_;
         time_point created_at_;
     };
 
-    auto queue(protocol::quarantine_message message) -> void;
-    // Moves the next messages that share a key to in_flight_.
+    auto queue(pending_write write) -> void;
+    // Moves the next writes that share a key to in_flight_. Returns the key.
     auto take_batch() -> std::string;
-    [[nodiscard]] auto encode_in_flight() const -> std::string;
+    // Returns the value of their record; absent if it removes a mark.
+    [[nodiscard]] auto encode_in_flight() const -> std::optional<std::string>;
     auto on_appended(const result<coordination::append_outcome>& outcome)
         -> void;
+    // Applies the removal of the record with this key.
+    auto apply_removal(std::string_view key) -> void;
     auto apply_message(const protocol::quarantine_message& message,
                        duration delay, const std::string& key) -> void;
 
@@ -72,8 +80,8 @@
     std::string name_;
     coordination::quarantine& quarantine_;
     coordination::record_store& store_;
-    std::deque<pending_message> pending_;
-    std::deque<pending_message> in_flight_;
+    std::deque<pending_write> pending_;
+    std::deque<pending_write> in_flight_;
     time_point next_append_at_{};
     // Consecutive failed appends.
     int failures_ = 0;
--- a/basilstream/daemon/relay_status/relay_status.cpp
+++ b/basilstream/daemon/relay_status/relay_status.cpp
@@ -112,9 +112,9 @@
               &quarantine_statistics::clearances_},
         gauge{"basilstream_quarantine_marks", "Quarantine marks set.",
               &quarantine_statistics::marks_},
-        gauge{"basilstream_quarantine_expired_marks",
-              "Quarantine marks expired.",
-              &quarantine_statistics::expired_marks_}};
+        gauge{"basilstream_quarantine_trials",
+              "Attempts sent after a quarantine mark had expired.",
+              &quarantine_statistics::trials_}};
     for (const auto& entry : gauges) {
         metrics.add_gauge(
             entry.name_, entry.help_, [parts = parts_, value = entry.value_] {
--- a/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
@@ -1,5 +1,7 @@
 #include "basilstream/protocol/quarantine_codec/quarantine_codec.hpp"
 
+#include <algorithm>
+
 #include "basilstream/protocol/generated/quarantine.pb.h"
 
 namespace basilstream::protocol {
@@ -7,6 +9,10 @@
 
 using namespace coordination;
 
+// Bound of a count that is read. The lifetime of a mark is at its limit long
+// before.
+constexpr auto max_trials = std::uint32_t{1000};
+
 auto milliseconds_of(duration value) -> std::uint64_t {
     return static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(value).count());
@@ -101,6 +107,8 @@
         }
         body.set_confirmed(source.confirmed_);
         body.set_age_ms(milliseconds_of(source.age_));
+        body.set_failed_trials(
+            static_cast<std::uint32_t>(source.failed_trials_));
     }
     wire::quarantine_message& target_;
 };
@@ -109,7 +117,8 @@
     return {{source.fingerprint_high(), source.fingerprint_low()},
             {source.runners().begin(), source.runners().end()},
             source.confirmed(),
-            milliseconds{source.age_ms()}};
+            milliseconds{source.age_ms()},
+            static_cast<int>(std::min(source.failed_trials(), max_trials))};
 }
 
 auto read_ask(const wire::isolation_ask& source) -> isolation_request {
