Take repeats of a request for equal whatever port their host names

Seen by callers: a request that is held back runs again if its client names the address of another daemon, with its port, as the host.

Cause: the fingerprint was made of the Host field as sent, while routes are found by the host without port and case. Found by the search for the same cause elsewhere (what counts as the same request).

Before: repeats_through_other_addresses_count_as_other_requests fails (502, sent on). After: it passes with the 37 other relay tests.

--- a/basilstream/coordination/route_table/route_table.cpp
+++ b/basilstream/coordination/route_table/route_table.cpp
@@ -7,16 +7,6 @@
 namespace basilstream::coordination {
 namespace {
 
-// Returns the host in lower case and without its port.
-auto canonical_host(std::string_view host) -> std::string {
-    auto name = std::string{host.substr(0, host.find(':'))};
-    std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
-        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
-                                              : letter;
-    });
-    return name;
-}
-
 auto shares_service(const relay_route& left, const relay_route& right) -> bool {
     return std::any_of(left.targets_.begin(), left.targets_.end(),
                        [&](const auto& left_target) {
@@ -31,6 +21,15 @@
 
 } // namespace
 
+auto canonical_host(std::string_view host) -> std::string {
+    auto name = std::string{host.substr(0, host.find(':'))};
+    std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
+        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
+                                              : letter;
+    });
+    return name;
+}
+
 auto service_engine::find_model(std::string_view model) const
     -> const service_model* {
     const auto found =
--- a/basilstream/coordination/route_table/route_table.hpp
+++ b/basilstream/coordination/route_table/route_table.hpp
@@ -161,6 +161,9 @@
     std::unordered_map<std::string, prefixes> hosts_;
 };
 
+/// Returns the host in lower case and without its port.
+[[nodiscard]] auto canonical_host(std::string_view host) -> std::string;
+
 /// Returns the service of a target chosen with probability proportional to its
 /// weight. `draw` is uniformly distributed in [0, 1).
 [[nodiscard]] auto pick_target(const relay_route& route, double draw)
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -40,7 +40,8 @@
       service_{
           coordination::pick_target(route, state.context_.random_.fraction())},
       fingerprint_{coordination::make_fingerprint(
-          request_.host_, request_.message_.target_, request_.message_.body_)},
+          coordination::canonical_host(request_.host_),
+          request_.message_.target_, request_.message_.body_)},
       arrived_{state.context_.clock_.now()},
       deadline_{arrived_ +
                 std::min(route.timeout_,
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -376,6 +376,20 @@
     EXPECT_LE(runs, 4U);
 }
 
+// A client names the port of each daemon to which it repeats a request.
+TEST_F(relay_test, repeats_through_other_addresses_count_as_other_requests) {
+    add_backend_b();
+    auto c = test_backend{thread_, "c"};
+    relay_.set_backend(c.server("app"));
+    const auto backends = std::array{&a_, &b_, &c};
+    for (auto* const backend : backends) {
+        backend->default_script_ = close_without_answer();
+    }
+    EXPECT_EQ(call("/safe/bad", "Host", "x:81").status_, 502);
+    EXPECT_EQ(call("/safe/bad", "Host", "X:82").status_, 502);
+    EXPECT_EQ(call("/safe/bad", "Host", "x:83").status_, 503);
+}
+
 // Servers fall silent under a request, and its client leaves before the list
 // shows that they have crashed.
 TEST_F(relay_test, crash_is_forgotten_when_client_leaves_silent_server) {
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -356,7 +356,7 @@
             headers.add("Host", "x");
             headers.add("X-Id", "id" + std::to_string(++next_id_));
             if (!extra_header_name.empty()) {
-                headers.add(extra_header_name, extra_header_value);
+                headers.set(extra_header_name, extra_header_value);
             }
             client.call_ = clients_.send(
                 relay_.address(),
