Read answers whose head arrives before their body

Seen by callers: 502 (outcome_unknown, malformed) from every server that writes head and body apart, and reads of the store that fail the same way.

Cause: Boost.Beast 1.74 reports 'body limit exceeded' for the body after a head that ends a read exactly when body_limit() is none. The answers' reader now sets the largest limit there is.

Before: answer_whose_head_arrives_alone_is_malformed fails at the split after the head. After: it passes at each split.

--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -226,7 +227,9 @@
     explicit parser(bool answer_to_head) {
         eager(true);
         header_limit(response_header_limit);
-        body_limit(boost::none);
+        // Boost.Beast 1.74 rejects the body that follows a head of its own if
+        // there is no limit.
+        body_limit(std::numeric_limits<std::uint64_t>::max());
         skip(answer_to_head);
     }
 };
--- a/basilstream/transport/http_message/http_message_test.cpp
+++ b/basilstream/transport/http_message/http_message_test.cpp
@@ -133,6 +133,22 @@
     EXPECT_EQ(reader.surplus(), 0U);
 }
 
+// A server writes head and body apart, in any pieces.
+TEST(response_reader, answer_whose_head_arrives_alone_is_malformed) {
+    const auto answer = std::string{
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-A: b\r\n\r\nabc"};
+    for (auto first = std::size_t{1}; first < answer.size(); ++first) {
+        auto sink = recording_sink{};
+        auto reader = response_reader{};
+        EXPECT_EQ(reader.feed(answer.substr(0, first), sink),
+                  read_state::incomplete)
+            << first;
+        EXPECT_EQ(reader.feed(answer.substr(first), sink),
+                  read_state::complete);
+        EXPECT_EQ(sink.body_, "abc");
+    }
+}
+
 TEST(response_reader, skips_interim_answers) {
     auto reader = response_reader{};
     auto sink = recording_sink{};
