Add the fault soak: real daemons under signals, cuts and a faulty store

Faults come in series and overlap: processes paused, killed, stopped and reloaded, one or all; a store that refuses, is silent, loses answers or is slow; daemons cut off from it; servers that crash, are cut one way, delayed or reset; requests that crash servers, repeated at any daemon and changing. Clients keep their connections until a process is gone. A quiet phase follows the faults; its last four seconds count for recovery.

--- /dev/null
+++ b/testing/fault_soak/daemon_process.cpp
@@ -0,0 +1,104 @@
+#include "testing/fault_soak/daemon_process.hpp"
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "basilstream/protocol/json/json.hpp"
+
+namespace basilstream::testing {
+namespace {
+
+// Returns a port that was free a moment ago.
+auto free_port() -> int {
+    const auto descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto address = sockaddr_in{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto size = socklen_t{sizeof(address)};
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    ::bind(descriptor, generic, size);
+    ::getsockname(descriptor, generic, &size);
+    ::close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+auto free_address() -> std::string {
+    return "127.0.0.1:" + std::to_string(free_port());
+}
+
+} // namespace
+
+daemon_process::daemon_process(daemon_options options)
+    : options_{std::move(options)}, caller_address_{free_address()},
+      readiness_address_{free_address()}, directory_address_{free_address()},
+      metrics_address_{free_address()}, peer_port_{free_port()} {
+    const auto settings = options_.directory_ + "/" + options_.name_ + ".json";
+    const auto log = options_.directory_ + "/" + options_.name_ + ".log";
+    write_settings(settings);
+    auto arguments =
+        std::array<std::string, 3>{options_.program_, "--config", settings};
+    auto pointers = std::array<char*, 4>{
+        arguments[0].data(), arguments[1].data(), arguments[2].data(), nullptr};
+    pid_ = ::fork();
+    if (pid_ == 0) {
+        const auto output =
+            ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(output, STDOUT_FILENO);
+        ::dup2(output, STDERR_FILENO);
+        ::execv(pointers[0], pointers.data());
+        ::_exit(127);
+    }
+}
+
+daemon_process::~daemon_process() {
+    if (!ended()) {
+        signal(SIGKILL);
+        ::waitpid(pid_, nullptr, 0);
+    }
+}
+
+auto daemon_process::write_settings(const std::string& path) const -> void {
+    auto file = std::ofstream{path};
+    file << protocol::json{
+        {"name", options_.name_},
+        {"zone", "a"},
+        {"relay",
+         {{"callers", caller_address_},
+          {"readiness", readiness_address_},
+          {"directory", directory_address_},
+          {"metrics", metrics_address_}}},
+        {"peer", {{"ip", "127.0.0.1"}, {"ports", {peer_port_, peer_port_}}}},
+        {"store", {{"address", options_.store_address_}}},
+        {"limits",
+         {{"retry_ratio", 0.2},
+          {"retry_allowance", 50},
+          {"retry_window_s", 10},
+          {"lease_ms", 3000},
+          {"load_window_s", 5}}},
+        {"stop", {{"grace_s", options_.grace_seconds_}}},
+        {"logging", {{"level", "info"}, {"format", "json"}}}};
+}
+
+auto daemon_process::signal(int number) -> void {
+    if (!ended_ && pid_ > 0) {
+        ::kill(pid_, number);
+    }
+}
+
+auto daemon_process::ended() -> bool {
+    if (!ended_ && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
+        ended_ = true;
+    }
+    return ended_;
+}
+
+} // namespace basilstream::testing
--- /dev/null
+++ b/testing/fault_soak/daemon_process.hpp
@@ -0,0 +1,55 @@
+/// A `basilstreamd` process with settings and a log file of its own.
+///
+///     auto daemon = daemon_process{{.name_ = "d1", ...}};
+///     daemon.signal(SIGSTOP);
+#pragma once
+
+#include <string>
+
+#include <sys/types.h>
+
+namespace basilstream::testing {
+
+struct daemon_options {
+    /// Path of `basilstreamd`.
+    std::string program_ = BASILSTREAMD_PATH;
+    std::string name_;
+    /// Directory for settings and log.
+    std::string directory_;
+    std::string store_address_;
+    int grace_seconds_ = 4;
+};
+
+class daemon_process {
+public:
+    /// Starts the process on ephemeral loopback ports.
+    explicit daemon_process(daemon_options options);
+    daemon_process(const daemon_process&) = delete;
+    auto operator=(const daemon_process&) -> daemon_process& = delete;
+    /// Kills the process.
+    ~daemon_process();
+
+    auto signal(int number) -> void;
+    /// Returns whether the process has ended.
+    [[nodiscard]] auto ended() -> bool;
+    [[nodiscard]] auto caller_address() const -> const std::string& {
+        return caller_address_;
+    }
+    [[nodiscard]] auto readiness_address() const -> const std::string& {
+        return readiness_address_;
+    }
+
+private:
+    auto write_settings(const std::string& path) const -> void;
+
+    daemon_options options_;
+    std::string caller_address_;
+    std::string readiness_address_;
+    std::string directory_address_;
+    std::string metrics_address_;
+    int peer_port_ = 0;
+    pid_t pid_ = -1;
+    bool ended_ = false;
+};
+
+} // namespace basilstream::testing
--- /dev/null
+++ b/testing/fault_soak/promises.cpp
@@ -0,0 +1,147 @@
+#include "testing/fault_soak/promises.hpp"
+
+#include <array>
+#include <utility>
+
+namespace basilstream::testing {
+namespace {
+
+constexpr auto crashes_before_counting = std::size_t{3};
+constexpr auto max_late_retries = 3;
+// Time for which daemons may still send a request after its third crash.
+constexpr auto stable_window = seconds{3};
+// Time-out of the routes, and how much later an answer may come.
+constexpr auto route_timeout = seconds{3};
+constexpr auto answer_slack = milliseconds{500};
+constexpr auto recovery_share = 0.9;
+// Statuses that promise that a request has not run and will not.
+constexpr auto not_run_statuses = std::array{408, 421, 429, 503};
+
+} // namespace
+
+auto promise_checker::answer_body(const std::string& id,
+                                  const server_process& server) -> std::string {
+    return id + " " + server.name_ + "/" + std::to_string(server.start_);
+}
+
+auto promise_checker::event_text(int number) -> std::string {
+    return "id: " + std::to_string(number) + "\ndata: x\n\n";
+}
+
+auto promise_checker::report(promise broken, std::string detail) -> void {
+    violations_.push_back({broken, std::move(detail)});
+}
+
+auto promise_checker::on_sent(sent_request request, time_point now) -> void {
+    const auto counts = recovering_ && request.kind_ != repeatability::crashing;
+    recovery_sent_ += counts ? 1 : 0;
+    auto id = request.id_;
+    requests_[id] = {std::move(request), now, {}, false, counts};
+}
+
+auto promise_checker::on_run(const std::string& id,
+                             const server_process& server,
+                             const std::string& path, const std::string& body,
+                             bool settled, time_point now) -> void {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        report(promise::unasked, "unknown request " + id);
+        return;
+    }
+    auto& state = found->second;
+    if (path != state.request_.path_ || body != state.request_.body_) {
+        report(promise::unasked, "altered request " + id);
+    }
+    if (state.answered_as_not_run_) {
+        report(promise::refused_but_run, id + " ran after its refusal");
+    }
+    const auto once = state.request_.kind_ == repeatability::once ||
+                      state.request_.kind_ == repeatability::stream;
+    if (once && !state.runs_.empty()) {
+        report(promise::twice, id);
+    }
+    state.runs_.push_back(server);
+    if (state.request_.kind_ == repeatability::crashing) {
+        check_crashing_run(path, server, settled, now);
+    }
+}
+
+auto promise_checker::check_crashing_run(const std::string& path,
+                                         const server_process& server,
+                                         bool settled, time_point now) -> void {
+    auto& state = crashing_[path];
+    if (state.third_crash_ && settled &&
+        now > *state.third_crash_ + stable_window &&
+        ++state.late_retries_ > max_late_retries) {
+        report(promise::crashing_request,
+               path + " sent to " + server.name_ + " after " +
+                   std::to_string(state.crashed_.size()) + " crashes");
+    }
+    crashes_ += state.crashed_.insert(server).second ? 1 : 0;
+    if (!state.third_crash_ &&
+        state.crashed_.size() >= crashes_before_counting) {
+        state.third_crash_ = now;
+    }
+}
+
+auto promise_checker::on_answer(const std::string& id,
+                                const received_answer& answer, time_point now)
+    -> void {
+    auto& state = requests_.at(id);
+    if (!answer.disturbed_ &&
+        now > state.sent_at_ + route_timeout + answer_slack) {
+        report(promise::late, id);
+    }
+    for (const auto status : not_run_statuses) {
+        if (answer.status_ == status && answer.complete_) {
+            state.answered_as_not_run_ = true;
+            if (!state.runs_.empty()) {
+                report(promise::refused_but_run, id);
+            }
+        }
+    }
+    if (answer.status_ / 100 == 2) {
+        check_success(state, answer);
+    }
+}
+
+auto promise_checker::check_success(const request_state& state,
+                                    const received_answer& answer) -> void {
+    const auto& id = state.request_.id_;
+    if (!answer.signed_) {
+        report(promise::mixed, id + " has no signature");
+    }
+    if (state.request_.kind_ == repeatability::stream) {
+        auto expected = std::string{};
+        for (auto number = 1; number <= stream_events; ++number) {
+            expected += event_text(number);
+        }
+        const auto is_prefix = expected.starts_with(answer.body_);
+        if (!is_prefix || (answer.complete_ && answer.body_ != expected)) {
+            report(promise::order, id);
+        }
+    } else if (answer.complete_) {
+        auto matches = false;
+        for (const auto& server : state.runs_) {
+            matches = matches || answer.body_ == answer_body(id, server);
+        }
+        if (!matches) {
+            report(promise::mixed, id + " has the body " + answer.body_);
+        }
+    }
+    if (answer.complete_) {
+        ++served_;
+        recovery_served_ += state.in_recovery_ ? 1 : 0;
+    }
+}
+
+auto promise_checker::check_recovery() -> void {
+    if (static_cast<double>(recovery_served_) <
+        recovery_share * static_cast<double>(recovery_sent_)) {
+        report(promise::recovery, std::to_string(recovery_served_) + " of " +
+                                      std::to_string(recovery_sent_) +
+                                      " requests served");
+    }
+}
+
+} // namespace basilstream::testing
--- /dev/null
+++ b/testing/fault_soak/promises.hpp
@@ -0,0 +1,153 @@
+/// Checks what clients and backend servers see against the promises made to
+/// them.
+///
+///     auto promises = promise_checker{};
+///     promises.on_sent({"q1", request_kind::once, "/once/1", "body"}, now);
+///     promises.on_run("q1", {"s1", 3}, "/once/1", "body", true, now);
+///     promises.on_answer("q1", {200, "q1 s1/3", true, true}, now);
+///     promises.violations();
+///
+/// Pure; not safe for concurrent use.
+#pragma once
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/name_table/name_table.hpp"
+
+namespace basilstream::testing {
+
+enum class promise {
+    /// A request that must not be repeated ran more than once.
+    twice,
+    /// A request that was answered as not run has run, or ran later.
+    refused_but_run,
+    /// A success without the server's signature, or with another body.
+    mixed,
+    /// A server ran a request that no client sent, or an altered one.
+    unasked,
+    /// A stream lacks an event or ends early as if it were complete.
+    order,
+    /// A request that crashes servers was sent on.
+    crashing_request,
+    /// A request had no answer half a second after its time-out.
+    late,
+    /// A daemon did not end within its grace time.
+    stop,
+    /// Too few requests are served once the faults are over.
+    recovery,
+};
+
+inline constexpr auto promise_names =
+    name_table<promise, 9>{{{{promise::twice, "twice"},
+                             {promise::refused_but_run, "refused_but_run"},
+                             {promise::mixed, "mixed"},
+                             {promise::unasked, "unasked"},
+                             {promise::order, "order"},
+                             {promise::crashing_request, "crashing_request"},
+                             {promise::late, "late"},
+                             {promise::stop, "stop"},
+                             {promise::recovery, "recovery"}}}};
+
+struct violation {
+    promise promise_;
+    std::string detail_;
+};
+
+/// What may be repeated of a request.
+enum class repeatability { safe, once, stream, crashing };
+
+struct sent_request {
+    std::string id_;
+    repeatability kind_ = repeatability::safe;
+    std::string path_;
+    std::string body_;
+};
+
+/// One process of a server.
+struct server_process {
+    std::string name_;
+    int start_ = 0;
+    auto operator<=>(const server_process&) const = default;
+};
+
+struct received_answer {
+    int status_ = 0;
+    std::string body_;
+    /// Whether it bears a server's signature.
+    bool signed_ = false;
+    /// Whether it ended as a complete answer.
+    bool complete_ = false;
+    /// Whether the daemon was stopped, paused or cut off meanwhile.
+    bool disturbed_ = false;
+};
+
+class promise_checker {
+public:
+    auto on_sent(sent_request request, time_point now) -> void;
+    /// A server began to run a request. `settled` says whether the daemon that
+    /// sent it had been undisturbed, with an undisturbed store, for long enough
+    /// to be bound by what others know.
+    auto on_run(const std::string& id, const server_process& server,
+                const std::string& path, const std::string& body, bool settled,
+                time_point now) -> void;
+    auto on_answer(const std::string& id, const received_answer& answer,
+                   time_point now) -> void;
+    /// Records a violation that the caller has found.
+    auto report(promise broken, std::string detail) -> void;
+    /// Counts requests that are sent from now on, for recovery_share().
+    auto begin_recovery() -> void { recovering_ = true; }
+    /// Checks that nine tenths of the requests of the recovery were served.
+    auto check_recovery() -> void;
+
+    [[nodiscard]] auto violations() const -> const std::vector<violation>& {
+        return violations_;
+    }
+    [[nodiscard]] auto sent() const -> std::size_t { return requests_.size(); }
+    [[nodiscard]] auto served() const -> std::size_t { return served_; }
+    [[nodiscard]] auto crashes() const -> std::size_t { return crashes_; }
+
+    /// Returns the body of the answer to a request.
+    [[nodiscard]] static auto answer_body(const std::string& id,
+                                          const server_process& server)
+        -> std::string;
+    /// Number of events in a stream, and the text of one.
+    static constexpr auto stream_events = 8;
+    [[nodiscard]] static auto event_text(int number) -> std::string;
+
+private:
+    struct request_state {
+        sent_request request_;
+        time_point sent_at_;
+        std::vector<server_process> runs_;
+        bool answered_as_not_run_ = false;
+        bool in_recovery_ = false;
+    };
+    struct crashing_state {
+        std::set<server_process> crashed_;
+        std::optional<time_point> third_crash_;
+        int late_retries_ = 0;
+    };
+    auto check_success(const request_state& state,
+                       const received_answer& answer) -> void;
+    auto check_crashing_run(const std::string& path,
+                            const server_process& server, bool settled,
+                            time_point now) -> void;
+
+    std::map<std::string, request_state> requests_;
+    // Crashing requests by path.
+    std::map<std::string, crashing_state> crashing_;
+    std::size_t crashes_ = 0;
+    std::size_t served_ = 0;
+    bool recovering_ = false;
+    std::size_t recovery_sent_ = 0;
+    std::size_t recovery_served_ = 0;
+    std::vector<violation> violations_;
+};
+
+} // namespace basilstream::testing
--- /dev/null
+++ b/testing/fault_soak/stand_in_store.hpp
@@ -0,0 +1,79 @@
+/// Stand-in for the platform's metadata store: partition 0 of its log topics,
+/// with the newest record of each key, and faults.
+///
+///     auto store = stand_in_store{thread, clock};
+///     store.put("keyed.op", "config", text);
+///     store.set_fault(store_fault::refuse);
+///
+/// Use on the reactor's thread only.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/transport/http_session/http_session.hpp"
+
+namespace basilstream::testing {
+
+enum class store_fault {
+    none,
+    /// Answers 503; nothing is done.
+    refuse,
+    /// Does nothing and never answers.
+    silent,
+    /// Carries appends out and never answers them.
+    lose_answers,
+    /// Answers 300 ms late.
+    slow,
+};
+
+class stand_in_store {
+public:
+    stand_in_store(transport::reactor_thread& thread, const clock& time);
+    stand_in_store(const stand_in_store&) = delete;
+    auto operator=(const stand_in_store&) -> stand_in_store& = delete;
+    ~stand_in_store();
+
+    [[nodiscard]] auto address() const -> std::string;
+    /// Appends a record of a keyed topic; without a value, drops the key.
+    auto put(const std::string& topic, const std::string& key,
+             const std::optional<std::string>& value) -> void;
+    auto set_fault(store_fault fault) -> void { fault_ = fault; }
+
+private:
+    // A call whose answer is due later.
+    struct held_call;
+    using call_pointer = std::shared_ptr<held_call>;
+
+    auto answer(const transport::request_message& request,
+                transport::http_session& session) -> void;
+    auto append(const std::string& topic, const std::string& at,
+                std::string_view body, const call_pointer& call) -> void;
+    auto read(const std::string& topic, std::size_t from,
+              milliseconds longest_wait, const call_pointer& call) -> void;
+    auto list(const std::string& topic, const call_pointer& call) -> void;
+    auto respond(const call_pointer& call, int status, std::string body)
+        -> void;
+    auto add_record(const std::string& topic, std::string content) -> void;
+    auto read_response(const std::string& topic, std::size_t from)
+        -> std::string;
+
+    struct waiting_read {
+        std::string topic_;
+        std::size_t from_ = 0;
+        call_pointer call_;
+    };
+
+    transport::reactor_thread& thread_;
+    std::unique_ptr<transport::http_session_server> server_;
+    std::map<std::string, std::vector<std::string>> topics_;
+    std::list<waiting_read> waiting_;
+    store_fault fault_ = store_fault::none;
+};
+
+} // namespace basilstream::testing
