--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -20,6 +20,9 @@
 // known yet.
 constexpr auto processes_to_quarantine = std::size_t{3};
 constexpr auto lost_runs_to_quarantine = std::size_t{4};
+// Fingerprints are kept for hours, so that they need not be visited at each
+// poll.
+constexpr auto record_expiry_interval = seconds{1};
 
 } // namespace
 
@@ -572,6 +575,10 @@
     });
     expire_grants(now);
     expire_lost_runs(now);
+    if (now < next_record_expiry_) {
+        return;
+    }
+    next_record_expiry_ = now + record_expiry_interval;
     for (auto it = records_.begin(); it != records_.end();) {
         auto& entry = it->second;
         const auto was_marked = entry.marked_until_.has_value();
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -490,6 +490,7 @@
     // Arbiter only: end of the takeover delay.
     time_point grants_allowed_from_{};
     std::map<fingerprint, record> records_;
+    time_point next_record_expiry_{};
     // Runs of this daemon in flight, by request id.
     std::unordered_map<std::string, local_run> runs_;
     // Arbiter only: granted runs by request id.
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -102,6 +102,10 @@
     bool accepting_ = true;
 };
 
+/// Returns the settings of a relay's quarantine.
+[[nodiscard]] auto make_quarantine_settings()
+    -> coordination::quarantine_settings;
+
 /// Returns the id of a backend server's process, which started at `started_at`
 /// (Unix milliseconds); empty if that is 0, not known.
 [[nodiscard]] auto boot_id_of(std::int64_t started_at) -> std::string;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -28,6 +28,11 @@
 // Covers the expiry of an announcement and an outage of the store, during which
 // removals are not listed.
 constexpr auto crash_detection_window = seconds{30};
+// A request that crashes servers may come again after hours. A complete answer
+// clears a harmless one sooner.
+constexpr auto suspicion_lifetime = std::chrono::hours{24};
+// Takes less than 10 MB at about 400 bytes each.
+constexpr auto max_suspected_requests = std::size_t{16'384};
 // Bound of the random number that distinguishes the runs of a restarted daemon.
 constexpr auto max_run_id_nonce = std::uint64_t{1} << 32U;
 // Connections per backend server for services without a configured limit.
@@ -65,6 +70,14 @@
     return policy_settings;
 }
 
+auto make_router_settings() -> coordination::router_settings {
+    // No preferred zone: within one region, load affects latency far more than
+    // distance does.
+    return {.zone_ = {}};
+}
+
+} // namespace
+
 // Suspected requests run without a grant of the quarantine arbiter: most
 // requests that were on a crashed backend server did not cause the crash, and
 // their clients are waiting. Each suspicion is gossiped only once to limit
@@ -76,17 +89,11 @@
     policy_settings.count_lost_connections_ = true;
     policy_settings.announcement_count_ = 1;
     policy_settings.crash_detection_window_ = crash_detection_window;
+    policy_settings.suspicion_lifetime_ = suspicion_lifetime;
+    policy_settings.capacity_ = max_suspected_requests;
     return policy_settings;
 }
 
-auto make_router_settings() -> coordination::router_settings {
-    // No preferred zone: within one region, load affects latency far more than
-    // distance does.
-    return {.zone_ = {}};
-}
-
-} // namespace
-
 auto boot_id_of(std::int64_t started_at) -> std::string {
     return started_at == 0 ? std::string{} : std::to_string(started_at);
 }
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 
+#include "basilstream/daemon/relay/internal/parts.hpp"
 #include "basilstream/daemon/relay/relay_test_world.hpp"
 
 namespace basilstream::daemon {
@@ -376,6 +377,20 @@
     EXPECT_LE(runs, 4U);
 }
 
+TEST(relay_quarantine, crashes_hours_apart_are_forgotten) {
+    auto tracker =
+        coordination::quarantine{internal::make_quarantine_settings(), "d1"};
+    const auto print = coordination::make_fingerprint("x", "/path", "body");
+    auto now = time_point{seconds{100}};
+    for (const auto* const runner : {"r1", "r2", "r3"}) {
+        EXPECT_TRUE(tracker.on_dispatch({print, runner, runner, "b"}, now));
+        tracker.on_connection_lost(runner, now);
+        now += std::chrono::hours{2};
+        static_cast<void>(tracker.poll(now));
+    }
+    EXPECT_FALSE(tracker.on_dispatch({print, "r4", "r4", "b"}, now));
+}
+
 // A client names the port of each daemon to which it repeats a request.
 TEST_F(relay_test, repeats_through_other_addresses_count_as_other_requests) {
     add_backend_b();
