--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -575,7 +575,8 @@
     });
     expire_grants(now);
     expire_lost_runs(now);
-    if (now < next_record_expiry_) {
+    // Isolated runs depend on when exactly a mark expires.
+    if (!settings_.isolate_suspects_ && now < next_record_expiry_) {
         return;
     }
     next_record_expiry_ = now + record_expiry_interval;
