Withhold the retry allowance for a window after a daemon has started

Seen by callers: when daemons are killed together, or one after the other, while a service loses answers, its servers get more repeats in ten seconds than the deployment allows.

Cause: what a daemon has spent of the allowance is forgotten with its process, and a daemon that has just started takes itself for the only one, with the whole allowance for itself. Found by the search for the same cause elsewhere: a count that must outlast the process.

Fix: for one window after its start a relaying daemon retries by the ratio of the requests that it has seen only; then the former process' spending is over and the other daemons are known.

Before: restarted_daemons_use_the_allowance_of_the_window_again fails, 72 retries in ten seconds of 40 allowed.

--- a/basilstream/coordination/retries/retries.cpp
+++ b/basilstream/coordination/retries/retries.cpp
@@ -29,8 +29,10 @@
 
 } // namespace
 
-retry_budget::retry_budget(double ratio, double per_second)
-    : ratio_{ratio}, per_second_{per_second} {}
+retry_budget::retry_budget(double ratio, double per_second,
+                           time_point per_second_from)
+    : ratio_{ratio}, per_second_{per_second}, per_second_from_{
+                                                  per_second_from} {}
 
 auto retry_budget::bucket_at(time_point now) -> second_bucket& {
     const auto second = second_of(now);
@@ -49,7 +51,9 @@
 auto retry_budget::balance(time_point now) const -> double {
     const auto oldest =
         second_of(now) - static_cast<std::int64_t>(window_seconds_);
-    auto balance = per_second_ * static_cast<double>(window_seconds_);
+    auto balance = now < per_second_from_
+                       ? 0.0
+                       : per_second_ * static_cast<double>(window_seconds_);
     for (const auto& bucket : buckets_) {
         if (bucket.second_ > oldest) {
             balance += ratio_ * bucket.requests_ - bucket.retries_;
@@ -69,7 +73,8 @@
 retry_policy::retry_policy(retry_settings settings, random_source& random,
                            retry_guards guards)
     : settings_{settings}, random_{random}, guards_{guards},
-      budget_{settings.budget_ratio_, settings.budget_per_second_} {}
+      budget_{settings.budget_ratio_, settings.budget_per_second_,
+              settings.budget_per_second_from_} {}
 
 auto retry_policy::find_give_up_reason(const attempt_failure& failure) const
     -> give_up_reason {
--- a/basilstream/coordination/retries/retries.hpp
+++ b/basilstream/coordination/retries/retries.hpp
@@ -32,6 +32,9 @@
     /// Additional retries allowed per second, so that requests can be retried
     /// when there is little traffic.
     double budget_per_second_ = 1;
+    /// From when on these are allowed. A process that replaces another one
+    /// waits for ten seconds, because the other may have used up its budget.
+    time_point budget_per_second_from_ = time_point::min();
     /// Maximum number of attempts per request, including the first.
     int max_attempts_ = 4;
     /// Upper bound of the first delay. The bound doubles with each attempt, up
@@ -125,7 +128,9 @@
 /// constant rate (as Finagle's RetryBudget).
 class retry_budget {
 public:
-    retry_budget(double ratio, double per_second);
+    /// The retries per second are allowed from `per_second_from` on.
+    retry_budget(double ratio, double per_second,
+                 time_point per_second_from = time_point::min());
     /// Sets the retries per second that are allowed in addition to the ratio.
     auto set_per_second(double per_second) -> void { per_second_ = per_second; }
     /// Sets the number of retries allowed per request.
@@ -153,6 +158,7 @@
 
     double ratio_;
     double per_second_;
+    time_point per_second_from_;
     /// Indexed by second modulo `window_seconds_`.
     std::array<second_bucket, window_seconds_> buckets_;
 };
--- a/basilstream/coordination/retries/retries_test.cpp
+++ b/basilstream/coordination/retries/retries_test.cpp
@@ -1,5 +1,8 @@
 #include "basilstream/coordination/retries/retries.hpp"
 
+#include <algorithm>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 namespace basilstream::coordination {
@@ -45,6 +48,46 @@
     EXPECT_EQ(resumed.resume_position_, 7U);
 }
 
+// All daemons are killed and start again while a service loses every answer.
+TEST_F(retries, restarted_daemons_use_the_allowance_of_the_window_again) {
+    constexpr auto daemons = 6;
+    constexpr auto allowance = 40.0;
+    constexpr auto restart_step = 155;
+    const auto start = [&](time_point from) {
+        auto started = std::vector<retry_policy>{};
+        for (auto daemon = 0; daemon < daemons; ++daemon) {
+            started.emplace_back(
+                retry_settings{.budget_ratio_ = 0,
+                               .budget_per_second_ = allowance / 10 / daemons,
+                               .budget_per_second_from_ = from},
+                random_);
+        }
+        return started;
+    };
+    auto policies = start(now_);
+    auto retried_at = std::vector<time_point>{};
+    for (auto step = 0; step < 400; ++step) {
+        now_ += milliseconds{100};
+        if (step == restart_step) {
+            policies = start(now_ + seconds{10});
+        }
+        for (auto& policy : policies) {
+            if (policy.decide({.error_ = crashed_, .idempotent_ = true}, now_)
+                    .retry_) {
+                retried_at.push_back(now_);
+            }
+        }
+    }
+    auto most = std::ptrdiff_t{0};
+    for (auto first = retried_at.begin(); first != retried_at.end(); ++first) {
+        const auto last =
+            std::lower_bound(first, retried_at.end(), *first + seconds{10});
+        most = std::max(most, last - first);
+    }
+    EXPECT_GT(most, 0);
+    EXPECT_LE(most, allowance);
+}
+
 TEST_F(retries, excludes_all_failed_runners) {
     const auto decision = decide({.error_ = no_slot_,
                                   .runner_ = "r2",
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -80,6 +80,8 @@
     transport::http_pool pool_;
     std::unique_ptr<transport::http_session_server> server_;
     std::unordered_map<std::string, coordination::retry_policy> retry_policies_;
+    // From when on the retry allowance may be used.
+    const time_point retry_allowance_from_;
     // Last reported state of a backend server, to detect crashes.
     struct backend_info {
         std::string service_;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -54,7 +54,8 @@
                  .heartbeat_interval_ = duration{0},
                  .heartbeat_timeout_ = duration{0}}};
 
-auto make_retry_settings(const relay_settings& settings, std::size_t daemons)
+auto make_retry_settings(const relay_settings& settings, std::size_t daemons,
+                         time_point allowance_from)
     -> coordination::retry_settings {
     const auto window =
         std::chrono::duration<double>(settings.retry_window_).count();
@@ -63,6 +64,7 @@
     policy_settings.budget_per_second_ = retry_budget_share *
                                          settings.retry_allowance_ / window /
                                          static_cast<double>(daemons);
+    policy_settings.budget_per_second_from_ = allowance_from;
     policy_settings.max_attempts_ = max_attempts;
     policy_settings.first_delay_ = first_retry_delay;
     policy_settings.longest_delay_ = max_retry_delay;
@@ -134,6 +136,8 @@
                      "/"},
       router_{make_router_settings(), context.random_}, pool_{context.thread_,
                                                               context.clock_},
+      retry_allowance_from_{context.clock_.now() +
+                            settings_.retry_allowance_delay_},
       quarantine_{make_quarantine_settings(), settings_.name_},
       call_monitor_{silence_timeouts} {}
 
@@ -147,7 +151,8 @@
     }
     return retry_policies_
         .emplace(service, coordination::retry_policy{make_retry_settings(
-                                                         settings_, daemons_),
+                                                         settings_, daemons_,
+                                                         retry_allowance_from_),
                                                      context_.random_})
         .first->second;
 }
@@ -334,8 +339,8 @@
 auto relay::set_daemons(std::size_t count) -> void {
     auto& state = *state_;
     state.daemons_ = std::max<std::size_t>(count, 1);
-    const auto settings =
-        internal::make_retry_settings(state.settings_, state.daemons_);
+    const auto settings = internal::make_retry_settings(
+        state.settings_, state.daemons_, state.retry_allowance_from_);
     for (auto& [service, policy] : state.retry_policies_) {
         policy.set_budget_per_second(settings.budget_per_second_);
     }
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -83,6 +83,9 @@
     /// all daemons.
     double retry_allowance_ = 10;
     duration retry_window_ = seconds{10};
+    /// How long after its construction the relay does without the allowance,
+    /// and retries by the ratio only.
+    duration retry_allowance_delay_{0};
     /// Longest wait for a model or adapter to load, as a multiple of the
     /// latency objective of the route. Clients disconnect from streams that
     /// start much later than the objective.
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -244,7 +244,8 @@
                 .address_ = settings.caller_address_,
                 .retry_ratio_ = settings.limits_.retry_ratio_,
                 .retry_allowance_ = settings.limits_.retry_allowance_,
-                .retry_window_ = settings.limits_.retry_window_};
+                .retry_window_ = settings.limits_.retry_window_,
+                .retry_allowance_delay_ = settings.limits_.retry_window_};
     }
 
     static auto model_settings_of(const relay_daemon_settings& settings)
