Keep the retries of every ten seconds within the budget

Seen by callers: a service gets twice the retries that the deployment allows in some ten seconds.

Cause: the budget counts by whole seconds and drops the second that lies in the window in part, so that its window is nine to ten seconds long. What was spent at the end of a second is available again 9.1 s later. The rule counts any span.

Fix: one more second is kept. Its retries count, its requests do not.

Before: two_windows_of_retries_fit_into_one_sliding_window fails (40 of 20), and restarted_daemons_use_the_allowance_of_the_window_again (60 of 40). After: both pass with the nine others.

--- a/basilstream/coordination/retries/retries.cpp
+++ b/basilstream/coordination/retries/retries.cpp
@@ -37,7 +37,7 @@
 auto retry_budget::bucket_at(time_point now) -> second_bucket& {
     const auto second = second_of(now);
     auto& bucket_of_second =
-        buckets_[static_cast<std::size_t>(second) % window_seconds_];
+        buckets_[static_cast<std::size_t>(second) % buckets_.size()];
     if (bucket_of_second.second_ != second) {
         bucket_of_second = {second, 0, 0};
     }
@@ -55,8 +55,14 @@
                        ? 0.0
                        : per_second_ * static_cast<double>(window_seconds_);
     for (const auto& bucket : buckets_) {
+        // The oldest second lies in the window in part. Counting its retries
+        // but not its requests keeps every span of the window's length within
+        // the budget.
+        if (bucket.second_ >= oldest) {
+            balance -= bucket.retries_;
+        }
         if (bucket.second_ > oldest) {
-            balance += ratio_ * bucket.requests_ - bucket.retries_;
+            balance += ratio_ * bucket.requests_;
         }
     }
     return balance;
--- a/basilstream/coordination/retries/retries.hpp
+++ b/basilstream/coordination/retries/retries.hpp
@@ -159,8 +159,8 @@
     double ratio_;
     double per_second_;
     time_point per_second_from_;
-    /// Indexed by second modulo `window_seconds_`.
-    std::array<second_bucket, window_seconds_> buckets_;
+    /// Indexed by second modulo the number of buckets.
+    std::array<second_bucket, window_seconds_ + 1> buckets_;
 };
 
 /// Conditions of a retry. They can be replaced so that a test can disable one
--- a/basilstream/coordination/retries/retries_test.cpp
+++ b/basilstream/coordination/retries/retries_test.cpp
@@ -48,6 +48,24 @@
     EXPECT_EQ(resumed.resume_position_, 7U);
 }
 
+// The budget is used up at the end of a second, and again when that second
+// leaves the window.
+TEST_F(retries, two_windows_of_retries_fit_into_one_sliding_window) {
+    auto budget = retry_budget{0, 2};
+    auto withdrawn = 0;
+    const auto use_up = [&](time_point at) {
+        while (budget.withdraw(at)) {
+            ++withdrawn;
+        }
+    };
+    use_up(now_ + milliseconds{900});
+    EXPECT_EQ(withdrawn, 20);
+    use_up(now_ + milliseconds{10'800});
+    EXPECT_EQ(withdrawn, 20);
+    use_up(now_ + milliseconds{11'000});
+    EXPECT_EQ(withdrawn, 40);
+}
+
 // All daemons are killed and start again while a service loses every answer.
 TEST_F(retries, restarted_daemons_use_the_allowance_of_the_window_again) {
     constexpr auto daemons = 6;
