--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -30,11 +30,10 @@
 ///
 /// With `isolate_suspects_` off no arbiter is asked, and suspected requests run
 /// like others until their second crash. A request that was merely in flight
-/// during another request's crash can then be retried elsewhere at once.
-///
-/// An expired mark is then kept for trials: only the arbiter sends the request,
-/// one run at a time. A crash renews the mark for a longer time, a complete
-/// answer removes it.
+/// during another request's crash can then be retried elsewhere at once. When a
+/// mark expires, the request goes on trial: only the arbiter sends it, one run
+/// at a time. A crash renews the mark for a longer time, a complete answer
+/// removes it.
 ///
 /// With `count_lost_connections_` a lost connection counts as a possible crash
 /// at once, because the crash of a runner becomes known seconds later, or never
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -45,8 +45,8 @@
 }
 
 auto known_topic(std::uint32_t value) -> bool {
-    return value <= static_cast<std::uint32_t>(
-                        coordination::shared_topic::quarantine);
+    return value <=
+           static_cast<std::uint32_t>(coordination::shared_topic::quarantine);
 }
 
 auto known_state(std::uint32_t value) -> bool {
