--- a/testing/fault_soak/daemon_process.cpp
+++ b/testing/fault_soak/daemon_process.cpp
@@ -25,10 +25,10 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto size = socklen_t{sizeof(address)};
     auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    ::bind(descriptor, generic, size);
-    ::getsockname(descriptor, generic, &size);
+    const auto bound = ::bind(descriptor, generic, size) == 0 &&
+                       ::getsockname(descriptor, generic, &size) == 0;
     ::close(descriptor);
-    return ntohs(address.sin_port);
+    return bound ? ntohs(address.sin_port) : 0;
 }
 
 auto free_address() -> std::string {
--- a/testing/fault_soak/promises.cpp
+++ b/testing/fault_soak/promises.cpp
@@ -113,7 +113,7 @@
     }
     if (state.request_.kind_ == repeatability::stream) {
         auto expected = std::string{};
-        for (auto number = 1; number <= stream_events; ++number) {
+        for (auto number = 1; number <= stream_events_; ++number) {
             expected += event_text(number);
         }
         const auto is_prefix = expected.starts_with(answer.body_);
--- a/testing/fault_soak/promises.hpp
+++ b/testing/fault_soak/promises.hpp
@@ -10,11 +10,11 @@
 /// Pure; not safe for concurrent use.
 #pragma once
 
-#include <compare>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "basilstream/base/clock/clock.hpp"
@@ -73,7 +73,9 @@
 struct server_process {
     std::string name_;
     int start_ = 0;
-    auto operator<=>(const server_process&) const = default;
+    auto operator<(const server_process& other) const -> bool {
+        return std::tie(name_, start_) < std::tie(other.name_, other.start_);
+    }
 };
 
 struct received_answer {
@@ -117,7 +119,7 @@
                                           const server_process& server)
         -> std::string;
     /// Number of events in a stream, and the text of one.
-    static constexpr auto stream_events = 8;
+    static constexpr auto stream_events_ = 8;
     [[nodiscard]] static auto event_text(int number) -> std::string;
 
 private:
--- a/testing/fault_soak/soak.cpp
+++ b/testing/fault_soak/soak.cpp
@@ -125,7 +125,7 @@
     std::shared_ptr<client_call> self_;
 };
 
-const std::vector<fault_soak::fault_kind> fault_soak::fault_kinds = {
+const std::vector<fault_soak::fault_kind> fault_soak::fault_kinds_ = {
     {"pause_daemon", &fault_soak::pause_daemon},
     {"kill_daemon", &fault_soak::kill_daemon},
     {"kill_all_daemons", &fault_soak::kill_all_daemons},
@@ -239,7 +239,7 @@
     if (!injecting_) {
         return;
     }
-    const auto& kind = fault_kinds[random_.below(fault_kinds.size())];
+    const auto& kind = fault_kinds_[random_.below(fault_kinds_.size())];
     if (options_.only_fault_.empty() || options_.only_fault_ == kind.name_) {
         const auto at = std::chrono::duration_cast<milliseconds>(clock_.now() -
                                                                  started_at_);
--- a/testing/fault_soak/soak.hpp
+++ b/testing/fault_soak/soak.hpp
@@ -66,7 +66,7 @@
         const char* name_;
         void (fault_soak::*inject_)();
     };
-    static const std::vector<fault_kind> fault_kinds;
+    static const std::vector<fault_kind> fault_kinds_;
 
     auto start_daemon(node& target) -> void;
     // Excuses a daemon from what it must know until `time` from now.
--- a/testing/fault_soak/stand_in_server.cpp
+++ b/testing/fault_soak/stand_in_server.cpp
@@ -132,7 +132,7 @@
         streams_.erase(open);
         return;
     }
-    if (number > promise_checker::stream_events) {
+    if (number > promise_checker::stream_events_) {
         open->session_->observe(nullptr);
         std::exchange(open->session_, nullptr)->end_stream();
         streams_.erase(open);
