--- a/basilstream/daemon/backend_dialect/backend_dialect.hpp
+++ b/basilstream/daemon/backend_dialect/backend_dialect.hpp
@@ -77,6 +77,15 @@
       {answer_verdict::misdirected, "misdirected"},
       {answer_verdict::other_request, "foreign"}}}};
 
+/// What an answer states about the rate of requests that its server accepts.
+struct rate_limit_notice {
+    enum class kind { absent, malformed, valid };
+    kind kind_ = kind::absent;
+    /// Requests per second of all daemons together, finite and not negative.
+    /// Set if `kind_` is `valid`.
+    double per_second_ = 0;
+};
+
 /// Reads and writes the annotations of requests and answers.
 class backend_dialect {
 public:
@@ -99,6 +108,11 @@
     [[nodiscard]] virtual auto
     classify_answer(const transport::answer_head& head,
                     const std::string& request_id) const -> answer_verdict = 0;
+    /// Returns what the answer, or the reply to any other call, states about
+    /// its server's rate limit.
+    [[nodiscard]] virtual auto
+    rate_limit(const transport::header_list& headers) const
+        -> rate_limit_notice = 0;
     /// Returns the header fields with which a backend server's answer is
     /// forwarded to the client.
     [[nodiscard]] virtual auto
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -96,6 +96,7 @@
     }
     ++attempts_sent_;
     state_.router_.start_attempt(backend_);
+    state_.context_.permits_.on_sent(backend_);
     monitor_call();
 }
 
@@ -173,6 +174,12 @@
             {{"request_id", request_.id_}, {"backend", backend_}});
         return false;
     }
+    // Other answers may come from processes that name no limits.
+    const auto notice = state_.dialect_.rate_limit(head.headers_);
+    if (verdict_ == answer_verdict::answer ||
+        notice.kind_ != rate_limit_notice::kind::absent) {
+        state_.context_.permits_.on_notice(backend_, notice, attempt_started_);
+    }
     if (verdict_ != answer_verdict::answer) {
         mode_ = answer_mode::not_run;
         return true;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -318,6 +318,7 @@
     state.backends_[server.id_] = {server.service_, server.started_at_,
                                    server.draining_};
     state.router_.update_runner(info);
+    state.context_.permits_.set_server(server.id_, server.started_at_);
     const auto open_exchanges = std::vector<std::shared_ptr<exchange>>{
         state.exchanges_.begin(), state.exchanges_.end()};
     for (const auto& open_exchange : open_exchanges) {
@@ -333,6 +334,7 @@
     }
     state_->router_.remove_runner(id);
     state_->backends_.erase(id);
+    state_->context_.permits_.remove_server(id);
     state_->last_received_at_.erase(id);
 }
 
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -2,8 +2,8 @@
 /// routes map each request to a service. Client connections, backend
 /// connections and all routing decisions share one thread.
 ///
-///     auto proxy = relay{{clock, random, thread, log, metrics}, settings,
-///                        dialect, provisioner};
+///     auto proxy = relay{{clock, random, thread, log, metrics, permits},
+///                        settings, dialect, provisioner};
 ///     proxy.open();
 ///     proxy.set_config(config);
 ///     proxy.set_backend(server);
@@ -28,6 +28,7 @@
 #include "basilstream/coordination/route_table/route_table.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
 #include "basilstream/daemon/request_journal/request_journal.hpp"
+#include "basilstream/daemon/server_permits/server_permits.hpp"
 #include "basilstream/transport/http_pool/http_pool.hpp"
 #include "basilstream/transport/logging/logging.hpp"
 #include "basilstream/transport/metrics/metrics.hpp"
@@ -42,6 +43,7 @@
     transport::reactor_thread& thread_;
     transport::logger& log_;
     transport::metrics_registry& metrics_;
+    server_permits& permits_;
 };
 
 /// Identifies the model, or the adapter of a model, that a request needs.
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -56,6 +56,15 @@
                                                    : answer_verdict::answer;
     }
 
+    [[nodiscard]] auto rate_limit(const transport::header_list& headers) const
+        -> rate_limit_notice override {
+        const auto text = headers.find("X-Rate-Limit");
+        using kind = rate_limit_notice::kind;
+        return text.empty()
+                   ? rate_limit_notice{}
+                   : rate_limit_notice{kind::valid,
+                                       std::stod(std::string{text})};
+    }
     [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
         -> transport::header_list override {
         auto headers = transport::header_list{};
@@ -288,7 +297,7 @@
 protected:
     relay_test()
         : thread_{"test", 1024}, log_{{transport::log_level::off}, "test"},
-          relay_{{clock_, random_, thread_, log_, metrics_},
+          relay_{{clock_, random_, thread_, log_, metrics_, permits_},
                  {.address_ = "127.0.0.1:0",
                   .retry_ratio_ = 1,
                   .retry_allowance_ = 100,
@@ -382,6 +391,7 @@
     transport::reactor_thread thread_;
     transport::logger log_;
     transport::metrics_registry metrics_;
+    server_permits permits_{{clock_, log_, metrics_}};
     test_dialect dialect_;
     test_provisioner provisioner_;
     relay relay_;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -70,9 +70,9 @@
         : settings_{settings}, deployment_{deployment},
           on_stopped_{std::move(on_stopped)}, log_{settings.logging_,
                                                    settings.name_},
-          thread_{"traffic", task_queue_capacity}, context_{clock_, random_,
-                                                            thread_, log_,
-                                                            metrics_},
+          thread_{"traffic", task_queue_capacity}, permits_{{clock_, log_,
+                                                             metrics_}},
+          context_{clock_, random_, thread_, log_, metrics_, permits_},
           relay_{context_, relay_settings_of(settings), deployment.dialect(),
                  *this},
           control_calls_{thread_, clock_},
@@ -522,6 +522,7 @@
     transport::logger log_;
     transport::metrics_registry metrics_;
     transport::reactor_thread thread_;
+    server_permits permits_;
     relay_context context_;
     relay relay_;
     // Connections to the store, separate from those for traffic.
--- a/basilstream/daemon/relay_program/relay_program_test_world.hpp
+++ b/basilstream/daemon/relay_program/relay_program_test_world.hpp
@@ -146,6 +146,15 @@
         return head.headers_.contains("X-Not-Run") ? answer_verdict::misdirected
                                                    : answer_verdict::answer;
     }
+    [[nodiscard]] auto rate_limit(const transport::header_list& headers) const
+        -> rate_limit_notice override {
+        const auto text = headers.find("X-Rate-Limit");
+        using kind = rate_limit_notice::kind;
+        return text.empty()
+                   ? rate_limit_notice{}
+                   : rate_limit_notice{kind::valid,
+                                       std::stod(std::string{text})};
+    }
     [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
         -> transport::header_list override {
         return head.headers_;
