--- a/basilstream/daemon/relay_program/relay_program_test_world.hpp
+++ b/basilstream/daemon/relay_program/relay_program_test_world.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -130,6 +131,7 @@
         request.id_ = message.headers_.find("X-Id");
         request.host_ = message.headers_.find("Host");
         request.model_ = message.headers_.find("X-Model");
+        request.adapter_ = message.headers_.find("X-Adapter");
         request.prompt_tokens_ = 100;
         request.output_tokens_ = 10;
         request.message_ = std::move(message);
@@ -150,10 +152,9 @@
         -> rate_limit_notice override {
         const auto text = headers.find("X-Rate-Limit");
         using kind = rate_limit_notice::kind;
-        return text.empty()
-                   ? rate_limit_notice{}
-                   : rate_limit_notice{kind::valid,
-                                       std::stod(std::string{text})};
+        return text.empty() ? rate_limit_notice{}
+                            : rate_limit_notice{kind::valid,
+                                                std::stod(std::string{text})};
     }
     [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
         -> transport::header_list override {
@@ -161,10 +162,13 @@
     }
     [[nodiscard]] auto
     local_reply_headers(const std::string& request_id,
-                        std::optional<milliseconds> /*retry_after*/) const
+                        std::optional<milliseconds> retry_after) const
         -> transport::header_list override {
         auto headers = transport::header_list{};
         headers.add("X-Id", request_id);
+        if (retry_after) {
+            headers.add("Retry-After", std::to_string(retry_after->count()));
+        }
         return headers;
     }
 };
@@ -252,4 +256,25 @@
     std::map<std::string, coordination::backend_server> servers_;
 };
 
+// Decodes announcements from the text of their records, so that servers can
+// change while daemons read: address, start time and, for a runner, the model
+// that it holds.
+class text_installation final : public fake_installation {
+public:
+    [[nodiscard]] auto backend(const store_record& record) const
+        -> result<coordination::backend_server> override {
+        auto server = coordination::backend_server{};
+        auto text = std::istringstream{*record.value_};
+        auto model = std::string{};
+        text >> server.address_ >> server.started_at_;
+        if (text >> model) {
+            server.models_ = {{model, 1, {}}};
+        }
+        server.id_ = record.key_;
+        server.service_ = "app";
+        server.slots_ = 16;
+        return server;
+    }
+};
+
 } // namespace basilstream::daemon
--- a/testing/crashing_requests/crashing_requests_test.cpp
+++ b/testing/crashing_requests/crashing_requests_test.cpp
@@ -10,7 +10,6 @@
 #include <iostream>
 #include <optional>
 #include <set>
-#include <sstream>
 
 #include <gtest/gtest.h>
 
@@ -56,22 +55,6 @@
     milliseconds length_{12'000};
 };
 
-// Decodes announcements from the text of their records, since servers change
-// while daemons read.
-class text_installation final : public daemon::fake_installation {
-public:
-    [[nodiscard]] auto backend(const daemon::store_record& record) const
-        -> result<coordination::backend_server> override {
-        auto server = coordination::backend_server{};
-        auto text = std::istringstream{*record.value_};
-        text >> server.address_ >> server.started_at_;
-        server.id_ = record.key_;
-        server.service_ = "app";
-        server.slots_ = 16;
-        return server;
-    }
-};
-
 // The crashing request reached a server process.
 struct crashing_run {
     time_point at_;
@@ -347,7 +330,7 @@
     steady_clock clock_;
     transport::reactor_thread thread_;
     transport::http_pool clients_;
-    text_installation installation_;
+    daemon::text_installation installation_;
     std::vector<crashing_run> runs_;
     std::vector<std::unique_ptr<crashing_server>> servers_;
     std::array<std::unique_ptr<daemon::relay_program>, daemon_count> daemons_;
--- a/testing/fault_soak/promises.cpp
+++ b/testing/fault_soak/promises.cpp
@@ -14,6 +14,12 @@
 constexpr auto route_timeout = seconds{3};
 constexpr auto answer_slack = milliseconds{500};
 constexpr auto recovery_share = 0.9;
+// In any such window a server gets at most this multiple of what its limit
+// allows and some more, from daemons that have passed the limit on.
+constexpr auto limit_window = seconds{4};
+constexpr auto limit_factor = 1.5;
+constexpr auto limit_allowance = 5.0;
+constexpr auto limit_notice_delay = milliseconds{500};
 // Statuses that promise that a request has not run and will not.
 constexpr auto not_run_statuses = std::array{408, 421, 429, 503};
 
@@ -135,6 +141,54 @@
     }
 }
 
+auto promise_checker::on_limit(const std::string& server,
+                               std::optional<double> per_second, time_point now)
+    -> void {
+    limits_.erase(server);
+    if (per_second) {
+        limits_[server] = {*per_second, now, {}, {}, false};
+    }
+}
+
+auto promise_checker::on_limit_passed_on(const std::string& daemon,
+                                         const std::string& server,
+                                         time_point now) -> void {
+    const auto found = limits_.find(server);
+    if (found != limits_.end()) {
+        found->second.passed_on_.try_emplace(daemon, now);
+    }
+}
+
+auto promise_checker::on_arrival(const std::string& server,
+                                 const std::string& daemon, bool settled,
+                                 time_point now) -> void {
+    const auto found = limits_.find(server);
+    if (found == limits_.end()) {
+        return;
+    }
+    auto& state = found->second;
+    const auto passed_on = state.passed_on_.find(daemon);
+    if (!settled || passed_on == state.passed_on_.end() ||
+        now < passed_on->second + limit_notice_delay) {
+        return;
+    }
+    state.arrivals_.push_back(now);
+    while (state.arrivals_.front() <= now - limit_window) {
+        state.arrivals_.pop_front();
+    }
+    const auto allowed =
+        limit_factor * state.per_second_ *
+            static_cast<double>(seconds{limit_window}.count()) +
+        limit_allowance;
+    if (now >= state.named_at_ + stable_window &&
+        static_cast<double>(state.arrivals_.size()) > allowed &&
+        !std::exchange(state.exceeded_, true)) {
+        report(promise::server_limit,
+               server + " got " + std::to_string(state.arrivals_.size()) +
+                   " requests, limit " + std::to_string(state.per_second_));
+    }
+}
+
 auto promise_checker::check_recovery() -> void {
     if (static_cast<double>(recovery_served_) <
         recovery_share * static_cast<double>(recovery_sent_)) {
--- a/testing/fault_soak/promises.hpp
+++ b/testing/fault_soak/promises.hpp
@@ -10,6 +10,7 @@
 /// Pure; not safe for concurrent use.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -41,18 +42,21 @@
     stop,
     /// Too few requests are served once the faults are over.
     recovery,
+    /// A server got more requests than the rate limit that it had named.
+    server_limit,
 };
 
 inline constexpr auto promise_names =
-    name_table<promise, 9>{{{{promise::twice, "twice"},
-                             {promise::refused_but_run, "refused_but_run"},
-                             {promise::mixed, "mixed"},
-                             {promise::unasked, "unasked"},
-                             {promise::order, "order"},
-                             {promise::crashing_request, "crashing_request"},
-                             {promise::late, "late"},
-                             {promise::stop, "stop"},
-                             {promise::recovery, "recovery"}}}};
+    name_table<promise, 10>{{{{promise::twice, "twice"},
+                              {promise::refused_but_run, "refused_but_run"},
+                              {promise::mixed, "mixed"},
+                              {promise::unasked, "unasked"},
+                              {promise::order, "order"},
+                              {promise::crashing_request, "crashing_request"},
+                              {promise::late, "late"},
+                              {promise::stop, "stop"},
+                              {promise::recovery, "recovery"},
+                              {promise::server_limit, "server_limit"}}}};
 
 struct violation {
     promise promise_;
@@ -100,6 +104,15 @@
                 time_point now) -> void;
     auto on_answer(const std::string& id, const received_answer& answer,
                    time_point now) -> void;
+    /// A server names a rate limit in all its answers from now on, or none.
+    auto on_limit(const std::string& server, std::optional<double> per_second,
+                  time_point now) -> void;
+    /// A client got an answer of the server that names its limit.
+    auto on_limit_passed_on(const std::string& daemon,
+                            const std::string& server, time_point now) -> void;
+    /// A request of any outcome reached a server. `settled` as for on_run().
+    auto on_arrival(const std::string& server, const std::string& daemon,
+                    bool settled, time_point now) -> void;
     /// Records a violation that the caller has found.
     auto report(promise broken, std::string detail) -> void;
     /// Counts requests that are sent from now on, for recovery_share().
@@ -135,6 +148,15 @@
         std::optional<time_point> third_crash_;
         int late_retries_ = 0;
     };
+    struct limit_state {
+        double per_second_ = 0;
+        time_point named_at_;
+        // When each daemon first passed the limit on.
+        std::map<std::string, time_point> passed_on_;
+        // Arrivals of the last seconds from daemons that are bound by it.
+        std::deque<time_point> arrivals_;
+        bool exceeded_ = false;
+    };
     auto check_success(const request_state& state,
                        const received_answer& answer) -> void;
     auto check_crashing_run(const std::string& path,
@@ -144,6 +166,8 @@
     std::map<std::string, request_state> requests_;
     // Crashing requests by path.
     std::map<std::string, crashing_state> crashing_;
+    // Limits in force, by server.
+    std::map<std::string, limit_state> limits_;
     std::size_t crashes_ = 0;
     std::size_t served_ = 0;
     bool recovering_ = false;
--- a/testing/fault_soak/promises_test.cpp
+++ b/testing/fault_soak/promises_test.cpp
@@ -131,5 +131,24 @@
     EXPECT_TRUE(found(promise::recovery));
 }
 
+TEST(promise_checker, finds_too_many_requests_for_a_limit) {
+    const auto start = time_point{seconds{100}};
+    const auto play = [&](int requests, bool settled) {
+        auto promises = promise_checker{};
+        promises.on_limit("s1", 1.0, start);
+        promises.on_limit_passed_on("d1", "s1", start);
+        for (auto number = 0; number < requests; ++number) {
+            promises.on_arrival("s1", "d1", settled,
+                                start + seconds{4} + milliseconds{number});
+            promises.on_arrival("s1", "d2", settled,
+                                start + seconds{4} + milliseconds{number});
+        }
+        return promises.violations().size();
+    };
+    EXPECT_EQ(play(11, true), 0U);
+    EXPECT_EQ(play(12, true), 1U);
+    EXPECT_EQ(play(40, false), 0U);
+}
+
 } // namespace
 } // namespace basilstream::testing
--- a/testing/fault_soak/soak.cpp
+++ b/testing/fault_soak/soak.cpp
@@ -95,6 +95,11 @@
         answer_.status_ = head.status_;
         answer_.signed_ =
             head.headers_.contains("Basilstream-Response-Signature");
+        if (const auto server = head.headers_.find(server_field);
+            !server.empty()) {
+            owner_.promises_.on_limit_passed_on(
+                node_.name_, std::string{server}, owner_.clock_.now());
+        }
         return true;
     }
     auto on_answer_body(std::string_view piece) -> void override {
@@ -139,7 +144,8 @@
     {"delay_server", &fault_soak::delay_server},
     {"cut_server", &fault_soak::cut_server},
     {"reset_server", &fault_soak::reset_server},
-    {"rename_crashing_request", &fault_soak::rename_crashing_request}};
+    {"rename_crashing_request", &fault_soak::rename_crashing_request},
+    {"limit_server", &fault_soak::limit_server}};
 
 fault_soak::fault_soak(soak_options options)
     : options_{std::move(options)}, random_{options_.seed_},
@@ -271,6 +277,7 @@
     for (const auto& server : servers_) {
         server->proxy().set_mode(proxy_mode::forward);
         server->proxy().set_delay(milliseconds{0});
+        server->set_limit(std::nullopt);
     }
 }
 
@@ -380,6 +387,15 @@
     crashing_requests_ += random_.below(3) == 0 ? 1 : 0;
 }
 
+auto fault_soak::limit_server() -> void {
+    auto& server = random_server();
+    constexpr auto limits = std::array{0.3, 1.1, 2.5, 8.0};
+    server.set_limit(limits[random_.below(limits.size())]);
+    // Now and then the limit is replaced before it ends.
+    thread_.after(random_time(4000, 12'000),
+                  [&server] { server.set_limit(std::nullopt); });
+}
+
 auto fault_soak::send_request() -> void {
     if (!sending_) {
         return;
@@ -415,6 +431,7 @@
     headers.add("Basilstream-Request-Id", id);
     headers.add("Basilstream-Deadline-Milliseconds",
                 std::to_string(route_timeout_ms));
+    headers.add(daemon_field, target.name_);
     headers.add(settled_field, clock_.now() > target.settled_from_ ? "1" : "0");
     const auto bytes =
         transport::write_request("POST", request.path_, headers, request.body_);
--- a/testing/fault_soak/soak.hpp
+++ b/testing/fault_soak/soak.hpp
@@ -93,6 +93,7 @@
     auto cut_server() -> void;
     auto reset_server() -> void;
     auto rename_crashing_request() -> void;
+    auto limit_server() -> void;
 
     auto send_request() -> void;
     auto send(repeatability kind) -> void;
--- a/testing/fault_soak/stand_in_server.cpp
+++ b/testing/fault_soak/stand_in_server.cpp
@@ -41,6 +41,7 @@
                             })
                             .value());
     ++starts_;
+    set_limit(std::nullopt);
     proxy_->set_target(server_->address());
     announce();
 }
@@ -59,6 +60,11 @@
                             .dump());
 }
 
+auto stand_in_server::set_limit(std::optional<double> per_second) -> void {
+    limit_ = per_second;
+    context_.promises_.on_limit(name_, per_second, context_.clock_.now());
+}
+
 auto stand_in_server::expire(const std::string& id, int start) -> void {
     if (id != id_ || start == starts_) {
         context_.store_.put("keyed.servers", id, std::nullopt);
@@ -98,14 +104,21 @@
     const auto expected = request.headers_.find("Basilstream-Expect-Instance");
     auto headers = transport::header_list{};
     headers.add(id_field, id);
+    if (limit_) {
+        headers.add("Server-Limit", std::to_string(*limit_));
+        headers.add(server_field, name_);
+    }
+    const auto settled = request.headers_.find(settled_field) == "1";
+    context_.promises_.on_arrival(
+        name_, std::string{request.headers_.find(daemon_field)}, settled,
+        context_.clock_.now());
     if (!expected.empty() && expected != id_) {
         session.respond(421, headers, "");
         return;
     }
     const auto process = server_process{name_, starts_};
     context_.promises_.on_run(id, process, request.target_, request.body_,
-                              request.headers_.find(settled_field) == "1",
-                              context_.clock_.now());
+                              settled, context_.clock_.now());
     if (request.body_ == crashing_body) {
         const auto same_id = context_.random_.below(2) == 0;
         context_.thread_.after(milliseconds{0},
--- a/testing/fault_soak/stand_in_server.hpp
+++ b/testing/fault_soak/stand_in_server.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -34,6 +35,10 @@
 /// Header field in which clients say whether the daemon to which they send was
 /// undisturbed for long enough.
 inline constexpr auto settled_field = "X-Settled";
+/// Header field in which clients name the daemon to which they send.
+inline constexpr auto daemon_field = "X-Daemon";
+/// Header field in which a server that names its rate limit names itself.
+inline constexpr auto server_field = "X-Server";
 
 class stand_in_server {
 public:
@@ -45,6 +50,9 @@
     /// Ends the process without notice. A new one starts after a second or
     /// more, under the id of the former or another.
     auto crash(bool same_id) -> void;
+    /// Names a rate limit in all answers from now on, or none if empty. A new
+    /// process names none.
+    auto set_limit(std::optional<double> per_second) -> void;
     /// The proxy before the server, whose address is announced.
     [[nodiscard]] auto proxy() -> fault_proxy& { return *proxy_; }
 
@@ -62,6 +70,7 @@
     std::string id_;
     int starts_ = 0;
     int ids_ = 0;
+    std::optional<double> limit_;
     std::unique_ptr<fault_proxy> proxy_;
     std::unique_ptr<transport::http_session_server> server_;
     std::set<std::shared_ptr<stream>> streams_;
