Keep all daemons together within the rate limit that a server names

Callers saw nothing; the servers in need got several times what they had asked for, so that the requests of others on them became late.

Cause: the limit was not read, and nothing on the way counts requests per second: the router knows requests in flight only, of each daemon by itself. Class: a limit that all share is kept by nobody.

Change: one daemon owns each limited server, chosen by highest random weight among the members, and hands out permits for single requests by a generic cell rate algorithm. A daemon asks it before each request to a limited server, first attempts, repeats, resumed streams and the planner's orders and reports alike. A request that no permit covers goes to another server, waits within twice its objective if there is none, or is refused at once with the time at which the owner expects to serve it. Limits that change are sent with the shared loads; permit requests carry them too, so that an owner needs no memory. Fixed shares of each daemon were ruled out: 1.1 a second over 80 daemons is a burst of 80 or an unused limit.

--- a/basilstream/coordination/fleet_ledger/fleet_ledger.cpp
+++ b/basilstream/coordination/fleet_ledger/fleet_ledger.cpp
@@ -226,7 +226,7 @@
                [](const open_order& order) { return order.adapter_.empty(); });
 }
 
-auto fleet_ledger::runners_of(const std::string& service) const
+auto fleet_ledger::runners_of(const std::string& service, time_point now) const
     -> std::vector<fleet_runner> {
     auto runners = std::vector<fleet_runner>{};
     for (const auto& [id, runner] : runners_) {
@@ -236,8 +236,9 @@
         const auto open_adapter_orders = std::count_if(
             runner.open_orders_.begin(), runner.open_orders_.end(),
             [](const open_order& order) { return !order.adapter_.empty(); });
-        const auto blocked =
-            !runner.state_known_ || runner.sent_step_.has_value();
+        const auto blocked = !runner.state_known_ ||
+                             runner.sent_step_.has_value() ||
+                             now < runner.next_order_at_;
         auto models = runner.models_;
         if (runner.sent_step_) {
             apply_sent_step(models, *runner.sent_step_);
@@ -256,11 +257,11 @@
     return runners;
 }
 
-auto fleet_ledger::begin_order(const fleet_step& step, time_point /*now*/)
+auto fleet_ledger::begin_order(const fleet_step& step, time_point now)
     -> std::optional<std::uint64_t> {
     const auto found = runners_.find(step.runner_);
     if (found == runners_.end() || !found->second.state_known_ ||
-        found->second.sent_step_) {
+        found->second.sent_step_ || now < found->second.next_order_at_) {
         return std::nullopt;
     }
     auto& runner = found->second;
@@ -272,6 +273,20 @@
     return runner.accepted_orders_;
 }
 
+auto fleet_ledger::on_order_postponed(const std::string& id,
+                                      time_point next_order_at) -> void {
+    const auto found = runners_.find(id);
+    if (found == runners_.end() || !found->second.sent_step_) {
+        return;
+    }
+    auto& runner = found->second;
+    const auto step = *std::exchange(runner.sent_step_, std::nullopt);
+    runner.next_order_at_ = next_order_at;
+    if (!step.is_load_) {
+        add_change(runner, step.model_, step.adapter_, load_state::ready, {});
+    }
+}
+
 auto fleet_ledger::apply_accepted_order(runner_state& runner,
                                         const fleet_step& step, time_point now)
     -> void {
--- a/basilstream/coordination/fleet_ledger/fleet_ledger.hpp
+++ b/basilstream/coordination/fleet_ledger/fleet_ledger.hpp
@@ -100,13 +100,18 @@
     auto on_report_failed(const std::string& id, time_point now) -> void;
 
     /// Returns the runners of a service, as input for plan_fleet().
-    [[nodiscard]] auto runners_of(const std::string& service) const
+    [[nodiscard]] auto runners_of(const std::string& service,
+                                  time_point now) const
         -> std::vector<fleet_runner>;
     /// Records that the order is being sent. Returns the number of accepted
     /// orders that the order must carry, or nothing if no order may be sent to
     /// the runner now.
     [[nodiscard]] auto begin_order(const fleet_step& step, time_point now)
         -> std::optional<std::uint64_t>;
+    /// Withdraws the order that begin_order() recorded, which was not sent. The
+    /// runner gets no order before `next_order_at`.
+    auto on_order_postponed(const std::string& id, time_point next_order_at)
+        -> void;
     /// Applies the outcome of the order that begin_order() recorded.
     auto on_answer(const std::string& id, order_result result, time_point now)
         -> void;
@@ -145,6 +150,8 @@
         // Time of the first of the consecutive reports that showed fewer
         // accepted orders than tracked; empty if the last one did not.
         std::optional<time_point> stale_since_;
+        // In the past unless the last order was postponed.
+        time_point next_order_at_{};
     };
 
     auto apply_accepted_order(runner_state& runner, const fleet_step& step,
--- a/basilstream/coordination/fleet_ledger/fleet_ledger_test.cpp
+++ b/basilstream/coordination/fleet_ledger/fleet_ledger_test.cpp
@@ -47,7 +47,7 @@
 }
 
 auto runner(const fleet_ledger& ledger) -> fleet_runner {
-    return ledger.runners_of("chat").at(0);
+    return ledger.runners_of("chat", start).at(0);
 }
 
 TEST(fleet_ledger, blocks_orders_until_first_report) {
@@ -175,5 +175,19 @@
     EXPECT_EQ(ledger.reports_due(start).size(), 1U);
 }
 
+// An order that the runner's rate limit held back was repeated at each plan.
+TEST(fleet_ledger, postponed_order_is_not_repeated_before_its_time) {
+    auto ledger = ledger_with_report();
+    const auto step =
+        fleet_step{.runner_ = "r", .is_load_ = false, .model_ = "m0"};
+    ASSERT_TRUE(ledger.begin_order(step, start));
+    ledger.on_order_postponed("r", start + seconds{1});
+    EXPECT_TRUE(ledger.runners_of("chat", start).at(0).models_blocked_);
+    EXPECT_FALSE(ledger.begin_order(step, start + milliseconds{999}));
+    EXPECT_FALSE(
+        ledger.runners_of("chat", start + seconds{1}).at(0).models_blocked_);
+    EXPECT_TRUE(ledger.begin_order(step, start + seconds{1}));
+}
+
 } // namespace
 } // namespace basilstream::coordination
--- a/basilstream/coordination/routing/internal/decision.cpp
+++ b/basilstream/coordination/routing/internal/decision.cpp
@@ -86,7 +86,8 @@
 } // namespace
 
 auto router::hard_rejection_reason(const replica& candidate,
-                                   const route_request& request) const
+                                   const route_request& request,
+                                   time_point now) const
     -> std::optional<rejection_reason> {
     const auto& runner = *candidate.runner_;
     if (guards_.leaving_(runner.leaving_)) {
@@ -110,6 +111,9 @@
     if (guards_.at_limit_(runner.in_flight_, runner.limit_)) {
         return rejection_reason::at_limit;
     }
+    if (now < runner.rate_limited_until_) {
+        return rejection_reason::rate_limited;
+    }
     return std::nullopt;
 }
 
@@ -119,7 +123,7 @@
     candidates_.clear();
     rejected_.clear();
     for (const auto& entry : model_replicas) {
-        if (const auto reason = hard_rejection_reason(entry, request)) {
+        if (const auto reason = hard_rejection_reason(entry, request, now)) {
             rejected_.push_back({entry.runner_->info_.name_, *reason});
             continue;
         }
@@ -136,7 +140,8 @@
         std::all_of(candidates_.begin(), candidates_.end(), ejected);
     const auto any_at_limit = std::any_of(
         rejected_.begin(), rejected_.end(), [](const auto& rejected) {
-            return rejected.reason_ == rejection_reason::at_limit;
+            return rejected.reason_ == rejection_reason::at_limit ||
+                   rejected.reason_ == rejection_reason::rate_limited;
         });
     // If all candidates are ejected, ignores the ejections so that the model
     // stays reachable. If another replica is merely at its limit, the model is
@@ -331,6 +336,9 @@
     if (count(rejection_reason::at_limit) > 0) {
         failure.code_ = error_code::overloaded;
         failure.detail_ = "no usable replica is below its concurrency limit";
+    } else if (count(rejection_reason::rate_limited) > 0) {
+        failure.code_ = error_code::overloaded;
+        failure.detail_ = "no usable replica is below its rate limit";
     } else if (count(rejection_reason::version_mismatch) == rejected_count) {
         failure.code_ = error_code::not_found;
         failure.detail_ =
@@ -369,4 +377,32 @@
     return make_route(chosen, request);
 }
 
+auto router::choose_rate_limited(const route_request& request, time_point now)
+    -> std::optional<route> {
+    candidates_.clear();
+    rejected_.clear();
+    const auto found = models_.find(std::string{request.model_});
+    if (found == models_.end()) {
+        return std::nullopt;
+    }
+    for (const auto& entry : found->second) {
+        if (hard_rejection_reason(entry, request, now) ==
+            rejection_reason::rate_limited) {
+            candidates_.push_back({&entry, 0, 0});
+        }
+    }
+    if (candidates_.empty()) {
+        return std::nullopt;
+    }
+    const auto first = std::min_element(
+        candidates_.begin(), candidates_.end(),
+        [](const candidate& left, const candidate& right) {
+            return left.replica_->runner_->rate_limited_until_ <
+                   right.replica_->runner_->rate_limited_until_;
+        });
+    return make_route(
+        static_cast<std::size_t>(std::distance(candidates_.begin(), first)),
+        request);
+}
+
 } // namespace basilstream::coordination
--- a/basilstream/coordination/routing/routing.cpp
+++ b/basilstream/coordination/routing/routing.cpp
@@ -168,6 +168,18 @@
     }
 }
 
+auto router::set_rate_limited_until(std::string_view runner, time_point time)
+    -> void {
+    if (auto* const entry = find(runner)) {
+        entry->rate_limited_until_ = time;
+    }
+}
+
+auto router::accepts_work(std::string_view runner) const -> bool {
+    const auto* const entry = find(runner);
+    return entry != nullptr && !entry->leaving_;
+}
+
 auto router::start_attempt(std::string_view runner) -> void {
     if (auto* const entry = find(runner)) {
         ++entry->in_flight_;
--- a/basilstream/coordination/routing/routing.hpp
+++ b/basilstream/coordination/routing/routing.hpp
@@ -42,8 +42,8 @@
     least_loaded,
 };
 
-/// Why a candidate was not chosen. The reasons up to at_limit exclude a
-/// candidate; the others rank it below the chosen one.
+/// Why a candidate was not chosen. The reasons up to rate_limited exclude
+/// a candidate; the others rank it below the chosen one.
 enum class rejection_reason {
     not_ready,
     leaving,
@@ -52,6 +52,7 @@
     version_mismatch,
     adapter_missing,
     at_limit,
+    rate_limited,
     saturated,
     over_load_bound,
     prefix_not_cached,
@@ -66,7 +67,7 @@
       {route_reason::prefix_affinity, "prefix_affinity"},
       {route_reason::least_loaded, "least_loaded"}}}};
 
-inline constexpr auto rejection_reason_names = name_table<rejection_reason, 13>{
+inline constexpr auto rejection_reason_names = name_table<rejection_reason, 14>{
     {{{rejection_reason::not_ready, "not_ready"},
       {rejection_reason::leaving, "leaving"},
       {rejection_reason::excluded, "excluded"},
@@ -74,6 +75,7 @@
       {rejection_reason::version_mismatch, "version_mismatch"},
       {rejection_reason::adapter_missing, "adapter_missing"},
       {rejection_reason::at_limit, "at_limit"},
+      {rejection_reason::rate_limited, "rate_limited"},
       {rejection_reason::saturated, "saturated"},
       {rejection_reason::over_load_bound, "over_load_bound"},
       {rejection_reason::prefix_not_cached, "prefix_not_cached"},
@@ -248,6 +250,11 @@
     /// runner.
     auto set_concurrency_limit(std::string_view runner, int limit) -> void;
 
+    /// Excludes the runner until `time`, when it may accept another request
+    /// within its rate limit.
+    auto set_rate_limited_until(std::string_view runner, time_point time)
+        -> void;
+
     /// Adjust the count of attempts in flight on the runner.
     auto start_attempt(std::string_view runner) -> void;
     auto finish_attempt(std::string_view runner) -> void;
@@ -263,10 +270,20 @@
     /// - unavailable: every replica is loading, leaving, excluded or of another
     ///   version
     /// - overloaded: no replica is usable and at least one is at its
-    ///   concurrency limit
+    ///   concurrency or rate limit
     [[nodiscard]] auto choose(const route_request& request, time_point now)
         -> result<route>;
 
+    /// Chooses, among the runners that only their rate limit excludes, the one
+    /// that is excluded for the shortest time. Returns nothing if there is
+    /// none.
+    [[nodiscard]] auto choose_rate_limited(const route_request& request,
+                                           time_point now)
+        -> std::optional<route>;
+
+    /// Returns whether the runner is known and not leaving.
+    [[nodiscard]] auto accepts_work(std::string_view runner) const -> bool;
+
     /// Returns the names of the models on a runner; empty if it is unknown.
     [[nodiscard]] auto models_on(std::string_view runner) const
         -> std::vector<std::string>;
@@ -300,7 +317,8 @@
         -> void;
     auto refresh_leaving(internal::runner_entry& entry) -> void;
     auto hard_rejection_reason(const internal::replica& candidate,
-                               const route_request& request) const
+                               const route_request& request,
+                               time_point now) const
         -> std::optional<rejection_reason>;
     auto collect_candidates(const replicas& model_replicas,
                             const route_request& request, time_point now)
--- a/basilstream/coordination/routing/routing_test.cpp
+++ b/basilstream/coordination/routing/routing_test.cpp
@@ -62,6 +62,23 @@
     EXPECT_NE(choose_runner({.prefix_hash_ = hash}), second);
 }
 
+TEST_F(routing, rate_limited_runner_is_excluded_for_a_time) {
+    add_runner("r1");
+    add_runner("r2");
+    routes_.set_rate_limited_until("r1", now_ + seconds{2});
+    EXPECT_EQ(choose_runner({}), "r2");
+    routes_.set_rate_limited_until("r2", now_ + seconds{1});
+    EXPECT_EQ(choose_runner({}), "overloaded");
+    const auto request = route_request{.model_ = "m"};
+    EXPECT_EQ(routes_.choose_rate_limited(request, now_)->runner_, "r2");
+    routes_.mark_leaving("r2");
+    EXPECT_FALSE(routes_.accepts_work("r2"));
+    EXPECT_EQ(routes_.choose_rate_limited(request, now_)->runner_, "r1");
+    now_ += seconds{2};
+    EXPECT_EQ(choose_runner({}), "r1");
+    EXPECT_FALSE(routes_.choose_rate_limited(request, now_));
+}
+
 TEST_F(routing, cached_prefix_wins_until_a_sequence_gap) {
     add_runner("r1");
     add_runner("r2");
--- a/basilstream/coordination/server_limits/server_limits.hpp
+++ b/basilstream/coordination/server_limits/server_limits.hpp
@@ -1,20 +1,33 @@
-/// Tracks the request rates to which backend servers ask to be limited.
+/// Keeps the requests of all daemons together within the rates to which backend
+/// servers ask to be limited.
 ///
 ///     auto limits = named_limits{};
-///     limits.set_server("i-7f3a", started_at);
 ///     limits.on_named("i-7f3a", 1.1, now);      // an answer names a limit
-///     if (const auto rate = limits.limit_of("i-7f3a")) { /* obey it */ }
+///     auto ownership = permit_ownership{"entry-1", takeover_delay};
+///     ownership.set_daemons({"entry-1", "entry-2"}, now);
+///     auto ledger = permit_ledger{};
+///     if (ownership.owner_of("i-7f3a") == "entry-1") {
+///         const auto permit = ledger.reserve("i-7f3a", 1.1, max_wait, now);
+///     }
 ///
-/// A server names its limit in its answers for as long as the limit applies to
-/// the requests of all daemons together.
+/// A server names its limit in its answers for as long as the limit applies.
+/// One daemon, its owner, hands out permits to send single requests to it. The
+/// owner is chosen by highest random weight hashing, so that all daemons with
+/// the same members agree on it without messages.
+///
+/// Load pattern: limits of about one request per second with 360 daemons. Any
+/// fixed share of each daemon would allow bursts of many times the limit, or
+/// leave most of it unused.
 ///
 /// Sans-I/O; not safe for concurrent use.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "basilstream/base/clock/clock.hpp"
@@ -77,4 +90,73 @@
     std::map<std::string, entry> entries_;
 };
 
+/// A permit to send one request to a backend server, or its refusal.
+struct permit {
+    bool granted_ = false;
+    /// How long to wait before the request is sent; if not granted, before a
+    /// permit is asked for again.
+    duration wait_{};
+};
+
+/// Schedules the permits of the servers that this daemon owns (generic cell
+/// rate algorithm, ITU-T I.371).
+class permit_ledger {
+public:
+    /// Reserves the next free time within the rate if that is not later than
+    /// `max_wait` from now. The wait of a refusal with a `max_wait` above zero
+    /// also spreads the refused callers over the time at which the rate can
+    /// serve them. Rates below a minimum count as the minimum, so that the end
+    /// of a limit is noticed.
+    [[nodiscard]] auto reserve(const std::string& server, double per_second,
+                               duration max_wait, time_point now) -> permit;
+    auto remove_server(const std::string& server) -> void;
+
+private:
+    struct schedule {
+        double per_second_ = 0;
+        /// When the next request conforms to the rate without a burst.
+        time_point next_request_{};
+        /// When the next refused caller should return.
+        time_point next_return_{};
+    };
+
+    std::map<std::string, schedule> schedules_;
+};
+
+/// Returns the daemon with the highest random weight for the server; empty if
+/// there are no daemons.
+[[nodiscard]] auto select_permit_owner(const std::string& server,
+                                       const std::vector<std::string>& daemons)
+    -> std::string;
+
+/// Determines which daemon owns each server. After a change of members a new
+/// owner waits, because daemons that have not noticed the change still use
+/// permits of the former owner.
+class permit_ownership {
+public:
+    permit_ownership(std::string self, duration takeover_delay)
+        : self_{std::move(self)}, takeover_delay_{takeover_delay} {}
+
+    /// Sets the daemons considered alive.
+    auto set_daemons(std::vector<std::string> daemons, time_point now) -> void;
+    /// Returns the owner; this daemon if set_daemons() was never called.
+    [[nodiscard]] auto owner_of(const std::string& server) const -> std::string;
+    /// Returns how long this daemon must wait before it hands out permits, and
+    /// nothing if it does not own the server.
+    [[nodiscard]] auto takeover_wait(const std::string& server,
+                                     time_point now) const
+        -> std::optional<duration>;
+
+private:
+    struct membership_view {
+        std::vector<std::string> daemons_;
+        time_point since_{};
+    };
+
+    std::string self_;
+    duration takeover_delay_;
+    // The views in force within the takeover delay, the current one last.
+    std::deque<membership_view> views_;
+};
+
 } // namespace basilstream::coordination
--- a/basilstream/daemon/load_sharing/load_sharing.cpp
+++ b/basilstream/daemon/load_sharing/load_sharing.cpp
@@ -22,6 +22,8 @@
 // Totals older than this many intervals are discarded: the owner that sent them
 // has failed or is unreachable.
 constexpr auto totals_lifetime_intervals = 3;
+// A changed rate limit is sent in this many updates, as messages may be lost.
+constexpr auto limit_rounds = 5;
 // How long the loads reported by a daemon stay valid: a few intervals of a
 // large deployment.
 constexpr auto loads_lifetime = milliseconds{2500};
@@ -29,9 +31,10 @@
 } // namespace
 
 load_sharing::load_sharing(const clock& time, std::string self,
-                           relay& local_relay, const model_control& models)
+                           relay& local_relay, const model_control& models,
+                           const server_permits& permits)
     : clock_{time}, self_{std::move(self)}, relay_{local_relay},
-      models_{models}, reported_loads_{loads_lifetime} {}
+      models_{models}, permits_{permits}, reported_loads_{loads_lifetime} {}
 
 auto load_sharing::interval() const -> duration {
     const auto daemons = static_cast<int>(peers_->members().size());
@@ -97,6 +100,7 @@
         update.loads_.push_back(
             {backend, static_cast<std::uint32_t>(requests)});
     }
+    permits_.add_changes(update, limit_rounds * interval());
     return update;
 }
 
@@ -117,7 +121,8 @@
 
 auto load_sharing::share_directly(time_point now) -> void {
     const auto update = own_loads();
-    if (!update.loads_.empty() || now >= next_heartbeat_) {
+    if (!update.loads_.empty() || !update.limits_.empty() ||
+        now >= next_heartbeat_) {
         next_heartbeat_ = now + heartbeat_interval;
         send_to_all(update);
     }
@@ -156,6 +161,7 @@
         update.totals_.push_back(
             {backend, static_cast<std::uint32_t>(requests)});
     }
+    permits_.add_changes(update, limit_rounds * interval());
     update.heard_ = reported_loads_.active_daemons(now);
     send_to_all(update);
 }
--- a/basilstream/daemon/load_sharing/load_sharing.hpp
+++ b/basilstream/daemon/load_sharing/load_sharing.hpp
@@ -1,7 +1,8 @@
 /// Exchanges the number of requests in flight on each backend server between
-/// daemons. The messages also serve as heartbeats.
+/// daemons, and the rate limits that have changed. The messages also serve as
+/// heartbeats.
 ///
-///     auto sharing = load_sharing{clock, "entry-1", relay, models};
+///     auto sharing = load_sharing{clock, "entry-1", relay, models, permits};
 ///     sharing.join(cluster);
 ///     sharing.tick();                       // every 50 ms or so
 ///     sharing.on_update("entry-2", update);
@@ -21,6 +22,7 @@
 #include "basilstream/daemon/cluster/cluster.hpp"
 #include "basilstream/daemon/model_control/model_control.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
+#include "basilstream/daemon/server_permits/server_permits.hpp"
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 
 namespace basilstream::daemon {
@@ -28,7 +30,7 @@
 class load_sharing {
 public:
     load_sharing(const clock& time, std::string self, relay& local_relay,
-                 const model_control& models);
+                 const model_control& models, const server_permits& permits);
 
     /// Sets the cluster, once this daemon has joined it.
     auto join(cluster& peers) -> void { peers_ = &peers; }
@@ -66,6 +68,7 @@
     std::string self_;
     relay& relay_;
     const model_control& models_;
+    const server_permits& permits_;
     // Null before join().
     cluster* peers_ = nullptr;
     // Loads received from the other daemons.
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -28,6 +28,8 @@
 // Expected wait for an adapter whose model is resident: one demand message, one
 // order and the load of the adapter.
 constexpr auto adapter_wait = milliseconds{200};
+// Longest wait for a permit to fetch a report from a rate limited runner.
+constexpr auto max_report_wait = seconds{1};
 // Added to the expected load time from the weight store to cover the plan, the
 // order and the runner's report.
 constexpr auto load_overhead = milliseconds{700};
@@ -335,36 +337,81 @@
     }
 }
 
+auto model_control::call_runner(const std::string& runner, duration max_wait,
+                                const std::function<void()>& call,
+                                const std::function<void(duration)>& refused)
+    -> void {
+    auto& permits = context_.permits_;
+    if (!permits.limit_of(runner)) {
+        call();
+        return;
+    }
+    permits.acquire(runner, max_wait,
+                    [this, call, refused](const coordination::permit& given) {
+                        if (!given.granted_) {
+                            refused(given.wait_);
+                        } else if (given.wait_ == duration{0}) {
+                            call();
+                        } else {
+                            context_.thread_.after(
+                                std::chrono::ceil<milliseconds>(given.wait_),
+                                call);
+                        }
+                    });
+}
+
+auto model_control::note_rate_limit(const std::string& runner,
+                                    const result<transport::small_reply>& reply,
+                                    time_point sent_at) -> void {
+    if (!reply) {
+        return;
+    }
+    const auto notice = place_.dialect().rate_limit(reply->headers_);
+    if (notice.kind_ != rate_limit_notice::kind::absent) {
+        context_.permits_.on_notice(runner, notice, sent_at);
+    }
+}
+
 auto model_control::fetch_due_reports() -> void {
     for (const auto& id : ledger_.reports_due(context_.clock_.now())) {
-        transport::fetch(
-            calls_, context_.thread_,
-            place_.report_call(id, ledger_.address_of(id)),
-            [this, id](const result<transport::small_reply>& reply) {
-                const auto now = context_.clock_.now();
-                const auto report =
-                    reply
-                        ? place_.read_report(*reply)
-                        : result<runner_report>{tl::unexpected(reply.error())};
-                if (!report) {
-                    context_.log_.failure(transport::log_level::debug,
-                                          "fetching a runner report failed",
-                                          report.error());
-                    ledger_.on_report_failed(id, now);
-                    return;
-                }
-                store_loads_.on_report(id, names_of(report->models_),
-                                       report->order_in_progress_, now);
-                ledger_.on_report(id,
-                                  {report->models_, report->loading_adapters_,
-                                   report->order_in_progress_,
-                                   report->accepted_orders_},
-                                  now);
-                publish_changes();
+        call_runner(
+            id, max_report_wait, [this, id] { fetch_report(id); },
+            [this, id](duration /*wait*/) {
+                ledger_.on_report_failed(id, context_.clock_.now());
             });
     }
 }
 
+auto model_control::fetch_report(const std::string& id) -> void {
+    context_.permits_.on_sent(id);
+    transport::fetch(
+        calls_, context_.thread_,
+        place_.report_call(id, ledger_.address_of(id)),
+        [this, id, sent_at = context_.clock_.now()](
+            const result<transport::small_reply>& reply) {
+            const auto now = context_.clock_.now();
+            note_rate_limit(id, reply, sent_at);
+            const auto report =
+                reply ? place_.read_report(*reply)
+                      : result<runner_report>{tl::unexpected(reply.error())};
+            if (!report) {
+                context_.log_.failure(transport::log_level::debug,
+                                      "fetching a runner report failed",
+                                      report.error());
+                ledger_.on_report_failed(id, now);
+                return;
+            }
+            store_loads_.on_report(id, names_of(report->models_),
+                                   report->order_in_progress_, now);
+            ledger_.on_report(id,
+                              {report->models_, report->loading_adapters_,
+                               report->order_in_progress_,
+                               report->accepted_orders_},
+                              now);
+            publish_changes();
+        });
+}
+
 auto model_control::store_load_capacity(
     const coordination::service_engine& engine) const -> std::size_t {
     return static_cast<std::size_t>(
@@ -405,7 +452,7 @@
         if (!service.engine_) {
             continue;
         }
-        const auto runners = ledger_.runners_of(service.name_);
+        const auto runners = ledger_.runners_of(service.name_, now);
         const auto steps = coordination::plan_fleet(
             {.service_ = service.name_,
              .engine_ = *service.engine_,
@@ -415,7 +462,7 @@
              .now_ = now},
             settings_.fleet_);
         for (const auto& step : steps) {
-            send_order(service.name_, step);
+            send_order(step);
         }
     }
     const auto planning_time = context_.clock_.now() - now;
@@ -423,8 +470,7 @@
     publish_changes();
 }
 
-auto model_control::send_order(const std::string& service,
-                               const coordination::fleet_step& step) -> void {
+auto model_control::send_order(const coordination::fleet_step& step) -> void {
     const auto now = context_.clock_.now();
     const auto expected = ledger_.begin_order(step, now);
     // The lease may have expired since the plan was made, for example because
@@ -433,33 +479,56 @@
     if (!expected || !fence) {
         return;
     }
+    call_runner(
+        step.runner_, duration{0},
+        [this, step, expected = *expected, fence = *fence] {
+            send_recorded_order(step, expected, fence);
+        },
+        [this, step](duration wait) {
+            ledger_.on_order_postponed(step.runner_,
+                                       context_.clock_.now() + wait);
+        });
+}
+
+auto model_control::send_recorded_order(const coordination::fleet_step& step,
+                                        std::uint64_t expected_orders,
+                                        std::uint64_t lease_epoch) -> void {
+    const auto now = context_.clock_.now();
+    // The lease may have expired while the order waited for a permit.
+    if (epoch() != lease_epoch) {
+        ledger_.on_order_postponed(step.runner_, now);
+        return;
+    }
     if (step.from_store_ && step.is_load_) {
         store_loads_.add_load(now);
     }
+    context_.permits_.on_sent(step.runner_);
     context_.log_.info(
         "sending order to runner",
         {{"runner", step.runner_},
-         {"service", service},
+         {"service", service_of(step.runner_)},
          {"operation", step.is_load_ ? "load" : "unload"},
          {"model", step.model_},
          {"adapter", step.adapter_},
          {"reason", coordination::fleet_reason_names.name_of(step.reason_)},
          {"from_store", step.from_store_ ? "yes" : "no"},
-         {"expected_orders", std::to_string(*expected)},
-         {"fence", std::to_string(*fence + 1)}});
+         {"expected_orders", std::to_string(expected_orders)},
+         {"fence", std::to_string(lease_epoch + 1)}});
     const auto order =
         runner_order{.runner_ = step.runner_,
                      .address_ = ledger_.address_of(step.runner_),
                      .load_ = step.is_load_,
                      .model_ = step.model_,
                      .adapter_ = step.adapter_,
-                     .expected_orders_ = *expected,
+                     .expected_orders_ = expected_orders,
                      .holder_ = settings_.holder_,
                      // Epochs are log offsets and start at zero; fencing
                      // numbers start at one.
-                     .fencing_number_ = *fence + 1};
+                     .fencing_number_ = lease_epoch + 1};
     transport::fetch(calls_, context_.thread_, place_.order_call(order),
-                     [this, step](const result<transport::small_reply>& reply) {
+                     [this, step, sent_at = now](
+                         const result<transport::small_reply>& reply) {
+                         note_rate_limit(step.runner_, reply, sent_at);
                          on_order_answer(step, reply);
                      });
 }
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,6 +28,7 @@
 #include "basilstream/coordination/residency_overlay/residency_overlay.hpp"
 #include "basilstream/daemon/installation/installation.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
+#include "basilstream/daemon/server_permits/server_permits.hpp"
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 
 namespace basilstream::daemon {
@@ -59,6 +61,7 @@
     random_source& random_;
     transport::reactor_thread& thread_;
     transport::logger& log_;
+    server_permits& permits_;
 };
 
 struct model_control_settings {
@@ -132,8 +135,22 @@
     // Plans now, or as soon as the limit on planning time allows.
     auto request_plan() -> void;
     auto plan() -> void;
-    auto send_order(const std::string& service,
-                    const coordination::fleet_step& step) -> void;
+    auto fetch_report(const std::string& id) -> void;
+    auto send_order(const coordination::fleet_step& step) -> void;
+    // Sends an order that ledger_ has recorded, under the lease of
+    // `lease_epoch`.
+    auto send_recorded_order(const coordination::fleet_step& step,
+                             std::uint64_t expected_orders,
+                             std::uint64_t lease_epoch) -> void;
+    // Makes a call to a runner as soon as its rate limit permits, if that is
+    // within `max_wait`; else calls `refused` with the time to wait.
+    auto call_runner(const std::string& runner, duration max_wait,
+                     const std::function<void()>& call,
+                     const std::function<void(duration)>& refused) -> void;
+    // Handles what a runner's reply states about its rate limit.
+    auto note_rate_limit(const std::string& runner,
+                         const result<transport::small_reply>& reply,
+                         time_point sent_at) -> void;
     auto on_order_answer(const coordination::fleet_step& step,
                          const result<transport::small_reply>& reply) -> void;
     auto publish_changes() -> void;
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -80,37 +80,111 @@
         routing_request.excluded_ = {};
         chosen = state_.router_.choose(routing_request, now);
     }
-    const auto first_dispatch = !wait_until_ && attempts_sent_ == 0;
-    if (first_dispatch && !request_.model_.empty()) {
+    if (!request_.model_.empty() && !std::exchange(demand_recorded_, true)) {
         state_.provisioner_.on_request(requested_model(),
                                        prompt_equivalent_tokens(request_),
                                        chosen.has_value());
     }
     if (chosen) {
         wait_until_.reset();
-        send_attempt(*chosen);
-    } else if (!waiting()) {
+        request_permit(*chosen, duration{0});
+    } else if (!wait_for_permit(routing_request) && !waiting()) {
         wait_for_model(chosen.error());
     }
 }
 
-auto exchange::wait_for_model(const error& cause) -> void {
-    const auto now = state_.context_.clock_.now();
-    const auto worth_waiting = possible_runs_ == 0 && !request_.model_.empty();
-    expected_wait_ = state_.provisioner_.expected_wait(requested_model());
-    const auto max_wait = std::min<duration>(
+auto exchange::max_wait(time_point now) const -> duration {
+    return std::min<duration>(
         duration{static_cast<duration::rep>(
             state_.settings_.max_wait_objective_multiple_ *
             static_cast<double>(duration{route_.objective_}.count()))},
         time_left(now) / 2);
-    if (!worth_waiting || !expected_wait_ || *expected_wait_ > max_wait) {
+}
+
+auto exchange::wait_for_permit(const coordination::route_request& request)
+    -> bool {
+    const auto now = state_.context_.clock_.now();
+    const auto first = state_.router_.choose_rate_limited(request, now);
+    if (!first) {
+        return false;
+    }
+    wait_until_.reset();
+    request_permit(*first, max_wait(now));
+    return true;
+}
+
+auto exchange::request_permit(const coordination::route& chosen,
+                              duration max_wait) -> void {
+    auto& permits = state_.context_.permits_;
+    if (!permits.limit_of(chosen.runner_)) {
+        send_attempt(chosen);
+        return;
+    }
+    permits.acquire(chosen.runner_, max_wait,
+                    [self = shared_from_this(), chosen, max_wait,
+                     number = ++permit_requests_](const auto& given) {
+                        if (!self->done_ && self->permit_requests_ == number) {
+                            self->on_permit(chosen, max_wait, given);
+                        }
+                    });
+}
+
+auto exchange::on_permit(const coordination::route& chosen, duration max_wait,
+                         const coordination::permit& given) -> void {
+    const auto now = state_.context_.clock_.now();
+    if (!given.granted_) {
+        state_.router_.set_rate_limited_until(chosen.runner_,
+                                              now + given.wait_);
+        const auto may_try_another =
+            max_wait == duration{0} || refused_by_.empty();
+        if (max_wait > duration{0}) {
+            refused_by_ = chosen.runner_;
+            expected_wait_ = std::chrono::ceil<milliseconds>(given.wait_);
+        }
+        if (may_try_another) {
+            dispatch();
+            return;
+        }
+        retry_outcome_ = "rate_limited";
+        give_up(error{error_code::overloaded, step::routing, chosen.runner_,
+                      "the backend servers are at their rate limits",
+                      possible_runs_ > 0 ? run_status::unknown
+                                         : run_status::not_run});
+        return;
+    }
+    const auto send = [self = shared_from_this(), chosen,
+                       number = permit_requests_] {
+        if (self->done_ || self->permit_requests_ != number) {
+            return;
+        }
+        // The backend server may have begun to drain in the meantime.
+        if (self->state_.router_.accepts_work(chosen.runner_)) {
+            self->send_attempt(chosen);
+        } else {
+            self->dispatch();
+        }
+    };
+    if (given.wait_ == duration{0}) {
+        send();
+    } else {
+        state_.context_.thread_.after(
+            std::chrono::ceil<milliseconds>(given.wait_), send);
+    }
+}
+
+auto exchange::wait_for_model(const error& cause) -> void {
+    const auto now = state_.context_.clock_.now();
+    const auto worth_waiting = possible_runs_ == 0 && !request_.model_.empty();
+    expected_wait_ = state_.provisioner_.expected_wait(requested_model());
+    const auto longest = max_wait(now);
+    if (!worth_waiting || !expected_wait_ || *expected_wait_ > longest) {
         auto failure = cause;
         failure.run_ =
             possible_runs_ > 0 ? run_status::unknown : run_status::not_run;
         give_up(failure);
         return;
     }
-    wait_until_ = now + max_wait;
+    wait_until_ = now + longest;
 }
 
 auto exchange::on_backends_changed() -> void {
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -59,7 +59,18 @@
     // Selects a backend server and sends an attempt; waits or gives up if none
     // is available.
     auto dispatch() -> void;
+    // Sends an attempt to `chosen` as soon as the rate limit of the backend
+    // server permits, if that is within `max_wait`.
+    auto request_permit(const coordination::route& chosen, duration max_wait)
+        -> void;
+    auto on_permit(const coordination::route& chosen, duration max_wait,
+                   const coordination::permit& given) -> void;
+    // Waits for the first of the backend servers that are at their rate limits.
+    // Returns false if there is none to wait for.
+    auto wait_for_permit(const coordination::route_request& request) -> bool;
     auto send_attempt(const coordination::route& chosen) -> void;
+    // Returns how long the request may wait for a backend server.
+    [[nodiscard]] auto max_wait(time_point now) const -> duration;
     // Waits for the model to be loaded if that is expected in time, else gives
     // up with `cause`.
     auto wait_for_model(const error& cause) -> void;
@@ -123,8 +134,15 @@
     time_point deadline_;
     // End of the wait for a model; empty while the request is not waiting.
     std::optional<time_point> wait_until_;
-    // Estimated time until the model is loaded; empty if unknown.
+    // Estimated time until a backend server can accept the request; empty if
+    // unknown.
     std::optional<milliseconds> expected_wait_;
+    // Incremented with each permit request; invalidates earlier ones.
+    std::uint64_t permit_requests_ = 0;
+    // Backend server of the last permit that was refused after a wait was
+    // offered; empty if there is none.
+    std::string refused_by_;
+    bool demand_recorded_ = false;
 
     // The attempt in flight; null if there is none.
     std::shared_ptr<transport::http_call_connection> call_;
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -312,6 +312,78 @@
     EXPECT_EQ(response.headers_.find("Connection"), "close");
 }
 
+// Answers and names a rate limit.
+auto limited_answer(const std::string& limit) -> test_backend::script {
+    return [limit](const transport::request_message& request,
+                   test_backend::connection& to) {
+        to.write("HTTP/1.1 200 OK\r\nX-Id: " +
+                 std::string{request.headers_.find("X-Id")} +
+                 "\r\nX-Rate-Limit: " + limit +
+                 "\r\nContent-Length: 2\r\n\r\nok");
+    };
+}
+
+TEST_F(relay_test, sends_to_another_backend_while_one_is_at_its_rate_limit) {
+    a_.default_script_ = limited_answer("0.5");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    run_on_thread([&] { add_backend_b(); });
+    b_.default_script_ = answer(200, "b");
+    for (auto count = 0; count < 6; ++count) {
+        EXPECT_EQ(call("/once/").status_, 200);
+    }
+    // One request beyond that which has brought the limit.
+    EXPECT_LE(a_.requests_.size(), 2U);
+}
+
+// Requests were held until their deadline though no backend server could take
+// them in time.
+TEST_F(relay_test, refuses_at_once_when_rate_limits_allow_no_request_in_time) {
+    a_.default_script_ = limited_answer("0.1");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    EXPECT_EQ(call("/safe/").status_, 200);
+    const auto from = clock_.now();
+    const auto response = call("/safe/");
+    EXPECT_EQ(response.status_, 503);
+    EXPECT_LT(clock_.now() - from, seconds{1});
+    EXPECT_GT(std::stol(std::string{response.headers_.find("Retry-After")}),
+              2000);
+    EXPECT_EQ(a_.requests_.size(), 2U);
+}
+
+TEST_F(relay_test, waits_for_a_permit_within_the_objective) {
+    a_.default_script_ = limited_answer("2");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    EXPECT_EQ(call("/safe/").status_, 200);
+    EXPECT_EQ(call("/safe/").status_, 200);
+    EXPECT_EQ(a_.requests_.size(), 3U);
+}
+
+// The backend server began to drain while a request waited for its permit.
+TEST_F(relay_test, sends_waiting_request_to_a_backend_that_drains) {
+    a_.default_script_ = limited_answer("1");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    EXPECT_EQ(call("/safe/").status_, 200);
+    auto client = test_client{};
+    start(client, "/safe/");
+    run_on_thread([&] {
+        auto server = a_.server("app");
+        server.draining_ = true;
+        relay_.set_backend(server);
+    });
+    client.done_.get_future().get();
+    run_on_thread([&] { EXPECT_EQ(client.response_.status_, 503); });
+    EXPECT_EQ(a_.requests_.size(), 2U);
+}
+
+TEST_F(relay_test, sends_freely_after_a_limit_has_ended) {
+    a_.scripts_ = {limited_answer("0.2"), answer(200, "a")};
+    a_.default_script_ = answer(200, "a");
+    for (auto count = 0; count < 10; ++count) {
+        EXPECT_EQ(call("/safe/").status_, 200);
+    }
+    EXPECT_EQ(a_.requests_.size(), 10U);
+}
+
 TEST_F(relay_test, does_not_send_to_draining_backend) {
     auto server = a_.server("app");
     server.draining_ = true;
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -60,10 +60,9 @@
         -> rate_limit_notice override {
         const auto text = headers.find("X-Rate-Limit");
         using kind = rate_limit_notice::kind;
-        return text.empty()
-                   ? rate_limit_notice{}
-                   : rate_limit_notice{kind::valid,
-                                       std::stod(std::string{text})};
+        return text.empty() ? rate_limit_notice{}
+                            : rate_limit_notice{kind::valid,
+                                                std::stod(std::string{text})};
     }
     [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
         -> transport::header_list override {
@@ -391,7 +390,7 @@
     transport::reactor_thread thread_;
     transport::logger log_;
     transport::metrics_registry metrics_;
-    server_permits permits_{{clock_, log_, metrics_}};
+    server_permits permits_{{clock_, log_, metrics_}, "test"};
     test_dialect dialect_;
     test_provisioner provisioner_;
     relay relay_;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -71,7 +71,8 @@
           on_stopped_{std::move(on_stopped)}, log_{settings.logging_,
                                                    settings.name_},
           thread_{"traffic", task_queue_capacity}, permits_{{clock_, log_,
-                                                             metrics_}},
+                                                             metrics_},
+                                                            settings.name_},
           context_{clock_, random_, thread_, log_, metrics_, permits_},
           relay_{context_, relay_settings_of(settings), deployment.dialect(),
                  *this},
@@ -80,13 +81,13 @@
               deployment.open_store(control_calls_, thread_,
                                     settings.store_address_),
               metrics_)},
-          models_{{clock_, boot_clock_, random_, thread_, log_},
+          models_{{clock_, boot_clock_, random_, thread_, log_, permits_},
                   model_settings_of(settings),
                   deployment,
                   *store_,
                   relay_.backend_pool(),
                   *this},
-          sharing_{clock_, settings.name_, relay_, models_},
+          sharing_{clock_, settings.name_, relay_, models_, permits_},
           quarantine_log_{{clock_, wall_clock_, random_, log_},
                           settings.name_,
                           relay_.crash_quarantine(),
@@ -96,7 +97,9 @@
                  *store_,
                  deployment.decoder(),
                  *this},
-          drain_{drain_settings_of(settings)} {}
+          drain_{drain_settings_of(settings)} {
+        permits_.set_daemons({settings.name_});
+    }
 
     ~running_relay() override { thread_.stop(); }
 
@@ -342,6 +345,7 @@
 
     auto sweep() -> void {
         watch_.tick();
+        permits_.tick();
         relay_.sweep();
         control_calls_.sweep();
         for (const auto& server : servers_) {
@@ -368,6 +372,7 @@
                          update.error());
             return;
         }
+        permits_.on_update(sender, *update);
         sharing_.on_update(sender, *update);
         for (const auto& page : update->pages_) {
             if (page.read_now_) {
@@ -392,6 +397,15 @@
                                           .longest_silence_ = max_peer_silence},
                          relay_.address(), std::move(link_));
         sharing_.join(*cluster_);
+        // This daemon does not know the others yet, so that it must not take
+        // itself for the owner.
+        permits_.set_daemons({});
+        permits_.set_daemons({settings_.name_});
+        permits_.connect([this](const std::string& daemon,
+                                const protocol::relay_update& update) {
+            return cluster_->send(daemon, protocol::peer_channel::relay,
+                                  protocol::encode(update));
+        });
         quarantine_gossip_.emplace(
             log_, clock_, relay_.crash_quarantine(), *cluster_,
             [this](const coordination::quarantine_event& event) {
@@ -401,6 +415,9 @@
             relay_.crash_quarantine().set_members(owners, clock_.now());
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
             models_.set_daemons(owners.size());
+            if (drain_.stop_requests() == 0) {
+                permits_.set_daemons(owners);
+            }
         });
         cluster_->on_channel(
             protocol::peer_channel::relay,
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -1,5 +1,8 @@
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 #include "basilstream/protocol/generated/relay.pb.h"
 
 namespace basilstream::protocol {
@@ -44,6 +47,60 @@
     return page;
 }
 
+auto to_milliseconds(milliseconds value) -> std::uint32_t {
+    return static_cast<std::uint32_t>(std::max(value, milliseconds{0}).count());
+}
+
+auto permits_to_wire(const relay_update& update, wire::relay_update& out)
+    -> void {
+    for (const auto& limit : update.limits_) {
+        auto& copy = *out.add_named_limits();
+        copy.set_server(limit.server_);
+        copy.set_started_at_ms(limit.started_at_);
+        copy.set_has_limit(limit.per_second_.has_value());
+        copy.set_per_second(limit.per_second_.value_or(0));
+        copy.set_age_ms(to_milliseconds(limit.age_));
+    }
+    for (const auto& request : update.permit_requests_) {
+        auto& copy = *out.add_permit_requests();
+        copy.set_id(request.id_);
+        copy.set_server(request.server_);
+        copy.set_max_wait_ms(to_milliseconds(request.max_wait_));
+    }
+    for (const auto& answer : update.permit_answers_) {
+        auto& copy = *out.add_permit_answers();
+        copy.set_id(answer.id_);
+        copy.set_granted(answer.granted_);
+        copy.set_wait_ms(to_milliseconds(answer.wait_));
+    }
+}
+
+// Returns whether all limits are valid.
+auto permits_from_wire(const wire::relay_update& in, relay_update& update)
+    -> bool {
+    for (const auto& limit : in.named_limits()) {
+        if (limit.has_limit() &&
+            !(std::isfinite(limit.per_second()) && limit.per_second() >= 0)) {
+            return false;
+        }
+        update.limits_.push_back({limit.server(), limit.started_at_ms(),
+                                  limit.has_limit()
+                                      ? std::optional{limit.per_second()}
+                                      : std::nullopt,
+                                  milliseconds{limit.age_ms()}});
+    }
+    for (const auto& request : in.permit_requests()) {
+        update.permit_requests_.push_back(
+            {request.id(), request.server(),
+             milliseconds{request.max_wait_ms()}});
+    }
+    for (const auto& answer : in.permit_answers()) {
+        update.permit_answers_.push_back(
+            {answer.id(), answer.granted(), milliseconds{answer.wait_ms()}});
+    }
+    return true;
+}
+
 auto known_topic(std::uint32_t value) -> bool {
     return value <=
            static_cast<std::uint32_t>(coordination::shared_topic::quarantine);
@@ -99,6 +156,7 @@
     message.set_lease_left_ms(static_cast<std::uint32_t>(
         std::max(update.lease_left_, milliseconds{0}).count()));
     message.set_lease_end(update.lease_end_);
+    permits_to_wire(update, message);
     return message.SerializeAsString();
 }
 
@@ -136,6 +194,9 @@
                                    static_cast<residency_state>(in.state()),
                                    milliseconds{in.ready_in_ms()}});
     }
+    if (!permits_from_wire(message, update)) {
+        return invalid(step::peer, "invalid rate limit");
+    }
     if (message.lease_epoch() > 0) {
         update.lease_epoch_ = message.lease_epoch() - 1;
         update.lease_left_ = milliseconds{message.lease_left_ms()};
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -65,6 +65,34 @@
     bool read_now_ = false;
 };
 
+/// Latest statement of a backend server about its rate limit.
+struct relayed_limit {
+    std::string server_;
+    /// Start time of the server's process in Unix milliseconds; 0 if unknown.
+    std::int64_t started_at_ = 0;
+    /// Requests per second of all daemons together; empty if not limited.
+    std::optional<double> per_second_;
+    /// Time since the statement.
+    milliseconds age_{0};
+};
+
+/// Asks the owner of a server's limit for a permit to send one request.
+struct permit_request {
+    /// Unique among the requests of the sender's process.
+    std::uint64_t id_ = 0;
+    std::string server_;
+    milliseconds max_wait_{0};
+};
+
+/// Answer to the permit request `id_` of the receiver.
+struct permit_answer {
+    std::uint64_t id_ = 0;
+    bool granted_ = false;
+    /// Time until the request may be sent or, if not granted, until a permit
+    /// may be available.
+    milliseconds wait_{0};
+};
+
 /// A message between daemons; parts that are empty say nothing, but for
 /// `loads_` if `has_loads_`, which then replaces the sender's former ones.
 struct relay_update {
@@ -85,6 +113,9 @@
     std::vector<relayed_page> pages_;
     /// The lease's log ends here after the sender's last entry.
     std::uint64_t lease_end_ = 0;
+    std::vector<relayed_limit> limits_;
+    std::vector<permit_request> permit_requests_;
+    std::vector<permit_answer> permit_answers_;
 };
 
 [[nodiscard]] auto encode(const relay_update& update) -> std::string;
--- a/basilstream/protocol/relay_codec/relay_codec_test.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 
+#include <cmath>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -24,8 +26,24 @@
                       9,
                       {{"k", "v", 6}, {"gone", std::nullopt, 8}},
                       true}};
+    update.limits_ = {{"i-3", 1000, 1.1, milliseconds{40}},
+                      {"i-4", 2000, std::nullopt, milliseconds{50}}};
+    update.permit_requests_ = {{7, "i-3", milliseconds{800}}};
+    update.permit_answers_ = {{8, true, milliseconds{90}}};
     const auto read = decode_relay_update(encode(update));
     ASSERT_TRUE(read);
+    ASSERT_EQ(read->limits_.size(), 2U);
+    EXPECT_EQ(read->limits_[0].server_, "i-3");
+    EXPECT_EQ(read->limits_[0].started_at_, 1000);
+    EXPECT_EQ(read->limits_[0].per_second_, 1.1);
+    EXPECT_EQ(read->limits_[0].age_, milliseconds{40});
+    EXPECT_EQ(read->limits_[1].per_second_, std::nullopt);
+    EXPECT_EQ(read->permit_requests_.at(0).id_, 7U);
+    EXPECT_EQ(read->permit_requests_.at(0).server_, "i-3");
+    EXPECT_EQ(read->permit_requests_.at(0).max_wait_, milliseconds{800});
+    EXPECT_EQ(read->permit_answers_.at(0).id_, 8U);
+    EXPECT_TRUE(read->permit_answers_.at(0).granted_);
+    EXPECT_EQ(read->permit_answers_.at(0).wait_, milliseconds{90});
     EXPECT_TRUE(read->has_loads_);
     EXPECT_EQ(read->loads_.at(0).requests_, 3U);
     EXPECT_EQ(read->demands_.at(0).tokens_, 900U);
@@ -49,6 +67,14 @@
         decode_relay_update(encode(relay_update{}))->lease_epoch_.has_value());
 }
 
+TEST(relay_codec, rejects_invalid_rate_limits) {
+    for (const auto limit : {-1.0, std::nan(""), HUGE_VAL}) {
+        auto update = relay_update{};
+        update.limits_ = {{"i-3", 0, limit, milliseconds{0}}};
+        EXPECT_FALSE(decode_relay_update(encode(update)));
+    }
+}
+
 TEST(relay_codec, keeps_lease_entries) {
     const auto read = decode_lease_entry(encode(coordination::lease_entry{
         coordination::lease_entry_kind::renewal, "entry-1", 9}));
