Log versions of backend servers and what clients resume

Reads the version of announcements and the header that names the resumed request; names the version in the lines of answers and retries, adds the line 'request resumes a stream' and a counter. No decision uses them yet.

--- a/basilstream/coordination/backend_directory/backend_directory.hpp
+++ b/basilstream/coordination/backend_directory/backend_directory.hpp
@@ -49,6 +49,8 @@
     std::optional<milliseconds> remaining_;
     /// Start of the process, in Unix milliseconds; 0 if not announced.
     std::int64_t started_at_ = 0;
+    /// Version of the server's software; empty if not announced.
+    std::string software_version_;
     std::vector<backend_model> models_;
     /// Models whose weights are in the host's memory or on its disk.
     std::vector<std::string> weights_in_memory_;
--- a/basilstream/daemon/backend_dialect/backend_dialect.hpp
+++ b/basilstream/daemon/backend_dialect/backend_dialect.hpp
@@ -44,6 +44,9 @@
     /// Last event of the stream that the client has received; empty for a new
     /// stream.
     std::optional<std::uint64_t> last_event_;
+    /// Id of the client's attempt that received the first event of the stream
+    /// that this request resumes; empty if not given.
+    std::string resumed_request_;
 };
 
 /// An attempt to send a request to a backend server.
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -64,6 +64,14 @@
     client_->observe(this);
     state_.counters_.requests_.add();
     state_.retry_policy_of(service_).on_request(arrived_);
+    if (request_.last_event_) {
+        state_.counters_.resume_requests_.add();
+        state_.context_.log_.info(
+            "request resumes a stream",
+            {{"request_id", request_.id_},
+             {"resumes", request_.resumed_request_},
+             {"after", std::to_string(*request_.last_event_)}});
+    }
     dispatch();
 }
 
@@ -354,6 +362,7 @@
         "request answered", {{"request_id", request_.id_},
                              {"route", route_.name_},
                              {"backend", backend_},
+                             {"version", state_.software_version(backend_)},
                              {"status", std::to_string(status)},
                              {"attempts", std::to_string(attempts_sent_)},
                              {"events", std::to_string(events_.events())},
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -416,6 +416,8 @@
                               {{"request_id", request_.id_},
                                {"fingerprint", fingerprint_.to_string()},
                                {"backend", backend_},
+                               {"version", state_.software_version(backend_)},
+                               {"events", std::to_string(events_.events())},
                                {"cause", cause.detail_},
                                {"attempts", std::to_string(attempts_sent_)}});
     excluded_ = decision.excluded_;
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -29,6 +29,7 @@
     transport::counter& failed_;
     transport::counter& retries_;
     transport::counter& resumed_;
+    transport::counter& resume_requests_;
     transport::counter& client_disconnects_;
     transport::duration_histogram& first_byte_;
     transport::duration_histogram& total_time_;
@@ -52,6 +53,9 @@
     /// milliseconds; 0 if not known.
     [[nodiscard]] auto start_time(const std::string& backend) const
         -> std::int64_t;
+    /// Returns the software version of a backend server; empty if not known.
+    [[nodiscard]] auto software_version(const std::string& backend) const
+        -> std::string;
     /// Counts a crash of a backend server for the requests that were on it.
     /// `evidence` is logged.
     auto on_backend_crash(const std::string& backend, const char* evidence)
@@ -86,6 +90,7 @@
     struct backend_info {
         std::string service_;
         std::int64_t started_at_ = 0;
+        std::string software_version_;
         bool draining_ = false;
     };
     std::unordered_map<std::string, backend_info> backends_;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -118,6 +118,9 @@
                                    "Requests sent again.")},
       resumed_{metrics.add_counter("basilstream_relay_resumed_total",
                                    "Streams resumed elsewhere.")},
+      resume_requests_{
+          metrics.add_counter("basilstream_relay_resume_requests_total",
+                              "Requests of clients to resume a stream.")},
       client_disconnects_{metrics.add_counter(
           "basilstream_relay_clients_left_total", "Clients that left early.")},
       first_byte_{metrics.add_histogram(
@@ -172,6 +175,13 @@
     return found == backends_.end() ? 0 : found->second.started_at_;
 }
 
+auto relay_state::software_version(const std::string& backend) const
+    -> std::string {
+    const auto found = backends_.find(backend);
+    return found == backends_.end() ? std::string{}
+                                    : found->second.software_version_;
+}
+
 auto relay_state::on_backend_crash(const std::string& backend,
                                    const char* evidence) -> void {
     const auto runs = quarantine_.on_crash(backend, context_.clock_.now());
@@ -316,7 +326,7 @@
         state.on_backend_crash(server.id_, "started anew");
     }
     state.backends_[server.id_] = {server.service_, server.started_at_,
-                                   server.draining_};
+                                   server.software_version_, server.draining_};
     state.router_.update_runner(info);
     state.context_.permits_.set_server(server.id_, server.started_at_);
     const auto open_exchanges = std::vector<std::shared_ptr<exchange>>{
--- a/basilstream/daemon/relay_status/relay_status.cpp
+++ b/basilstream/daemon/relay_status/relay_status.cpp
@@ -229,7 +229,10 @@
     auto lines = std::vector<std::string>{
         "service " + server.service_ + " at " + server.address_ + " in " +
             server.zone_ + ", slots " + std::to_string(server.slots_) +
-            (server.draining_ ? ", leaving" : ""),
+            (server.draining_ ? ", leaving" : "") +
+            (server.software_version_.empty()
+                 ? ""
+                 : ", version " + server.software_version_),
         "requests of this daemon on it: " +
             std::to_string(parts_.relay_.local_loads()[server.id_])};
     for (const auto& model : server.models_) {
