--- a/basilstream/daemon/relay_program/relay_program_test_world.hpp
+++ b/basilstream/daemon/relay_program/relay_program_test_world.hpp
@@ -132,15 +132,23 @@
         request.host_ = message.headers_.find("Host");
         request.model_ = message.headers_.find("X-Model");
         request.adapter_ = message.headers_.find("X-Adapter");
+        request.resumed_request_ = message.headers_.find("X-Resumes");
+        if (const auto last = message.headers_.find("X-Last"); !last.empty()) {
+            request.last_event_ = std::stoul(std::string{last});
+        }
         request.prompt_tokens_ = 100;
         request.output_tokens_ = 10;
         request.message_ = std::move(message);
         return request;
     }
     [[nodiscard]] auto request_headers(const relayed_request& request,
-                                       const relay_attempt& /*attempt*/) const
+                                       const relay_attempt& attempt) const
         -> transport::header_list override {
-        return request.message_.headers_;
+        auto headers = request.message_.headers_;
+        if (attempt.resume_after_) {
+            headers.set("X-Resume", std::to_string(*attempt.resume_after_));
+        }
+        return headers;
     }
     [[nodiscard]] auto classify_answer(const transport::answer_head& head,
                                        const std::string& /*request_id*/) const
@@ -257,8 +265,8 @@
 };
 
 // Decodes announcements from the text of their records, so that servers can
-// change while daemons read: address, start time and, for a runner, the model
-// that it holds.
+// change while daemons read: address, start time, the model that a runner holds
+// or "-", and the software version; the last two may be left out.
 class text_installation final : public fake_installation {
 public:
     [[nodiscard]] auto backend(const store_record& record) const
@@ -267,9 +275,10 @@
         auto text = std::istringstream{*record.value_};
         auto model = std::string{};
         text >> server.address_ >> server.started_at_;
-        if (text >> model) {
+        if (text >> model && model != "-") {
             server.models_ = {{model, 1, {}}};
         }
+        text >> server.software_version_;
         server.id_ = record.key_;
         server.service_ = "app";
         server.slots_ = 16;
--- a/testing/fault_soak/promises.cpp
+++ b/testing/fault_soak/promises.cpp
@@ -1,6 +1,8 @@
 #include "testing/fault_soak/promises.hpp"
 
+#include <algorithm>
 #include <array>
+#include <string_view>
 #include <utility>
 
 namespace basilstream::testing {
@@ -20,6 +22,10 @@
 constexpr auto limit_factor = 1.5;
 constexpr auto limit_allowance = 5.0;
 constexpr auto limit_notice_delay = milliseconds{500};
+constexpr auto max_mixed_streams = 2;
+// From this many resumptions on, their share counts.
+constexpr auto min_resumptions = 12;
+constexpr auto min_resumed_share = 0.5;
 // Statuses that promise that a request has not run and will not.
 constexpr auto not_run_statuses = std::array{408, 421, 429, 503};
 
@@ -34,6 +40,11 @@
     return "id: " + std::to_string(number) + "\ndata: x\n\n";
 }
 
+auto promise_checker::event_text(int number, const std::string& version)
+    -> std::string {
+    return "id: " + std::to_string(number) + "\ndata: " + version + "\n\n";
+}
+
 auto promise_checker::report(promise broken, std::string detail) -> void {
     violations_.push_back({broken, std::move(detail)});
 }
@@ -117,7 +128,9 @@
     if (!answer.signed_) {
         report(promise::mixed, id + " has no signature");
     }
-    if (state.request_.kind_ == repeatability::stream) {
+    if (state.request_.kind_ == repeatability::resumable) {
+        // on_stream_try() checks its events.
+    } else if (state.request_.kind_ == repeatability::stream) {
         auto expected = std::string{};
         for (auto number = 1; number <= stream_events_; ++number) {
             expected += event_text(number);
@@ -141,6 +154,71 @@
     }
 }
 
+auto promise_checker::position_of(const std::string& stream) const
+    -> stream_position {
+    const auto found = streams_.find(stream);
+    return found == streams_.end() ? stream_position{}
+                                   : found->second.position_;
+}
+
+auto promise_checker::on_stream_try(const stream_try& ended)
+    -> stream_position {
+    auto& state = streams_[ended.stream_];
+    auto& position = state.position_;
+    const auto resumes = position.last_event_ > 0;
+    auto received = false;
+    auto text = std::string_view{ended.body_};
+    for (auto end = text.find("\n\n"); end != std::string_view::npos;
+         end = text.find("\n\n")) {
+        const auto event = text.substr(0, end);
+        text.remove_prefix(end + 2);
+        const auto version = std::string{
+            event.substr(std::min(event.find("data: ") + 6, event.size()))};
+        const auto expected = event_text(position.last_event_ + 1, version);
+        if (std::string{event} + "\n\n" != expected) {
+            report(promise::order, ended.id_ + " of " + ended.stream_);
+            break;
+        }
+        received = true;
+        ++position.last_event_;
+        if (position.began_as_.empty()) {
+            position.began_as_ = ended.id_;
+            position.version_ = version;
+        }
+        if (version != position.version_ &&
+            !std::exchange(state.mixed_, true) &&
+            ++mixed_streams_ > max_mixed_streams) {
+            report(promise::stream_version, ended.stream_ + " began at " +
+                                                position.version_ +
+                                                " and went on at " + version);
+        }
+    }
+    if (ended.complete_ && position.last_event_ != stream_events_) {
+        report(promise::order, ended.id_ + " ended early");
+    }
+    if (ended.counts_) {
+        auto& counts = resumes ? resumptions_ : new_streams_;
+        ++counts.tries_;
+        counts.received_events_ += received || ended.complete_ ? 1 : 0;
+    }
+    return position;
+}
+
+auto promise_checker::check_resumptions() -> void {
+    if (resumptions_.tries_ < min_resumptions || new_streams_.tries_ == 0) {
+        return;
+    }
+    const auto share = [](const try_counts& counts) {
+        return static_cast<double>(counts.received_events_) /
+               static_cast<double>(counts.tries_);
+    };
+    if (share(resumptions_) < min_resumed_share * share(new_streams_)) {
+        report(promise::resumption,
+               std::to_string(resumptions_.received_events_) + " of " +
+                   std::to_string(resumptions_.tries_) + " went on");
+    }
+}
+
 auto promise_checker::on_limit(const std::string& server,
                                std::optional<double> per_second, time_point now)
     -> void {
--- a/testing/fault_soak/promises.hpp
+++ b/testing/fault_soak/promises.hpp
@@ -44,10 +44,14 @@
     recovery,
     /// A server got more requests than the rate limit that it had named.
     server_limit,
+    /// Streams went on at another software version than that which began them.
+    stream_version,
+    /// Too few of the streams that clients resume go on.
+    resumption,
 };
 
 inline constexpr auto promise_names =
-    name_table<promise, 10>{{{{promise::twice, "twice"},
+    name_table<promise, 12>{{{{promise::twice, "twice"},
                               {promise::refused_but_run, "refused_but_run"},
                               {promise::mixed, "mixed"},
                               {promise::unasked, "unasked"},
@@ -56,7 +60,9 @@
                               {promise::late, "late"},
                               {promise::stop, "stop"},
                               {promise::recovery, "recovery"},
-                              {promise::server_limit, "server_limit"}}}};
+                              {promise::server_limit, "server_limit"},
+                              {promise::stream_version, "stream_version"},
+                              {promise::resumption, "resumption"}}}};
 
 struct violation {
     promise promise_;
@@ -64,7 +70,7 @@
 };
 
 /// What may be repeated of a request.
-enum class repeatability { safe, once, stream, crashing };
+enum class repeatability { safe, once, stream, resumable, crashing };
 
 struct sent_request {
     std::string id_;
@@ -93,6 +99,26 @@
     bool disturbed_ = false;
 };
 
+/// One try of a client to receive a resumable stream or the rest of it.
+struct stream_try {
+    /// Id of the client's first try, which stands for the stream.
+    std::string stream_;
+    std::string id_;
+    std::string body_;
+    bool complete_ = false;
+    /// Whether its daemon was undisturbed for long enough to be bound to
+    /// resume streams, and two servers of the stream's version run.
+    bool counts_ = false;
+};
+
+/// What a client has received of a resumable stream.
+struct stream_position {
+    /// Id of the try that received the first event; empty before it.
+    std::string began_as_;
+    std::string version_;
+    int last_event_ = 0;
+};
+
 class promise_checker {
 public:
     auto on_sent(sent_request request, time_point now) -> void;
@@ -113,6 +139,12 @@
     /// A request of any outcome reached a server. `settled` as for on_run().
     auto on_arrival(const std::string& server, const std::string& daemon,
                     bool settled, time_point now) -> void;
+    /// A try for a resumable stream has ended. Returns what the client has.
+    auto on_stream_try(const stream_try& ended) -> stream_position;
+    [[nodiscard]] auto position_of(const std::string& stream) const
+        -> stream_position;
+    /// Checks that streams were resumed about as often as new ones began.
+    auto check_resumptions() -> void;
     /// Records a violation that the caller has found.
     auto report(promise broken, std::string detail) -> void;
     /// Counts requests that are sent from now on, for recovery_share().
@@ -134,6 +166,9 @@
     /// Number of events in a stream, and the text of one.
     static constexpr auto stream_events_ = 8;
     [[nodiscard]] static auto event_text(int number) -> std::string;
+    /// Returns an event of a resumable stream at a server of `version`.
+    [[nodiscard]] static auto event_text(int number, const std::string& version)
+        -> std::string;
 
 private:
     struct request_state {
@@ -166,6 +201,19 @@
     std::map<std::string, request_state> requests_;
     // Crashing requests by path.
     std::map<std::string, crashing_state> crashing_;
+    struct stream_state {
+        stream_position position_;
+        bool mixed_ = false;
+    };
+    struct try_counts {
+        int tries_ = 0;
+        int received_events_ = 0;
+    };
+    // Resumable streams by the id of their first try.
+    std::map<std::string, stream_state> streams_;
+    int mixed_streams_ = 0;
+    try_counts new_streams_;
+    try_counts resumptions_;
     // Limits in force, by server.
     std::map<std::string, limit_state> limits_;
     std::size_t crashes_ = 0;
--- a/testing/fault_soak/promises_test.cpp
+++ b/testing/fault_soak/promises_test.cpp
@@ -150,5 +150,48 @@
     EXPECT_EQ(play(40, false), 0U);
 }
 
+TEST(promise_checker, finds_streams_of_several_versions) {
+    auto promises = promise_checker{};
+    const auto play = [&](const std::string& stream, const char* second) {
+        promises.on_stream_try({stream, stream,
+                                promise_checker::event_text(1, "v1"), false,
+                                false});
+        promises.on_stream_try({stream, stream + "b",
+                                promise_checker::event_text(2, second), false,
+                                false});
+    };
+    play("a", "v1");
+    play("b", "v2");
+    play("c", "v2");
+    EXPECT_TRUE(promises.violations().empty());
+    EXPECT_EQ(promises.position_of("b").began_as_, "b");
+    EXPECT_EQ(promises.position_of("b").last_event_, 2);
+    play("d", "v2");
+    ASSERT_EQ(promises.violations().size(), 1U);
+    EXPECT_EQ(promises.violations()[0].promise_, promise::stream_version);
+    promises.on_stream_try(
+        {"e", "e", promise_checker::event_text(2, "v1"), false, false});
+    EXPECT_EQ(promises.violations().back().promise_, promise::order);
+}
+
+TEST(promise_checker, finds_too_few_resumptions) {
+    const auto play = [](int resumed) {
+        auto promises = promise_checker{};
+        for (auto number = 0; number < 20; ++number) {
+            const auto id = "q" + std::to_string(number);
+            promises.on_stream_try(
+                {id, id, promise_checker::event_text(1, "v1"), false, true});
+            promises.on_stream_try(
+                {id, id + "b",
+                 number < resumed ? promise_checker::event_text(2, "v1") : "",
+                 false, true});
+        }
+        promises.check_resumptions();
+        return promises.violations().size();
+    };
+    EXPECT_EQ(play(10), 0U);
+    EXPECT_EQ(play(9), 1U);
+}
+
 } // namespace
 } // namespace basilstream::testing
--- a/testing/fault_soak/soak.cpp
+++ b/testing/fault_soak/soak.cpp
@@ -22,10 +22,13 @@
 constexpr auto grace = seconds{4};
 constexpr auto stop_slack = milliseconds{800};
 constexpr auto connections_to_daemon = 400;
+constexpr auto max_stream_tries = 3;
+constexpr auto stream_retry_delay = milliseconds{20};
 
 auto config_text() -> std::string {
     using protocol::json;
-    const auto route = [](const char* prefix, const char* kind, int attempts) {
+    const auto route = [](const char* prefix, const char* kind, int attempts,
+                          bool resumable = false) {
         return json{{"name", prefix},
                     {"host", "soak"},
                     {"pathPrefix", prefix},
@@ -35,13 +38,14 @@
                     {"priority", 1},
                     {"service", "app"},
                     {"attempts", attempts},
-                    {"resumable", false}};
+                    {"resumable", resumable}};
     };
     return json{{"version", 1},
                 {"routes",
                  {route("/safe/", "idempotent", 2),
                   route("/once/", "non_idempotent", 2),
-                  route("/stream/", "streaming", 1)}},
+                  route("/stream/", "streaming", 1),
+                  route("/resume/", "streaming", 2, true)}},
                 {"services",
                  {{{"name", "app"},
                    {"healthPath", "/health"},
@@ -76,6 +80,12 @@
         : owner_{owner}, id_{std::move(id)}, node_{daemon},
           sent_at_{owner.clock_.now()} {}
 
+    // Makes this a try for a resumable stream, the `tries`-th.
+    auto set_stream(std::string stream, int tries, bool counts) -> void {
+        stream_ = std::move(stream);
+        tries_ = tries;
+        counts_ = counts;
+    }
     auto start(const std::string& address, const std::string& bytes) -> void {
         self_ = shared_from_this();
         call_ = owner_.clients_.send(address, bytes, false,
@@ -118,6 +128,23 @@
         const auto keep = std::exchange(self_, nullptr);
         answer_.disturbed_ = node_.disturbed_until_ >= sent_at_;
         owner_.promises_.on_answer(id_, answer_, owner_.clock_.now());
+        if (!stream_.empty()) {
+            end_stream_try();
+        }
+    }
+    auto end_stream_try() -> void {
+        const auto complete = answer_.complete_ && answer_.status_ == 200;
+        const auto position = owner_.promises_.on_stream_try(
+            {stream_, id_, answer_.status_ == 200 ? answer_.body_ : "",
+             complete, counts_ && !answer_.disturbed_});
+        if (!complete && position.last_event_ > 0 &&
+            tries_ < max_stream_tries && owner_.sending_) {
+            owner_.thread_.after(
+                stream_retry_delay,
+                [&owner = owner_, stream = stream_, tries = tries_] {
+                    owner.send_stream_try(stream, tries + 1);
+                });
+        }
     }
 
     fault_soak& owner_;
@@ -125,6 +152,10 @@
     const node& node_;
     const time_point sent_at_;
     received_answer answer_;
+    // Empty if this is no try for a resumable stream.
+    std::string stream_;
+    int tries_ = 0;
+    bool counts_ = false;
     std::shared_ptr<transport::http_call_connection> call_;
     // Keeps the call alive until its end.
     std::shared_ptr<client_call> self_;
@@ -227,6 +258,7 @@
     thread_.after(recovery + recovery_time, [this] { sending_ = false; });
     thread_.after(recovery + recovery_time + final_wait, [this, &ended] {
         promises_.check_recovery();
+        promises_.check_resumptions();
         ended.set_value();
     });
     thread_.every(options_.request_interval_, [this] { send_request(); });
@@ -406,18 +438,70 @@
     if (!sending_) {
         return;
     }
-    constexpr auto kinds = std::array{
-        repeatability::safe,   repeatability::safe,  repeatability::safe,
-        repeatability::safe,   repeatability::once,  repeatability::once,
-        repeatability::once,   repeatability::once,  repeatability::stream,
-        repeatability::stream, repeatability::stream};
+    constexpr auto kinds =
+        std::array{repeatability::safe,      repeatability::safe,
+                   repeatability::safe,      repeatability::safe,
+                   repeatability::once,      repeatability::once,
+                   repeatability::once,      repeatability::once,
+                   repeatability::stream,    repeatability::stream,
+                   repeatability::stream,    repeatability::resumable,
+                   repeatability::resumable, repeatability::resumable};
     constexpr auto crashing_share = std::uint64_t{30};
     send(random_.below(crashing_share) == 0
              ? repeatability::crashing
              : kinds[random_.below(kinds.size())]);
 }
 
+auto fault_soak::version_serves(const std::string& version) const -> bool {
+    return version.empty() ||
+           std::count_if(
+               servers_.begin(), servers_.end(), [&](const auto& server) {
+                   return server->running() && server->version() == version;
+               }) >= 2;
+}
+
+auto fault_soak::send_to(const node& target, sent_request request,
+                         transport::header_list headers,
+                         const std::shared_ptr<client_call>& call) -> void {
+    headers.add("Host", "soak");
+    headers.add("Basilstream-Request-Id", request.id_);
+    headers.add("Basilstream-Deadline-Milliseconds",
+                std::to_string(route_timeout_ms));
+    headers.add(daemon_field, target.name_);
+    headers.add(settled_field, clock_.now() > target.settled_from_ ? "1" : "0");
+    const auto bytes =
+        transport::write_request("POST", request.path_, headers, request.body_);
+    promises_.on_sent(std::move(request), clock_.now());
+    call->start(target.process_->caller_address(), bytes);
+}
+
+auto fault_soak::send_stream_try(std::string stream, int tries) -> void {
+    const auto& target = random_node();
+    const auto id = "q" + std::to_string(++next_id_);
+    if (stream.empty()) {
+        stream = id;
+    }
+    const auto position = promises_.position_of(stream);
+    auto headers = transport::header_list{};
+    if (position.last_event_ > 0) {
+        headers.add("Last-Event-Id", std::to_string(position.last_event_));
+        headers.add("Resumes", position.began_as_);
+    }
+    const auto call = std::make_shared<client_call>(*this, id, target);
+    call->set_stream(stream, tries,
+                     clock_.now() > target.settled_from_ &&
+                         version_serves(position.version_));
+    send_to(target,
+            {id, repeatability::resumable, "/resume/" + stream,
+             "body of " + stream},
+            std::move(headers), call);
+}
+
 auto fault_soak::send(repeatability kind) -> void {
+    if (kind == repeatability::resumable) {
+        send_stream_try({}, 1);
+        return;
+    }
     const auto& target = random_node();
     const auto id = "q" + std::to_string(++next_id_);
     auto request = sent_request{id, kind, "/safe/" + id, "body of " + id};
@@ -432,18 +516,8 @@
                             static_cast<std::uint64_t>(crashing_requests_)));
         request.body_ = crashing_body;
     }
-    auto headers = transport::header_list{};
-    headers.add("Host", "soak");
-    headers.add("Basilstream-Request-Id", id);
-    headers.add("Basilstream-Deadline-Milliseconds",
-                std::to_string(route_timeout_ms));
-    headers.add(daemon_field, target.name_);
-    headers.add(settled_field, clock_.now() > target.settled_from_ ? "1" : "0");
-    const auto bytes =
-        transport::write_request("POST", request.path_, headers, request.body_);
-    promises_.on_sent(std::move(request), clock_.now());
-    std::make_shared<client_call>(*this, id, target)
-        ->start(target.process_->caller_address(), bytes);
+    send_to(target, std::move(request), {},
+            std::make_shared<client_call>(*this, id, target));
 }
 
 } // namespace basilstream::testing
--- a/testing/fault_soak/soak.hpp
+++ b/testing/fault_soak/soak.hpp
@@ -97,6 +97,13 @@
 
     auto send_request() -> void;
     auto send(repeatability kind) -> void;
+    // Sends a try for a resumable stream; a new one if `stream` is empty.
+    auto send_stream_try(std::string stream, int tries) -> void;
+    auto send_to(const node& target, sent_request request,
+                 transport::header_list headers,
+                 const std::shared_ptr<client_call>& call) -> void;
+    // Returns whether two servers of the version run.
+    [[nodiscard]] auto version_serves(const std::string& version) const -> bool;
 
     const soak_options options_;
     steady_clock clock_;
--- a/testing/fault_soak/stand_in_server.cpp
+++ b/testing/fault_soak/stand_in_server.cpp
@@ -1,5 +1,6 @@
 #include "testing/fault_soak/stand_in_server.hpp"
 
+#include <array>
 #include <utility>
 
 #include "basilstream/protocol/json/json.hpp"
@@ -8,18 +9,25 @@
 namespace {
 
 constexpr auto event_interval = milliseconds{20};
+// Long enough that several streams are open when a server ends.
+constexpr auto resumable_event_interval = milliseconds{120};
 // An announcement expires after three missed heartbeats.
 constexpr auto announcement_lifetime = milliseconds{3600};
 constexpr auto shortest_restart_ms = 800;
 constexpr auto restart_spread_ms = std::uint64_t{2500};
 constexpr auto id_field = "Basilstream-Request-Id";
 
+// A new process has the version of the former one, or now and then another.
+constexpr auto versions = std::array{"v1", "v2"};
+constexpr auto version_change_share = std::uint64_t{4};
+
 } // namespace
 
 struct stand_in_server::stream final : transport::client_observer {
     auto on_client_left() -> void override { session_ = nullptr; }
     auto on_client_drained() -> void override {}
     transport::http_session* session_ = nullptr;
+    bool resumable_ = false;
 };
 
 stand_in_server::stand_in_server(const server_context& context,
@@ -40,6 +48,9 @@
                                 answer(request, session);
                             })
                             .value());
+    if (version_.empty() || context_.random_.below(version_change_share) == 0) {
+        version_ = versions[context_.random_.below(versions.size())];
+    }
     ++starts_;
     set_limit(std::nullopt);
     proxy_->set_target(server_->address());
@@ -51,7 +62,7 @@
                         protocol::json{{"service", "app"},
                                        {"address", proxy_->address()},
                                        {"zone", "a"},
-                                       {"version", "1"},
+                                       {"version", version_},
                                        {"slots", 32},
                                        {"state", "ready"},
                                        {"models", protocol::json::array()},
@@ -126,17 +137,20 @@
         return;
     }
     headers.add("Basilstream-Response-Signature", "s");
-    if (!request.target_.starts_with("/stream/")) {
+    const auto resumable = request.target_.starts_with("/resume/");
+    if (!resumable && !request.target_.starts_with("/stream/")) {
         session.respond(200, headers,
                         promise_checker::answer_body(id, process));
         return;
     }
     const auto opened = std::make_shared<stream>();
     opened->session_ = &session;
+    opened->resumable_ = resumable;
     session.observe(opened.get());
     session.begin_stream(200, headers);
     streams_.insert(opened);
-    send_event(opened, 1);
+    const auto after = request.headers_.find("Last-Event-Id");
+    send_event(opened, after.empty() ? 1 : std::stoi(std::string{after}) + 1);
 }
 
 auto stand_in_server::send_event(const std::shared_ptr<stream>& open,
@@ -151,9 +165,12 @@
         streams_.erase(open);
         return;
     }
-    open->session_->write_piece(promise_checker::event_text(number));
+    open->session_->write_piece(
+        open->resumable_ ? promise_checker::event_text(number, version_)
+                         : promise_checker::event_text(number));
     context_.thread_.after(
-        event_interval, [this, open, number] { send_event(open, number + 1); });
+        open->resumable_ ? resumable_event_interval : event_interval,
+        [this, open, number] { send_event(open, number + 1); });
 }
 
 } // namespace basilstream::testing
--- a/testing/fault_soak/stand_in_server.hpp
+++ b/testing/fault_soak/stand_in_server.hpp
@@ -53,6 +53,12 @@
     /// Names a rate limit in all answers from now on, or none if empty. A new
     /// process names none.
     auto set_limit(std::optional<double> per_second) -> void;
+    /// Software version of the process.
+    [[nodiscard]] auto version() const -> const std::string& {
+        return version_;
+    }
+    /// Whether the process runs.
+    [[nodiscard]] auto running() const -> bool { return server_ != nullptr; }
     /// The proxy before the server, whose address is announced.
     [[nodiscard]] auto proxy() -> fault_proxy& { return *proxy_; }
 
@@ -68,6 +74,7 @@
     server_context context_;
     std::string name_;
     std::string id_;
+    std::string version_;
     int starts_ = 0;
     int ids_ = 0;
     std::optional<double> limit_;
