Resume a stream only at the software version that began it

Callers got streams whose events came from servers of two software versions, whose texts do not fit together, within one answer and over their tries.

Cause: versions of servers were not read, and no daemon knew where a stream of another daemon, or of a former process, had begun. Class: a fact that several daemons need is known to the one that saw it.

Change: within an answer only servers of the version that sent the first event may go on. For what clients resume, the daemon that relays a stream tells two daemons that the request's id selects by highest random weight, and a daemon that does not know the stream asks them. Unknown means not resumed: 503 with a Retry-After of 0, so that the client begins anew at once, and likewise if no server of the version has the model. A daemon that has seen one version only of a service for a minute knows the version of any stream, and tells nobody.

--- a/basilstream/coordination/routing/internal/decision.cpp
+++ b/basilstream/coordination/routing/internal/decision.cpp
@@ -96,6 +96,11 @@
     if (!candidate.resident_.ready_) {
         return rejection_reason::not_ready;
     }
+    if (request.software_version_ &&
+        (request.software_version_->empty() ||
+         runner.info_.software_version_ != *request.software_version_)) {
+        return rejection_reason::software_mismatch;
+    }
     if (!request.version_.empty() &&
         candidate.resident_.version_ != request.version_) {
         return rejection_reason::version_mismatch;
--- a/basilstream/coordination/routing/routing.cpp
+++ b/basilstream/coordination/routing/routing.cpp
@@ -175,6 +175,19 @@
     }
 }
 
+auto router::has_replica(std::string_view model,
+                         std::string_view software_version) const -> bool {
+    const auto found = models_.find(std::string{model});
+    return found != models_.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](const replica& model_replica) {
+                           const auto& runner = *model_replica.runner_;
+                           return !runner.leaving_ &&
+                                  runner.info_.software_version_ ==
+                                      software_version;
+                       });
+}
+
 auto router::accepts_work(std::string_view runner) const -> bool {
     const auto* const entry = find(runner);
     return entry != nullptr && !entry->leaving_;
--- a/basilstream/coordination/routing/routing.hpp
+++ b/basilstream/coordination/routing/routing.hpp
@@ -42,8 +42,8 @@
     least_loaded,
 };
 
-/// Why a candidate was not chosen. The reasons up to rate_limited exclude
-/// a candidate; the others rank it below the chosen one.
+/// Why a candidate was not chosen. The reasons up to software_mismatch
+/// exclude a candidate; the others rank it below the chosen one.
 enum class rejection_reason {
     not_ready,
     leaving,
@@ -53,6 +53,7 @@
     adapter_missing,
     at_limit,
     rate_limited,
+    software_mismatch,
     saturated,
     over_load_bound,
     prefix_not_cached,
@@ -67,7 +68,7 @@
       {route_reason::prefix_affinity, "prefix_affinity"},
       {route_reason::least_loaded, "least_loaded"}}}};
 
-inline constexpr auto rejection_reason_names = name_table<rejection_reason, 14>{
+inline constexpr auto rejection_reason_names = name_table<rejection_reason, 15>{
     {{{rejection_reason::not_ready, "not_ready"},
       {rejection_reason::leaving, "leaving"},
       {rejection_reason::excluded, "excluded"},
@@ -76,6 +77,7 @@
       {rejection_reason::adapter_missing, "adapter_missing"},
       {rejection_reason::at_limit, "at_limit"},
       {rejection_reason::rate_limited, "rate_limited"},
+      {rejection_reason::software_mismatch, "software_mismatch"},
       {rejection_reason::saturated, "saturated"},
       {rejection_reason::over_load_bound, "over_load_bound"},
       {rejection_reason::prefix_not_cached, "prefix_not_cached"},
@@ -98,6 +100,9 @@
     std::string zone_ = {};
     /// Identifies one run of the process; empty if unknown.
     std::string boot_id_ = {};
+    /// Version of its software, as opposed to that of a model's weights; empty
+    /// if unknown.
+    std::string software_version_ = {};
     /// Number of requests that it runs concurrently.
     int slots_ = 1;
     /// Whether the runner is draining and must not receive new work.
@@ -132,6 +137,9 @@
     std::string_view model_ = {};
     /// Empty means any version.
     std::string_view version_ = {};
+    /// If set, only runners of this software version are eligible; none is if
+    /// it is empty.
+    std::optional<std::string_view> software_version_ = {};
     /// Empty means the base model.
     std::string_view adapter_ = {};
     /// From prefix_hash(); 0 means no affinity.
@@ -281,6 +289,12 @@
                                            time_point now)
         -> std::optional<route>;
 
+    /// Returns whether a runner of the software version holds `model` and is
+    /// not leaving, regardless of limits.
+    [[nodiscard]] auto has_replica(std::string_view model,
+                                   std::string_view software_version) const
+        -> bool;
+
     /// Returns whether the runner is known and not leaving.
     [[nodiscard]] auto accepts_work(std::string_view runner) const -> bool;
 
--- a/basilstream/coordination/routing/routing_test.cpp
+++ b/basilstream/coordination/routing/routing_test.cpp
@@ -62,6 +62,21 @@
     EXPECT_NE(choose_runner({.prefix_hash_ = hash}), second);
 }
 
+TEST_F(routing, software_version_excludes_others_and_unknown_ones) {
+    auto info = make_runner("r1");
+    info.software_version_ = "s1";
+    routes_.update_runner(info);
+    add_runner("r2"); // of unknown version
+    EXPECT_EQ(choose_runner({.software_version_ = "s1"}), "r1");
+    EXPECT_EQ(choose_runner({.software_version_ = "s2"}), "unavailable");
+    EXPECT_EQ(choose_runner({.software_version_ = ""}), "unavailable");
+    EXPECT_TRUE(routes_.has_replica("m", "s1"));
+    EXPECT_FALSE(routes_.has_replica("m", "s2"));
+    EXPECT_FALSE(routes_.has_replica("other", "s1"));
+    routes_.mark_leaving("r1");
+    EXPECT_FALSE(routes_.has_replica("m", "s1"));
+}
+
 TEST_F(routing, rate_limited_runner_is_excluded_for_a_time) {
     add_runner("r1");
     add_runner("r2");
--- a/basilstream/coordination/server_limits/permits.cpp
+++ b/basilstream/coordination/server_limits/permits.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include <xxhash.h>
+#include "basilstream/coordination/rendezvous/rendezvous.hpp"
 
 namespace basilstream::coordination {
 namespace {
@@ -65,19 +65,8 @@
 auto select_permit_owner(const std::string& server,
                          const std::vector<std::string>& daemons)
     -> std::string {
-    const auto seed = XXH3_64bits(server.data(), server.size());
-    auto owner = std::string{};
-    auto highest = std::uint64_t{0};
-    for (const auto& daemon : daemons) {
-        const auto weight =
-            XXH3_64bits_withSeed(daemon.data(), daemon.size(), seed);
-        if (owner.empty() ||
-            std::pair{weight, daemon} > std::pair{highest, owner}) {
-            owner = daemon;
-            highest = weight;
-        }
-    }
-    return owner;
+    const auto selected = select_by_weight(server, daemons, 1);
+    return selected.empty() ? std::string{} : selected.front();
 }
 
 auto permit_ownership::set_daemons(std::vector<std::string> daemons,
--- /dev/null
+++ b/basilstream/coordination/stream_origins/stream_origins.cpp
@@ -0,0 +1,85 @@
+#include "basilstream/coordination/stream_origins/stream_origins.hpp"
+
+namespace basilstream::coordination {
+
+auto stream_origins::record(const std::string& request,
+                            const std::string& version, time_point now)
+    -> void {
+    expire(now);
+    origins_[request] = {version, now};
+    order_.emplace_back(now, request);
+}
+
+auto stream_origins::find(const std::string& request, time_point now)
+    -> std::optional<std::string> {
+    expire(now);
+    const auto found = origins_.find(request);
+    return found == origins_.end() ? std::nullopt
+                                   : std::optional{found->second.version_};
+}
+
+auto stream_origins::expire(time_point now) -> void {
+    while (!order_.empty() && (now - order_.front().first > stream_memory ||
+                               order_.size() > capacity_)) {
+        const auto found = origins_.find(order_.front().second);
+        if (found != origins_.end() &&
+            found->second.recorded_at_ == order_.front().first) {
+            origins_.erase(found);
+        }
+        order_.pop_front();
+    }
+}
+
+auto version_history::set_server(const std::string& server,
+                                 const std::string& service,
+                                 const std::string& version, time_point now)
+    -> void {
+    const auto found = servers_.find(server);
+    if (found != servers_.end()) {
+        if (found->second.service_ == service &&
+            found->second.version_ == version) {
+            return;
+        }
+        remove_server(server, now);
+    }
+    servers_[server] = {service, version};
+    auto& state =
+        services_.try_emplace(service, service_state{now, {}}).first->second;
+    ++state.versions_[version].servers_;
+}
+
+auto version_history::remove_server(const std::string& server, time_point now)
+    -> void {
+    const auto removed = servers_.extract(server);
+    if (removed.empty()) {
+        return;
+    }
+    auto& state = services_[removed.mapped().service_]
+                      .versions_[removed.mapped().version_];
+    --state.servers_;
+    state.last_server_at_ = now;
+}
+
+auto version_history::sole_version(const std::string& service,
+                                   time_point now) const
+    -> std::optional<std::string> {
+    const auto found = services_.find(service);
+    if (found == services_.end() ||
+        now - found->second.known_since_ < stream_memory) {
+        return std::nullopt;
+    }
+    auto sole = std::optional<std::string>{};
+    for (const auto& [version, state] : found->second.versions_) {
+        const auto recent =
+            state.servers_ > 0 || now - state.last_server_at_ <= stream_memory;
+        if (recent && (sole || version.empty())) {
+            return std::nullopt;
+        }
+        if (recent) {
+            sole = version;
+        }
+    }
+    return sole;
+}
+
+} // namespace basilstream::coordination
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -71,14 +71,45 @@
             {{"request_id", request_.id_},
              {"resumes", request_.resumed_request_},
              {"after", std::to_string(*request_.last_event_)}});
+        find_stream_version();
+        return;
     }
     dispatch();
 }
 
+auto exchange::find_stream_version() -> void {
+    state_.context_.streams_.find_version(
+        request_.resumed_request_, service_,
+        [self = shared_from_this()](const auto& version) {
+            if (self->done_) {
+                return;
+            }
+            if (version) {
+                self->stream_version_ = version;
+                self->dispatch();
+                return;
+            }
+            // The client can begin anew at once.
+            self->expected_wait_ = milliseconds{0};
+            self->retry_outcome_ = "version_unknown";
+            self->give_up(
+                error{error_code::not_found, step::routing, self->service_,
+                      "the version that began the stream is not known",
+                      run_status::not_run});
+        });
+}
+
+auto exchange::required_version() const -> std::optional<std::string_view> {
+    return stream_version_ ? std::optional<std::string_view>{*stream_version_}
+                           : std::nullopt;
+}
+
 auto exchange::dispatch() -> void {
     const auto now = state_.context_.clock_.now();
-    auto routing_request = coordination::route_request{
-        .adapter_ = request_.adapter_, .excluded_ = excluded_};
+    auto routing_request =
+        coordination::route_request{.software_version_ = required_version(),
+                                    .adapter_ = request_.adapter_,
+                                    .excluded_ = excluded_};
     const auto key = routing_key(service_, request_.model_);
     routing_request.model_ = key;
     auto chosen = state_.router_.choose(routing_request, now);
@@ -183,6 +214,17 @@
 auto exchange::wait_for_model(const error& cause) -> void {
     const auto now = state_.context_.clock_.now();
     const auto worth_waiting = possible_runs_ == 0 && !request_.model_.empty();
+    if (stream_version_ &&
+        !state_.router_.has_replica(routing_key(service_, request_.model_),
+                                    *stream_version_)) {
+        // Loading the model would not help, but the client can begin anew.
+        expected_wait_ = milliseconds{0};
+        give_up(error{error_code::not_found, step::routing, service_,
+                      "no backend server of the version that began the stream",
+                      possible_runs_ > 0 ? run_status::unknown
+                                         : run_status::not_run});
+        return;
+    }
     expected_wait_ = state_.provisioner_.expected_wait(requested_model());
     const auto longest = max_wait(now);
     if (!worth_waiting || !expected_wait_ || *expected_wait_ > longest) {
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -56,6 +56,12 @@
     // run the request.
     enum class answer_mode { none, streamed, buffered, not_run };
 
+    // Finds the version at which the stream began that the request resumes,
+    // then dispatches; refuses the request if the version is not known.
+    auto find_stream_version() -> void;
+    // Returns the version that a resumed stream requires.
+    [[nodiscard]] auto required_version() const
+        -> std::optional<std::string_view>;
     // Selects a backend server and sends an attempt; waits or gives up if none
     // is available.
     auto dispatch() -> void;
@@ -143,6 +149,11 @@
     // offered; empty if there is none.
     std::string refused_by_;
     bool demand_recorded_ = false;
+    // Software version of the backend server of the last attempt.
+    std::string attempt_version_;
+    // Software version at which the stream began; empty before its first
+    // event. Only this version may continue it, none if it is unknown ("").
+    std::optional<std::string> stream_version_;
 
     // The attempt in flight; null if there is none.
     std::shared_ptr<transport::http_call_connection> call_;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -58,6 +58,7 @@
 auto exchange::send_attempt(const coordination::route& chosen) -> void {
     const auto now = state_.context_.clock_.now();
     backend_ = chosen.runner_;
+    attempt_version_ = state_.software_version(backend_);
     if (const auto allowed = register_run(now); !allowed) {
         backend_.clear();
         retry_outcome_ = "quarantined";
@@ -191,6 +192,11 @@
         route_.kind_ == coordination::request_kind::streaming &&
         head.status_ / 100 == 2;
     mode_ = streamed ? answer_mode::streamed : answer_mode::buffered;
+    if (streamed && route_.resumable_) {
+        state_.context_.streams_.on_stream_begun(
+            request_.last_event_ ? request_.resumed_request_ : request_.id_,
+            service_, attempt_version_);
+    }
     if (streamed && !std::exchange(stream_started_, true) &&
         client_ != nullptr) {
         client_->begin_stream(head.status_,
@@ -221,6 +227,9 @@
     const auto no_events_yet = events_.events() == 0;
     client_->write_piece(events_.feed(piece));
     if (no_events_yet && events_.events() > 0) {
+        if (!stream_version_) {
+            stream_version_ = attempt_version_;
+        }
         state_.counters_.first_byte_.record(state_.context_.clock_.now() -
                                             arrived_);
     }
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -308,6 +308,7 @@
         .address_ = server.address_,
         .zone_ = server.zone_,
         .boot_id_ = internal::boot_id_of(server.started_at_),
+        .software_version_ = server.software_version_,
         .slots_ = server.slots_,
         .leaving_ = server.draining_,
         .residents_ = {}};
@@ -329,6 +330,8 @@
                                    server.software_version_, server.draining_};
     state.router_.update_runner(info);
     state.context_.permits_.set_server(server.id_, server.started_at_);
+    state.context_.streams_.set_server(server.id_, server.service_,
+                                       server.software_version_);
     const auto open_exchanges = std::vector<std::shared_ptr<exchange>>{
         state.exchanges_.begin(), state.exchanges_.end()};
     for (const auto& open_exchange : open_exchanges) {
@@ -345,6 +348,7 @@
     state_->router_.remove_runner(id);
     state_->backends_.erase(id);
     state_->context_.permits_.remove_server(id);
+    state_->context_.streams_.remove_server(id);
     state_->last_received_at_.erase(id);
 }
 
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -2,7 +2,8 @@
 /// routes map each request to a service. Client connections, backend
 /// connections and all routing decisions share one thread.
 ///
-///     auto proxy = relay{{clock, random, thread, log, metrics, permits},
+///     auto proxy = relay{{clock, random, thread, log, metrics, permits,
+///                         streams},
 ///                        settings, dialect, provisioner};
 ///     proxy.open();
 ///     proxy.set_config(config);
@@ -29,6 +30,7 @@
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
 #include "basilstream/daemon/request_journal/request_journal.hpp"
 #include "basilstream/daemon/server_permits/server_permits.hpp"
+#include "basilstream/daemon/stream_directory/stream_directory.hpp"
 #include "basilstream/transport/http_pool/http_pool.hpp"
 #include "basilstream/transport/logging/logging.hpp"
 #include "basilstream/transport/metrics/metrics.hpp"
@@ -44,6 +46,7 @@
     transport::logger& log_;
     transport::metrics_registry& metrics_;
     server_permits& permits_;
+    stream_directory& streams_;
 };
 
 /// Identifies the model, or the adapter of a model, that a request needs.
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -166,6 +166,67 @@
     EXPECT_EQ(b_.requests_.size(), 1U);
 }
 
+// Streams went on at another software version within one answer.
+TEST_F(relay_test, resumes_broken_stream_at_another_version) {
+    b_.software_version_ = "v2";
+    add_backend_b();
+    a_.default_script_ = stream("id: 1\na\n\n", false);
+    b_.default_script_ = a_.default_script_;
+    EXPECT_FALSE(call("/resume/").complete_);
+    EXPECT_TRUE(a_.requests_.empty() || b_.requests_.empty());
+}
+
+TEST_F(relay_test, resumes_broken_stream_at_an_unknown_version) {
+    a_.software_version_.clear();
+    b_.software_version_.clear();
+    run_on_thread([&] {
+        relay_.set_backend(a_.server("app"));
+        add_backend_b();
+    });
+    a_.default_script_ = stream("id: 1\na\n\n", false);
+    b_.default_script_ = a_.default_script_;
+    EXPECT_FALSE(call("/resume/").complete_);
+    EXPECT_EQ(a_.requests_.size() + b_.requests_.size(), 1U);
+}
+
+// A server was started anew with another version under its id.
+TEST_F(relay_test, resumes_stream_at_a_server_that_changed_its_version) {
+    a_.default_script_ = stream("id: 1\na\n\n", false);
+    EXPECT_FALSE(call("/single/").complete_);
+    run_on_thread([&] {
+        auto server = a_.server("app");
+        server.software_version_ = "v2";
+        relay_.set_backend(server);
+    });
+    const auto response = call("/resume/", "X-Resumes", "id1");
+    EXPECT_EQ(response.status_, 503);
+    EXPECT_EQ(response.headers_.find("Retry-After"), "0");
+    EXPECT_EQ(a_.requests_.size(), 1U);
+}
+
+TEST_F(relay_test, resumes_stream_of_a_client_at_its_version) {
+    add_backend_b();
+    b_.software_version_ = "v2";
+    add_backend_b();
+    b_.default_script_ = stream("id: 1\na\n\n", false);
+    a_.default_script_ = stream("id: 1\na\n\n", false);
+    EXPECT_FALSE(call("/single/").complete_);
+    auto& began = a_.requests_.empty() ? b_ : a_;
+    began.default_script_ = stream("id: 2\nb\n\n", true);
+    for (auto number = 0; number < 5; ++number) {
+        const auto response = call("/single/", "X-Resumes", "id1");
+        EXPECT_TRUE(response.complete_);
+        EXPECT_EQ(response.body_, "id: 2\nb\n\n");
+    }
+    EXPECT_EQ(began.requests_.size(), 6U);
+}
+
+TEST_F(relay_test, refuses_to_resume_a_stream_that_no_daemon_knows) {
+    a_.default_script_ = stream("id: 2\nb\n\n", true);
+    EXPECT_EQ(call("/resume/", "X-Resumes", "other").status_, 503);
+    EXPECT_TRUE(a_.requests_.empty());
+}
+
 // The only runner with the model lost an answer. Excluding it would leave no
 // backend server for the retry.
 TEST_F(relay_test, retries_on_same_backend_if_it_is_the_only_one) {
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -26,6 +26,10 @@
         request.host_ = message.headers_.find("Host");
         request.model_ = message.headers_.find("X-Model");
         request.adapter_ = message.headers_.find("X-Adapter");
+        request.resumed_request_ = message.headers_.find("X-Resumes");
+        if (!request.resumed_request_.empty()) {
+            request.last_event_ = 1;
+        }
         if (const auto text = message.headers_.find("X-Patience");
             !text.empty()) {
             request.client_timeout_ =
@@ -165,11 +169,13 @@
         description.address_ = listener_->address();
         description.slots_ = 4;
         description.started_at_ = 1;
+        description.software_version_ = software_version_;
         return description;
     }
 
     transport::reactor_thread& thread_;
     std::string id_;
+    std::string software_version_ = "v1";
     std::unique_ptr<transport::tcp_listener> listener_;
     std::vector<std::unique_ptr<connection>> connections_;
     std::vector<transport::request_message> requests_;
@@ -296,7 +302,7 @@
 protected:
     relay_test()
         : thread_{"test", 1024}, log_{{transport::log_level::off}, "test"},
-          relay_{{clock_, random_, thread_, log_, metrics_, permits_},
+          relay_{{clock_, random_, thread_, log_, metrics_, permits_, streams_},
                  {.address_ = "127.0.0.1:0",
                   .retry_ratio_ = 1,
                   .retry_allowance_ = 100,
@@ -391,6 +397,7 @@
     transport::logger log_;
     transport::metrics_registry metrics_;
     server_permits permits_{{clock_, log_, metrics_}, "test"};
+    stream_directory streams_{{clock_, metrics_}, "test"};
     test_dialect dialect_;
     test_provisioner provisioner_;
     relay relay_;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -73,7 +73,9 @@
           thread_{"traffic", task_queue_capacity}, permits_{{clock_, log_,
                                                              metrics_},
                                                             settings.name_},
-          context_{clock_, random_, thread_, log_, metrics_, permits_},
+          streams_{{clock_, metrics_}, settings.name_},
+          context_{clock_,   random_,  thread_, log_,
+                   metrics_, permits_, streams_},
           relay_{context_, relay_settings_of(settings), deployment.dialect(),
                  *this},
           control_calls_{thread_, clock_},
@@ -346,6 +348,7 @@
     auto sweep() -> void {
         watch_.tick();
         permits_.tick();
+        streams_.tick();
         relay_.sweep();
         control_calls_.sweep();
         for (const auto& server : servers_) {
@@ -373,6 +376,7 @@
             return;
         }
         permits_.on_update(sender, *update);
+        streams_.on_update(sender, *update);
         sharing_.on_update(sender, *update);
         for (const auto& page : update->pages_) {
             if (page.read_now_) {
@@ -401,11 +405,13 @@
         // itself for the owner.
         permits_.set_daemons({});
         permits_.set_daemons({settings_.name_});
-        permits_.connect([this](const std::string& daemon,
-                                const protocol::relay_update& update) {
+        const auto send = [this](const std::string& daemon,
+                                 const protocol::relay_update& update) {
             return cluster_->send(daemon, protocol::peer_channel::relay,
                                   protocol::encode(update));
-        });
+        };
+        permits_.connect(send);
+        streams_.connect(send);
         quarantine_gossip_.emplace(
             log_, clock_, relay_.crash_quarantine(), *cluster_,
             [this](const coordination::quarantine_event& event) {
@@ -417,6 +423,7 @@
             models_.set_daemons(owners.size());
             if (drain_.stop_requests() == 0) {
                 permits_.set_daemons(owners);
+                streams_.set_daemons(owners);
             }
         });
         cluster_->on_channel(
@@ -540,6 +547,7 @@
     transport::metrics_registry metrics_;
     transport::reactor_thread thread_;
     server_permits permits_;
+    stream_directory streams_;
     relay_context context_;
     relay relay_;
     // Connections to the store, separate from those for traffic.
--- /dev/null
+++ b/basilstream/daemon/stream_directory/stream_directory.hpp
@@ -0,0 +1,101 @@
+/// Finds the software version at which a stream began, also if another daemon
+/// or a former process relayed it.
+///
+///     auto streams = stream_directory{{clock, metrics}, "entry-1"};
+///     streams.connect(send);
+///     streams.set_daemons({"entry-1", "entry-2"});
+///     streams.on_stream_begun("9c41d07b", "chat", "v1.2");
+///     streams.find_version("9c41d07b", "chat", [](auto version) {...});
+///
+/// The daemon that relays a stream tells two daemons, which the id selects, and
+/// they are asked when the stream is resumed. That costs two small messages a
+/// stream, and nothing while the service has had one version for a minute: a
+/// daemon that has seen it throughout knows the version of any stream.
+///
+/// Not thread-safe: use on the traffic thread only.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/coordination/stream_origins/stream_origins.hpp"
+#include "basilstream/daemon/server_permits/server_permits.hpp"
+#include "basilstream/protocol/relay_codec/relay_codec.hpp"
+#include "basilstream/transport/metrics/metrics.hpp"
+
+namespace basilstream::daemon {
+
+/// Dependencies of a stream_directory; each must outlive it.
+struct stream_directory_context {
+    const clock& clock_;
+    transport::metrics_registry& metrics_;
+};
+
+/// Receives the version, or nothing if it is not known.
+using version_handler =
+    std::function<void(const std::optional<std::string>& version)>;
+
+class stream_directory {
+public:
+    stream_directory(const stream_directory_context& context, std::string self);
+
+    /// Sets how updates are sent; until then, only this daemon is asked.
+    auto connect(update_sender send) -> void { send_ = std::move(send); }
+    /// Sets the daemons considered alive, this one included.
+    auto set_daemons(std::vector<std::string> daemons) -> void {
+        daemons_ = std::move(daemons);
+    }
+    auto set_server(const std::string& server, const std::string& service,
+                    const std::string& version) -> void;
+    auto remove_server(const std::string& server) -> void;
+
+    /// Records that the stream of a request has begun, or goes on, at a version
+    /// of the service. Call again if it begins anew at another version.
+    auto on_stream_begun(const std::string& request, const std::string& service,
+                         const std::string& version) -> void;
+    /// Finds the version at which the stream of `request` began. Calls `done`
+    /// exactly once, possibly before it returns.
+    auto find_version(const std::string& request, const std::string& service,
+                      version_handler done) -> void;
+
+    /// Handles what another daemon tells or asks.
+    auto on_update(const std::string& sender,
+                   const protocol::relay_update& update) -> void;
+    /// Ends queries that the daemons have not answered. Call about every 50 ms.
+    auto tick() -> void;
+
+private:
+    struct pending_query {
+        version_handler done_;
+        std::size_t missing_answers_ = 0;
+        time_point expires_at_{};
+    };
+
+    [[nodiscard]] auto known_version(const std::string& request,
+                                     const std::string& service)
+        -> std::optional<std::string>;
+    // Returns the other daemons that are told of the stream.
+    [[nodiscard]] auto holders_of(const std::string& request) const
+        -> std::vector<std::string>;
+    auto settle(const version_handler& done,
+                const std::optional<std::string>& version) -> void;
+
+    const stream_directory_context context_;
+    const std::string self_;
+    update_sender send_;
+    std::vector<std::string> daemons_;
+    coordination::stream_origins origins_;
+    coordination::version_history versions_;
+    std::map<std::uint64_t, pending_query> pending_;
+    std::uint64_t last_query_ = 0;
+    transport::counter& told_;
+    transport::counter& asked_;
+    transport::counter& unknown_;
+};
+
+} // namespace basilstream::daemon
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -101,6 +101,43 @@
     return true;
 }
 
+auto origins_to_wire(const relay_update& update, wire::relay_update& out)
+    -> void {
+    for (const auto& origin : update.stream_origins_) {
+        auto& copy = *out.add_stream_origins();
+        copy.set_request(origin.request_);
+        copy.set_version(origin.version_);
+    }
+    for (const auto& query : update.origin_queries_) {
+        auto& copy = *out.add_origin_queries();
+        copy.set_id(query.id_);
+        copy.set_request(query.request_);
+        copy.set_service(query.service_);
+    }
+    for (const auto& answer : update.origin_answers_) {
+        auto& copy = *out.add_origin_answers();
+        copy.set_id(answer.id_);
+        copy.set_known(answer.version_.has_value());
+        copy.set_version(answer.version_.value_or(""));
+    }
+}
+
+auto origins_from_wire(const wire::relay_update& in, relay_update& update)
+    -> void {
+    for (const auto& origin : in.stream_origins()) {
+        update.stream_origins_.push_back({origin.request(), origin.version()});
+    }
+    for (const auto& query : in.origin_queries()) {
+        update.origin_queries_.push_back(
+            {query.id(), query.request(), query.service()});
+    }
+    for (const auto& answer : in.origin_answers()) {
+        update.origin_answers_.push_back(
+            {answer.id(),
+             answer.known() ? std::optional{answer.version()} : std::nullopt});
+    }
+}
+
 auto known_topic(std::uint32_t value) -> bool {
     return value <=
            static_cast<std::uint32_t>(coordination::shared_topic::quarantine);
@@ -157,6 +194,7 @@
         std::max(update.lease_left_, milliseconds{0}).count()));
     message.set_lease_end(update.lease_end_);
     permits_to_wire(update, message);
+    origins_to_wire(update, message);
     return message.SerializeAsString();
 }
 
@@ -194,6 +232,7 @@
                                    static_cast<residency_state>(in.state()),
                                    milliseconds{in.ready_in_ms()}});
     }
+    origins_from_wire(message, update);
     if (!permits_from_wire(message, update)) {
         return invalid(step::peer, "invalid rate limit");
     }
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -93,6 +93,27 @@
     milliseconds wait_{0};
 };
 
+/// Software version at which the stream of a request began.
+struct stream_origin {
+    std::string request_;
+    std::string version_;
+};
+
+/// Asks for the version at which a stream of the service began.
+struct origin_query {
+    /// Unique among the queries of the sender's process.
+    std::uint64_t id_ = 0;
+    std::string request_;
+    std::string service_;
+};
+
+/// Answer to the query `id_` of the receiver.
+struct origin_answer {
+    std::uint64_t id_ = 0;
+    /// Empty if the version is not known.
+    std::optional<std::string> version_;
+};
+
 /// A message between daemons; parts that are empty say nothing, but for
 /// `loads_` if `has_loads_`, which then replaces the sender's former ones.
 struct relay_update {
@@ -116,6 +137,9 @@
     std::vector<relayed_limit> limits_;
     std::vector<permit_request> permit_requests_;
     std::vector<permit_answer> permit_answers_;
+    std::vector<stream_origin> stream_origins_;
+    std::vector<origin_query> origin_queries_;
+    std::vector<origin_answer> origin_answers_;
 };
 
 [[nodiscard]] auto encode(const relay_update& update) -> std::string;
--- a/basilstream/protocol/relay_codec/relay_codec_test.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -30,8 +30,18 @@
                       {"i-4", 2000, std::nullopt, milliseconds{50}}};
     update.permit_requests_ = {{7, "i-3", milliseconds{800}}};
     update.permit_answers_ = {{8, true, milliseconds{90}}};
+    update.stream_origins_ = {{"q1", "v1.2"}};
+    update.origin_queries_ = {{9, "q2", "chat"}};
+    update.origin_answers_ = {{10, "v1"}, {11, std::nullopt}};
     const auto read = decode_relay_update(encode(update));
     ASSERT_TRUE(read);
+    EXPECT_EQ(read->stream_origins_.at(0).request_, "q1");
+    EXPECT_EQ(read->stream_origins_.at(0).version_, "v1.2");
+    EXPECT_EQ(read->origin_queries_.at(0).id_, 9U);
+    EXPECT_EQ(read->origin_queries_.at(0).request_, "q2");
+    EXPECT_EQ(read->origin_queries_.at(0).service_, "chat");
+    EXPECT_EQ(read->origin_answers_.at(0).version_, "v1");
+    EXPECT_EQ(read->origin_answers_.at(1).version_, std::nullopt);
     ASSERT_EQ(read->limits_.size(), 2U);
     EXPECT_EQ(read->limits_[0].server_, "i-3");
     EXPECT_EQ(read->limits_[0].started_at_, 1000);
