--- a/basilstream/coordination/server_limits/server_limits_test.cpp
+++ b/basilstream/coordination/server_limits/server_limits_test.cpp
@@ -21,8 +21,8 @@
 TEST(named_limits, earlier_answer_does_not_end_a_limit) {
     auto limits = named_limits{};
     limits.on_named("s", 1.1, start);
-    EXPECT_FALSE(limits.on_not_named("s", start - seconds{1},
-                                     start + milliseconds{5}));
+    EXPECT_FALSE(
+        limits.on_not_named("s", start - seconds{1}, start + milliseconds{5}));
     EXPECT_EQ(limits.limit_of("s"), 1.1);
     EXPECT_TRUE(limits.on_not_named("s", start + milliseconds{5},
                                     start + milliseconds{9}));
