Resume streams of clients that name no attempt where there is one version

Class: a new header taken for granted.

Such requests are resumed at the only version that the daemon has seen of the service, and refused if it has seen several. The test failed before.

--- a/basilstream/coordination/stream_origins/stream_origins.cpp
+++ b/basilstream/coordination/stream_origins/stream_origins.cpp
@@ -64,8 +64,17 @@
                                    time_point now) const
     -> std::optional<std::string> {
     const auto found = services_.find(service);
-    if (found == services_.end() ||
-        now - found->second.known_since_ < stream_memory) {
+    const auto known_long_enough =
+        found != services_.end() &&
+        now - found->second.known_since_ >= stream_memory;
+    return known_long_enough ? sole_version_seen(service, now) : std::nullopt;
+}
+
+auto version_history::sole_version_seen(const std::string& service,
+                                        time_point now) const
+    -> std::optional<std::string> {
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
         return std::nullopt;
     }
     auto sole = std::optional<std::string>{};
--- a/basilstream/coordination/stream_origins/stream_origins.hpp
+++ b/basilstream/coordination/stream_origins/stream_origins.hpp
@@ -71,6 +71,11 @@
     [[nodiscard]] auto sole_version(const std::string& service,
                                     time_point now) const
         -> std::optional<std::string>;
+    /// As sole_version(), but also for a service that has been known for a
+    /// shorter time, in which streams may have begun at unknown versions.
+    [[nodiscard]] auto sole_version_seen(const std::string& service,
+                                         time_point now) const
+        -> std::optional<std::string>;
 
 private:
     struct version_state {
--- a/basilstream/coordination/stream_origins/stream_origins_test.cpp
+++ b/basilstream/coordination/stream_origins/stream_origins_test.cpp
@@ -38,11 +38,14 @@
     auto versions = version_history{};
     versions.set_server("i1", "chat", "v1", start);
     EXPECT_EQ(versions.sole_version("chat", start + seconds{30}), std::nullopt);
+    EXPECT_EQ(versions.sole_version_seen("chat", start), "v1");
+    EXPECT_EQ(versions.sole_version_seen("other", start), std::nullopt);
     auto now = start + stream_memory;
     EXPECT_EQ(versions.sole_version("chat", now), "v1");
     EXPECT_EQ(versions.sole_version("other", now), std::nullopt);
     versions.set_server("i2", "chat", "v2", now);
     EXPECT_EQ(versions.sole_version("chat", now), std::nullopt);
+    EXPECT_EQ(versions.sole_version_seen("chat", now), std::nullopt);
     // Streams that began at v1 may still be resumed after its last server left.
     versions.remove_server("i1", now);
     EXPECT_EQ(versions.sole_version("chat", now + stream_memory), std::nullopt);
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -221,6 +221,20 @@
     EXPECT_EQ(began.requests_.size(), 6U);
 }
 
+// Clients that do not name the attempt that began the stream were refused even
+// where all servers have one version.
+TEST_F(relay_test, refuses_to_resume_for_clients_that_name_no_attempt) {
+    a_.default_script_ = stream("id: 2\nb\n\n", true);
+    EXPECT_TRUE(call("/resume/", "X-Last", "1").complete_);
+    run_on_thread([&] {
+        b_.software_version_ = "v2";
+        add_backend_b();
+        relay_.remove_backend("b");
+    });
+    EXPECT_EQ(call("/resume/", "X-Last", "1").status_, 503);
+    EXPECT_EQ(a_.requests_.size(), 1U);
+}
+
 TEST_F(relay_test, refuses_to_resume_a_stream_that_no_daemon_knows) {
     a_.default_script_ = stream("id: 2\nb\n\n", true);
     EXPECT_EQ(call("/resume/", "X-Resumes", "other").status_, 503);
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -27,7 +27,8 @@
         request.model_ = message.headers_.find("X-Model");
         request.adapter_ = message.headers_.find("X-Adapter");
         request.resumed_request_ = message.headers_.find("X-Resumes");
-        if (!request.resumed_request_.empty()) {
+        if (!request.resumed_request_.empty() ||
+            message.headers_.contains("X-Last")) {
             request.last_event_ = 1;
         }
         if (const auto text = message.headers_.find("X-Patience");
--- a/basilstream/daemon/stream_directory/stream_directory.cpp
+++ b/basilstream/daemon/stream_directory/stream_directory.cpp
@@ -89,6 +89,13 @@
 auto stream_directory::find_version(const std::string& request,
                                     const std::string& service,
                                     version_handler done) -> void {
+    if (request.empty()) {
+        // Clients that do not name the request come from installations whose
+        // servers have one version.
+        settle(done,
+               versions_.sole_version_seen(service, context_.clock_.now()));
+        return;
+    }
     if (const auto version = known_version(request, service)) {
         settle(done, version);
         return;
--- a/basilstream/daemon/stream_directory/stream_directory.hpp
+++ b/basilstream/daemon/stream_directory/stream_directory.hpp
@@ -58,8 +58,9 @@
     /// of the service. Call again if it begins anew at another version.
     auto on_stream_begun(const std::string& request, const std::string& service,
                          const std::string& version) -> void;
-    /// Finds the version at which the stream of `request` began. Calls `done`
-    /// exactly once, possibly before it returns.
+    /// Finds the version at which the stream of `request` began. If `request`
+    /// is empty, that is the only version that this daemon has seen, if it has
+    /// seen one only. Calls `done` exactly once, possibly before it returns.
     auto find_version(const std::string& request, const std::string& service,
                       version_handler done) -> void;
 
