Ask for the version of a stream only on routes whose streams can be resumed

A plain request with the header for a stream's position was treated as the rest of a stream, and refused where its service has had several versions. Found by reading the change. The test was refused (503) with this condition taken out.

--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -64,7 +64,7 @@
     client_->observe(this);
     state_.counters_.requests_.add();
     state_.retry_policy_of(service_).on_request(arrived_);
-    if (request_.last_event_) {
+    if (request_.last_event_ && route_.resumable_) {
         state_.counters_.resume_requests_.add();
         state_.context_.log_.info(
             "request resumes a stream",
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -235,6 +235,15 @@
     EXPECT_EQ(a_.requests_.size(), 1U);
 }
 
+// A header field of streams had an effect on other requests.
+TEST_F(relay_test, refuses_plain_request_with_the_position_in_a_stream) {
+    b_.software_version_ = "v2";
+    add_backend_b();
+    relay_.remove_backend("b");
+    a_.default_script_ = answer(200, "ok");
+    EXPECT_EQ(call("/safe/", "X-Last", "1").status_, 200);
+}
+
 TEST_F(relay_test, refuses_to_resume_a_stream_that_no_daemon_knows) {
     a_.default_script_ = stream("id: 2\nb\n\n", true);
     EXPECT_EQ(call("/resume/", "X-Resumes", "other").status_, 503);
