--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -84,6 +84,8 @@
     auto monitor_call() -> void;
     // Returns whether the current backend server has sent anything lately.
     [[nodiscard]] auto backend_active(time_point now) const -> bool;
+    // Handles what the answer states about the rate limit of its server.
+    auto note_rate_limit(const transport::answer_head& head) -> void;
     // Cancels the attempt in flight and ends it.
     auto cancel_attempt() -> void;
     // Releases what the attempt holds in the router, quarantine and call
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -175,12 +175,7 @@
             {{"request_id", request_.id_}, {"backend", backend_}});
         return false;
     }
-    // Other answers may come from processes that name no limits.
-    const auto notice = state_.dialect_.rate_limit(head.headers_);
-    if (verdict_ == answer_verdict::answer ||
-        notice.kind_ != rate_limit_notice::kind::absent) {
-        state_.context_.permits_.on_notice(backend_, notice, attempt_started_);
-    }
+    note_rate_limit(head);
     if (verdict_ != answer_verdict::answer) {
         mode_ = answer_mode::not_run;
         return true;
@@ -205,6 +200,19 @@
     return true;
 }
 
+auto exchange::note_rate_limit(const transport::answer_head& head) -> void {
+    const auto notice = state_.dialect_.rate_limit(head.headers_);
+    // A refusal need not repeat the limit, and a misdirected request was
+    // answered by another process.
+    const auto says_something =
+        verdict_ == answer_verdict::answer ||
+        (verdict_ == answer_verdict::refused &&
+         notice.kind_ != rate_limit_notice::kind::absent);
+    if (says_something) {
+        state_.context_.permits_.on_notice(backend_, notice, attempt_started_);
+    }
+}
+
 auto exchange::on_answer_body(std::string_view piece) -> void {
     if (mode_ == answer_mode::buffered) {
         if (body_.size() + piece.size() > max_buffered_bytes) {
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -434,6 +434,20 @@
     EXPECT_EQ(a_.requests_.size(), 2U);
 }
 
+// Another process at the address of a server named a limit for itself.
+TEST_F(relay_test, takes_the_limit_of_another_process_for_the_servers) {
+    a_.scripts_ = {[](const transport::request_message& request,
+                      test_backend::connection& to) {
+        to.write("HTTP/1.1 421 No\r\nX-Id: " +
+                 std::string{request.headers_.find("X-Id")} +
+                 "\r\nX-Misdirected: 1\r\nX-Rate-Limit: 0.1\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    }};
+    a_.default_script_ = answer(200, "ok");
+    (void)call("/safe/");
+    run_on_thread([&] { EXPECT_FALSE(permits_.limit_of("a")); });
+}
+
 TEST_F(relay_test, waits_for_a_permit_within_the_objective) {
     a_.default_script_ = limited_answer("2");
     EXPECT_EQ(call("/safe/").status_, 200);
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -57,6 +57,9 @@
         if (head.headers_.find("X-Id") != request_id) {
             return answer_verdict::other_request;
         }
+        if (head.headers_.contains("X-Misdirected")) {
+            return answer_verdict::misdirected;
+        }
         return head.headers_.contains("X-Not-Run") ? answer_verdict::refused
                                                    : answer_verdict::answer;
     }
