--- a/basilstream/coordination/routing/routing.cpp
+++ b/basilstream/coordination/routing/routing.cpp
@@ -52,6 +52,7 @@
         old_replicas.clear();
         entry->external_load_.reset();
         entry->cache_sequence_ = 0;
+        entry->rate_limited_until_ = {};
     }
     entry->info_ = info;
     entry->info_.slots_ = std::max(info.slots_, 1);
--- a/basilstream/coordination/routing/routing_test.cpp
+++ b/basilstream/coordination/routing/routing_test.cpp
@@ -89,6 +89,11 @@
     routes_.mark_leaving("r2");
     EXPECT_FALSE(routes_.accepts_work("r2"));
     EXPECT_EQ(routes_.choose_rate_limited(request, now_)->runner_, "r1");
+    auto restarted = make_runner("r1");
+    restarted.boot_id_ = "second";
+    routes_.update_runner(restarted);
+    EXPECT_EQ(choose_runner({}), "r1");
+    routes_.set_rate_limited_until("r1", now_ + seconds{2});
     now_ += seconds{2};
     EXPECT_EQ(choose_runner({}), "r1");
     EXPECT_FALSE(routes_.choose_rate_limited(request, now_));
