--- a/basilstream/coordination/server_limits/named_limits.cpp
+++ b/basilstream/coordination/server_limits/named_limits.cpp
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace basilstream::coordination {
+namespace {
+
+// How long the limit of a server is kept that is not known, because its
+// announcement has not arrived or because it has left.
+constexpr auto unknown_server_lifetime = seconds{60};
+
+} // namespace
 
 auto named_limits::set_server(const std::string& server,
                               std::int64_t started_at) -> void {
@@ -32,6 +39,9 @@
     }
     const auto changed = found == entries_.end() ||
                          found->second.limit_.per_second_ != limit.per_second_;
+    if (found == entries_.end()) {
+        remove_unknown(limit.stated_at_);
+    }
     auto& updated = entries_[limit.server_];
     updated.limit_ = limit;
     if (changed) {
@@ -40,6 +50,13 @@
     return changed;
 }
 
+auto named_limits::remove_unknown(time_point now) -> void {
+    std::erase_if(entries_, [&](const auto& entry) {
+        return !start_times_.contains(entry.first) &&
+               now - entry.second.limit_.stated_at_ > unknown_server_lifetime;
+    });
+}
+
 auto named_limits::on_named(const std::string& server, double per_second,
                             time_point now) -> bool {
     const auto start = start_times_.find(server);
--- a/basilstream/coordination/server_limits/server_limits.hpp
+++ b/basilstream/coordination/server_limits/server_limits.hpp
@@ -86,6 +86,9 @@
         time_point changed_at_{};
     };
 
+    auto remove_unknown(time_point now) -> void;
+
+    // Of all known servers.
     std::map<std::string, std::int64_t> start_times_;
     std::map<std::string, entry> entries_;
 };
--- a/basilstream/coordination/server_limits/server_limits_test.cpp
+++ b/basilstream/coordination/server_limits/server_limits_test.cpp
@@ -51,6 +51,19 @@
     EXPECT_EQ(limits.limit_of("s"), std::nullopt);
 }
 
+// Limits of servers that had left were kept for good when daemons that knew
+// them sent them on.
+TEST(named_limits, limits_of_unknown_servers_are_kept) {
+    auto limits = named_limits{};
+    limits.set_server("known", 1000);
+    limits.on_named("known", 1.1, start);
+    limits.merge({"left", 1000, 1.1, start});
+    EXPECT_EQ(limits.limit_of("left"), 1.1);
+    limits.merge({"other", 1000, 1.1, start + seconds{61}});
+    EXPECT_EQ(limits.limit_of("left"), std::nullopt);
+    EXPECT_EQ(limits.limit_of("known"), 1.1);
+}
+
 TEST(named_limits, only_changes_are_shared) {
     auto limits = named_limits{};
     limits.on_named("s", 1.1, start);
