--- a/basilstream/coordination/server_limits/permits.cpp
+++ b/basilstream/coordination/server_limits/permits.cpp
@@ -14,7 +14,7 @@
 constexpr auto burst_tolerance = milliseconds{500};
 // Bound of the time that refused callers are told to wait.
 constexpr auto max_return_wait = seconds{10};
-
+// Keeps intervals above zero at any rate.
 constexpr auto min_interval = duration{std::chrono::microseconds{1}};
 
 auto interval_of(double per_second) -> duration {
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -132,7 +132,7 @@
     }
 }
 
-auto exchange::max_wait(time_point now) const -> duration {
+auto exchange::longest_wait(time_point now) const -> duration {
     return std::min<duration>(
         duration{static_cast<duration::rep>(
             state_.settings_.max_wait_objective_multiple_ *
@@ -148,7 +148,7 @@
         return false;
     }
     wait_until_.reset();
-    request_permit(*first, max_wait(now));
+    request_permit(*first, longest_wait(now));
     return true;
 }
 
@@ -226,15 +226,15 @@
         return;
     }
     expected_wait_ = state_.provisioner_.expected_wait(requested_model());
-    const auto longest = max_wait(now);
-    if (!worth_waiting || !expected_wait_ || *expected_wait_ > longest) {
+    const auto max_wait = longest_wait(now);
+    if (!worth_waiting || !expected_wait_ || *expected_wait_ > max_wait) {
         auto failure = cause;
         failure.run_ =
             possible_runs_ > 0 ? run_status::unknown : run_status::not_run;
         give_up(failure);
         return;
     }
-    wait_until_ = now + longest;
+    wait_until_ = now + max_wait;
 }
 
 auto exchange::on_backends_changed() -> void {
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -76,7 +76,7 @@
     auto wait_for_permit(const coordination::route_request& request) -> bool;
     auto send_attempt(const coordination::route& chosen) -> void;
     // Returns how long the request may wait for a backend server.
-    [[nodiscard]] auto max_wait(time_point now) const -> duration;
+    [[nodiscard]] auto longest_wait(time_point now) const -> duration;
     // Waits for the model to be loaded if that is expected in time, else gives
     // up with `cause`.
     auto wait_for_model(const error& cause) -> void;
