Drop records of a late read that are older than relayed ones

Callers: requests went to servers that had left, through single daemons, until the servers could not be reached (DRAIN on grown sites, where daemons get the store's records from others of their group).

Cause: while a daemon's own read is in flight, another daemon may relay pages that go further. The read's records were applied all the same, so that an announcement from before the end of a server brought it back, for good: nothing is announced of it any more. Marks of draining servers survive this in the router, those of servers that are gone do not. Class: older state applied after newer.

The test late_read_brings_back_a_server_that_has_left failed before. Records carry their offsets, and those below what was relayed during the read are dropped.

--- a/basilstream/daemon/store_watch/store_watch.cpp
+++ b/basilstream/daemon/store_watch/store_watch.cpp
@@ -69,6 +69,7 @@
     if (is_listing) {
         store_.read_newest(topic_reader.topic_, std::move(done));
     } else {
+        topic_reader.read_from_ = *topic_reader.next_offset_;
         store_.read_from(topic_reader.topic_, *topic_reader.next_offset_,
                          topic_reader.wait_, std::move(done));
     }
@@ -104,7 +105,14 @@
     topic_reader.next_read_at_ =
         std::max({now, topic_reader.read_started_at_ + topic_reader.interval_,
                   topic_reader.deferred_until_});
-    auto changed_records = (this->*topic_reader.apply_)(*page, is_listing);
+    auto unread = *page;
+    if (!is_listing && first_offset > topic_reader.read_from_) {
+        // Pages that were relayed during the read are newer than its records.
+        std::erase_if(unread.records_, [&](const auto& record) {
+            return record.offset_ < first_offset;
+        });
+    }
+    auto changed_records = (this->*topic_reader.apply_)(unread, is_listing);
     const auto in_time = now - topic_reader.read_started_at_ <=
                          topic_reader.wait_ + settings_.max_read_overrun_;
     if (!is_listing && in_time) {
--- a/basilstream/daemon/store_watch/store_watch.hpp
+++ b/basilstream/daemon/store_watch/store_watch.hpp
@@ -133,6 +133,8 @@
         // Until when the last relayed page defers the next read.
         time_point deferred_until_{};
         time_point read_started_at_{};
+        // Offset of the read in flight or of the last one.
+        std::uint64_t read_from_ = 0;
         std::optional<time_point> last_read_ = {};
         // Consecutive failed reads.
         int failures_ = 0;
--- a/basilstream/daemon/store_watch/store_watch_test.cpp
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -278,6 +278,27 @@
     EXPECT_TRUE(store_.reading(shared_topic::configuration));
 }
 
+// A daemon read a server's older announcement after the news of its end had
+// been relayed, and sent requests to it until it could not be reached.
+TEST_F(store_watch_test, late_read_brings_back_a_server_that_has_left) {
+    advance(milliseconds{0});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"a", "ready", 6}}, 7, false});
+    advance(milliseconds{600});
+    watch_.on_relayed(shared_topic::backends, 7,
+                      {{{"a", std::nullopt, 8}}, 9, false});
+    EXPECT_EQ(events_.back(), "a gone");
+    EXPECT_EQ(store_.answer(shared_topic::backends,
+                            record_page{{{"a", "ready", 7}}, 8, false}),
+              7U);
+    EXPECT_EQ(events_.back(), "a gone");
+    // Records beyond the relayed page count.
+    advance(seconds{2});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"b", "ready", 9}}, 10, false});
+    EXPECT_EQ(events_.back(), "b");
+}
+
 // A configuration is too large to be relayed; an update notice is sent instead.
 TEST_F(store_watch_test, update_notice_triggers_an_immediate_read) {
     advance(milliseconds{0});
