Log how an answer is framed and what is left of its last event

The lines of a stream that ended with its connection and of one with a last chunk were equal, and so were those of a whole and of a cut stream. 'request answered' and 'attempt ended without an answer' now say framing and partial_bytes; a counter tells answers that end with their connection. No decision changed: relay and message tests pass as before.

--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -401,14 +401,17 @@
     const auto total_time = journal_entry.duration_;
     state_.journal_.add(std::move(journal_entry));
     state_.context_.log_.info(
-        "request answered", {{"request_id", request_.id_},
-                             {"route", route_.name_},
-                             {"backend", backend_},
-                             {"version", state_.software_version(backend_)},
-                             {"status", std::to_string(status)},
-                             {"attempts", std::to_string(attempts_sent_)},
-                             {"events", std::to_string(events_.events())},
-                             {"whole_ms", std::to_string(total_time.count())}});
+        "request answered",
+        {{"request_id", request_.id_},
+         {"route", route_.name_},
+         {"backend", backend_},
+         {"version", state_.software_version(backend_)},
+         {"status", std::to_string(status)},
+         {"attempts", std::to_string(attempts_sent_)},
+         {"events", std::to_string(events_.events())},
+         {"framing", transport::answer_framing_names.name_of(head_.framing_)},
+         {"partial_bytes", std::to_string(events_.partial_bytes())},
+         {"whole_ms", std::to_string(total_time.count())}});
 }
 
 auto exchange::finish() -> void {
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -176,6 +176,9 @@
         return false;
     }
     note_rate_limit(head);
+    if (head.framing_ == transport::answer_framing::connection) {
+        state_.counters_.ended_by_connection_.add();
+    }
     if (verdict_ != answer_verdict::answer) {
         mode_ = answer_mode::not_run;
         return true;
@@ -307,12 +310,12 @@
         }
         return;
     }
+    log_answer(head_.status_);
     if (client_ != nullptr) {
         client_->write_piece(events_.take_partial());
         client_->end_stream();
     }
     state_.counters_.answered_.add();
-    log_answer(head_.status_);
     finish();
 }
 
@@ -371,6 +374,11 @@
          {"backend", backend_},
          {"backend_start", std::to_string(state_.start_time(backend_))},
          {"failure", transport::call_failure_names.name_of(failure)},
+         {"framing",
+          mode_ == answer_mode::none
+              ? std::string_view{"no_head"}
+              : transport::answer_framing_names.name_of(head_.framing_)},
+         {"partial_bytes", std::to_string(events_.partial_bytes())},
          {"ran_ms", std::to_string(ran.count())}});
 }
 
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -31,6 +31,7 @@
     transport::counter& resumed_;
     transport::counter& resume_requests_;
     transport::counter& client_disconnects_;
+    transport::counter& ended_by_connection_;
     transport::duration_histogram& first_byte_;
     transport::duration_histogram& total_time_;
 };
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -123,6 +123,9 @@
                               "Requests of clients to resume a stream.")},
       client_disconnects_{metrics.add_counter(
           "basilstream_relay_clients_left_total", "Clients that left early.")},
+      ended_by_connection_{metrics.add_counter(
+          "basilstream_relay_answers_ended_by_connection_total",
+          "Answers whose end is the end of their connection.")},
       first_byte_{metrics.add_histogram(
           "basilstream_relay_first_byte_seconds",
           "Time to an answer or a stream's first event.")},
--- a/basilstream/protocol/event_stream/event_stream.hpp
+++ b/basilstream/protocol/event_stream/event_stream.hpp
@@ -9,6 +9,7 @@
 /// Not safe for concurrent use.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,6 +27,10 @@
     /// is valid until the next call.
     [[nodiscard]] auto feed(std::string_view bytes) -> std::string_view;
 
+    /// Number of bytes that belong to no whole event yet.
+    [[nodiscard]] auto partial_bytes() const -> std::size_t {
+        return pending_.size();
+    }
     /// Returns and forgets the bytes of the event that is not whole.
     [[nodiscard]] auto take_partial() -> std::string;
 
--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -246,6 +246,9 @@
     head.status_ = static_cast<int>(message.result_int());
     head.headers_ = copy_fields(message);
     head.keep_alive_ = message.keep_alive();
+    head.framing_ = parser_->chunked()    ? answer_framing::chunked
+                    : parser_->need_eof() ? answer_framing::connection
+                                          : answer_framing::length;
     head_reported_ = true;
     sink.on_head(std::move(head));
 }
--- a/basilstream/transport/http_message/http_message.hpp
+++ b/basilstream/transport/http_message/http_message.hpp
@@ -56,11 +56,27 @@
     bool keep_alive_ = true;
 };
 
+/// What tells the end of an answer's body.
+enum class answer_framing {
+    /// Its length, also of answers without a body.
+    length,
+    /// Its last chunk.
+    chunked,
+    /// The orderly end of the connection.
+    connection,
+};
+
+inline constexpr auto answer_framing_names = name_table<answer_framing, 3>{
+    {{{answer_framing::length, "length"},
+      {answer_framing::chunked, "chunked"},
+      {answer_framing::connection, "connection"}}}};
+
 /// Status line and headers of an answer.
 struct answer_head {
     int status_ = 0;
     header_list headers_;
     bool keep_alive_ = true;
+    answer_framing framing_ = answer_framing::length;
 };
 
 /// Bounds of a request.
