--- a/testing/fault_soak/daemon_process.hpp
+++ b/testing/fault_soak/daemon_process.hpp
@@ -18,6 +18,8 @@
     std::string directory_;
     std::string store_address_;
     int grace_seconds_ = 4;
+    double retry_ratio_ = 0.2;
+    double retry_allowance_ = 50;
 };
 
 class daemon_process {
--- /dev/null
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -0,0 +1,233 @@
+#include "testing/raw_deployment/raw_deployment.hpp"
+
+#include <filesystem>
+#include <future>
+#include <utility>
+
+#include <unistd.h>
+
+#include "basilstream/protocol/json/json.hpp"
+
+namespace basilstream::testing {
+namespace {
+
+constexpr auto settling_time = seconds{5};
+constexpr auto route_timeout_ms = 8000;
+
+auto config_text(const std::vector<raw_route>& routes) -> std::string {
+    using protocol::json;
+    auto entries = json::array();
+    for (const auto& route : routes) {
+        entries.push_back({{"name", route.prefix_},
+                           {"host", "x"},
+                           {"pathPrefix", route.prefix_},
+                           {"kind", route.kind_},
+                           {"timeoutMs", route_timeout_ms},
+                           {"targetLatencyMs", route.objective_.count()},
+                           {"priority", 1},
+                           {"service", "app"},
+                           {"attempts", route.attempts_},
+                           {"resumable", route.resumable_}});
+    }
+    return json{{"version", 1},
+                {"routes", entries},
+                {"services",
+                 {{{"name", "app"},
+                   {"healthPath", "/health"},
+                   {"connectionLimit", 4000}}}},
+                {"limits",
+                 {{"headerBytes", 16384},
+                  {"bodyBytes", 1048576},
+                  {"headerTimeoutMs", 3000},
+                  {"idleTimeoutMs", 15000}}}}
+        .dump();
+}
+
+// A client's connection, which keeps itself until its answer has ended.
+class raw_client final : public transport::tcp_observer,
+                         public transport::response_sink {
+public:
+    raw_client(const clock& time, raw_deployment::answer_handler done)
+        : clock_{time}, done_{std::move(done)}, sent_at_{time.now()} {}
+
+    static auto send(transport::reactor_thread& thread, const clock& time,
+                     const std::string& address, const std::string& bytes,
+                     raw_deployment::answer_handler done) -> void {
+        const auto client = std::make_shared<raw_client>(time, std::move(done));
+        client->self_ = client;
+        client->stream_ =
+            transport::tcp_stream::connect(thread, address, *client);
+        client->stream_->write(bytes);
+    }
+
+    auto on_data(std::string_view bytes) -> void override {
+        const auto state = reader_.feed(bytes, *this);
+        if (state != transport::read_state::incomplete) {
+            end(state == transport::read_state::complete);
+        }
+    }
+    auto on_closed(transport::close_reason reason) -> void override {
+        end(reason == transport::close_reason::end_of_stream &&
+            reader_.finish() == transport::read_state::complete);
+    }
+    auto on_head(transport::answer_head head) -> void override {
+        answer_.status_ = head.status_;
+        answer_.headers_ = std::move(head.headers_);
+    }
+    auto on_body(std::string_view piece) -> void override {
+        answer_.body_.append(piece);
+    }
+
+private:
+    auto end(bool complete) -> void {
+        const auto keep = std::exchange(self_, nullptr);
+        stream_.reset();
+        answer_.complete_ = complete;
+        answer_.took_ = clock_.now() - sent_at_;
+        done_(answer_);
+    }
+
+    const clock& clock_;
+    raw_deployment::answer_handler done_;
+    const time_point sent_at_;
+    raw_answer answer_;
+    transport::response_reader reader_;
+    std::unique_ptr<transport::tcp_stream> stream_;
+    std::shared_ptr<raw_client> self_;
+};
+
+} // namespace
+
+raw_connection::raw_connection(transport::reactor_thread& thread,
+                               int descriptor, handler on_request)
+    : on_request_{std::move(on_request)}, reader_{{}},
+      stream_{transport::tcp_stream::adopt(thread, descriptor, *this)} {}
+
+auto raw_connection::write(std::string_view bytes) -> void {
+    if (stream_) {
+        stream_->write(bytes);
+    }
+}
+
+auto raw_connection::close() -> void {
+    stream_.reset();
+}
+
+auto raw_connection::reset() -> void {
+    if (stream_) {
+        stream_->reset();
+        stream_.reset();
+    }
+}
+
+auto raw_connection::buffered() const -> std::size_t {
+    return stream_ ? stream_->buffered() : 0;
+}
+
+auto raw_connection::on_data(std::string_view bytes) -> void {
+    const auto self = shared_from_this();
+    if (reader_.feed(bytes) == transport::read_state::complete) {
+        on_request_(reader_.take(), self);
+    }
+}
+
+auto raw_connection::on_closed(transport::close_reason /*reason*/) -> void {
+    stream_.reset();
+}
+
+raw_server::raw_server(std::string id, transport::reactor_thread& thread,
+                       stand_in_store& store,
+                       raw_connection::handler on_request)
+    : id_{std::move(id)}, store_{store} {
+    auto opened = transport::tcp_listener::open(
+        thread, "127.0.0.1:0",
+        [this, &thread, on_request = std::move(on_request)](int descriptor) {
+            std::erase_if(connections_, [](const auto& connection) {
+                return !connection->open();
+            });
+            connections_.push_back(std::make_shared<raw_connection>(
+                thread, descriptor, on_request));
+        });
+    listener_ = std::move(*opened);
+}
+
+auto raw_server::announce(std::int64_t started_at) -> void {
+    store_.put("keyed.servers", id_,
+               protocol::json{{"service", "app"},
+                              {"address", address()},
+                              {"zone", "a"},
+                              {"version", "v1"},
+                              {"slots", 32},
+                              {"state", "ready"},
+                              {"models", protocol::json::array()},
+                              {"sequence", 0},
+                              {"born", started_at}}
+                   .dump());
+}
+
+auto raw_server::withdraw() -> void {
+    store_.put("keyed.servers", id_, std::nullopt);
+}
+
+raw_deployment::raw_deployment(raw_deployment_options options)
+    : options_{std::move(options)}, thread_{"world", 16'384}, store_{thread_,
+                                                                     clock_},
+      directory_{std::filesystem::temp_directory_path() /
+                 ("raw_deployment." + std::to_string(::getpid()))} {
+    std::filesystem::create_directories(directory_);
+    store_.put("keyed.op", "config", config_text(options_.routes_));
+    daemons_.resize(options_.daemons_);
+    for (auto index = 0; index < options_.daemons_; ++index) {
+        start_daemon(index);
+    }
+}
+
+raw_deployment::~raw_deployment() {
+    thread_.stop();
+    daemons_.clear();
+    auto ignored = std::error_code{};
+    std::filesystem::remove_all(directory_, ignored);
+}
+
+auto raw_deployment::add_server(raw_connection::handler on_request)
+    -> raw_server& {
+    servers_.push_back(
+        std::make_unique<raw_server>("s" + std::to_string(servers_.size()),
+                                     thread_, store_, std::move(on_request)));
+    servers_.back()->announce(1000);
+    return *servers_.back();
+}
+
+auto raw_deployment::play(duration length, std::function<void()> begin)
+    -> void {
+    auto ended = std::promise<void>{};
+    thread_.after(settling_time, std::move(begin));
+    thread_.after(settling_time +
+                      std::chrono::duration_cast<milliseconds>(length),
+                  [&] { ended.set_value(); });
+    thread_.start();
+    ended.get_future().wait();
+    thread_.stop();
+}
+
+auto raw_deployment::send(int daemon, const std::string& bytes,
+                          answer_handler done) -> void {
+    raw_client::send(thread_, clock_, daemons_[daemon]->caller_address(), bytes,
+                     std::move(done));
+}
+
+auto raw_deployment::restart_daemon(int index) -> void {
+    daemons_[index].reset();
+    start_daemon(index);
+}
+
+auto raw_deployment::start_daemon(int index) -> void {
+    daemons_[index] = std::make_unique<daemon_process>(
+        daemon_options{.name_ = "d" + std::to_string(index),
+                       .directory_ = directory_,
+                       .store_address_ = store_.address(),
+                       .retry_ratio_ = options_.retry_ratio_,
+                       .retry_allowance_ = options_.retry_allowance_});
+}
+
+} // namespace basilstream::testing
--- /dev/null
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -0,0 +1,157 @@
+/// Daemons, as processes of their own, between servers and clients that write
+/// their bytes to plain sockets, so that answers can be framed, cut and ended
+/// in any way.
+///
+///     auto world = raw_deployment{{.daemons_ = 7, .routes_ = {...}}};
+///     world.add_server([](const auto& request, const auto& connection) {
+///         connection->write("HTTP/1.1 200 OK\r\n\r\nid: 1\nda");
+///         connection->close();
+///     });
+///     world.play(seconds{5}, [&] {
+///         world.thread().every(milliseconds{20}, [&] {
+///             world.send(daemon, bytes, [](const raw_answer& answer) {...});
+///         });
+///     });
+///
+/// Servers, clients and the store run on one thread. Only play() and the
+/// destructor may be called on another one.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/transport/http_message/http_message.hpp"
+#include "basilstream/transport/reactor/reactor.hpp"
+#include "basilstream/transport/tcp_stream/tcp_stream.hpp"
+#include "testing/fault_soak/daemon_process.hpp"
+#include "testing/fault_soak/stand_in_store.hpp"
+
+namespace basilstream::testing {
+
+/// A connection that a server has accepted.
+class raw_connection final
+    : public transport::tcp_observer,
+      public std::enable_shared_from_this<raw_connection> {
+public:
+    using handler = std::function<void(const transport::request_message&,
+                                       const std::shared_ptr<raw_connection>&)>;
+
+    raw_connection(transport::reactor_thread& thread, int descriptor,
+                   handler on_request);
+    /// Sends bytes as they are; nothing once the connection has ended.
+    auto write(std::string_view bytes) -> void;
+    /// Ends the connection in order, or resets it.
+    auto close() -> void;
+    auto reset() -> void;
+    [[nodiscard]] auto open() const -> bool { return stream_ != nullptr; }
+    /// Bytes that the peer has not taken yet.
+    [[nodiscard]] auto buffered() const -> std::size_t;
+
+    auto on_data(std::string_view bytes) -> void override;
+    auto on_closed(transport::close_reason reason) -> void override;
+
+private:
+    handler on_request_;
+    transport::request_reader reader_;
+    std::unique_ptr<transport::tcp_stream> stream_;
+};
+
+/// A backend server that the store announces.
+class raw_server {
+public:
+    raw_server(std::string id, transport::reactor_thread& thread,
+               stand_in_store& store, raw_connection::handler on_request);
+    raw_server(const raw_server&) = delete;
+    auto operator=(const raw_server&) -> raw_server& = delete;
+    ~raw_server() = default;
+
+    [[nodiscard]] auto id() const -> const std::string& { return id_; }
+    /// Announces a process that started at `started_at`, in Unix milliseconds.
+    auto announce(std::int64_t started_at) -> void;
+    [[nodiscard]] auto address() const -> std::string {
+        return listener_->address();
+    }
+    /// Removes the announcement.
+    auto withdraw() -> void;
+
+private:
+    const std::string id_;
+    stand_in_store& store_;
+    std::vector<std::shared_ptr<raw_connection>> connections_;
+    std::unique_ptr<transport::tcp_listener> listener_;
+};
+
+/// What a client has received until its answer or its connection ended.
+struct raw_answer {
+    int status_ = 0;
+    transport::header_list headers_;
+    std::string body_;
+    /// Whether the framing of the answer says that it is whole.
+    bool complete_ = false;
+    duration took_{};
+};
+
+/// A route for all paths below `prefix_`.
+struct raw_route {
+    std::string prefix_;
+    /// "idempotent", "non_idempotent" or "streaming".
+    std::string kind_;
+    bool resumable_ = false;
+    int attempts_ = 3;
+    milliseconds objective_{400};
+};
+
+/// What a deployment consists of.
+struct raw_deployment_options {
+    int daemons_ = 2;
+    std::vector<raw_route> routes_ = {};
+    double retry_ratio_ = 1;
+    double retry_allowance_ = 1000;
+};
+
+class raw_deployment {
+public:
+    using answer_handler = std::function<void(const raw_answer&)>;
+
+    explicit raw_deployment(raw_deployment_options options);
+    raw_deployment(const raw_deployment&) = delete;
+    auto operator=(const raw_deployment&) -> raw_deployment& = delete;
+    ~raw_deployment();
+
+    /// Adds a server, named "s" and its number from 0.
+    auto add_server(raw_connection::handler on_request) -> raw_server&;
+    /// Lets the daemons find each other, calls `begin` on the thread of the
+    /// world, and stops the thread `length` later.
+    auto play(duration length, std::function<void()> begin) -> void;
+
+    /// Sends a request to a daemon on a connection of its own and hands its
+    /// answer over.
+    auto send(int daemon, const std::string& bytes, answer_handler done)
+        -> void;
+    /// Kills a daemon and starts it anew.
+    auto restart_daemon(int index) -> void;
+
+    [[nodiscard]] auto thread() -> transport::reactor_thread& {
+        return thread_;
+    }
+    [[nodiscard]] auto time() const -> const clock& { return clock_; }
+    [[nodiscard]] auto daemons() const -> int { return options_.daemons_; }
+
+private:
+    auto start_daemon(int index) -> void;
+
+    const raw_deployment_options options_;
+    steady_clock clock_;
+    transport::reactor_thread thread_;
+    stand_in_store store_;
+    std::vector<std::unique_ptr<raw_server>> servers_;
+    // Settings and logs of the daemons.
+    std::string directory_;
+    std::vector<std::unique_ptr<daemon_process>> daemons_;
+};
+
+} // namespace basilstream::testing
