Pass on events whose lines end with CR LF as they come

What callers saw: streams with CR LF line ends arrived only when they were over, and such a stream could not be resumed. Cause: the splitter knew an empty line after LF only, so that no event ever ended. Change: an event also ends with LF CR LF. Evidence: the new test fails without the change (no event, two expected) and passes with it, for each place at which the text can be split.

--- a/basilstream/protocol/event_stream/event_stream.cpp
+++ b/basilstream/protocol/event_stream/event_stream.cpp
@@ -1,12 +1,30 @@
 #include "basilstream/protocol/event_stream/event_stream.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
 namespace basilstream::protocol {
 namespace {
 
-constexpr auto end_of_event = std::string_view{"\n\n"};
+// Longest end of an event: the end of its last line and an empty line.
+constexpr auto longest_end = std::string_view{"\n\r\n"}.size();
+
+// Returns where the first event ends whose end begins at `from` or later, or
+// `npos`.
+auto find_end_of_event(std::string_view text, std::size_t from) -> std::size_t {
+    for (auto end = text.find('\n', from); end != std::string_view::npos;
+         end = text.find('\n', end + 1)) {
+        const auto next = text.substr(end + 1);
+        if (next.starts_with('\n')) {
+            return end + 2;
+        }
+        if (next.starts_with("\r\n")) {
+            return end + longest_end;
+        }
+    }
+    return std::string_view::npos;
+}
 
 // Returns the value of the event's id field, if it is a number.
 auto event_id(std::string_view event) -> std::optional<std::uint64_t> {
@@ -47,19 +65,18 @@
 
 auto event_splitter::feed(std::string_view bytes) -> std::string_view {
     whole_.clear();
-    // The end may lie across two pieces: look from one byte before.
-    auto from = pending_.empty() ? 0 : pending_.size() - 1;
+    // The end may lie across several pieces.
+    auto from = pending_.size() - std::min(pending_.size(), longest_end - 1);
     pending_.append(bytes);
     auto begin = std::size_t{0};
     while (true) {
-        const auto end = pending_.find(end_of_event, from);
+        const auto end = find_end_of_event(pending_, from);
         if (end == std::string::npos) {
             break;
         }
-        const auto next = end + end_of_event.size();
-        take_event(std::string_view{pending_}.substr(begin, next - begin));
-        begin = next;
-        from = next;
+        take_event(std::string_view{pending_}.substr(begin, end - begin));
+        begin = end;
+        from = end;
     }
     pending_.erase(0, begin);
     return whole_;
--- a/basilstream/protocol/event_stream/event_stream.hpp
+++ b/basilstream/protocol/event_stream/event_stream.hpp
@@ -17,7 +17,8 @@
 
 namespace basilstream::protocol {
 
-/// Passes whole events on and remembers the id of the last one.
+/// Passes whole events on and remembers the id of the last one. Lines end with
+/// LF or CR LF.
 class event_splitter {
 public:
     /// Drops events whose ids are at most `id`.
--- a/basilstream/protocol/event_stream/event_stream_test.cpp
+++ b/basilstream/protocol/event_stream/event_stream_test.cpp
@@ -45,5 +45,20 @@
     }
 }
 
+// Events whose lines end with CR LF were held back until the stream ended.
+TEST(event_splitter, events_with_crlf_are_held_back) {
+    const auto text =
+        std::string{"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"};
+    for (auto cut = std::size_t{0}; cut <= text.size(); ++cut) {
+        auto events = event_splitter{};
+        auto output = std::string{events.feed(text.substr(0, cut))};
+        output.append(events.feed(text.substr(cut)));
+        EXPECT_EQ(output, text) << cut;
+        EXPECT_EQ(events.last_id(), 2U);
+        EXPECT_EQ(events.events(), 2U);
+        EXPECT_EQ(events.partial_bytes(), 0U);
+    }
+}
+
 } // namespace
 } // namespace basilstream::protocol
