Break off streams that end inside an event, however they are framed

Cause: the end of a body was taken for the end of its stream. A body without a length ends with its connection, and a process that crashes closes its connections in order; the relay then passed the half event on and ended the stream. The same held for half an event before a last chunk or at an exact length. Class: completeness was taken from the framing alone, not from what it frames. Change: an attempt whose stream ends inside an event, or with its connection before any byte, is an incomplete answer: a lost attempt for the crash quarantine, the router, the counters and the log. The stream goes on at another server where the route allows it, else the client's connection is reset. Three relay tests fail without the change.

--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -109,6 +109,9 @@
     auto schedule_retry(time_point not_before) -> void;
     // Sends the buffered answer to the client and ends the exchange.
     auto deliver_buffered() -> void;
+    // Returns whether the answer of the current attempt, whose framing says
+    // that it is whole, is a stream that was broken off.
+    [[nodiscard]] auto stream_broken_off() const -> bool;
     // Schedules a retry after a 5xx answer; returns false if none is allowed.
     auto retry_server_error() -> bool;
     // Ends the exchange: sends a buffered 5xx answer if there is one, aborts a
@@ -181,6 +184,8 @@
     answer_verdict verdict_ = answer_verdict::answer;
     transport::answer_head head_;
     std::string body_;
+    // Whether the current attempt has received any byte of a stream.
+    bool received_stream_ = false;
     // Whether head_ and body_ hold a 5xx answer of a backend server, which is
     // passed on if no later attempt succeeds.
     bool has_fallback_ = false;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -185,6 +185,7 @@
     }
     head_ = head;
     body_.clear();
+    received_stream_ = false;
     has_fallback_ = false;
     const auto streamed =
         route_.kind_ == coordination::request_kind::streaming &&
@@ -232,6 +233,7 @@
     const auto now = state_.context_.clock_.now();
     state_.last_received_at_[backend_] = now;
     state_.call_monitor_.on_progress(call_number_, request_.id_, now);
+    received_stream_ = true;
     if (mode_ != answer_mode::streamed || client_ == nullptr) {
         return;
     }
@@ -274,8 +276,22 @@
     state_.monitored_calls_.erase(call_number_);
 }
 
+auto exchange::stream_broken_off() const -> bool {
+    if (mode_ != answer_mode::streamed || request_.message_.method_ == "HEAD") {
+        return false;
+    }
+    const auto ended_by_connection =
+        head_.framing_ == transport::answer_framing::connection;
+    return events_.is_inside_event() ||
+           (ended_by_connection && !received_stream_);
+}
+
 auto exchange::on_answer_end() -> void {
     const auto self = shared_from_this();
+    if (stream_broken_off()) {
+        on_call_failed(transport::call_failure::incomplete);
+        return;
+    }
     // A server error does not show that the request is harmless.
     const auto executed = mode_ != answer_mode::not_run &&
                           head_.status_ < min_server_error_status;
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -616,6 +616,66 @@
     EXPECT_EQ(a_.requests_.size(), 3U);
 }
 
+// Returns a script that sends a stream which ends with its connection.
+auto stream_to_end_of_connection(const std::string& text)
+    -> test_backend::script {
+    return [=](const transport::request_message& request,
+               test_backend::connection& to) {
+        to.write("HTTP/1.1 200 OK\r\nX-Id: " +
+                 std::string{request.headers_.find("X-Id")} +
+                 "\r\nX-Server: " + to.owner_->id_ + "\r\n\r\n" + text);
+        to.close();
+    };
+}
+
+TEST_F(relay_test, forwards_stream_that_ends_with_its_connection) {
+    a_.scripts_ = {stream_to_end_of_connection("id: 1\n\nid: 2\n\n")};
+    const auto response = call("/stream/");
+    EXPECT_TRUE(response.complete_);
+    EXPECT_EQ(response.body_, "id: 1\n\nid: 2\n\n");
+}
+
+// A server that crashed within an event closed its connection in order.
+TEST_F(relay_test, stream_cut_inside_an_event_is_completed) {
+    for (const auto* const text :
+         {"id: 1\n\nid: 2\nda", "id: 1\n\nid: 2\ndata: b\n", "id: 1\n\ni", "id",
+          ""}) {
+        a_.default_script_ = stream_to_end_of_connection(text);
+        const auto response = call("/stream/" + std::to_string(next_id_));
+        EXPECT_FALSE(response.complete_) << text;
+        EXPECT_TRUE(response.body_.empty() || response.body_ == "id: 1\n\n");
+    }
+    EXPECT_EQ(a_.requests_.size(), 5U);
+}
+
+// A last chunk came after half an event.
+TEST_F(relay_test,
+       stream_cut_inside_an_event_before_its_last_chunk_is_completed) {
+    a_.default_script_ = stream("id: 1\n\nid: 2\nda", true);
+    const auto response = call("/stream/");
+    EXPECT_FALSE(response.complete_);
+    EXPECT_EQ(response.body_, "id: 1\n\n");
+}
+
+TEST_F(relay_test, stream_cut_inside_an_event_is_not_resumed) {
+    add_backend_b();
+    const auto script = [](const transport::request_message& request,
+                           test_backend::connection& to) {
+        const auto resumed = request.headers_.find("X-Resume");
+        EXPECT_TRUE(resumed.empty() || resumed == "1");
+        stream_to_end_of_connection(resumed.empty()
+                                        ? "id: 1\na\n\nid: 2\nb"
+                                        : "id: 2\nb\n\n")(request, to);
+    };
+    a_.default_script_ = script;
+    b_.default_script_ = script;
+    const auto response = call("/resume/");
+    EXPECT_TRUE(response.complete_);
+    EXPECT_EQ(response.body_, "id: 1\na\n\nid: 2\nb\n\n");
+    EXPECT_EQ(a_.requests_.size(), 1U);
+    EXPECT_EQ(b_.requests_.size(), 1U);
+}
+
 // The backend server fails after the head of a stream, for example during
 // prefill of a long prompt. The client has no event yet, so the request can
 // start again.
--- a/basilstream/protocol/event_stream/event_stream.cpp
+++ b/basilstream/protocol/event_stream/event_stream.cpp
@@ -82,6 +82,22 @@
     return whole_;
 }
 
+auto event_splitter::is_inside_event() const -> bool {
+    auto rest = std::string_view{pending_};
+    while (!rest.empty()) {
+        const auto end = rest.find('\n');
+        const auto line = rest.substr(0, end);
+        const auto belongs_to_none =
+            line.empty() || line == "\r" ||
+            (line.front() == ':' && end != std::string_view::npos);
+        if (!belongs_to_none) {
+            return true;
+        }
+        rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+    }
+    return false;
+}
+
 auto event_splitter::take_partial() -> std::string {
     return std::exchange(pending_, {});
 }
--- a/basilstream/protocol/event_stream/event_stream.hpp
+++ b/basilstream/protocol/event_stream/event_stream.hpp
@@ -28,6 +28,9 @@
     /// is valid until the next call.
     [[nodiscard]] auto feed(std::string_view bytes) -> std::string_view;
 
+    /// Returns whether the bytes so far end inside an event. Empty lines and
+    /// whole comment lines after the last event belong to none.
+    [[nodiscard]] auto is_inside_event() const -> bool;
     /// Number of bytes that belong to no whole event yet.
     [[nodiscard]] auto partial_bytes() const -> std::size_t {
         return pending_.size();
--- a/basilstream/protocol/event_stream/event_stream_test.cpp
+++ b/basilstream/protocol/event_stream/event_stream_test.cpp
@@ -45,6 +45,26 @@
     }
 }
 
+TEST(event_splitter, tells_whether_a_stream_ends_inside_an_event) {
+    const auto is_inside = [](const std::string& text) {
+        auto events = event_splitter{};
+        (void)events.feed(text);
+        return events.is_inside_event();
+    };
+    const auto whole = std::string{"id: 1\ndata: a\n\n"};
+    for (const auto* const rest :
+         {"", "\n", "\r\n", "\n\n", ": comment\n", ": a\r\n\r\n"}) {
+        EXPECT_FALSE(is_inside(whole + rest)) << rest;
+        EXPECT_FALSE(is_inside(rest)) << rest;
+    }
+    for (const auto* const rest :
+         {"i", "id: 1", "id: 12\n", "id: 2\ndata: b\n", "id: 2\r\ndata: b\r\n",
+          "id: 2\r\ndata: b\r\n\r", ": comm", "\ndata"}) {
+        EXPECT_TRUE(is_inside(whole + rest)) << rest;
+        EXPECT_TRUE(is_inside(rest)) << rest;
+    }
+}
+
 // Events whose lines end with CR LF were held back until the stream ended.
 TEST(event_splitter, events_with_crlf_are_held_back) {
     const auto text =
