Stream to clients of HTTP/1.0 without chunks

What callers saw: a client that speaks HTTP/1.0 got the sizes of chunks within its stream and could not tell a whole one from one that was broken off. Cause: every stream was written in chunks, whatever the client understands. Change: for such clients the end of a stream is the orderly end of the connection, and a broken-off one ends with a reset. Evidence: client_of_http_1_0_receives_chunks fails without the change; three tests pass.

--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -213,7 +213,9 @@
     request.method_ = view(message.method_string());
     request.target_ = view(message.target());
     request.headers_ = copy_fields(message);
-    request.keep_alive_ = message.keep_alive();
+    constexpr auto http_1_1 = 11U;
+    request.takes_chunks_ = message.version() >= http_1_1;
+    request.keep_alive_ = message.keep_alive() && request.takes_chunks_;
     request.body_ = std::move(message.body());
     parser_ = std::make_unique<parser>(limits_);
     checked_ = false;
--- a/basilstream/transport/http_message/http_message.hpp
+++ b/basilstream/transport/http_message/http_message.hpp
@@ -54,6 +54,8 @@
     header_list headers_;
     std::string body_;
     bool keep_alive_ = true;
+    /// Whether the client understands chunks: it speaks HTTP/1.1 or later.
+    bool takes_chunks_ = true;
 };
 
 /// What tells the end of an answer's body.
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -75,6 +75,8 @@
         keep_alive_ = !reader_.has_surplus();
         auto request = reader_.take();
         keep_alive_ = keep_alive_ && request.keep_alive_;
+        stream_framing_ = request.takes_chunks_ ? body_framing::chunked
+                                                : body_framing::none;
         server_.handler_(std::move(request), *this);
         break;
     }
@@ -106,13 +108,17 @@
     }
     keep_alive_ = keep_alive_ && !server_.draining_;
     stream_->write(
-        write_head(status, headers, body_framing::chunked, 0, keep_alive_));
+        write_head(status, headers, stream_framing_, 0, keep_alive_));
 }
 
 auto http_session::write_piece(std::string_view piece) -> void {
     if (!stream_ || piece.empty()) {
         return;
     }
+    if (stream_framing_ != body_framing::chunked) {
+        stream_->write(piece);
+        return;
+    }
     static thread_local auto chunk = std::string{};
     chunk.clear();
     append_chunk(chunk, piece);
@@ -121,7 +127,9 @@
 
 auto http_session::end_stream() -> void {
     if (stream_) {
-        stream_->write(last_chunk);
+        if (stream_framing_ == body_framing::chunked) {
+            stream_->write(last_chunk);
+        }
         finish_answer();
     }
 }
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -56,7 +56,8 @@
 
     auto respond(int status, const header_list& headers, std::string_view body)
         -> void;
-    /// Begins an answer of unknown length.
+    /// Begins an answer of unknown length. Its end is a last chunk, or the end
+    /// of the connection for a client that does not understand chunks.
     auto begin_stream(int status, const header_list& headers) -> void;
     auto write_piece(std::string_view piece) -> void;
     auto end_stream() -> void;
@@ -89,6 +90,7 @@
     time_point since_;
     bool busy_ = false;
     bool keep_alive_ = true;
+    body_framing stream_framing_ = body_framing::chunked;
     bool lingering_ = false;
 };
 
--- /dev/null
+++ b/basilstream/transport/http_session/http_session_test.cpp
@@ -0,0 +1,125 @@
+#include "basilstream/transport/http_session/http_session.hpp"
+
+#include <future>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+namespace basilstream::transport {
+namespace {
+
+// What a client has received when its connection ends, or when `expected_`
+// stands at the end of it.
+struct received {
+    std::string bytes_;
+    std::optional<close_reason> ended_;
+};
+
+class raw_client final : public tcp_observer {
+public:
+    raw_client(reactor_thread& thread, const std::string& address,
+               std::string_view request, std::string expected)
+        : expected_{std::move(expected)} {
+        stream_ = tcp_stream::connect(thread, address, *this);
+        stream_->write(request);
+    }
+    auto on_data(std::string_view bytes) -> void override {
+        received_.bytes_.append(bytes);
+        if (!expected_.empty() && received_.bytes_.ends_with(expected_)) {
+            end();
+        }
+    }
+    auto on_closed(close_reason reason) -> void override {
+        received_.ended_ = reason;
+        end();
+    }
+    auto wait() -> received { return done_.get_future().get(); }
+
+private:
+    auto end() -> void {
+        stream_.reset();
+        done_.set_value(received_);
+    }
+
+    const std::string expected_;
+    received received_;
+    std::promise<received> done_;
+    std::unique_ptr<tcp_stream> stream_;
+};
+
+class http_session_test : public testing::Test {
+protected:
+    http_session_test() : thread_{"test", 1024} {
+        server_ =
+            std::move(http_session_server::open(
+                          thread_, clock_, {.address_ = "127.0.0.1:0"},
+                          [this](const request_message& /*request*/,
+                                 http_session& session) { answer_(session); })
+                          .value());
+        thread_.start();
+    }
+    ~http_session_test() override { thread_.stop(); }
+
+    // Sends bytes and returns what comes until the connection ends or
+    // `expected` has come.
+    auto exchange(std::string_view request, std::string expected = {})
+        -> received {
+        auto client = std::unique_ptr<raw_client>{};
+        auto started = std::promise<void>{};
+        thread_.post_wait([&] {
+            client = std::make_unique<raw_client>(thread_, server_->address(),
+                                                  request, std::move(expected));
+            started.set_value();
+        });
+        started.get_future().get();
+        return client->wait();
+    }
+
+    steady_clock clock_;
+    reactor_thread thread_;
+    std::function<void(http_session&)> answer_ = [](http_session&) {
+    };
+    std::unique_ptr<http_session_server> server_;
+};
+
+constexpr auto old_request = "GET / HTTP/1.0\r\nHost: x\r\n\r\n";
+
+TEST_F(http_session_test, streams_in_chunks) {
+    answer_ = [](http_session& session) {
+        session.begin_stream(200, {});
+        session.write_piece("abc");
+        session.end_stream();
+    };
+    const auto answer =
+        exchange("GET / HTTP/1.1\r\nHost: x\r\n\r\n", std::string{last_chunk});
+    EXPECT_NE(answer.bytes_.find("chunked"), std::string::npos);
+    EXPECT_NE(answer.bytes_.find("3\r\nabc\r\n"), std::string::npos);
+}
+
+// A client that speaks HTTP/1.0 took the sizes of chunks for the answer.
+TEST_F(http_session_test, client_of_http_1_0_receives_chunks) {
+    answer_ = [](http_session& session) {
+        session.begin_stream(200, {});
+        session.write_piece("abc");
+        session.write_piece("def");
+        session.end_stream();
+    };
+    const auto answer = exchange(old_request);
+    EXPECT_EQ(answer.ended_, close_reason::end_of_stream);
+    EXPECT_EQ(answer.bytes_.find("chunked"), std::string::npos);
+    EXPECT_TRUE(answer.bytes_.ends_with("\r\n\r\nabcdef"));
+}
+
+// The orderly end of its connection tells an HTTP/1.0 client that a stream is
+// whole.
+TEST_F(http_session_test, resets_connection_of_http_1_0_client_on_abort) {
+    answer_ = [](http_session& session) {
+        session.begin_stream(200, {});
+        session.write_piece("abc");
+        session.abort();
+    };
+    EXPECT_EQ(exchange(old_request).ended_, close_reason::reset);
+}
+
+} // namespace
+} // namespace basilstream::transport
