Answer HEAD without a body

What callers saw: after an answer to HEAD came the body of an error, or the last chunk of a stream, which a client on a kept connection takes for the next answer. Cause: the session did not know the method. Change: a session writes the head only. Evidence: answer_to_head_has_a_body fails without the change; all session and relay tests pass.

--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -77,6 +77,7 @@
         keep_alive_ = keep_alive_ && request.keep_alive_;
         stream_framing_ = request.takes_chunks_ ? body_framing::chunked
                                                 : body_framing::none;
+        without_body_ = request.method_ == "HEAD";
         server_.handler_(std::move(request), *this);
         break;
     }
@@ -96,7 +97,9 @@
     keep_alive_ = keep_alive_ && !server_.draining_;
     auto output = write_head(status, headers, body_framing::length, body.size(),
                              keep_alive_);
-    output.append(body);
+    if (!without_body_) {
+        output.append(body);
+    }
     stream_->write(output);
     finish_answer();
 }
@@ -112,7 +115,7 @@
 }
 
 auto http_session::write_piece(std::string_view piece) -> void {
-    if (!stream_ || piece.empty()) {
+    if (!stream_ || piece.empty() || without_body_) {
         return;
     }
     if (stream_framing_ != body_framing::chunked) {
@@ -127,7 +130,7 @@
 
 auto http_session::end_stream() -> void {
     if (stream_) {
-        if (stream_framing_ == body_framing::chunked) {
+        if (stream_framing_ == body_framing::chunked && !without_body_) {
             stream_->write(last_chunk);
         }
         finish_answer();
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -91,6 +91,8 @@
     bool busy_ = false;
     bool keep_alive_ = true;
     body_framing stream_framing_ = body_framing::chunked;
+    // Whether the answer has a head only: the request is a HEAD.
+    bool without_body_ = false;
     bool lingering_ = false;
 };
 
--- a/basilstream/transport/http_session/http_session_test.cpp
+++ b/basilstream/transport/http_session/http_session_test.cpp
@@ -121,5 +121,26 @@
     EXPECT_EQ(exchange(old_request).ended_, close_reason::reset);
 }
 
+// The end of a chunked body after an answer to HEAD was taken for the next
+// answer.
+TEST_F(http_session_test, answer_to_head_has_a_body) {
+    for (const auto streamed : {false, true}) {
+        answer_ = [&](http_session& session) {
+            if (streamed) {
+                session.begin_stream(200, {});
+                session.write_piece("abc");
+                session.end_stream();
+            } else {
+                session.respond(503, {}, "sorry");
+            }
+        };
+        const auto answer =
+            exchange("HEAD / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        EXPECT_EQ(answer.ended_, close_reason::end_of_stream);
+        EXPECT_TRUE(answer.bytes_.ends_with("\r\n\r\n"));
+        EXPECT_EQ(answer.bytes_.find("\r\n\r\n"), answer.bytes_.size() - 4);
+    }
+}
+
 } // namespace
 } // namespace basilstream::transport
