Keep crash suspicions after answers that end with their connection

Cause: such an answer counted as complete and cleared the request. Change: only an answer whose length or last chunk shows its end clears a request. Evidence: answer_that_ends_with_its_connection_clears_suspicions fails without the change (200 instead of 503); all relay tests pass.

--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -292,9 +292,12 @@
         on_call_failed(transport::call_failure::incomplete);
         return;
     }
-    // A server error does not show that the request is harmless.
-    const auto executed = mode_ != answer_mode::not_run &&
-                          head_.status_ < min_server_error_status;
+    // A server error does not show that the request is harmless, nor does the
+    // end of a connection, as a crash ends it too.
+    const auto executed =
+        mode_ != answer_mode::not_run &&
+        head_.status_ < min_server_error_status &&
+        head_.framing_ != transport::answer_framing::connection;
     state_.quarantine_.on_finish(quarantine_run_id(), executed,
                                  state_.context_.clock_.now());
     end_attempt();
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -676,6 +676,27 @@
     EXPECT_EQ(b_.requests_.size(), 1U);
 }
 
+// An answer that a crash may have ended cleared the request.
+TEST_F(relay_test, answer_that_ends_with_its_connection_clears_suspicions) {
+    const auto crash = [&](std::int64_t next_start) {
+        EXPECT_EQ(call("/once/bad").status_, 502);
+        run_on_thread([&] {
+            auto restarted = a_.server("app");
+            restarted.started_at_ = next_start;
+            relay_.set_backend(restarted);
+        });
+    };
+    a_.scripts_ = {close_without_answer(),
+                   stream_to_end_of_connection("perhaps whole"),
+                   close_without_answer()};
+    a_.default_script_ = answer(200, "ok");
+    crash(2);
+    EXPECT_EQ(call("/once/bad").status_, 200);
+    crash(3);
+    EXPECT_EQ(call("/once/bad").status_, 503);
+    EXPECT_EQ(a_.requests_.size(), 3U);
+}
+
 // The backend server fails after the head of a stream, for example during
 // prefill of a long prompt. The client has no event yet, so the request can
 // start again.
