Log and count the pauses that servers ask for

Nobody read Retry-After of a server's 503, and no line said which calls went to a server that had asked for a pause, so that the three hypotheses could not be told apart. server_pauses keeps the pauses by server process, server_notices shares them between relay and placement; a line and a counter for each kind of call (first attempt, further attempt, order, report) sent to a server within its pause. No decision uses them yet. Tests: five of server_pauses, reads_pauses of the dialect; relay tests as before.

--- a/basilstream/daemon/backend_dialect/backend_dialect.hpp
+++ b/basilstream/daemon/backend_dialect/backend_dialect.hpp
@@ -89,6 +89,15 @@
     double per_second_ = 0;
 };
 
+/// What an answer states about a time in which its server wants no calls from
+/// this daemon.
+struct pause_notice {
+    enum class kind { absent, malformed, valid };
+    kind kind_ = kind::absent;
+    /// Time from the answer on. Set if `kind_` is `valid`.
+    milliseconds length_{0};
+};
+
 /// Reads and writes the annotations of requests and answers.
 class backend_dialect {
 public:
@@ -116,6 +125,11 @@
     [[nodiscard]] virtual auto
     rate_limit(const transport::header_list& headers) const
         -> rate_limit_notice = 0;
+    /// Returns what the answer to a request, or the reply to any other call,
+    /// states about a pause.
+    [[nodiscard]] virtual auto
+    pause(int status, const transport::header_list& headers) const
+        -> pause_notice = 0;
     /// Returns the header fields with which a backend server's answer is
     /// forwarded to the client.
     [[nodiscard]] virtual auto
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -360,9 +360,9 @@
                     });
 }
 
-auto model_control::note_rate_limit(const std::string& runner,
-                                    const result<transport::small_reply>& reply,
-                                    time_point sent_at) -> void {
+auto model_control::note_reply(const std::string& runner,
+                               const result<transport::small_reply>& reply,
+                               time_point sent_at) -> void {
     if (!reply) {
         return;
     }
@@ -370,6 +370,8 @@
     if (notice.kind_ != rate_limit_notice::kind::absent) {
         context_.permits_.on_notice(runner, notice, sent_at);
     }
+    context_.notices_.on_answer(
+        runner, place_.dialect().pause(reply->status_, reply->headers_));
 }
 
 auto model_control::fetch_due_reports() -> void {
@@ -384,13 +386,14 @@
 
 auto model_control::fetch_report(const std::string& id) -> void {
     context_.permits_.on_sent(id);
+    context_.notices_.on_sent(id, server_call::report, {});
     transport::fetch(
         calls_, context_.thread_,
         place_.report_call(id, ledger_.address_of(id)),
         [this, id, sent_at = context_.clock_.now()](
             const result<transport::small_reply>& reply) {
             const auto now = context_.clock_.now();
-            note_rate_limit(id, reply, sent_at);
+            note_reply(id, reply, sent_at);
             const auto report =
                 reply ? place_.read_report(*reply)
                       : result<runner_report>{tl::unexpected(reply.error())};
@@ -503,6 +506,7 @@
         store_loads_.add_load(now);
     }
     context_.permits_.on_sent(step.runner_);
+    context_.notices_.on_sent(step.runner_, server_call::order, {});
     context_.log_.info(
         "sending order to runner",
         {{"runner", step.runner_},
@@ -528,7 +532,7 @@
     transport::fetch(calls_, context_.thread_, place_.order_call(order),
                      [this, step, sent_at = now](
                          const result<transport::small_reply>& reply) {
-                         note_rate_limit(step.runner_, reply, sent_at);
+                         note_reply(step.runner_, reply, sent_at);
                          on_order_answer(step, reply);
                      });
 }
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -28,6 +28,7 @@
 #include "basilstream/coordination/residency_overlay/residency_overlay.hpp"
 #include "basilstream/daemon/installation/installation.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
+#include "basilstream/daemon/server_notices/server_notices.hpp"
 #include "basilstream/daemon/server_permits/server_permits.hpp"
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 
@@ -62,6 +63,7 @@
     transport::reactor_thread& thread_;
     transport::logger& log_;
     server_permits& permits_;
+    server_notices& notices_;
 };
 
 struct model_control_settings {
@@ -147,10 +149,10 @@
     auto call_runner(const std::string& runner, duration max_wait,
                      const std::function<void()>& call,
                      const std::function<void(duration)>& refused) -> void;
-    // Handles what a runner's reply states about its rate limit.
-    auto note_rate_limit(const std::string& runner,
-                         const result<transport::small_reply>& reply,
-                         time_point sent_at) -> void;
+    // Handles what a runner's reply states about the calls that it wants.
+    auto note_reply(const std::string& runner,
+                    const result<transport::small_reply>& reply,
+                    time_point sent_at) -> void;
     auto on_order_answer(const coordination::fleet_step& step,
                          const result<transport::small_reply>& reply) -> void;
     auto publish_changes() -> void;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -95,6 +95,11 @@
             possible_runs_ > 0 ? run_status::unknown : run_status::not_run});
         return;
     }
+    state_.context_.notices_.on_sent(backend_,
+                                     attempts_sent_ == 0
+                                         ? server_call::first_attempt
+                                         : server_call::further_attempt,
+                                     request_.id_);
     ++attempts_sent_;
     state_.router_.start_attempt(backend_);
     state_.context_.permits_.on_sent(backend_);
@@ -169,6 +174,9 @@
 auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
     verdict_ = state_.dialect_.classify_answer(head, request_.id_);
     state_.last_received_at_[backend_] = state_.context_.clock_.now();
+    // Also if the answer is not to this request: its server has sent it.
+    state_.context_.notices_.on_answer(
+        backend_, state_.dialect_.pause(head.status_, head.headers_));
     if (verdict_ == answer_verdict::other_request) {
         state_.context_.log_.warning(
             "answer dropped: request id does not match",
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -333,6 +333,7 @@
                                    server.software_version_, server.draining_};
     state.router_.update_runner(info);
     state.context_.permits_.set_server(server.id_, server.started_at_);
+    state.context_.notices_.set_server(server.id_, server.started_at_);
     state.context_.streams_.set_server(server.id_, server.service_,
                                        server.software_version_);
     const auto open_exchanges = std::vector<std::shared_ptr<exchange>>{
@@ -351,6 +352,7 @@
     state_->router_.remove_runner(id);
     state_->backends_.erase(id);
     state_->context_.permits_.remove_server(id);
+    state_->context_.notices_.remove_server(id);
     state_->context_.streams_.remove_server(id);
     state_->last_received_at_.erase(id);
 }
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -3,7 +3,7 @@
 /// connections and all routing decisions share one thread.
 ///
 ///     auto proxy = relay{{clock, random, thread, log, metrics, permits,
-///                         streams},
+///                         streams, notices},
 ///                        settings, dialect, provisioner};
 ///     proxy.open();
 ///     proxy.set_config(config);
@@ -29,6 +29,7 @@
 #include "basilstream/coordination/route_table/route_table.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
 #include "basilstream/daemon/request_journal/request_journal.hpp"
+#include "basilstream/daemon/server_notices/server_notices.hpp"
 #include "basilstream/daemon/server_permits/server_permits.hpp"
 #include "basilstream/daemon/stream_directory/stream_directory.hpp"
 #include "basilstream/transport/http_pool/http_pool.hpp"
@@ -47,6 +48,7 @@
     transport::metrics_registry& metrics_;
     server_permits& permits_;
     stream_directory& streams_;
+    server_notices& notices_;
 };
 
 /// Identifies the model, or the adapter of a model, that a request needs.
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -72,6 +72,16 @@
                             : rate_limit_notice{kind::valid,
                                                 std::stod(std::string{text})};
     }
+    [[nodiscard]] auto pause(int status,
+                             const transport::header_list& headers) const
+        -> pause_notice override {
+        const auto text = headers.find("X-Pause");
+        using kind = pause_notice::kind;
+        return status != 503 || text.empty()
+                   ? pause_notice{}
+                   : pause_notice{kind::valid,
+                                  milliseconds{std::stol(std::string{text})}};
+    }
     [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
         -> transport::header_list override {
         auto headers = transport::header_list{};
@@ -306,7 +316,8 @@
 protected:
     relay_test()
         : thread_{"test", 1024}, log_{{transport::log_level::off}, "test"},
-          relay_{{clock_, random_, thread_, log_, metrics_, permits_, streams_},
+          relay_{{clock_, random_, thread_, log_, metrics_, permits_, streams_,
+                  notices_},
                  {.address_ = "127.0.0.1:0",
                   .retry_ratio_ = 1,
                   .retry_allowance_ = 100,
@@ -401,6 +412,7 @@
     transport::logger log_;
     transport::metrics_registry metrics_;
     server_permits permits_{{clock_, log_, metrics_}, "test"};
+    server_notices notices_{{clock_, log_, metrics_}};
     stream_directory streams_{{clock_, metrics_}, "test"};
     test_dialect dialect_;
     test_provisioner provisioner_;
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -73,9 +73,10 @@
           thread_{"traffic", task_queue_capacity}, permits_{{clock_, log_,
                                                              metrics_},
                                                             settings.name_},
-          streams_{{clock_, metrics_}, settings.name_},
-          context_{clock_,   random_,  thread_, log_,
-                   metrics_, permits_, streams_},
+          streams_{{clock_, metrics_}, settings.name_}, notices_{{clock_, log_,
+                                                                  metrics_}},
+          context_{clock_,   random_,  thread_,  log_,
+                   metrics_, permits_, streams_, notices_},
           relay_{context_, relay_settings_of(settings), deployment.dialect(),
                  *this},
           control_calls_{thread_, clock_},
@@ -83,12 +84,13 @@
               deployment.open_store(control_calls_, thread_,
                                     settings.store_address_),
               metrics_)},
-          models_{{clock_, boot_clock_, random_, thread_, log_, permits_},
-                  model_settings_of(settings),
-                  deployment,
-                  *store_,
-                  relay_.backend_pool(),
-                  *this},
+          models_{
+              {clock_, boot_clock_, random_, thread_, log_, permits_, notices_},
+              model_settings_of(settings),
+              deployment,
+              *store_,
+              relay_.backend_pool(),
+              *this},
           sharing_{clock_, settings.name_, relay_, models_, permits_},
           quarantine_log_{{clock_, wall_clock_, random_, log_},
                           settings.name_,
@@ -548,6 +550,7 @@
     transport::reactor_thread thread_;
     server_permits permits_;
     stream_directory streams_;
+    server_notices notices_;
     relay_context context_;
     relay relay_;
     // Connections to the store, separate from those for traffic.
--- a/basilstream/daemon/relay_program/relay_program_test_world.hpp
+++ b/basilstream/daemon/relay_program/relay_program_test_world.hpp
@@ -164,6 +164,11 @@
                             : rate_limit_notice{kind::valid,
                                                 std::stod(std::string{text})};
     }
+    [[nodiscard]] auto pause(int /*status*/,
+                             const transport::header_list& /*headers*/) const
+        -> pause_notice override {
+        return {};
+    }
     [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
         -> transport::header_list override {
         return head.headers_;
--- /dev/null
+++ b/basilstream/daemon/server_notices/server_notices.hpp
@@ -0,0 +1,70 @@
+/// Keeps what backend servers state about themselves in their answers to any
+/// call of this daemon, for all that call them: the relay and the placement of
+/// models.
+///
+///     auto notices = server_notices{{clock, log, metrics}};
+///     notices.on_answer("i-7f3a", dialect.pause(503, headers));
+///     if (notices.pause_left("i-7f3a") == duration{0}) { ... }
+///
+/// Not thread-safe: use on the traffic thread only.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/name_table/name_table.hpp"
+#include "basilstream/coordination/server_pauses/server_pauses.hpp"
+#include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
+#include "basilstream/transport/logging/logging.hpp"
+#include "basilstream/transport/metrics/metrics.hpp"
+
+namespace basilstream::daemon {
+
+/// Dependencies of server_notices; each must outlive it.
+struct server_notices_context {
+    const clock& clock_;
+    transport::logger& log_;
+    transport::metrics_registry& metrics_;
+};
+
+/// Kinds of calls to a backend server.
+enum class server_call { first_attempt, further_attempt, order, report };
+
+inline constexpr auto server_call_names = name_table<server_call, 4>{
+    {{{server_call::first_attempt, "first_attempt"},
+      {server_call::further_attempt, "further_attempt"},
+      {server_call::order, "order"},
+      {server_call::report, "report"}}}};
+
+class server_notices {
+public:
+    explicit server_notices(const server_notices_context& context);
+
+    /// Sets when the current process of a backend server started, in Unix
+    /// milliseconds; 0 if not known.
+    auto set_server(const std::string& server, std::int64_t started_at) -> void;
+    auto remove_server(const std::string& server) -> void;
+
+    /// Handles what an answer of the server states.
+    auto on_answer(const std::string& server, const pause_notice& notice)
+        -> void;
+    /// Logs and counts a call if it is sent to a server that wants none.
+    /// `request` is empty for calls that no client made.
+    auto on_sent(const std::string& server, server_call call,
+                 const std::string& request) -> void;
+    /// Returns for how long the server wants no calls from this daemon; zero
+    /// if it takes them.
+    [[nodiscard]] auto pause_left(const std::string& server) const -> duration;
+
+private:
+    const server_notices_context context_;
+    coordination::server_pauses pauses_;
+    transport::counter& requested_;
+    transport::counter& malformed_;
+    // Calls to servers that wanted none, by their kind.
+    std::array<transport::counter*, server_call_names.rows_.size()> unwanted_;
+};
+
+} // namespace basilstream::daemon
