--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -14,10 +14,30 @@
 constexpr auto settling_time = seconds{5};
 constexpr auto route_timeout_ms = 8000;
 
-auto config_text(const std::vector<raw_route>& routes) -> std::string {
+auto service_entry(int adapters) -> protocol::json {
+    using protocol::json;
+    auto service = json{
+        {"name", "app"}, {"healthPath", "/health"}, {"connectionLimit", 4000}};
+    if (adapters > 0) {
+        service["engine"] = json{{"slots", 32},
+                                 {"kvCacheTokens", 100'000},
+                                 {"weightsMb", 150},
+                                 {"adapterSlots", 6},
+                                 {"loadsPerS", 2.0},
+                                 {"models",
+                                  {{{"name", "m"},
+                                    {"weightsMb", 100},
+                                    {"loadTimeS", 1.0},
+                                    {"adapters", adapters},
+                                    {"adapterMb", 1}}}}};
+    }
+    return service;
+}
+
+auto config_text(const raw_deployment_options& options) -> std::string {
     using protocol::json;
     auto entries = json::array();
-    for (const auto& route : routes) {
+    for (const auto& route : options.routes_) {
         entries.push_back({{"name", route.prefix_},
                            {"host", "x"},
                            {"pathPrefix", route.prefix_},
@@ -31,10 +51,7 @@
     }
     return json{{"version", 1},
                 {"routes", entries},
-                {"services",
-                 {{{"name", "app"},
-                   {"healthPath", "/health"},
-                   {"connectionLimit", 4000}}}},
+                {"services", json::array({service_entry(options.adapters_)})},
                 {"limits",
                  {{"headerBytes", 16384},
                   {"bodyBytes", 1048576},
@@ -136,9 +153,9 @@
 }
 
 raw_server::raw_server(std::string id, transport::reactor_thread& thread,
-                       stand_in_store& store,
+                       stand_in_store& store, bool holds_model,
                        raw_connection::handler on_request)
-    : id_{std::move(id)}, store_{store} {
+    : id_{std::move(id)}, store_{store}, holds_model_{holds_model} {
     auto opened = transport::tcp_listener::open(
         thread, "127.0.0.1:0",
         [this, &thread, on_request = std::move(on_request)](int descriptor) {
@@ -152,6 +169,12 @@
 }
 
 auto raw_server::announce(std::int64_t started_at) -> void {
+    auto models = protocol::json::array();
+    if (holds_model_) {
+        models.push_back({{"name", "m"},
+                          {"version", 1},
+                          {"adapters", protocol::json::array()}});
+    }
     store_.put("keyed.servers", id_,
                protocol::json{{"service", "app"},
                               {"address", address()},
@@ -159,7 +182,7 @@
                               {"version", "v1"},
                               {"slots", 32},
                               {"state", "ready"},
-                              {"models", protocol::json::array()},
+                              {"models", models},
                               {"sequence", 0},
                               {"born", started_at}}
                    .dump());
@@ -175,7 +198,7 @@
       directory_{std::filesystem::temp_directory_path() /
                  ("raw_deployment." + std::to_string(::getpid()))} {
     std::filesystem::create_directories(directory_);
-    store_.put("keyed.op", "config", config_text(options_.routes_));
+    store_.put("keyed.op", "config", config_text(options_));
     daemons_.resize(options_.daemons_);
     for (auto index = 0; index < options_.daemons_; ++index) {
         start_daemon(index);
@@ -191,9 +214,9 @@
 
 auto raw_deployment::add_server(raw_connection::handler on_request)
     -> raw_server& {
-    servers_.push_back(
-        std::make_unique<raw_server>("s" + std::to_string(servers_.size()),
-                                     thread_, store_, std::move(on_request)));
+    servers_.push_back(std::make_unique<raw_server>(
+        "s" + std::to_string(servers_.size()), thread_, store_,
+        options_.adapters_ > 0, std::move(on_request)));
     servers_.back()->announce(1000);
     return *servers_.back();
 }
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -64,7 +64,8 @@
 class raw_server {
 public:
     raw_server(std::string id, transport::reactor_thread& thread,
-               stand_in_store& store, raw_connection::handler on_request);
+               stand_in_store& store, bool holds_model,
+               raw_connection::handler on_request);
     raw_server(const raw_server&) = delete;
     auto operator=(const raw_server&) -> raw_server& = delete;
     ~raw_server() = default;
@@ -81,6 +82,7 @@
 private:
     const std::string id_;
     stand_in_store& store_;
+    const bool holds_model_;
     std::vector<std::shared_ptr<raw_connection>> connections_;
     std::unique_ptr<transport::tcp_listener> listener_;
 };
@@ -111,6 +113,9 @@
     std::vector<raw_route> routes_ = {};
     double retry_ratio_ = 1;
     double retry_allowance_ = 1000;
+    /// Adapters of the model "m" that each server holds; 0 for servers without
+    /// models.
+    int adapters_ = 0;
 };
 
 class raw_deployment {
