Leave servers alone for the pause that they ask for

What callers saw: requests went to servers that had just turned others away and named a time; they were turned away too, some of them for good (BUDGET). A server that turns every request away has none in progress and seems the least loaded one, so that it drew the traffic of its models. Class: a signal of overload was taken for spare capacity. Change: the router excludes a server until its pause ends; each answer's time holds by itself, and a pause ends with the server's process, not with its announcement. If all servers of a request pause, it waits at most twice its objective and returns within 200 ms after the end, else it is refused at once with the time until the first pause ends plus up to a quarter; that is not charged to the retry budget. A model whose servers pause for less than 5 s is not loaded elsewhere. Refusals may come after twice the objective.

--- a/basilstream/coordination/routing/internal/decision.cpp
+++ b/basilstream/coordination/routing/internal/decision.cpp
@@ -116,6 +116,9 @@
     if (guards_.at_limit_(runner.in_flight_, runner.limit_)) {
         return rejection_reason::at_limit;
     }
+    if (now < runner.paused_until_) {
+        return rejection_reason::paused;
+    }
     if (now < runner.rate_limited_until_) {
         return rejection_reason::rate_limited;
     }
@@ -344,6 +347,9 @@
     } else if (count(rejection_reason::rate_limited) > 0) {
         failure.code_ = error_code::overloaded;
         failure.detail_ = "no usable replica is below its rate limit";
+    } else if (count(rejection_reason::paused) > 0) {
+        failure.code_ = error_code::overloaded;
+        failure.detail_ = "each usable replica has asked for a pause";
     } else if (count(rejection_reason::version_mismatch) == rejected_count) {
         failure.code_ = error_code::not_found;
         failure.detail_ =
@@ -410,4 +416,23 @@
         request);
 }
 
+auto router::first_pause_end(const route_request& request, time_point now) const
+    -> std::optional<time_point> {
+    const auto found = models_.find(std::string{request.model_});
+    if (found == models_.end()) {
+        return std::nullopt;
+    }
+    auto any_runner = request;
+    any_runner.excluded_ = {};
+    auto first = std::optional<time_point>{};
+    for (const auto& entry : found->second) {
+        if (hard_rejection_reason(entry, any_runner, now) ==
+            rejection_reason::paused) {
+            const auto end = entry.runner_->paused_until_;
+            first = std::min(first.value_or(end), end);
+        }
+    }
+    return first;
+}
+
 } // namespace basilstream::coordination
--- a/basilstream/coordination/routing/internal/replica_index.hpp
+++ b/basilstream/coordination/routing/internal/replica_index.hpp
@@ -32,6 +32,8 @@
     int limit_ = std::numeric_limits<int>::max();
     /// In the past if the runner is not at its rate limit.
     time_point rate_limited_until_{};
+    /// In the past if the runner has not asked for a pause.
+    time_point paused_until_{};
     /// Empty until a load report of the current process has arrived.
     std::optional<external_load> external_load_;
     /// Sequence number of the latest cache event; 0 if there was none.
--- a/basilstream/coordination/routing/routing.cpp
+++ b/basilstream/coordination/routing/routing.cpp
@@ -53,6 +53,7 @@
         entry->external_load_.reset();
         entry->cache_sequence_ = 0;
         entry->rate_limited_until_ = {};
+        entry->paused_until_ = {};
     }
     entry->info_ = info;
     entry->info_.slots_ = std::max(info.slots_, 1);
@@ -176,6 +177,13 @@
     }
 }
 
+auto router::set_paused_until(std::string_view runner, time_point time)
+    -> void {
+    if (auto* const entry = find(runner)) {
+        entry->paused_until_ = time;
+    }
+}
+
 auto router::has_replica(std::string_view model,
                          std::string_view software_version) const -> bool {
     const auto found = models_.find(std::string{model});
@@ -189,9 +197,10 @@
                        });
 }
 
-auto router::accepts_work(std::string_view runner) const -> bool {
+auto router::accepts_work(std::string_view runner, time_point now) const
+    -> bool {
     const auto* const entry = find(runner);
-    return entry != nullptr && !entry->leaving_;
+    return entry != nullptr && !entry->leaving_ && now >= entry->paused_until_;
 }
 
 auto router::start_attempt(std::string_view runner) -> void {
--- a/basilstream/coordination/routing/routing.hpp
+++ b/basilstream/coordination/routing/routing.hpp
@@ -53,6 +53,7 @@
     adapter_missing,
     at_limit,
     rate_limited,
+    paused,
     software_mismatch,
     saturated,
     over_load_bound,
@@ -68,7 +69,7 @@
       {route_reason::prefix_affinity, "prefix_affinity"},
       {route_reason::least_loaded, "least_loaded"}}}};
 
-inline constexpr auto rejection_reason_names = name_table<rejection_reason, 15>{
+inline constexpr auto rejection_reason_names = name_table<rejection_reason, 16>{
     {{{rejection_reason::not_ready, "not_ready"},
       {rejection_reason::leaving, "leaving"},
       {rejection_reason::excluded, "excluded"},
@@ -77,6 +78,7 @@
       {rejection_reason::adapter_missing, "adapter_missing"},
       {rejection_reason::at_limit, "at_limit"},
       {rejection_reason::rate_limited, "rate_limited"},
+      {rejection_reason::paused, "paused"},
       {rejection_reason::software_mismatch, "software_mismatch"},
       {rejection_reason::saturated, "saturated"},
       {rejection_reason::over_load_bound, "over_load_bound"},
@@ -263,6 +265,9 @@
     auto set_rate_limited_until(std::string_view runner, time_point time)
         -> void;
 
+    /// Excludes the runner until `time`, because it has asked for a pause.
+    auto set_paused_until(std::string_view runner, time_point time) -> void;
+
     /// Adjust the count of attempts in flight on the runner.
     auto start_attempt(std::string_view runner) -> void;
     auto finish_attempt(std::string_view runner) -> void;
@@ -278,7 +283,7 @@
     /// - unavailable: every replica is loading, leaving, excluded or of another
     ///   version
     /// - overloaded: no replica is usable and at least one is at its
-    ///   concurrency or rate limit
+    ///   concurrency or rate limit, or has asked for a pause
     [[nodiscard]] auto choose(const route_request& request, time_point now)
         -> result<route>;
 
@@ -289,14 +294,24 @@
                                            time_point now)
         -> std::optional<route>;
 
+    /// Returns when the first pause ends of the runners that could be chosen
+    /// but for their pause; nothing if there are none. Disregards
+    /// route_request::excluded_, as a failure before a pause says little about
+    /// the time after it.
+    [[nodiscard]] auto first_pause_end(const route_request& request,
+                                       time_point now) const
+        -> std::optional<time_point>;
+
     /// Returns whether a runner of the software version holds `model` and is
     /// not leaving, regardless of limits.
     [[nodiscard]] auto has_replica(std::string_view model,
                                    std::string_view software_version) const
         -> bool;
 
-    /// Returns whether the runner is known and not leaving.
-    [[nodiscard]] auto accepts_work(std::string_view runner) const -> bool;
+    /// Returns whether the runner is known, is not leaving and has not asked
+    /// for a pause.
+    [[nodiscard]] auto accepts_work(std::string_view runner,
+                                    time_point now) const -> bool;
 
     /// Returns the names of the models on a runner; empty if it is unknown.
     [[nodiscard]] auto models_on(std::string_view runner) const
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -145,7 +145,8 @@
                              std::uint64_t expected_orders,
                              std::uint64_t lease_epoch) -> void;
     // Makes a call to a runner as soon as its rate limit permits, if that is
-    // within `max_wait`; else calls `refused` with the time to wait.
+    // within `max_wait`; else, or if it has asked for a pause, calls `refused`
+    // with the time to wait.
     auto call_runner(const std::string& runner, duration max_wait,
                      const std::function<void()>& call,
                      const std::function<void(duration)>& refused) -> void;
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -15,6 +15,11 @@
 // Decoding one output token takes about as long as prefilling ten prompt
 // tokens, as prompt tokens are processed in batches.
 constexpr auto output_token_weight = 10;
+// A model whose servers all pause for less than this is not loaded elsewhere;
+// loading takes about as long.
+constexpr auto short_pause = seconds{5};
+// Time over which requests return to a server after its pause.
+constexpr auto pause_end_spread = milliseconds{200};
 
 auto prompt_equivalent_tokens(const relayed_request& request) -> std::int64_t {
     return request.prompt_tokens_ +
@@ -104,14 +109,18 @@
                            : std::nullopt;
 }
 
+auto exchange::make_route_request(std::string_view key) const
+    -> coordination::route_request {
+    return {.model_ = key,
+            .software_version_ = required_version(),
+            .adapter_ = request_.adapter_,
+            .excluded_ = excluded_};
+}
+
 auto exchange::dispatch() -> void {
     const auto now = state_.context_.clock_.now();
-    auto routing_request =
-        coordination::route_request{.software_version_ = required_version(),
-                                    .adapter_ = request_.adapter_,
-                                    .excluded_ = excluded_};
     const auto key = routing_key(service_, request_.model_);
-    routing_request.model_ = key;
+    auto routing_request = make_route_request(key);
     auto chosen = state_.router_.choose(routing_request, now);
     if (!chosen && possible_runs_ > 0 && mode_ != answer_mode::not_run) {
         // The answer of the last attempt was lost. If no other backend server
@@ -120,14 +129,19 @@
         chosen = state_.router_.choose(routing_request, now);
     }
     if (!request_.model_.empty() && !std::exchange(demand_recorded_, true)) {
+        // Loading the model elsewhere takes longer than a short pause.
+        const auto pause_end =
+            state_.router_.first_pause_end(routing_request, now);
+        const auto soon_served = pause_end && *pause_end - now < short_pause;
         state_.provisioner_.on_request(requested_model(),
                                        prompt_equivalent_tokens(request_),
-                                       chosen.has_value());
+                                       chosen.has_value() || soon_served);
     }
     if (chosen) {
         wait_until_.reset();
         request_permit(*chosen, duration{0});
-    } else if (!wait_for_permit(routing_request) && !waiting()) {
+    } else if (!wait_for_permit(routing_request) &&
+               !wait_for_pause_end(routing_request) && !waiting()) {
         wait_for_model(chosen.error());
     }
 }
@@ -152,6 +166,37 @@
     return true;
 }
 
+auto exchange::wait_for_pause_end(const coordination::route_request& request)
+    -> bool {
+    const auto now = state_.context_.clock_.now();
+    const auto end = state_.router_.first_pause_end(request, now);
+    if (!end) {
+        return false;
+    }
+    if (waited_for_pause_ || *end - now > longest_wait(now)) {
+        refuse_until(*end);
+        return true;
+    }
+    waited_for_pause_ = true;
+    wait_until_.reset();
+    excluded_.clear();
+    // Requests that wait for the same server return one after the other.
+    const auto spread = std::chrono::duration_cast<duration>(
+        state_.context_.random_.fraction() * pause_end_spread);
+    dispatch_after(std::chrono::ceil<milliseconds>(*end - now + spread));
+    return true;
+}
+
+auto exchange::refuse_until(time_point pause_end) -> void {
+    pause_left_ = std::chrono::ceil<milliseconds>(pause_end -
+                                                  state_.context_.clock_.now());
+    retry_outcome_ = "servers_paused";
+    give_up(
+        error{error_code::overloaded, step::routing, service_,
+              "each usable backend server has asked for a pause",
+              possible_runs_ > 0 ? run_status::unknown : run_status::not_run});
+}
+
 auto exchange::request_permit(const coordination::route& chosen,
                               duration max_wait) -> void {
     auto& permits = state_.context_.permits_;
@@ -196,8 +241,10 @@
         if (self->done_ || self->permit_requests_ != number) {
             return;
         }
-        // The backend server may have begun to drain in the meantime.
-        if (self->state_.router_.accepts_work(chosen.runner_)) {
+        // The backend server may have begun to drain in the meantime, or have
+        // asked for a pause.
+        if (self->state_.router_.accepts_work(
+                chosen.runner_, self->state_.context_.clock_.now())) {
             self->send_attempt(chosen);
         } else {
             self->dispatch();
@@ -295,6 +342,13 @@
     }
     // Jitter keeps clients that were refused at the same time from retrying at
     // the same time.
+    if (pause_left_) {
+        const auto spread = std::max<milliseconds>(
+            *pause_left_ / 4,
+            std::chrono::duration_cast<milliseconds>(pause_end_spread));
+        return *pause_left_ + std::chrono::duration_cast<milliseconds>(
+                                  state_.context_.random_.fraction() * spread);
+    }
     const auto base =
         expected_wait_.value_or(state_.settings_.retry_hint_).count();
     const auto spread = 0.75 + 0.5 * state_.context_.random_.fraction();
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -74,6 +74,16 @@
     // Waits for the first of the backend servers that are at their rate limits.
     // Returns false if there is none to wait for.
     auto wait_for_permit(const coordination::route_request& request) -> bool;
+    // Waits for the end of the first pause of a backend server, or refuses the
+    // request if that is too long. Returns false if there is no pause to wait
+    // for.
+    auto wait_for_pause_end(const coordination::route_request& request) -> bool;
+    // Refuses the request until about the end of a pause.
+    auto refuse_until(time_point pause_end) -> void;
+    // Returns what the request requires of a backend server. The views are
+    // valid while `key` and the members are.
+    [[nodiscard]] auto make_route_request(std::string_view key) const
+        -> coordination::route_request;
     auto send_attempt(const coordination::route& chosen) -> void;
     // Returns how long the request may wait for a backend server.
     [[nodiscard]] auto longest_wait(time_point now) const -> duration;
@@ -107,6 +117,8 @@
     // Dispatches again at `not_before`. A stream that has started skips the
     // events that the client has already received.
     auto schedule_retry(time_point not_before) -> void;
+    // Dispatches after `delay`, unless that is asked for again before.
+    auto dispatch_after(milliseconds delay) -> void;
     // Sends the buffered answer to the client and ends the exchange.
     auto deliver_buffered() -> void;
     // Returns whether the answer of the current attempt, whose framing says
@@ -148,6 +160,11 @@
     // Estimated time until a backend server can accept the request; empty if
     // unknown.
     std::optional<milliseconds> expected_wait_;
+    // Time until the end of the pause for which the request was refused; empty
+    // if there is none.
+    std::optional<milliseconds> pause_left_;
+    // Whether the request has waited for the end of a pause.
+    bool waited_for_pause_ = false;
     // Incremented with each permit request; invalidates earlier ones.
     std::uint64_t permit_requests_ = 0;
     // Backend server of the last permit that was refused after a wait was
@@ -177,8 +194,8 @@
     // Number of attempts that ran or may have run, and of all attempts sent.
     int possible_runs_ = 0;
     int attempts_sent_ = 0;
-    // Incremented with each scheduled retry; invalidates earlier timers.
-    std::uint64_t retry_generation_ = 0;
+    // Incremented with each scheduled dispatch; invalidates earlier timers.
+    std::uint64_t dispatch_generation_ = 0;
 
     answer_mode mode_ = answer_mode::none;
     answer_verdict verdict_ = answer_verdict::answer;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -435,6 +435,19 @@
         give_up(cause);
         return;
     }
+    if (possible_runs_ == 0) {
+        // A retry that can only be refused would be charged to the budget.
+        const auto now = state_.context_.clock_.now();
+        const auto key = routing_key(service_, request_.model_);
+        const auto request = make_route_request(key);
+        const auto pause_end = state_.router_.first_pause_end(request, now);
+        if (pause_end && *pause_end - now > longest_wait(now) &&
+            !state_.router_.choose(request, now) &&
+            !state_.router_.choose_rate_limited(request, now)) {
+            refuse_until(*pause_end);
+            return;
+        }
+    }
     const auto decision = decide_retry(cause);
     if (!decision.retry_) {
         give_up(*decision.error_);
@@ -486,15 +499,18 @@
     }
     const auto delay = std::chrono::ceil<milliseconds>(
         not_before - state_.context_.clock_.now());
-    const auto generation = ++retry_generation_;
+    dispatch_after(std::max(delay, milliseconds{0}));
+}
+
+auto exchange::dispatch_after(milliseconds delay) -> void {
+    const auto generation = ++dispatch_generation_;
     const auto self = shared_from_this();
-    state_.context_.thread_.after(
-        std::max(delay, milliseconds{0}), [self, generation] {
-            if (!self->done_ && self->retry_generation_ == generation &&
-                !self->call_) {
-                self->dispatch();
-            }
-        });
+    state_.context_.thread_.after(delay, [self, generation] {
+        if (!self->done_ && self->dispatch_generation_ == generation &&
+            !self->call_) {
+            self->dispatch();
+        }
+    });
 }
 
 } // namespace basilstream::daemon::internal
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -145,9 +145,16 @@
       retry_allowance_from_{context.clock_.now() +
                             settings_.retry_allowance_delay_},
       quarantine_{make_quarantine_settings(), settings_.name_},
-      call_monitor_{silence_timeouts} {}
+      call_monitor_{silence_timeouts} {
+    context_.notices_.on_pause(
+        [this](const std::string& backend, time_point until) {
+            router_.set_paused_until(backend, until);
+        });
+}
 
-relay_state::~relay_state() = default;
+relay_state::~relay_state() {
+    context_.notices_.on_pause({});
+}
 
 auto relay_state::retry_policy_of(const std::string& service)
     -> coordination::retry_policy& {
@@ -334,6 +341,8 @@
     state.router_.update_runner(info);
     state.context_.permits_.set_server(server.id_, server.started_at_);
     state.context_.notices_.set_server(server.id_, server.started_at_);
+    state.router_.set_paused_until(
+        server.id_, state.context_.notices_.end_of_pause(server.id_));
     state.context_.streams_.set_server(server.id_, server.service_,
                                        server.software_version_);
     const auto open_exchanges = std::vector<std::shared_ptr<exchange>>{
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -407,6 +407,94 @@
     };
 }
 
+// Returns a script that refuses the request and asks for a pause.
+auto ask_for_pause(const std::string& length_ms, const std::string& promise)
+    -> test_backend::script {
+    return [=](const transport::request_message& request,
+               test_backend::connection& to) {
+        to.write("HTTP/1.1 503 Busy\r\nX-Id: " +
+                 std::string{request.headers_.find("X-Id")} + "\r\n" + promise +
+                 "X-Pause: " + length_ms + "\r\nContent-Length: 0\r\n\r\n");
+    };
+}
+
+// A server that turned requests away and asked for a pause got the next ones.
+TEST_F(relay_test, sends_to_a_backend_that_asked_for_a_pause) {
+    add_backend_b();
+    a_.default_script_ = ask_for_pause("5000", "X-Not-Run: 1\r\n");
+    b_.default_script_ = answer(200, "ok");
+    for (auto turn = 0; turn < 20; ++turn) {
+        EXPECT_EQ(call("/once/" + std::to_string(turn)).status_, 200);
+    }
+    EXPECT_LE(a_.requests_.size(), 1U);
+}
+
+TEST_F(relay_test,
+       sends_to_a_backend_that_asked_for_a_pause_without_a_promise) {
+    a_.default_script_ = ask_for_pause("5000", "");
+    EXPECT_EQ(call("/once/").status_, 503);
+    EXPECT_EQ(call("/safe/").status_, 503);
+    EXPECT_EQ(a_.requests_.size(), 1U);
+}
+
+TEST_F(relay_test, names_the_end_of_the_first_pause) {
+    add_backend_b();
+    a_.default_script_ = ask_for_pause("3000", "X-Not-Run: 1\r\n");
+    b_.default_script_ = ask_for_pause("5000", "X-Not-Run: 1\r\n");
+    for (auto turn = 0; turn < 4; ++turn) {
+        const auto response = call("/safe/" + std::to_string(turn));
+        EXPECT_EQ(response.status_, 503);
+        const auto hint =
+            std::stol(std::string{response.headers_.find("Retry-After")});
+        EXPECT_GE(hint, 2000);
+        EXPECT_LE(hint, 3750);
+    }
+    EXPECT_EQ(a_.requests_.size(), 1U);
+    EXPECT_EQ(b_.requests_.size(), 1U);
+}
+
+// A refusal for a known pause was charged to the retry budget.
+TEST_F(relay_test, pause_of_the_only_backend_uses_up_the_retry_budget) {
+    a_.default_script_ = ask_for_pause("5000", "X-Not-Run: 1\r\n");
+    EXPECT_EQ(call("/safe/").status_, 503);
+    EXPECT_EQ(
+        metrics_.prometheus_text().find("basilstream_relay_retries_total 1"),
+        std::string::npos);
+}
+
+TEST_F(relay_test, waits_for_the_end_of_a_short_pause) {
+    a_.scripts_ = {ask_for_pause("150", "X-Not-Run: 1\r\n")};
+    a_.default_script_ = answer(200, "ok");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    EXPECT_EQ(a_.requests_.size(), 2U);
+}
+
+// A process that starts anew has not asked for the pause of the former one.
+TEST_F(relay_test, pause_outlives_the_process_that_asked_for_it) {
+    a_.scripts_ = {ask_for_pause("5000", "X-Not-Run: 1\r\n")};
+    a_.default_script_ = answer(200, "ok");
+    EXPECT_EQ(call("/safe/").status_, 503);
+    run_on_thread([&] {
+        auto restarted = a_.server("app");
+        restarted.started_at_ = 2;
+        relay_.set_backend(restarted);
+    });
+    EXPECT_EQ(call("/safe/").status_, 200);
+}
+
+// The announcement of the server lapsed and came back within its pause.
+TEST_F(relay_test, pause_ends_with_the_announcement) {
+    a_.scripts_ = {ask_for_pause("5000", "X-Not-Run: 1\r\n")};
+    a_.default_script_ = answer(200, "ok");
+    EXPECT_EQ(call("/safe/").status_, 503);
+    run_on_thread([&] {
+        relay_.remove_backend("a");
+        relay_.set_backend(a_.server("app"));
+    });
+    EXPECT_EQ(call("/safe/").status_, 503);
+    EXPECT_EQ(a_.requests_.size(), 1U);
+}
+
 TEST_F(relay_test, sends_to_another_backend_while_one_is_at_its_rate_limit) {
     a_.default_script_ = limited_answer("0.5");
     EXPECT_EQ(call("/safe/").status_, 200);
--- a/basilstream/daemon/server_notices/server_notices.cpp
+++ b/basilstream/daemon/server_notices/server_notices.cpp
@@ -55,6 +55,9 @@
         context_.log_.info("backend server asked for a pause",
                            {{"backend", server},
                             {"pause_ms", in_milliseconds(notice.length_)}});
+        if (pause_handler_) {
+            pause_handler_(server, pauses_.end_of_pause(server));
+        }
     }
 }
 
--- a/basilstream/daemon/server_notices/server_notices.hpp
+++ b/basilstream/daemon/server_notices/server_notices.hpp
@@ -11,7 +11,9 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/name_table/name_table.hpp"
@@ -47,6 +49,12 @@
     auto set_server(const std::string& server, std::int64_t started_at) -> void;
     auto remove_server(const std::string& server) -> void;
 
+    /// Sets the function that learns when the pause of a server ends, each time
+    /// that this has changed.
+    auto on_pause(std::function<void(const std::string&, time_point)> handler)
+        -> void {
+        pause_handler_ = std::move(handler);
+    }
     /// Handles what an answer of the server states.
     auto on_answer(const std::string& server, const pause_notice& notice)
         -> void;
@@ -57,10 +65,17 @@
     /// Returns for how long the server wants no calls from this daemon; zero
     /// if it takes them.
     [[nodiscard]] auto pause_left(const std::string& server) const -> duration;
+    /// Returns the end of the server's pause; `time_point::min()` if it has
+    /// asked for none.
+    [[nodiscard]] auto end_of_pause(const std::string& server) const
+        -> time_point {
+        return pauses_.end_of_pause(server);
+    }
 
 private:
     const server_notices_context context_;
     coordination::server_pauses pauses_;
+    std::function<void(const std::string&, time_point)> pause_handler_;
     transport::counter& requested_;
     transport::counter& malformed_;
     // Calls to servers that wanted none, by their kind.
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -11,7 +11,7 @@
 namespace basilstream::testing {
 namespace {
 
-constexpr auto settling_time = seconds{5};
+constexpr auto settling_time = milliseconds{5000};
 constexpr auto route_timeout_ms = 8000;
 
 auto service_entry(int adapters) -> protocol::json {
@@ -224,6 +224,14 @@
 auto raw_deployment::play(duration length, std::function<void()> begin)
     -> void {
     auto ended = std::promise<void>{};
+    // A port of a daemon may have been taken by another process meanwhile.
+    thread_.after(settling_time / 2, [this] {
+        for (auto index = 0; index < options_.daemons_; ++index) {
+            if (daemons_[index]->ended()) {
+                start_daemon(index);
+            }
+        }
+    });
     thread_.after(settling_time, std::move(begin));
     thread_.after(settling_time +
                       std::chrono::duration_cast<milliseconds>(length),
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -140,6 +140,7 @@
     /// Kills a daemon and starts it anew.
     auto restart_daemon(int index) -> void;
 
+    [[nodiscard]] auto store() -> stand_in_store& { return store_; }
     [[nodiscard]] auto thread() -> transport::reactor_thread& {
         return thread_;
     }
