Send nothing new to servers that say they are leaving

Cause: the header was read by nobody; only the store's list told who leaves, which is late or away. Class: a statement of the server itself was lost. Change: an answer of any kind that says so (relayed, report, order reply) takes the server out of routing and placement at once. The statement ends with the process: it outlasts an announcement that lapses and comes back, and a new start under the id has not made it. An answer that names another instance says nothing about this server. The departure of such a server is no crash.

--- a/basilstream/daemon/backend_dialect/backend_dialect.hpp
+++ b/basilstream/daemon/backend_dialect/backend_dialect.hpp
@@ -130,6 +130,11 @@
     [[nodiscard]] virtual auto
     pause(int status, const transport::header_list& headers) const
         -> pause_notice = 0;
+    /// Returns whether the answer to a request to `backend`, or the reply to
+    /// any other call to it, states that it is leaving.
+    [[nodiscard]] virtual auto
+    is_leaving(const std::string& backend,
+               const transport::header_list& headers) const -> bool = 0;
     /// Returns the header fields with which a backend server's answer is
     /// forwarded to the client.
     [[nodiscard]] virtual auto
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -93,7 +93,24 @@
     : context_{context}, settings_{std::move(settings)}, place_{place},
       store_{store}, calls_{calls}, observer_{observer},
       lease_{settings_.lease_, settings_.holder_, context.random_},
-      store_loads_{settings_.load_window_} {}
+      store_loads_{settings_.load_window_} {
+    context_.notices_.on_leaving([this](const std::string& runner) {
+        // Not within the answer: other requests may be dispatched.
+        context_.thread_.after(milliseconds{0},
+                               [this, runner] { set_leaving(runner); });
+    });
+}
+
+auto model_control::set_leaving(const std::string& id) -> void {
+    const auto found = servers_.find(id);
+    if (found == servers_.end() || !context_.notices_.is_leaving(id)) {
+        return;
+    }
+    auto& server = found->second.server_;
+    server.draining_ = true;
+    update_ledger(server);
+    publish_server(id);
+}
 
 auto model_control::on_request(const model_reference& want, std::int64_t tokens,
                                bool served) -> void {
@@ -208,8 +225,12 @@
     config_ = std::move(config);
 }
 
-auto model_control::set_backend(const coordination::backend_server& server)
+auto model_control::set_backend(const coordination::backend_server& announced)
     -> void {
+    auto server = announced;
+    context_.notices_.set_server(server.id_, server.started_at_);
+    server.draining_ =
+        server.draining_ || context_.notices_.is_leaving(server.id_);
     auto& entry = servers_[server.id_];
     if (entry.server_.started_at_ != server.started_at_) {
         overlay_.remove_runner(server.id_);
@@ -217,10 +238,15 @@
     entry = {server, context_.clock_.now()};
     store_loads_.on_models_announced(server.id_, names_of(server.models_),
                                      entry.announced_at_);
+    update_ledger(server);
+    publish_server(server.id_);
+}
+
+auto model_control::update_ledger(const coordination::backend_server& server)
+    -> void {
     if (!server.models_.empty() || !service_of(server.id_).empty()) {
         ledger_.set_runner(server);
     }
-    publish_server(server.id_);
 }
 
 auto model_control::remove_backend(const std::string& id) -> void {
@@ -380,6 +406,9 @@
     if (notice.kind_ != rate_limit_notice::kind::absent) {
         context_.permits_.on_notice(runner, notice, sent_at);
     }
+    if (place_.dialect().is_leaving(runner, reply->headers_)) {
+        context_.notices_.on_leaving_stated(runner);
+    }
     context_.notices_.on_answer(
         runner, place_.dialect().pause(reply->status_, reply->headers_));
 }
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -90,7 +90,7 @@
 
     auto set_config(std::shared_ptr<const coordination::relay_config> config)
         -> void;
-    auto set_backend(const coordination::backend_server& server) -> void;
+    auto set_backend(const coordination::backend_server& announced) -> void;
     auto remove_backend(const std::string& id) -> void;
     /// Sets the number of daemons; the interval at which each daemon sends its
     /// demand grows with it.
@@ -122,6 +122,10 @@
     }
 
 private:
+    // Places nothing more on a runner that has said that it is leaving.
+    auto set_leaving(const std::string& id) -> void;
+    // Enters a server in the ledger if it can hold models.
+    auto update_ledger(const coordination::backend_server& server) -> void;
     struct announced_server {
         coordination::backend_server server_;
         time_point announced_at_{};
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -183,6 +183,9 @@
             {{"request_id", request_.id_}, {"backend", backend_}});
         return false;
     }
+    if (state_.dialect_.is_leaving(backend_, head.headers_)) {
+        state_.context_.notices_.on_leaving_stated(backend_);
+    }
     note_rate_limit(head);
     if (head.framing_ == transport::answer_framing::connection) {
         state_.counters_.ended_by_connection_.add();
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -146,6 +146,13 @@
                             settings_.retry_allowance_delay_},
       quarantine_{make_quarantine_settings(), settings_.name_},
       call_monitor_{silence_timeouts} {
+    context_.notices_.on_leaving([this](const std::string& backend) {
+        router_.mark_leaving(backend);
+        if (const auto found = backends_.find(backend);
+            found != backends_.end()) {
+            found->second.draining_ = true;
+        }
+    });
     context_.notices_.on_pause(
         [this](const std::string& backend, time_point until) {
             router_.set_paused_until(backend, until);
@@ -313,6 +320,9 @@
 
 auto relay::set_backend(const coordination::backend_server& server) -> void {
     auto& state = *state_;
+    auto& notices = state.context_.notices_;
+    notices.set_server(server.id_, server.started_at_);
+    const auto leaving = server.draining_ || notices.is_leaving(server.id_);
     auto info = coordination::runner_info{
         .name_ = server.id_,
         .address_ = server.address_,
@@ -320,7 +330,7 @@
         .boot_id_ = internal::boot_id_of(server.started_at_),
         .software_version_ = server.software_version_,
         .slots_ = server.slots_,
-        .leaving_ = server.draining_,
+        .leaving_ = leaving,
         .residents_ = {}};
     for (const auto& model : server.models_) {
         info.residents_.push_back(
@@ -337,12 +347,11 @@
         state.on_backend_crash(server.id_, "started anew");
     }
     state.backends_[server.id_] = {server.service_, server.started_at_,
-                                   server.software_version_, server.draining_};
+                                   server.software_version_, leaving};
     state.router_.update_runner(info);
     state.context_.permits_.set_server(server.id_, server.started_at_);
-    state.context_.notices_.set_server(server.id_, server.started_at_);
-    state.router_.set_paused_until(
-        server.id_, state.context_.notices_.end_of_pause(server.id_));
+    state.router_.set_paused_until(server.id_,
+                                   notices.end_of_pause(server.id_));
     state.context_.streams_.set_server(server.id_, server.service_,
                                        server.software_version_);
     const auto open_exchanges = std::vector<std::shared_ptr<exchange>>{
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -407,6 +407,44 @@
     };
 }
 
+// A server that said that it leaves got requests for as long as it was listed.
+TEST_F(relay_test, sends_to_a_backend_that_says_it_is_leaving) {
+    add_backend_b();
+    a_.default_script_ = answer(200, "ok", "X-Leaving");
+    b_.default_script_ = answer(200, "ok");
+    for (auto turn = 0; turn < 20; ++turn) {
+        EXPECT_EQ(call("/once/" + std::to_string(turn)).status_, 200);
+    }
+    EXPECT_LE(a_.requests_.size(), 1U);
+}
+
+TEST_F(relay_test, refuses_at_once_when_the_only_backend_leaves) {
+    a_.default_script_ = answer(200, "ok", "X-Leaving");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    const auto response = call("/safe/");
+    EXPECT_EQ(response.status_, 503);
+    EXPECT_TRUE(response.headers_.contains("Retry-After"));
+    EXPECT_EQ(a_.requests_.size(), 1U);
+}
+
+// The announcement lapsed and came back, then a new process was announced.
+TEST_F(relay_test, departure_is_forgotten_with_the_announcement) {
+    a_.default_script_ = answer(200, "ok", "X-Leaving");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    run_on_thread([&] {
+        relay_.remove_backend("a");
+        relay_.set_backend(a_.server("app"));
+    });
+    EXPECT_EQ(call("/safe/").status_, 503);
+    a_.default_script_ = answer(200, "ok");
+    run_on_thread([&] {
+        auto restarted = a_.server("app");
+        restarted.started_at_ = 2;
+        relay_.set_backend(restarted);
+    });
+    EXPECT_EQ(call("/safe/").status_, 200);
+}
+
 // Returns a script that refuses the request and asks for a pause.
 auto ask_for_pause(const std::string& length_ms, const std::string& promise)
     -> test_backend::script {
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -82,6 +82,11 @@
                    : pause_notice{kind::valid,
                                   milliseconds{std::stol(std::string{text})}};
     }
+    [[nodiscard]] auto is_leaving(const std::string& /*backend*/,
+                                  const transport::header_list& headers) const
+        -> bool override {
+        return headers.contains("X-Leaving");
+    }
     [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
         -> transport::header_list override {
         auto headers = transport::header_list{};
--- a/basilstream/daemon/relay_program/relay_program_test_world.hpp
+++ b/basilstream/daemon/relay_program/relay_program_test_world.hpp
@@ -169,6 +169,12 @@
         -> pause_notice override {
         return {};
     }
+    [[nodiscard]] auto
+    is_leaving(const std::string& /*backend*/,
+               const transport::header_list& /*headers*/) const
+        -> bool override {
+        return false;
+    }
     [[nodiscard]] auto answer_headers(const transport::answer_head& head) const
         -> transport::header_list override {
         return head.headers_;
--- a/basilstream/daemon/server_notices/server_notices.cpp
+++ b/basilstream/daemon/server_notices/server_notices.cpp
@@ -12,9 +12,13 @@
 } // namespace
 
 server_notices::server_notices(const server_notices_context& context)
-    : context_{context}, requested_{context.metrics_.add_counter(
-                             "basilstream_server_pauses_requested_total",
-                             "Answers in which a server asked for a pause.")},
+    : context_{context},
+      left_{context.metrics_.add_counter(
+          "basilstream_server_departures_stated_total",
+          "Servers that said in an answer that they are leaving.")},
+      requested_{context.metrics_.add_counter(
+          "basilstream_server_pauses_requested_total",
+          "Answers in which a server asked for a pause.")},
       malformed_{context.metrics_.add_counter(
           "basilstream_server_pauses_malformed_total",
           "Refusals with a time to wait that cannot be parsed.")} {
@@ -35,10 +39,24 @@
 auto server_notices::set_server(const std::string& server,
                                 std::int64_t started_at) -> void {
     pauses_.set_server(server, started_at);
+    leaving_.set_server(server, started_at);
 }
 
 auto server_notices::remove_server(const std::string& server) -> void {
     pauses_.remove_server(server, context_.clock_.now());
+    leaving_.remove_server(server, context_.clock_.now());
+}
+
+auto server_notices::on_leaving_stated(const std::string& server) -> void {
+    if (!leaving_.on_stated(server, context_.clock_.now())) {
+        return;
+    }
+    left_.add();
+    context_.log_.info("backend server says that it is leaving",
+                       {{"backend", server}});
+    for (const auto& handler : leaving_handlers_) {
+        handler(server);
+    }
 }
 
 auto server_notices::on_answer(const std::string& server,
--- a/basilstream/daemon/server_notices/server_notices.hpp
+++ b/basilstream/daemon/server_notices/server_notices.hpp
@@ -4,6 +4,9 @@
 ///
 ///     auto notices = server_notices{{clock, log, metrics}};
 ///     notices.on_answer("i-7f3a", dialect.pause(503, headers));
+///     if (dialect.is_leaving("i-7f3a", headers)) {
+///         notices.on_leaving_stated("i-7f3a");
+///     }
 ///     if (notices.pause_left("i-7f3a") == duration{0}) { ... }
 ///
 /// Not thread-safe: use on the traffic thread only.
@@ -14,9 +17,11 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/name_table/name_table.hpp"
+#include "basilstream/coordination/leaving_servers/leaving_servers.hpp"
 #include "basilstream/coordination/server_pauses/server_pauses.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
 #include "basilstream/transport/logging/logging.hpp"
@@ -55,6 +60,13 @@
         -> void {
         pause_handler_ = std::move(handler);
     }
+    /// Adds a function that is called once for each process that says that it
+    /// is leaving.
+    auto on_leaving(std::function<void(const std::string&)> handler) -> void {
+        leaving_handlers_.push_back(std::move(handler));
+    }
+    /// Handles an answer in which the server says that it is leaving.
+    auto on_leaving_stated(const std::string& server) -> void;
     /// Handles what an answer of the server states.
     auto on_answer(const std::string& server, const pause_notice& notice)
         -> void;
@@ -62,6 +74,10 @@
     /// `request` is empty for calls that no client made.
     auto on_sent(const std::string& server, server_call call,
                  const std::string& request) -> void;
+    /// Returns whether the server has said that it is leaving.
+    [[nodiscard]] auto is_leaving(const std::string& server) const -> bool {
+        return leaving_.contains(server);
+    }
     /// Returns for how long the server wants no calls from this daemon; zero
     /// if it takes them.
     [[nodiscard]] auto pause_left(const std::string& server) const -> duration;
@@ -76,6 +92,9 @@
     const server_notices_context context_;
     coordination::server_pauses pauses_;
     std::function<void(const std::string&, time_point)> pause_handler_;
+    coordination::leaving_servers leaving_;
+    std::vector<std::function<void(const std::string&)>> leaving_handlers_;
+    transport::counter& left_;
     transport::counter& requested_;
     transport::counter& malformed_;
     // Calls to servers that wanted none, by their kind.
