--- /dev/null
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -0,0 +1,225 @@
+// Runs complete daemons against servers that send bytes without end, and checks
+// what daemons must keep to: their memory stays within the target, requests
+// that may run again are served by the other servers, and a client never waits
+// long for what will not come.
+
+#include <array>
+#include <iostream>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "testing/raw_deployment/raw_deployment.hpp"
+
+namespace basilstream::testing {
+namespace {
+
+constexpr auto request_id_field = "Basilstream-Request-Id";
+// Target of docs/CAPACITY.md for one daemon.
+constexpr auto max_memory = std::size_t{128} << 20U;
+constexpr auto sending_time = seconds{6};
+constexpr auto time_to_end = seconds{3};
+// Of the deadline of 4 s, clients of requests that may run again need not wait
+// for more than this.
+constexpr auto max_time_to_serve = seconds{2};
+constexpr auto block_size = std::size_t{64} * 1024;
+constexpr auto block_interval = milliseconds{2};
+// A sender pauses while its peer takes nothing.
+constexpr auto max_unsent = std::size_t{4} * block_size;
+
+// What the servers send without end.
+enum class endless { event, comment, body, chunks, head, interim };
+
+struct scenario {
+    const char* name_ = "";
+    endless kind_ = endless::event;
+    int daemons_ = 2;
+    int servers_ = 4;
+    int endless_servers_ = 1;
+};
+
+// Sends a block again and again until its peer closes the connection.
+class endless_sender : public std::enable_shared_from_this<endless_sender> {
+public:
+    endless_sender(transport::reactor_thread& thread,
+                   std::shared_ptr<raw_connection> connection,
+                   std::string block)
+        : thread_{thread}, connection_{std::move(connection)}, block_{std::move(
+                                                                   block)} {}
+    auto send() -> void {
+        if (!connection_->open()) {
+            return;
+        }
+        if (connection_->buffered() < max_unsent) {
+            connection_->write(block_);
+        }
+        thread_.after(block_interval,
+                      [self = shared_from_this()] { self->send(); });
+    }
+
+private:
+    transport::reactor_thread& thread_;
+    std::shared_ptr<raw_connection> connection_;
+    const std::string block_;
+};
+
+// Returns what an endless answer begins with, after its status line and id.
+auto beginning(endless kind) -> std::string {
+    switch (kind) {
+    case endless::event:
+        return "\r\nid: 1\ndata: ";
+    case endless::chunks:
+        return "Transfer-Encoding: chunked\r\n\r\n";
+    case endless::head:
+        return "X-Endless: ";
+    default:
+        return "\r\n";
+    }
+}
+
+auto endless_block(endless kind) -> std::string {
+    auto text = std::string(block_size, 'a');
+    switch (kind) {
+    case endless::comment:
+        text.front() = ':';
+        text.back() = '\n';
+        return text;
+    case endless::chunks: {
+        auto chunk = std::string{};
+        transport::append_chunk(chunk, text);
+        return chunk;
+    }
+    case endless::interim: {
+        auto interim = std::string{};
+        while (interim.size() < block_size) {
+            interim += "HTTP/1.1 100 Continue\r\n\r\n";
+        }
+        return interim;
+    }
+    default:
+        return text;
+    }
+}
+
+class endless_answers_world {
+public:
+    explicit endless_answers_world(const scenario& options)
+        : options_{options}, deployment_{{.daemons_ = options.daemons_,
+                                          .routes_ = {{"/safe/", "idempotent"},
+                                                      {"/stream/", "streaming",
+                                                       true}}}} {
+        for (auto number = 0; number < options_.servers_; ++number) {
+            deployment_.add_server(
+                [this, number](const auto& request, const auto& connection) {
+                    answer(number, request, connection);
+                });
+        }
+    }
+
+    auto run() -> void {
+        deployment_.play(sending_time + time_to_end, [this] {
+            begun_at_ = deployment_.time().now();
+            deployment_.thread().every(request_interval_, [this] { send(); });
+        });
+        peak_memory_ = deployment_.peak_memory();
+    }
+
+    int sent_ = 0;
+    int served_ = 0;
+    int slow_ = 0;
+    // Answers that reached their clients as complete and are not.
+    int completed_ = 0;
+    // Requests that reached the endless servers.
+    int drawn_ = 0;
+    std::size_t peak_memory_ = 0;
+
+private:
+    static constexpr auto request_interval_ = milliseconds{10};
+    static constexpr auto event_ = "id: 1\ndata: a\n\n";
+
+    auto answer(int number, const transport::request_message& request,
+                const std::shared_ptr<raw_connection>& connection) -> void {
+        const auto head =
+            "HTTP/1.1 200 OK\r\n" + std::string{request_id_field} + ": " +
+            std::string{request.headers_.find(request_id_field)} + "\r\n";
+        if (number >= options_.endless_servers_) {
+            const auto body = std::string{event_};
+            connection->write(head + "Content-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body);
+            return;
+        }
+        ++drawn_;
+        if (options_.kind_ != endless::interim) {
+            connection->write(head + beginning(options_.kind_));
+        }
+        std::make_shared<endless_sender>(deployment_.thread(), connection,
+                                         endless_block(options_.kind_))
+            ->send();
+    }
+
+    auto send() -> void {
+        if (deployment_.time().now() > begun_at_ + sending_time) {
+            return;
+        }
+        const auto number = sent_++;
+        auto headers = transport::header_list{};
+        headers.add("Host", "x");
+        headers.add(request_id_field, "q" + std::to_string(number));
+        headers.add("Basilstream-Deadline-Milliseconds", "4000");
+        const auto streams = options_.kind_ == endless::event ||
+                             options_.kind_ == endless::comment;
+        const auto* const prefix =
+            streams || number / options_.daemons_ % 2 == 0 ? "/stream/"
+                                                           : "/safe/";
+        deployment_.send(
+            number % options_.daemons_,
+            transport::write_request("POST", prefix + std::to_string(number),
+                                     headers, "body"),
+            [this](const raw_answer& answer) {
+                const auto whole = answer.body_ == event_;
+                const auto success = answer.status_ == 200 && answer.complete_;
+                served_ += success && whole ? 1 : 0;
+                completed_ += success && !whole ? 1 : 0;
+                slow_ += answer.took_ > max_time_to_serve ? 1 : 0;
+            });
+    }
+
+    const scenario options_;
+    raw_deployment deployment_;
+    time_point begun_at_{};
+};
+
+class endless_answers : public ::testing::TestWithParam<scenario> {};
+
+// Servers that send without end exhausted the memory of daemons, and their
+// requests were lost although other servers were free.
+TEST_P(endless_answers, endless_answer_exhausts_a_daemon) {
+    const auto& options = GetParam();
+    auto world = endless_answers_world{options};
+    world.run();
+    const auto served = static_cast<double>(world.served_) / world.sent_;
+    std::cout << options.name_ << ": " << (world.peak_memory_ >> 20U) << " MB, "
+              << served << " served, " << world.slow_ << " slow, "
+              << world.completed_ << " completed, " << world.drawn_
+              << " requests at the endless servers\n";
+    EXPECT_LE(world.peak_memory_, max_memory);
+    EXPECT_GE(served, 0.97);
+    EXPECT_EQ(world.slow_, 0);
+    EXPECT_EQ(world.completed_, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    scenarios, endless_answers,
+    ::testing::Values(
+        scenario{.name_ = "event_2_daemons"},
+        scenario{.name_ = "event_7_daemons", .daemons_ = 7},
+        scenario{.name_ = "event_80_daemons", .daemons_ = 80},
+        scenario{.name_ = "body_2_daemons", .kind_ = endless::body},
+        scenario{.name_ = "chunks_2_daemons", .kind_ = endless::chunks},
+        scenario{.name_ = "head_2_daemons", .kind_ = endless::head},
+        scenario{.name_ = "interim_answers_2_daemons",
+                 .kind_ = endless::interim}),
+    [](const auto& info) { return std::string{info.param.name_}; });
+
+} // namespace
+} // namespace basilstream::testing
--- a/testing/fault_soak/daemon_process.cpp
+++ b/testing/fault_soak/daemon_process.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <csignal>
 #include <fstream>
+#include <string_view>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -101,4 +102,16 @@
     return ended_;
 }
 
+auto daemon_process::peak_memory() const -> std::size_t {
+    constexpr auto field = std::string_view{"VmHWM:"};
+    auto status = std::ifstream{"/proc/" + std::to_string(pid_) + "/status"};
+    for (auto line = std::string{}; std::getline(status, line);) {
+        if (line.starts_with(field)) {
+            constexpr auto kibibyte = std::size_t{1024};
+            return std::stoul(line.substr(field.size())) * kibibyte;
+        }
+    }
+    return 0;
+}
+
 } // namespace basilstream::testing
--- a/testing/fault_soak/daemon_process.hpp
+++ b/testing/fault_soak/daemon_process.hpp
@@ -4,6 +4,7 @@
 ///     daemon.signal(SIGSTOP);
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include <sys/types.h>
@@ -34,6 +35,9 @@
     auto signal(int number) -> void;
     /// Returns whether the process has ended.
     [[nodiscard]] auto ended() -> bool;
+    /// Returns the largest resident size of the process so far, in bytes; 0 if
+    /// it is not known.
+    [[nodiscard]] auto peak_memory() const -> std::size_t;
     [[nodiscard]] auto caller_address() const -> const std::string& {
         return caller_address_;
     }
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -1,5 +1,6 @@
 #include "testing/raw_deployment/raw_deployment.hpp"
 
+#include <algorithm>
 #include <filesystem>
 #include <future>
 #include <utility>
@@ -252,6 +253,14 @@
     start_daemon(index);
 }
 
+auto raw_deployment::peak_memory() const -> std::size_t {
+    auto largest = std::size_t{0};
+    for (const auto& process : daemons_) {
+        largest = std::max(largest, process->peak_memory());
+    }
+    return largest;
+}
+
 auto raw_deployment::start_daemon(int index) -> void {
     daemons_[index] = std::make_unique<daemon_process>(
         daemon_options{.name_ = "d" + std::to_string(index),
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -140,6 +140,8 @@
     /// Kills a daemon and starts it anew.
     auto restart_daemon(int index) -> void;
 
+    /// Returns the largest resident size of any daemon so far, in bytes.
+    [[nodiscard]] auto peak_memory() const -> std::size_t;
     [[nodiscard]] auto store() -> stand_in_store& { return store_; }
     [[nodiscard]] auto thread() -> transport::reactor_thread& {
         return thread_;
