Bound what a daemon holds of answers that have no end

Cause: an event that is not whole was kept whatever its size; a single answer was read up to 16 MiB, its request then given up as permanent, and its server not seen as failing. Change: an event may have 256 KiB, a single answer 4 MiB, both of all requests together 32 MiB (byte_budget).

--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -51,6 +51,10 @@
     auto on_client_drained() -> void override;
 
 private:
+    // Ends the current attempt if what is buffered of its answer exceeds a
+    // bound. Returns whether it has ended.
+    auto end_if_oversized() -> bool;
+
     // How the answer of the current attempt is handled: passed on as a stream,
     // buffered until complete, or ignored because the backend server did not
     // run the request.
@@ -201,6 +205,8 @@
     answer_verdict verdict_ = answer_verdict::answer;
     transport::answer_head head_;
     std::string body_;
+    // What body_ and events_ hold of the daemon's budget.
+    coordination::byte_lease buffered_;
     // Whether the current attempt has received any byte of a stream.
     bool received_stream_ = false;
     // Whether head_ and body_ hold a 5xx answer of a backend server, which is
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -13,8 +13,10 @@
 // backend server pauses above the first and resumes below the second.
 constexpr auto pause_reading_bytes = std::size_t{64} * 1024;
 constexpr auto resume_reading_bytes = std::size_t{16} * 1024;
-// Maximum size of an answer that is buffered before it is passed on.
-constexpr auto max_buffered_bytes = std::size_t{16} << 20U;
+// Maximum size of an answer that is buffered before it is passed on, and of an
+// event of a stream.
+constexpr auto max_buffered_bytes = std::size_t{4} << 20U;
+constexpr auto max_event_bytes = std::size_t{256} << 10U;
 // Runners have ten urgency levels, 0 the most urgent. Consecutive urgency ranks
 // of the routes of a service are two levels apart.
 constexpr auto first_urgency = 1;
@@ -196,6 +198,7 @@
     }
     head_ = head;
     body_.clear();
+    (void)buffered_.resize(events_.partial_bytes());
     received_stream_ = false;
     has_fallback_ = false;
     const auto streamed =
@@ -229,16 +232,10 @@
 }
 
 auto exchange::on_answer_body(std::string_view piece) -> void {
+    const auto self = shared_from_this();
     if (mode_ == answer_mode::buffered) {
-        if (body_.size() + piece.size() > max_buffered_bytes) {
-            std::exchange(call_, nullptr)->cancel();
-            end_attempt();
-            on_attempt_failed(error{
-                error_code::payload_too_large, step::attempt, backend_,
-                "the answer exceeds the buffer limit", run_status::unknown});
-            return;
-        }
         body_.append(piece);
+        (void)end_if_oversized();
         return;
     }
     const auto now = state_.context_.clock_.now();
@@ -250,6 +247,9 @@
     }
     const auto no_events_yet = events_.events() == 0;
     client_->write_piece(events_.feed(piece));
+    if (end_if_oversized()) {
+        return;
+    }
     if (no_events_yet && events_.events() > 0) {
         if (!stream_version_) {
             stream_version_ = attempt_version_;
@@ -265,6 +265,33 @@
     }
 }
 
+auto exchange::end_if_oversized() -> bool {
+    const auto size = body_.size() + events_.partial_bytes();
+    const auto bound =
+        mode_ == answer_mode::buffered ? max_buffered_bytes : max_event_bytes;
+    if (size <= bound && buffered_.resize(size)) {
+        return false;
+    }
+    state_.counters_.oversized_answers_.add();
+    state_.context_.log_.warning(
+        "answer exceeds a bound",
+        {{"request_id", request_.id_},
+         {"backend", backend_},
+         {"bytes", std::to_string(size)},
+         {"bound", std::to_string(bound)},
+         {"all_bytes", std::to_string(state_.buffered_answers_.used())}});
+    std::exchange(call_, nullptr)->cancel();
+    end_attempt();
+    body_ = {};
+    (void)events_.take_partial();
+    (void)buffered_.resize(0);
+    ++possible_runs_;
+    state_.router_.on_failure(backend_, state_.context_.clock_.now());
+    on_attempt_failed(error{error_code::backend_error, step::attempt, backend_,
+                            "the answer exceeds a bound", run_status::unknown});
+    return true;
+}
+
 auto exchange::on_client_drained() -> void {
     if (paused_ && call_ && client_->buffered() < resume_reading_bytes) {
         paused_ = false;
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "basilstream/coordination/byte_budget/byte_budget.hpp"
 #include "basilstream/coordination/liveness/liveness.hpp"
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/retries/retries.hpp"
@@ -32,6 +33,7 @@
     transport::counter& resume_requests_;
     transport::counter& client_disconnects_;
     transport::counter& ended_by_connection_;
+    transport::counter& oversized_answers_;
     transport::duration_histogram& first_byte_;
     transport::duration_histogram& total_time_;
 };
@@ -107,6 +109,8 @@
     std::uint64_t last_call_number_ = 0;
     std::uint64_t peer_load_reports_ = 0;
     std::size_t daemons_ = 1;
+    // Bytes of answers that wait for the rest of an event or of an answer.
+    coordination::byte_budget buffered_answers_;
     bool accepting_ = true;
 };
 
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -33,6 +33,8 @@
 constexpr auto suspicion_lifetime = std::chrono::hours{24};
 // Takes less than 10 MB at about 400 bytes each.
 constexpr auto max_suspected_requests = std::size_t{16'384};
+// Takes a quarter of the memory that a daemon may use in all.
+constexpr auto max_buffered_answer_bytes = std::size_t{32} << 20U;
 // Bound of the random number that distinguishes the runs of a restarted daemon.
 constexpr auto max_run_id_nonce = std::uint64_t{1} << 32U;
 // Connections per backend server for services without a configured limit.
@@ -126,6 +128,9 @@
       ended_by_connection_{metrics.add_counter(
           "basilstream_relay_answers_ended_by_connection_total",
           "Answers whose end is the end of their connection.")},
+      oversized_answers_{metrics.add_counter(
+          "basilstream_relay_oversized_answers_total",
+          "Answers that were cut off because they exceeded a bound.")},
       first_byte_{metrics.add_histogram(
           "basilstream_relay_first_byte_seconds",
           "Time to an answer or a stream's first event.")},
@@ -145,7 +150,12 @@
       retry_allowance_from_{context.clock_.now() +
                             settings_.retry_allowance_delay_},
       quarantine_{make_quarantine_settings(), settings_.name_},
-      call_monitor_{silence_timeouts} {
+      call_monitor_{silence_timeouts}, buffered_answers_{
+                                           max_buffered_answer_bytes} {
+    context_.metrics_.add_gauge(
+        "basilstream_relay_buffered_answer_bytes",
+        "Bytes of answers that wait for the rest of an event or an answer.",
+        [this] { return static_cast<double>(buffered_answers_.used()); });
     context_.notices_.on_leaving([this](const std::string& backend) {
         router_.mark_leaving(backend);
         if (const auto found = backends_.find(backend);
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -407,6 +407,43 @@
     };
 }
 
+// Returns a script that sends a head and 8 MB that end nothing.
+auto send_without_end() -> test_backend::script {
+    return [](const transport::request_message& request,
+              test_backend::connection& to) {
+        to.write("HTTP/1.1 200 OK\r\nX-Id: " +
+                 std::string{request.headers_.find("X-Id")} + "\r\n\r\n");
+        to.write(std::string(std::size_t{8} << 20U, 'a'));
+    };
+}
+
+// Clients got 502 although another server was free.
+TEST_F(relay_test, answer_without_end_is_not_retried) {
+    add_backend_b();
+    a_.default_script_ = send_without_end();
+    b_.default_script_ = stream("id: 1\n\n", true);
+    for (const auto* const path : {"/safe/", "/resume/"}) {
+        for (auto turn = 0; turn < 4; ++turn) {
+            const auto response = call(path + std::to_string(turn));
+            EXPECT_EQ(response.status_, 200);
+            EXPECT_EQ(response.body_, "id: 1\n\n");
+        }
+    }
+    // It is left alone after three failures.
+    EXPECT_LE(a_.requests_.size(), 3U);
+    EXPECT_NE(metrics_.prometheus_text().find(
+                  "basilstream_relay_buffered_answer_bytes 0"),
+              std::string::npos);
+}
+
+TEST_F(relay_test, event_without_end_is_passed_on) {
+    a_.default_script_ = send_without_end();
+    const auto response = call("/stream/");
+    EXPECT_FALSE(response.complete_);
+    EXPECT_TRUE(response.body_.empty());
+    EXPECT_EQ(a_.closed_, 1);
+}
+
 // A server that said that it leaves got requests for as long as it was listed.
 TEST_F(relay_test, sends_to_a_backend_that_says_it_is_leaving) {
     add_backend_b();
--- a/testing/endless_answers/endless_answers_test.cpp
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -36,6 +36,7 @@
     int daemons_ = 2;
     int servers_ = 4;
     int endless_servers_ = 1;
+    milliseconds request_interval_{10};
 };
 
 // Sends a block again and again until its peer closes the connection.
@@ -119,7 +120,8 @@
     auto run() -> void {
         deployment_.play(sending_time + time_to_end, [this] {
             begun_at_ = deployment_.time().now();
-            deployment_.thread().every(request_interval_, [this] { send(); });
+            deployment_.thread().every(options_.request_interval_,
+                                       [this] { send(); });
         });
         peak_memory_ = deployment_.peak_memory();
     }
@@ -134,7 +136,6 @@
     std::size_t peak_memory_ = 0;
 
 private:
-    static constexpr auto request_interval_ = milliseconds{10};
     static constexpr auto event_ = "id: 1\ndata: a\n\n";
 
     auto answer(int number, const transport::request_message& request,
@@ -213,7 +214,10 @@
     ::testing::Values(
         scenario{.name_ = "event_2_daemons"},
         scenario{.name_ = "event_7_daemons", .daemons_ = 7},
-        scenario{.name_ = "event_80_daemons", .daemons_ = 80},
+        // Each daemon may retry in proportion to its own requests.
+        scenario{.name_ = "event_80_daemons",
+                 .daemons_ = 80,
+                 .request_interval_ = milliseconds{3}},
         scenario{.name_ = "body_2_daemons", .kind_ = endless::body},
         scenario{.name_ = "chunks_2_daemons", .kind_ = endless::chunks},
         scenario{.name_ = "head_2_daemons", .kind_ = endless::head},
