Refuse at once when the only server of a model leaves

What callers saw: requests for a model whose only server leaves waited twice their objective and were refused then, although nothing could serve them in that time. Cause: the expected wait counted the model as present on a server that is leaving, and so only the load of an adapter as missing. Change: servers that are leaving do not count. The scenario answers orders and reports by 409.

--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -200,7 +200,8 @@
     const auto model_resident =
         std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
             const auto& models = entry.second.server_.models_;
-            return entry.second.server_.service_ == want.service_ &&
+            return !entry.second.server_.draining_ &&
+                   entry.second.server_.service_ == want.service_ &&
                    std::any_of(models.begin(), models.end(),
                                [&](const auto& model) {
                                    return model.name_ == want.model_;
--- a/testing/leaving_servers/leaving_servers_test.cpp
+++ b/testing/leaving_servers/leaving_servers_test.cpp
@@ -48,6 +48,8 @@
     int leaving_ = 2;
     reply reply_ = reply::answer;
     announcement announcement_ = announcement::stays;
+    // Whether the requests need the model that the servers hold.
+    bool with_model_ = false;
     milliseconds request_interval_{8};
     double min_served_ = 0.97;
 };
@@ -55,10 +57,11 @@
 class leaving_servers_world {
 public:
     explicit leaving_servers_world(const scenario& options)
-        : options_{options}, deployment_{{.daemons_ = options.daemons_,
-                                          .routes_ = {{"/safe/", "idempotent"},
-                                                      {"/stream/", "streaming",
-                                                       true}}}} {
+        : options_{options}, deployment_{
+                                 {.daemons_ = options.daemons_,
+                                  .routes_ = {{"/safe/", "idempotent"},
+                                              {"/stream/", "streaming", true}},
+                                  .adapters_ = options.with_model_ ? 1 : 0}} {
         for (auto number = 0; number < options_.servers_; ++number) {
             servers_.push_back(&deployment_.add_server(
                 [this, number](const auto& request, const auto& connection) {
@@ -140,6 +143,12 @@
         const auto echo = std::string{request_id_field} + ": " + id + "\r\n" +
                           (leaving ? "Server-Leaving: 1\r\n" : "");
         const auto event = std::string{"id: 1\ndata: a\n\n"};
+        if (request.target_.starts_with("/basilstream/")) {
+            // Orders and reports: another order is being carried out.
+            connection->write("HTTP/1.1 409 Conflict\r\n" + echo +
+                              "Content-Length: 0\r\n\r\n");
+            return;
+        }
         if (kind == reply::refusal) {
             connection->write("HTTP/1.1 503 Busy\r\n" + echo +
                               "Basilstream-Not-Executed: 1\r\n"
@@ -174,6 +183,9 @@
         headers.add(request_id_field, id);
         headers.add("Basilstream-Deadline-Milliseconds", "4000");
         headers.add(daemon_field, "d" + std::to_string(daemon));
+        if (options_.with_model_) {
+            headers.add("Basilstream-Model", "m");
+        }
         const auto* const prefix = options_.reply_ == reply::stream ||
                                            number / options_.daemons_ % 2 == 0
                                        ? "/stream/"
@@ -247,6 +259,12 @@
                                .servers_ = 1,
                                .leaving_ = 1,
                                .min_served_ = 0.1},
+                      scenario{.name_ = "only_server_with_the_model_7_daemons",
+                               .daemons_ = 7,
+                               .servers_ = 1,
+                               .leaving_ = 1,
+                               .with_model_ = true,
+                               .min_served_ = 0.1},
                       scenario{.name_ = "store_away_7_daemons",
                                .daemons_ = 7,
                                .announcement_ = announcement::store_away},
