--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -410,7 +410,7 @@
     if (place_.dialect().is_leaving(runner, reply->headers_)) {
         context_.notices_.on_leaving_stated(runner);
     }
-    context_.notices_.on_answer(
+    context_.notices_.on_pause_stated(
         runner, place_.dialect().pause(reply->status_, reply->headers_));
 }
 
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -122,15 +122,15 @@
     }
 
 private:
-    // Places nothing more on a runner that has said that it is leaving.
-    auto set_leaving(const std::string& id) -> void;
-    // Enters a server in the ledger if it can hold models.
-    auto update_ledger(const coordination::backend_server& server) -> void;
     struct announced_server {
         coordination::backend_server server_;
         time_point announced_at_{};
     };
 
+    // Places nothing more on a runner that has said that it is leaving.
+    auto set_leaving(const std::string& id) -> void;
+    // Enters a server in the ledger if it can hold models.
+    auto update_ledger(const coordination::backend_server& server) -> void;
     auto advance_lease() -> void;
     auto read_lease() -> void;
     auto append_lease(const coordination::lease_append& due) -> void;
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -98,6 +98,9 @@
     auto monitor_call() -> void;
     // Returns whether the current backend server has sent anything lately.
     [[nodiscard]] auto backend_active(time_point now) const -> bool;
+    // Handles what the answer states about pauses and the departure of its
+    // server, whichever request it belongs to.
+    auto note_server_state(const transport::answer_head& head) -> void;
     // Handles what the answer states about the rate limit of its server.
     auto note_rate_limit(const transport::answer_head& head) -> void;
     // Cancels the attempt in flight and ends it.
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -176,18 +176,13 @@
 auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
     verdict_ = state_.dialect_.classify_answer(head, request_.id_);
     state_.last_received_at_[backend_] = state_.context_.clock_.now();
-    // Also if the answer is not to this request: its server has sent it.
-    state_.context_.notices_.on_answer(
-        backend_, state_.dialect_.pause(head.status_, head.headers_));
+    note_server_state(head);
     if (verdict_ == answer_verdict::other_request) {
         state_.context_.log_.warning(
             "answer dropped: request id does not match",
             {{"request_id", request_.id_}, {"backend", backend_}});
         return false;
     }
-    if (state_.dialect_.is_leaving(backend_, head.headers_)) {
-        state_.context_.notices_.on_leaving_stated(backend_);
-    }
     note_rate_limit(head);
     if (head.framing_ == transport::answer_framing::connection) {
         state_.counters_.ended_by_connection_.add();
@@ -218,6 +213,15 @@
     return true;
 }
 
+auto exchange::note_server_state(const transport::answer_head& head) -> void {
+    auto& notices = state_.context_.notices_;
+    notices.on_pause_stated(backend_,
+                            state_.dialect_.pause(head.status_, head.headers_));
+    if (state_.dialect_.is_leaving(backend_, head.headers_)) {
+        notices.on_leaving_stated(backend_);
+    }
+}
+
 auto exchange::note_rate_limit(const transport::answer_head& head) -> void {
     const auto notice = state_.dialect_.rate_limit(head.headers_);
     // A refusal need not repeat the limit, and a misdirected request was
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -169,9 +169,7 @@
         });
 }
 
-relay_state::~relay_state() {
-    context_.notices_.on_pause({});
-}
+relay_state::~relay_state() = default;
 
 auto relay_state::retry_policy_of(const std::string& service)
     -> coordination::retry_policy& {
--- a/basilstream/daemon/server_notices/server_notices.cpp
+++ b/basilstream/daemon/server_notices/server_notices.cpp
@@ -59,8 +59,8 @@
     }
 }
 
-auto server_notices::on_answer(const std::string& server,
-                               const pause_notice& notice) -> void {
+auto server_notices::on_pause_stated(const std::string& server,
+                                     const pause_notice& notice) -> void {
     using kind = pause_notice::kind;
     if (notice.kind_ == kind::malformed) {
         malformed_.add();
--- a/basilstream/daemon/server_notices/server_notices.hpp
+++ b/basilstream/daemon/server_notices/server_notices.hpp
@@ -3,7 +3,7 @@
 /// models.
 ///
 ///     auto notices = server_notices{{clock, log, metrics}};
-///     notices.on_answer("i-7f3a", dialect.pause(503, headers));
+///     notices.on_pause_stated("i-7f3a", dialect.pause(503, headers));
 ///     if (dialect.is_leaving("i-7f3a", headers)) {
 ///         notices.on_leaving_stated("i-7f3a");
 ///     }
@@ -55,20 +55,21 @@
     auto remove_server(const std::string& server) -> void;
 
     /// Sets the function that learns when the pause of a server ends, each time
-    /// that this has changed.
+    /// that this has changed. It must be callable for as long as answers are
+    /// handled.
     auto on_pause(std::function<void(const std::string&, time_point)> handler)
         -> void {
         pause_handler_ = std::move(handler);
     }
     /// Adds a function that is called once for each process that says that it
-    /// is leaving.
+    /// is leaving. It must be callable for as long as answers are handled.
     auto on_leaving(std::function<void(const std::string&)> handler) -> void {
         leaving_handlers_.push_back(std::move(handler));
     }
     /// Handles an answer in which the server says that it is leaving.
     auto on_leaving_stated(const std::string& server) -> void;
-    /// Handles what an answer of the server states.
-    auto on_answer(const std::string& server, const pause_notice& notice)
+    /// Handles what an answer of the server states about a pause.
+    auto on_pause_stated(const std::string& server, const pause_notice& notice)
         -> void;
     /// Logs and counts a call if it is sent to a server that wants none.
     /// `request` is empty for calls that no client made.
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -75,8 +75,8 @@
         keep_alive_ = !reader_.has_surplus();
         auto request = reader_.take();
         keep_alive_ = keep_alive_ && request.keep_alive_;
-        stream_framing_ = request.takes_chunks_ ? body_framing::chunked
-                                                : body_framing::none;
+        stream_framing_ =
+            request.takes_chunks_ ? body_framing::chunked : body_framing::none;
         without_body_ = request.method_ == "HEAD";
         server_.handler_(std::move(request), *this);
         break;
