Pass on events whose lines end with CR

What callers would see: streams whose lines end with CR alone, which server-sent events allow, were held back until their end; since events that are cut break a stream off, they would not have been served at all. Change: all three line ends; after a CR the next byte decides.

--- a/basilstream/protocol/event_stream/event_stream.cpp
+++ b/basilstream/protocol/event_stream/event_stream.cpp
@@ -8,19 +8,37 @@
 namespace {
 
 // Longest end of an event: the end of its last line and an empty line.
-constexpr auto longest_end = std::string_view{"\n\r\n"}.size();
+constexpr auto longest_end = std::string_view{"\r\n\r\n"}.size();
+
+// Returns the length of the line end at `position`: CR LF, LF or CR; 0 if there
+// is none, or if the next byte decides.
+auto line_end_length(std::string_view text, std::size_t position)
+    -> std::size_t {
+    const auto rest = text.substr(std::min(position, text.size()));
+    if (rest.starts_with('\n')) {
+        return 1;
+    }
+    if (!rest.starts_with('\r') || rest.size() == 1) {
+        return 0;
+    }
+    return rest[1] == '\n' ? 2 : 1;
+}
 
 // Returns where the first event ends whose end begins at `from` or later, or
 // `npos`.
 auto find_end_of_event(std::string_view text, std::size_t from) -> std::size_t {
-    for (auto end = text.find('\n', from); end != std::string_view::npos;
-         end = text.find('\n', end + 1)) {
-        const auto next = text.substr(end + 1);
-        if (next.starts_with('\n')) {
-            return end + 2;
+    constexpr auto line_ends = std::string_view{"\r\n"};
+    for (auto end = text.find_first_of(line_ends, from);
+         end != std::string_view::npos;
+         end = text.find_first_of(line_ends, end)) {
+        const auto length = line_end_length(text, end);
+        const auto empty_line = line_end_length(text, end + length);
+        if (length == 0) {
+            break;
         }
-        if (next.starts_with("\r\n")) {
-            return end + longest_end;
+        end += length;
+        if (empty_line > 0) {
+            return end + empty_line;
         }
     }
     return std::string_view::npos;
@@ -30,7 +48,7 @@
 auto event_id(std::string_view event) -> std::optional<std::uint64_t> {
     constexpr auto field = std::string_view{"id:"};
     while (!event.empty()) {
-        const auto line = event.substr(0, event.find('\n'));
+        const auto line = event.substr(0, event.find_first_of("\r\n"));
         event.remove_prefix(std::min(event.size(), line.size() + 1));
         if (!line.starts_with(field)) {
             continue;
@@ -83,17 +101,24 @@
 }
 
 auto event_splitter::is_inside_event() const -> bool {
-    auto rest = std::string_view{pending_};
-    while (!rest.empty()) {
-        const auto end = rest.find('\n');
-        const auto line = rest.substr(0, end);
-        const auto belongs_to_none =
-            line.empty() || line == "\r" ||
-            (line.front() == ':' && end != std::string_view::npos);
-        if (!belongs_to_none) {
+    auto text = pending_;
+    // Nothing follows: a last CR is a line end unless lines end with CR LF.
+    if (text.ends_with('\r') && text.find('\n') == std::string::npos) {
+        text.push_back('\n');
+    }
+    auto begin = std::size_t{0};
+    for (auto end = find_end_of_event(text, 0); end != std::string::npos;
+         end = find_end_of_event(text, begin)) {
+        begin = end;
+    }
+    while (begin < text.size()) {
+        const auto end = text.find_first_of("\r\n", begin);
+        const auto length =
+            end == std::string::npos ? 0 : line_end_length(text, end);
+        if (length == 0 || (end != begin && text[begin] != ':')) {
             return true;
         }
-        rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+        begin = end + length;
     }
     return false;
 }
--- a/basilstream/protocol/event_stream/event_stream.hpp
+++ b/basilstream/protocol/event_stream/event_stream.hpp
@@ -18,7 +18,8 @@
 namespace basilstream::protocol {
 
 /// Passes whole events on and remembers the id of the last one. Lines end with
-/// LF or CR LF.
+/// LF, CR LF or CR. After a CR the next byte decides, so that the last event of
+/// a stream whose lines end with CR stays in take_partial().
 class event_splitter {
 public:
     /// Drops events whose ids are at most `id`.
--- a/basilstream/protocol/event_stream/event_stream_test.cpp
+++ b/basilstream/protocol/event_stream/event_stream_test.cpp
@@ -52,8 +52,8 @@
         return events.is_inside_event();
     };
     const auto whole = std::string{"id: 1\ndata: a\n\n"};
-    for (const auto* const rest :
-         {"", "\n", "\r\n", "\n\n", ": comment\n", ": a\r\n\r\n"}) {
+    for (const auto* const rest : {"", "\r", "id: 2\rdata: b\r\r", "\n", "\r\n",
+                                   "\n\n", ": comment\n", ": a\r\n\r\n"}) {
         EXPECT_FALSE(is_inside(whole + rest)) << rest;
         EXPECT_FALSE(is_inside(rest)) << rest;
     }
@@ -80,5 +80,19 @@
     }
 }
 
+// Events whose lines end with CR were held back, and their streams broken off.
+TEST(event_splitter, events_with_cr_are_held_back) {
+    const auto text = std::string{"id: 1\rdata: a\r\rid: 2\rdata: b\r\r"};
+    for (auto cut = std::size_t{0}; cut <= text.size(); ++cut) {
+        auto events = event_splitter{};
+        auto output = std::string{events.feed(text.substr(0, cut))};
+        output.append(events.feed(text.substr(cut)));
+        EXPECT_EQ(output, "id: 1\rdata: a\r\r") << cut;
+        EXPECT_EQ(events.last_id(), 1U);
+        EXPECT_FALSE(events.is_inside_event());
+        EXPECT_EQ(events.take_partial(), "id: 2\rdata: b\r\r");
+    }
+}
+
 } // namespace
 } // namespace basilstream::protocol
--- a/testing/endless_answers/endless_answers_test.cpp
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -218,6 +218,7 @@
         scenario{.name_ = "event_80_daemons",
                  .daemons_ = 80,
                  .request_interval_ = milliseconds{3}},
+        scenario{.name_ = "comments_2_daemons", .kind_ = endless::comment},
         scenario{.name_ = "body_2_daemons", .kind_ = endless::body},
         scenario{.name_ = "chunks_2_daemons", .kind_ = endless::chunks},
         scenario{.name_ = "head_2_daemons", .kind_ = endless::head},
