Leave the limits of a version to the streams that are bound to it

Cause: a new stream took a limited server as readily as any other. Change: a soft criterion of the router: while a service has several versions, new streams of resumable routes take servers that name a limit only if the others are saturated. Evidence: new_streams_use_up_the_limits_of_a_version fails without the change (two requests at the limited server, one expected); a test of the router. Not shown: that this is all of the fault.

--- a/basilstream/coordination/routing/internal/decision.cpp
+++ b/basilstream/coordination/routing/internal/decision.cpp
@@ -31,6 +31,7 @@
 // In descending order of precedence, as in tier_bit.
 constexpr soft_criterion soft_criteria[] = {
     {internal::saturated, rejection_reason::saturated},
+    {internal::avoided, rejection_reason::avoided},
     {internal::adapter_missing, rejection_reason::adapter_missing},
     {internal::over_load_bound, rejection_reason::over_load_bound},
     {internal::prefix_not_cached, rejection_reason::prefix_not_cached},
@@ -50,6 +51,11 @@
                     : rejection_reason::more_loaded;
 }
 
+auto contains(std::span<const std::string> names, const std::string& name)
+    -> bool {
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 auto load_per_slot(const candidate& entry) -> double {
     return entry.load_ / entry.replica_->runner_->info_.slots_;
 }
@@ -109,8 +115,7 @@
         !candidate.has_adapter(request.adapter_)) {
         return rejection_reason::adapter_missing;
     }
-    if (std::find(request.excluded_.begin(), request.excluded_.end(),
-                  runner.info_.name_) != request.excluded_.end()) {
+    if (contains(request.excluded_, runner.info_.name_)) {
         return rejection_reason::excluded;
     }
     if (guards_.at_limit_(runner.in_flight_, runner.limit_)) {
@@ -185,6 +190,7 @@
             !entry.replica_->prefixes_.contains(request.prefix_hash_);
         entry.tier_ =
             (entry.load_ >= info.slots_ ? internal::saturated : 0U) |
+            (contains(request.avoided_, info.name_) ? internal::avoided : 0U) |
             (entry.replica_->has_adapter(request.adapter_)
                  ? 0U
                  : internal::adapter_missing) |
--- a/basilstream/coordination/routing/internal/replica_index.hpp
+++ b/basilstream/coordination/routing/internal/replica_index.hpp
@@ -91,7 +91,8 @@
 
 /// The soft criteria, in descending order of precedence.
 enum tier_bit : unsigned {
-    saturated = 1U << 4U,
+    saturated = 1U << 5U,
+    avoided = 1U << 4U,
     adapter_missing = 1U << 3U,
     over_load_bound = 1U << 2U,
     prefix_not_cached = 1U << 1U,
--- a/basilstream/coordination/routing/routing.hpp
+++ b/basilstream/coordination/routing/routing.hpp
@@ -56,6 +56,7 @@
     paused,
     software_mismatch,
     saturated,
+    avoided,
     over_load_bound,
     prefix_not_cached,
     other_zone,
@@ -69,7 +70,7 @@
       {route_reason::prefix_affinity, "prefix_affinity"},
       {route_reason::least_loaded, "least_loaded"}}}};
 
-inline constexpr auto rejection_reason_names = name_table<rejection_reason, 16>{
+inline constexpr auto rejection_reason_names = name_table<rejection_reason, 17>{
     {{{rejection_reason::not_ready, "not_ready"},
       {rejection_reason::leaving, "leaving"},
       {rejection_reason::excluded, "excluded"},
@@ -81,6 +82,7 @@
       {rejection_reason::paused, "paused"},
       {rejection_reason::software_mismatch, "software_mismatch"},
       {rejection_reason::saturated, "saturated"},
+      {rejection_reason::avoided, "avoided"},
       {rejection_reason::over_load_bound, "over_load_bound"},
       {rejection_reason::prefix_not_cached, "prefix_not_cached"},
       {rejection_reason::other_zone, "other_zone"},
@@ -148,6 +150,8 @@
     std::uint64_t prefix_hash_ = 0;
     /// Runners on which earlier attempts of the request failed.
     std::span<const std::string> excluded_ = {};
+    /// Runners that are chosen only if all others are saturated.
+    std::span<const std::string> avoided_ = {};
     /// Whether a runner without the adapter is eligible. The code that calls
     /// choose() must then load the adapter before it sends the attempt.
     bool may_load_adapter_ = false;
--- a/basilstream/coordination/routing/routing_test.cpp
+++ b/basilstream/coordination/routing/routing_test.cpp
@@ -99,6 +99,19 @@
     EXPECT_FALSE(routes_.choose_rate_limited(request, now_));
 }
 
+TEST_F(routing, avoided_runner_is_chosen_if_the_others_are_saturated) {
+    add_runner("r1");
+    add_runner("r2");
+    const auto avoided = std::vector<std::string>{"r1"};
+    const auto request = route_request{.model_ = "m", .avoided_ = avoided};
+    auto attempts = 0;
+    while (routes_.choose(request, now_)->runner_ == "r2") {
+        routes_.start_attempt("r2");
+        ASSERT_LE(++attempts, 1000);
+    }
+    EXPECT_GT(attempts, 1);
+}
+
 // A runner that turns all requests away seems the least loaded one.
 TEST_F(routing, paused_runner_is_chosen) {
     add_runner("r1");
--- a/basilstream/coordination/server_limits/named_limits.cpp
+++ b/basilstream/coordination/server_limits/named_limits.cpp
@@ -101,6 +101,16 @@
     return changed;
 }
 
+auto named_limits::servers() const -> std::vector<std::string> {
+    auto names = std::vector<std::string>{};
+    for (const auto& [name, known] : entries_) {
+        if (known.limit_.per_second_) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 auto named_limits::size() const -> std::size_t {
     return static_cast<std::size_t>(
         std::count_if(entries_.begin(), entries_.end(), [](const auto& entry) {
--- a/basilstream/coordination/server_limits/server_limits.hpp
+++ b/basilstream/coordination/server_limits/server_limits.hpp
@@ -77,6 +77,8 @@
     /// Returns the limits that have changed since `since`, for other daemons.
     [[nodiscard]] auto changed_since(time_point since) const
         -> std::vector<named_limit>;
+    /// Returns the servers that have a limit.
+    [[nodiscard]] auto servers() const -> std::vector<std::string>;
     /// Returns the number of servers that have a limit.
     [[nodiscard]] auto size() const -> std::size_t;
 
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -115,11 +115,21 @@
     return {.model_ = key,
             .software_version_ = required_version(),
             .adapter_ = request_.adapter_,
-            .excluded_ = excluded_};
+            .excluded_ = excluded_,
+            .avoided_ = avoided_};
+}
+
+auto exchange::avoid_limited_servers() -> void {
+    const auto may_begin_anywhere = route_.resumable_ && !required_version();
+    avoided_ = may_begin_anywhere &&
+                       !state_.context_.streams_.has_sole_version(service_)
+                   ? state_.context_.permits_.limited_servers()
+                   : std::vector<std::string>{};
 }
 
 auto exchange::dispatch() -> void {
     const auto now = state_.context_.clock_.now();
+    avoid_limited_servers();
     const auto key = routing_key(service_, request_.model_);
     auto routing_request = make_route_request(key);
     auto chosen = state_.router_.choose(routing_request, now);
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -66,6 +66,9 @@
     // Returns the version that a resumed stream requires.
     [[nodiscard]] auto required_version() const
         -> std::optional<std::string_view>;
+    // Leaves the servers at which streams of one version can go on, and which
+    // take few requests, to the streams that are bound to that version.
+    auto avoid_limited_servers() -> void;
     // Selects a backend server and sends an attempt; waits or gives up if none
     // is available.
     auto dispatch() -> void;
@@ -198,6 +201,8 @@
     std::string_view retry_outcome_ = "not_asked";
     // Backend servers that the next attempt avoids.
     std::vector<std::string> excluded_;
+    // Backend servers that it takes only if all others are saturated.
+    std::vector<std::string> avoided_;
     // Number of attempts that ran or may have run, and of all attempts sent.
     int possible_runs_ = 0;
     int attempts_sent_ = 0;
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -582,6 +582,27 @@
     EXPECT_LE(a_.requests_.size(), 2U);
 }
 
+// New streams took the permits of the only server at which those of its version
+// can go on.
+TEST_F(relay_test, new_streams_use_up_the_limits_of_a_version) {
+    a_.default_script_ = limited_answer("2");
+    EXPECT_EQ(call("/safe/").status_, 200);
+    run_on_thread([&] {
+        b_.software_version_ = "v2";
+        add_backend_b();
+    });
+    b_.default_script_ = stream("id: 1\n\n", true);
+    for (auto count = 0; count < 10; ++count) {
+        EXPECT_TRUE(call("/resume/" + std::to_string(count)).complete_);
+    }
+    EXPECT_EQ(a_.requests_.size(), 1U);
+    // Requests that are no streams use the server.
+    for (auto count = 0; count < 20; ++count) {
+        (void)call("/safe/" + std::to_string(count));
+    }
+    EXPECT_GT(a_.requests_.size(), 1U);
+}
+
 // Requests were held until their deadline though no backend server could take
 // them in time.
 TEST_F(relay_test, refuses_at_once_when_rate_limits_allow_no_request_in_time) {
--- a/basilstream/daemon/server_permits/server_permits.hpp
+++ b/basilstream/daemon/server_permits/server_permits.hpp
@@ -79,6 +79,10 @@
                  permit_handler done) -> void;
     /// Counts a request that is sent to a backend server.
     auto on_sent(const std::string& server) -> void;
+    /// Returns the backend servers that have named a limit.
+    [[nodiscard]] auto limited_servers() const -> std::vector<std::string> {
+        return limits_.servers();
+    }
     /// Returns the limit that the backend server has named, empty if none.
     [[nodiscard]] auto limit_of(const std::string& server) const
         -> std::optional<double>;
--- a/basilstream/daemon/stream_directory/stream_directory.hpp
+++ b/basilstream/daemon/stream_directory/stream_directory.hpp
@@ -64,6 +64,14 @@
     auto find_version(const std::string& request, const std::string& service,
                       version_handler done) -> void;
 
+    /// Returns whether the service has had one version for so long that all of
+    /// its streams can go on at any server.
+    [[nodiscard]] auto has_sole_version(const std::string& service) const
+        -> bool {
+        return versions_.sole_version(service, context_.clock_.now())
+            .has_value();
+    }
+
     /// Handles what another daemon tells or asks.
     auto on_update(const std::string& sender,
                    const protocol::relay_update& update) -> void;
