--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -782,20 +782,12 @@
 
 // Between two crashes, a server answers the request with an error of its own.
 TEST_F(relay_test, server_error_clears_crash_suspicions) {
-    const auto crash = [&](std::int64_t next_start) {
-        EXPECT_EQ(call("/once/bad").status_, 502);
-        run_on_thread([&] {
-            auto restarted = a_.server("app");
-            restarted.started_at_ = next_start;
-            relay_.set_backend(restarted);
-        });
-    };
     a_.scripts_ = {close_without_answer(), answer(500, "sorry"),
                    close_without_answer()};
     a_.default_script_ = answer(200, "ok");
-    crash(2);
+    crash_under_request(2);
     EXPECT_EQ(call("/once/bad").status_, 500);
-    crash(3);
+    crash_under_request(3);
     EXPECT_EQ(call("/once/bad").status_, 503);
     EXPECT_EQ(a_.requests_.size(), 3U);
 }
@@ -862,21 +854,13 @@
 
 // An answer that a crash may have ended cleared the request.
 TEST_F(relay_test, answer_that_ends_with_its_connection_clears_suspicions) {
-    const auto crash = [&](std::int64_t next_start) {
-        EXPECT_EQ(call("/once/bad").status_, 502);
-        run_on_thread([&] {
-            auto restarted = a_.server("app");
-            restarted.started_at_ = next_start;
-            relay_.set_backend(restarted);
-        });
-    };
     a_.scripts_ = {close_without_answer(),
                    stream_to_end_of_connection("perhaps whole"),
                    close_without_answer()};
     a_.default_script_ = answer(200, "ok");
-    crash(2);
+    crash_under_request(2);
     EXPECT_EQ(call("/once/bad").status_, 200);
-    crash(3);
+    crash_under_request(3);
     EXPECT_EQ(call("/once/bad").status_, 503);
     EXPECT_EQ(a_.requests_.size(), 3U);
 }
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -411,6 +411,16 @@
         return response;
     }
 
+    // Sends a request whose backend server, "a", ends and starts anew.
+    auto crash_under_request(std::int64_t next_start) -> void {
+        EXPECT_EQ(call("/once/bad").status_, 502);
+        run_on_thread([&] {
+            auto restarted = a_.server("app");
+            restarted.started_at_ = next_start;
+            relay_.set_backend(restarted);
+        });
+    }
+
     steady_clock clock_;
     seeded_random random_{1};
     transport::reactor_thread thread_;
