--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -7,7 +7,8 @@
 #include "basilstream/protocol/json/json.hpp"
 
 // Request lifecycle: arrival, backend selection, wait for a model, final
-// answer. Single attempts are handled in exchange_attempts.cpp.
+// answer. Single attempts are handled in exchange_attempts.cpp, answers of
+// backend servers in exchange_answers.cpp.
 
 namespace basilstream::daemon::internal {
 namespace {
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -3,20 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-// Single attempts of a request on a backend server: sending, answer, failure,
-// and the decision whether to retry.
+// Single attempts of a request on a backend server: sending, failure, and the
+// decision whether to retry. Answers are handled in exchange_answers.cpp.
 
 namespace basilstream::daemon::internal {
 namespace {
 
-// High and low watermark of the bytes buffered for the client. Reading from the
-// backend server pauses above the first and resumes below the second.
-constexpr auto pause_reading_bytes = std::size_t{64} * 1024;
-constexpr auto resume_reading_bytes = std::size_t{16} * 1024;
-// Maximum size of an answer that is buffered before it is passed on, and of an
-// event of a stream.
-constexpr auto max_buffered_bytes = std::size_t{4} << 20U;
-constexpr auto max_event_bytes = std::size_t{256} << 10U;
 // Runners have ten urgency levels, 0 the most urgent. Consecutive urgency ranks
 // of the routes of a service are two levels apart.
 constexpr auto first_urgency = 1;
@@ -25,7 +17,6 @@
 // A backend server that sent a byte of any answer within this time is not
 // considered silent.
 constexpr auto backend_activity_window = milliseconds{600};
-constexpr auto min_server_error_status = 500;
 
 auto failure_code(transport::call_failure failure) -> error_code {
     switch (failure) {
@@ -173,138 +164,6 @@
     start_retry(cause, decision);
 }
 
-auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
-    verdict_ = state_.dialect_.classify_answer(head, request_.id_);
-    state_.last_received_at_[backend_] = state_.context_.clock_.now();
-    note_server_state(head);
-    if (verdict_ == answer_verdict::other_request) {
-        state_.context_.log_.warning(
-            "answer dropped: request id does not match",
-            {{"request_id", request_.id_}, {"backend", backend_}});
-        return false;
-    }
-    note_rate_limit(head);
-    if (head.framing_ == transport::answer_framing::connection) {
-        state_.counters_.ended_by_connection_.add();
-    }
-    if (verdict_ != answer_verdict::answer) {
-        mode_ = answer_mode::not_run;
-        return true;
-    }
-    head_ = head;
-    body_.clear();
-    (void)buffered_.resize(events_.partial_bytes());
-    received_stream_ = false;
-    has_fallback_ = false;
-    const auto streamed =
-        route_.kind_ == coordination::request_kind::streaming &&
-        head.status_ / 100 == 2;
-    mode_ = streamed ? answer_mode::streamed : answer_mode::buffered;
-    if (streamed && route_.resumable_) {
-        state_.context_.streams_.on_stream_begun(
-            request_.last_event_ ? request_.resumed_request_ : request_.id_,
-            service_, attempt_version_);
-    }
-    if (streamed && !std::exchange(stream_started_, true) &&
-        client_ != nullptr) {
-        client_->begin_stream(head.status_,
-                              state_.dialect_.answer_headers(head));
-    }
-    return true;
-}
-
-auto exchange::note_server_state(const transport::answer_head& head) -> void {
-    auto& notices = state_.context_.notices_;
-    notices.on_pause_stated(backend_,
-                            state_.dialect_.pause(head.status_, head.headers_));
-    if (state_.dialect_.is_leaving(backend_, head.headers_)) {
-        notices.on_leaving_stated(backend_);
-    }
-}
-
-auto exchange::note_rate_limit(const transport::answer_head& head) -> void {
-    const auto notice = state_.dialect_.rate_limit(head.headers_);
-    // A refusal need not repeat the limit, and a misdirected request was
-    // answered by another process.
-    const auto says_something =
-        verdict_ == answer_verdict::answer ||
-        (verdict_ == answer_verdict::refused &&
-         notice.kind_ != rate_limit_notice::kind::absent);
-    if (says_something) {
-        state_.context_.permits_.on_notice(backend_, notice, attempt_started_);
-    }
-}
-
-auto exchange::on_answer_body(std::string_view piece) -> void {
-    const auto self = shared_from_this();
-    if (mode_ == answer_mode::buffered) {
-        body_.append(piece);
-        (void)end_if_oversized();
-        return;
-    }
-    const auto now = state_.context_.clock_.now();
-    state_.last_received_at_[backend_] = now;
-    state_.call_monitor_.on_progress(call_number_, request_.id_, now);
-    received_stream_ = true;
-    if (mode_ != answer_mode::streamed || client_ == nullptr) {
-        return;
-    }
-    const auto no_events_yet = events_.events() == 0;
-    client_->write_piece(events_.feed(piece));
-    if (end_if_oversized()) {
-        return;
-    }
-    if (no_events_yet && events_.events() > 0) {
-        if (!stream_version_) {
-            stream_version_ = attempt_version_;
-        }
-        state_.counters_.first_byte_.record(state_.context_.clock_.now() -
-                                            arrived_);
-    }
-    if (!paused_ && client_->buffered() > pause_reading_bytes) {
-        paused_ = true;
-        call_->set_reading(false);
-        state_.call_monitor_.on_back_pressure(call_number_, request_.id_, true,
-                                              state_.context_.clock_.now());
-    }
-}
-
-auto exchange::end_if_oversized() -> bool {
-    const auto size = body_.size() + events_.partial_bytes();
-    const auto bound =
-        mode_ == answer_mode::buffered ? max_buffered_bytes : max_event_bytes;
-    if (size <= bound && buffered_.resize(size)) {
-        return false;
-    }
-    state_.counters_.oversized_answers_.add();
-    state_.context_.log_.warning(
-        "answer exceeds a bound",
-        {{"request_id", request_.id_},
-         {"backend", backend_},
-         {"bytes", std::to_string(size)},
-         {"bound", std::to_string(bound)},
-         {"all_bytes", std::to_string(state_.buffered_answers_.used())}});
-    std::exchange(call_, nullptr)->cancel();
-    end_attempt();
-    body_ = {};
-    (void)events_.take_partial();
-    (void)buffered_.resize(0);
-    ++possible_runs_;
-    state_.router_.on_failure(backend_, state_.context_.clock_.now());
-    on_attempt_failed(error{error_code::backend_error, step::attempt, backend_,
-                            "the answer exceeds a bound", run_status::unknown});
-    return true;
-}
-
-auto exchange::on_client_drained() -> void {
-    if (paused_ && call_ && client_->buffered() < resume_reading_bytes) {
-        paused_ = false;
-        call_->set_reading(true);
-        state_.call_monitor_.on_back_pressure(call_number_, request_.id_, false,
-                                              state_.context_.clock_.now());
-    }
-}
-
 auto exchange::end_attempt() -> void {
     if (!backend_.empty()) {
         state_.router_.finish_attempt(backend_);
@@ -318,96 +177,6 @@
     state_.monitored_calls_.erase(call_number_);
 }
 
-auto exchange::stream_broken_off() const -> bool {
-    if (mode_ != answer_mode::streamed || request_.message_.method_ == "HEAD") {
-        return false;
-    }
-    const auto ended_by_connection =
-        head_.framing_ == transport::answer_framing::connection;
-    return events_.is_inside_event() ||
-           (ended_by_connection && !received_stream_);
-}
-
-auto exchange::on_answer_end() -> void {
-    const auto self = shared_from_this();
-    if (stream_broken_off()) {
-        on_call_failed(transport::call_failure::incomplete);
-        return;
-    }
-    // A server error does not show that the request is harmless, nor does the
-    // end of a connection, as a crash ends it too.
-    const auto executed =
-        mode_ != answer_mode::not_run &&
-        head_.status_ < min_server_error_status &&
-        head_.framing_ != transport::answer_framing::connection;
-    state_.quarantine_.on_finish(quarantine_run_id(), executed,
-                                 state_.context_.clock_.now());
-    end_attempt();
-    if (mode_ == answer_mode::not_run) {
-        const auto refused_by_server = verdict_ == answer_verdict::refused;
-        on_attempt_failed(error{
-            refused_by_server ? error_code::overloaded
-                              : error_code::unavailable,
-            step::attempt, backend_,
-            refused_by_server
-                ? "refused by backend server: full, draining or too little time"
-                : "wrong backend server at this address, or model not loaded",
-            run_status::not_run});
-        return;
-    }
-    ++possible_runs_;
-    state_.router_.on_success(backend_);
-    if (mode_ == answer_mode::buffered && stream_started_) {
-        // This answer cannot continue the stream that the client has received
-        // in part.
-        on_attempt_failed(error{
-            error_code::backend_error, step::attempt, backend_,
-            "the backend server did not resume the stream", run_status::ran});
-        return;
-    }
-    if (mode_ == answer_mode::buffered) {
-        if (!retry_server_error()) {
-            deliver_buffered();
-        }
-        return;
-    }
-    log_answer(head_.status_);
-    if (client_ != nullptr) {
-        client_->write_piece(events_.take_partial());
-        client_->end_stream();
-    }
-    state_.counters_.answered_.add();
-    finish();
-}
-
-auto exchange::retry_server_error() -> bool {
-    const auto repeatable =
-        head_.status_ >= min_server_error_status &&
-        route_.kind_ == coordination::request_kind::idempotent &&
-        possible_runs_ < route_.attempts_ && client_ != nullptr;
-    if (!repeatable) {
-        return false;
-    }
-    const auto now = state_.context_.clock_.now();
-    const auto decision = state_.retry_policy_of(service_).decide(
-        {.error_ = error{error_code::backend_error, step::attempt, backend_,
-                         "the backend server answered with a 5xx status",
-                         run_status::ran},
-         .runner_ = backend_,
-         .attempts_ = attempts_sent_,
-         .idempotent_ = true,
-         .deadline_ = deadline_,
-         .failed_runners_ = excluded_},
-        now);
-    if (!decision.retry_) {
-        return false;
-    }
-    has_fallback_ = true;
-    excluded_ = decision.excluded_;
-    schedule_retry(decision.not_before_);
-    return true;
-}
-
 auto exchange::on_call_failed(transport::call_failure failure) -> void {
     const auto self = shared_from_this();
     const auto sent = failure != transport::call_failure::not_sent;
