Log the prompt parts of lost attempts

Lost attempts that share a part of their prompt could not be connected in the logs. attempt ended without an answer now names the parts, apart from the last one, and how many events had arrived. No behaviour changes.

--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/daemon/relay/internal/exchange.hpp"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 // Single attempts of a request on a backend server: sending, failure, and the
@@ -18,6 +19,23 @@
 // considered silent.
 constexpr auto backend_activity_window = milliseconds{600};
 
+// Number of prompt parts that a log line names.
+constexpr auto max_logged_parts = std::size_t{16};
+
+// Lists the ids of the prompt's parts, apart from the last one, which belongs
+// to the request or its session alone.
+auto describe_shared_parts(const relayed_request& request) -> std::string {
+    const auto& parts = request.prompt_parts_;
+    const auto shared = parts.empty() ? std::size_t{0} : parts.size() - 1;
+    auto text = std::ostringstream{};
+    text << std::hex;
+    for (auto index = std::size_t{0};
+         index < std::min(shared, max_logged_parts); ++index) {
+        text << (index == 0 ? "" : " ") << parts[index].id_;
+    }
+    return text.str();
+}
+
 auto failure_code(transport::call_failure failure) -> error_code {
     switch (failure) {
     case transport::call_failure::not_sent:
@@ -209,6 +227,8 @@
               ? std::string_view{"no_head"}
               : transport::answer_framing_names.name_of(head_.framing_)},
          {"partial_bytes", std::to_string(events_.partial_bytes())},
+         {"events", std::to_string(events_.events())},
+         {"prompt_parts", describe_shared_parts(request_)},
          {"ran_ms", std::to_string(ran.count())}});
 }
 
