--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -156,19 +156,39 @@
 raw_server::raw_server(std::string id, transport::reactor_thread& thread,
                        stand_in_store& store, bool holds_model,
                        raw_connection::handler on_request)
-    : id_{std::move(id)}, store_{store}, holds_model_{holds_model} {
+    : id_{std::move(id)}, thread_{thread}, on_request_{std::move(on_request)},
+      store_{store}, holds_model_{holds_model} {
+    open();
+}
+
+auto raw_server::open() -> void {
     auto opened = transport::tcp_listener::open(
-        thread, "127.0.0.1:0",
-        [this, &thread, on_request = std::move(on_request)](int descriptor) {
+        thread_, "127.0.0.1:0", [this](int descriptor) {
             std::erase_if(connections_, [](const auto& connection) {
                 return !connection->open();
             });
             connections_.push_back(std::make_shared<raw_connection>(
-                thread, descriptor, on_request));
+                thread_, descriptor, on_request_));
         });
     listener_ = std::move(*opened);
 }
 
+auto raw_server::crash(bool reset) -> void {
+    listener_.reset();
+    for (const auto& connection : std::exchange(connections_, {})) {
+        if (reset) {
+            connection->reset();
+        } else {
+            connection->close();
+        }
+    }
+}
+
+auto raw_server::reopen(std::string id) -> void {
+    id_ = std::move(id);
+    open();
+}
+
 auto raw_server::announce(std::int64_t started_at) -> void {
     auto models = protocol::json::array();
     if (holds_model_) {
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -78,9 +78,20 @@
     }
     /// Removes the announcement.
     auto withdraw() -> void;
+    /// Refuses connections from now on and gives up those it has: resets them,
+    /// or closes them in order.
+    auto crash(bool reset) -> void;
+    /// Accepts connections again, at a new address, under this id. Announce the
+    /// server afterwards.
+    auto reopen(std::string id) -> void;
+    [[nodiscard]] auto running() const -> bool { return listener_ != nullptr; }
 
 private:
-    const std::string id_;
+    auto open() -> void;
+
+    std::string id_;
+    transport::reactor_thread& thread_;
+    raw_connection::handler on_request_;
     stand_in_store& store_;
     const bool holds_model_;
     std::vector<std::shared_ptr<raw_connection>> connections_;
