Hold prompt parts that crash the servers that answer them

Callers saw servers end one after the other under requests that share a part of their prompts and nothing else; sound requests went down with them.

Cause: the quarantine knows requests by their whole content, so that each of these was new to it. A crash takes up to 53 requests with it, so that counting losses by part alone would hold the first part of all prompts.

Now each daemon reports the parts that were lost with a server, to the others directly and through the store. A complete answer acquits the parts of its prompt. Of the others, the one that was in flight at most crashes is held after its third, and then explains these crashes. Parts that cannot be told apart are held after the fifth crash and tried soon. Crashes at nearly the same time count as one, and servers that go on answering have not crashed. At most two trials.

--- a/basilstream/daemon/quarantine_log/quarantine_log.cpp
+++ b/basilstream/daemon/quarantine_log/quarantine_log.cpp
@@ -5,18 +5,24 @@
 #include <utility>
 #include <variant>
 
+#include "basilstream/daemon/prompt_sharing/prompt_sharing.hpp"
 #include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
 
 namespace basilstream::daemon {
 namespace {
 
 using coordination::clearance;
+using coordination::prompt_crash;
+using coordination::prompt_part_mark;
+using coordination::prompt_part_release;
 using coordination::quarantine_mark;
 using coordination::quarantine_release;
 using coordination::suspicion;
 
-// Records of marks and of batches share the topic and differ in this prefix.
+// Records of marks of requests, of marks of parts and of batches share the
+// topic and differ in this prefix.
 constexpr auto mark_prefix = std::string_view{"mark/"};
+constexpr auto part_prefix = std::string_view{"part/"};
 constexpr auto batch_prefix = std::string_view{"daemon/"};
 // Keeps a record of about 100 bytes a message below the store's 256 KB.
 constexpr auto max_batch = std::size_t{1000};
@@ -34,6 +40,25 @@
     return std::string{mark_prefix} + print.to_string();
 }
 
+auto part_key(coordination::prompt_part_id part) -> std::string {
+    return std::string{part_prefix} + coordination::format_part(part);
+}
+
+// Returns the key of a message that has a record of its own.
+auto own_key(const protocol::quarantine_message& message)
+    -> std::optional<std::string> {
+    if (const auto* mark = std::get_if<quarantine_mark>(&message)) {
+        return mark_key(mark->fingerprint_);
+    }
+    if (const auto* mark = std::get_if<prompt_part_mark>(&message)) {
+        return part_key(mark->part_);
+    }
+    if (const auto* release = std::get_if<prompt_part_release>(&message)) {
+        return part_key(release->part_);
+    }
+    return std::nullopt;
+}
+
 // Makes the ages in a message relative to a moment that is `elapsed` later.
 struct age_adjustment {
     auto operator()(suspicion& message) const -> void {
@@ -47,6 +72,12 @@
     auto operator()(quarantine_mark& message) const -> void {
         message.age_ += elapsed_;
     }
+    auto operator()(prompt_crash& message) const -> void {
+        message.age_ += elapsed_;
+    }
+    auto operator()(prompt_part_mark& message) const -> void {
+        message.age_ += elapsed_;
+    }
     template <class Other>
     auto operator()(Other& /*without ages*/) const -> void {}
     duration elapsed_;
@@ -57,9 +88,15 @@
 quarantine_log::quarantine_log(const quarantine_log_context& context,
                                std::string name,
                                coordination::quarantine& tracker,
+                               coordination::prompt_quarantine& prompts,
                                coordination::record_store& store)
     : context_{context}, name_{std::move(name)},
-      quarantine_{tracker}, store_{store} {}
+      quarantine_{tracker}, prompts_{prompts}, store_{store} {}
+
+auto quarantine_log::publish(const protocol::quarantine_message& message)
+    -> void {
+    queue({message, context_.clock_.now()});
+}
 
 auto quarantine_log::publish(const coordination::quarantine_event& event)
     -> void {
@@ -89,23 +126,19 @@
 
 auto quarantine_log::take_batch() -> std::string {
     // A mark and its removal have a record of their own.
-    const auto own_key =
-        [](const pending_write& pending) -> std::optional<std::string> {
-        if (const auto* release =
-                std::get_if<quarantine_release>(&pending.content_)) {
-            return mark_key(release->fingerprint_);
-        }
-        const auto& message =
-            std::get<protocol::quarantine_message>(pending.content_);
-        const auto* mark = std::get_if<quarantine_mark>(&message);
-        return mark == nullptr ? std::nullopt
-                               : std::optional{mark_key(mark->fingerprint_)};
+    const auto key_of = [](const pending_write& pending) {
+        const auto* release =
+            std::get_if<quarantine_release>(&pending.content_);
+        return release != nullptr
+                   ? std::optional{mark_key(release->fingerprint_)}
+                   : own_key(std::get<protocol::quarantine_message>(
+                         pending.content_));
     };
-    auto key = own_key(pending_.front());
+    auto key = key_of(pending_.front());
     do {
         in_flight_.push_back(std::move(pending_.front()));
         pending_.pop_front();
-    } while (!key && !pending_.empty() && !own_key(pending_.front()) &&
+    } while (!key && !pending_.empty() && !key_of(pending_.front()) &&
              in_flight_.size() < max_batch);
     return key.value_or(std::string{batch_prefix} + name_);
 }
@@ -117,7 +150,8 @@
     for (const auto& pending : in_flight_) {
         const auto* const content =
             std::get_if<protocol::quarantine_message>(&pending.content_);
-        if (content == nullptr) {
+        if (content == nullptr ||
+            std::holds_alternative<prompt_part_release>(*content)) {
             return std::nullopt;
         }
         auto message = *content;
@@ -190,6 +224,13 @@
 }
 
 auto quarantine_log::apply_removal(std::string_view key) -> void {
+    if (key.starts_with(part_prefix)) {
+        key.remove_prefix(part_prefix.size());
+        if (const auto part = coordination::parse_part(key)) {
+            prompts_.merge(prompt_part_release{*part}, context_.clock_.now());
+        }
+        return;
+    }
     if (!key.starts_with(mark_prefix)) {
         return;
     }
@@ -202,6 +243,9 @@
 auto quarantine_log::apply_message(const protocol::quarantine_message& message,
                                    duration delay, const std::string& key)
     -> void {
+    if (merge_prompt_message(message, delay, prompts_, context_.clock_.now())) {
+        return;
+    }
     const auto* const stored = std::get_if<quarantine_mark>(&message);
     if (stored == nullptr) {
         merge_message(message, delay, key, quarantine_, context_.clock_,
--- a/basilstream/daemon/quarantine_log/quarantine_log.hpp
+++ b/basilstream/daemon/quarantine_log/quarantine_log.hpp
@@ -1,17 +1,19 @@
-/// Keeps the crash suspicions and marks of a quarantine in the shared store, so
-/// that they reach daemons that gossip does not, and outlast every daemon.
+/// Keeps the crash suspicions and marks of the quarantines of requests and of
+/// parts of prompts in the shared store, so that they reach daemons that other
+/// messages do not, and outlast every daemon.
 ///
-///     auto shared = quarantine_log{context, "entry-1", tracker, store};
+///     auto shared =
+///         quarantine_log{context, "entry-1", tracker, prompts, store};
 ///     shared.publish(event);            // each event of the quarantine
 ///     shared.apply(record);             // each record read from the topic
 ///     shared.tick();                    // every 50 ms or so
 ///
 /// Suspicions and clearances are written in batches under the daemon's name, so
 /// that the store keeps one batch for each daemon; running daemons read all of
-/// them in order. A mark is written under the fingerprint of its request and is
-/// kept until it is removed. While the store is unavailable, what is to be
-/// written waits, and is written again after a failure: records may be read
-/// twice. Use on one thread only.
+/// them in order. A mark is written under the fingerprint of its request, or
+/// the id of its part, and is kept until it is removed. While the store is
+/// unavailable, what is to be written waits, and is written again after a
+/// failure: records may be read twice. Use on one thread only.
 #pragma once
 
 #include <cstddef>
@@ -23,6 +25,7 @@
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/random/random.hpp"
+#include "basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp"
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/record_store/record_store.hpp"
 #include "basilstream/protocol/quarantine_codec/quarantine_codec.hpp"
@@ -43,11 +46,14 @@
     /// `name` is the name of this daemon.
     quarantine_log(const quarantine_log_context& context, std::string name,
                    coordination::quarantine& tracker,
+                   coordination::prompt_quarantine& prompts,
                    coordination::record_store& store);
 
     /// Queues an event to be written. Events that concern only the arbiter of
     /// isolated runs are ignored.
     auto publish(const coordination::quarantine_event& event) -> void;
+    /// Queues a message of the quarantine of parts of prompts.
+    auto publish(const protocol::quarantine_message& message) -> void;
     /// Writes what is queued, unless a write is in flight or a failed one is to
     /// be repeated later.
     auto tick() -> void;
@@ -79,6 +85,7 @@
     quarantine_log_context context_;
     std::string name_;
     coordination::quarantine& quarantine_;
+    coordination::prompt_quarantine& prompts_;
     coordination::record_store& store_;
     std::deque<pending_write> pending_;
     std::deque<pending_write> in_flight_;
--- a/basilstream/daemon/quarantine_log/quarantine_log_test.cpp
+++ b/basilstream/daemon/quarantine_log/quarantine_log_test.cpp
@@ -60,8 +60,10 @@
                     world.logger_},
                    name,
                    tracker_,
+                   prompts_,
                    world.store_} {}
         coordination::quarantine tracker_;
+        coordination::prompt_quarantine prompts_{{}, "node"};
         quarantine_log log_;
     };
 
@@ -187,6 +189,21 @@
     EXPECT_EQ(verdict(second_), quarantine_verdict::quarantined);
 }
 
+// A daemon that started later had to learn of a part by crashes of its own.
+TEST_F(quarantine_log_test, held_part_is_unknown_to_new_daemons) {
+    constexpr auto part = coordination::prompt_part_id{0xbad};
+    first_.log_.publish(protocol::quarantine_message{
+        coordination::prompt_part_mark{.part_ = part}});
+    share(first_);
+    list(second_);
+    EXPECT_TRUE(second_.prompts_.find_held({part}, clock_.now()));
+    first_.log_.publish(
+        protocol::quarantine_message{coordination::prompt_part_release{part}});
+    share(first_);
+    list(second_);
+    EXPECT_FALSE(second_.prompts_.find_held({part}, clock_.now()));
+}
+
 TEST_F(quarantine_log_test, ignores_a_record_that_cannot_be_decoded) {
     second_.log_.apply({"mark/x", "\xff\xff\xff"});
     second_.log_.apply({"mark/x", std::nullopt});
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -27,6 +27,22 @@
            output_token_weight * request.output_tokens_;
 }
 
+// Returns the parts that other requests may share: all but the last one, which
+// belongs to the request or its session.
+auto find_shared_parts(const relayed_request& request)
+    -> std::vector<coordination::prompt_part_id> {
+    auto shared = std::vector<coordination::prompt_part_id>{};
+    for (const auto& part : request.prompt_parts_) {
+        shared.push_back(part.id_);
+    }
+    if (!shared.empty()) {
+        shared.pop_back();
+    }
+    std::sort(shared.begin(), shared.end());
+    shared.erase(std::unique(shared.begin(), shared.end()), shared.end());
+    return shared;
+}
+
 auto error_body(const error& cause) -> std::string {
     return protocol::json{{"error",
                            {{"code", error_code_names.name_of(cause.code_)},
@@ -48,6 +64,7 @@
       fingerprint_{coordination::make_fingerprint(
           coordination::canonical_host(request_.host_),
           request_.message_.target_, request_.message_.body_)},
+      shared_parts_{find_shared_parts(request_)},
       arrived_{state.context_.clock_.now()},
       deadline_{arrived_ +
                 std::min(route.timeout_,
@@ -130,6 +147,9 @@
 
 auto exchange::dispatch() -> void {
     const auto now = state_.context_.clock_.now();
+    if (refuse_held_part()) {
+        return;
+    }
     avoid_limited_servers();
     const auto key = routing_key(service_, request_.model_);
     auto routing_request = make_route_request(key);
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -111,9 +111,12 @@
     // Releases what the attempt holds in the router, quarantine and call
     // monitor.
     auto end_attempt() -> void;
-    // Returns the id of the current attempt in the quarantine.
+    // Returns the id of the current attempt in the quarantines.
     [[nodiscard]] auto quarantine_run_id() const -> std::string;
-    // Registers the attempt with the quarantine; fails if the request is
+    // Refuses the request if a part of its prompt is held. Returns whether it
+    // is.
+    auto refuse_held_part() -> bool;
+    // Registers the attempt with the quarantines; fails if the request is
     // quarantined.
     [[nodiscard]] auto register_run(time_point now) -> result<void>;
     // Retries or gives up; ends the exchange if the client has disconnected.
@@ -163,6 +166,8 @@
     relayed_request request_;
     std::string service_;
     coordination::fingerprint fingerprint_;
+    // Parts of the prompt that other requests may share.
+    std::vector<coordination::prompt_part_id> shared_parts_;
     time_point arrived_;
     time_point deadline_;
     // End of the wait for a model; empty while the request is not waiting.
--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -29,6 +29,10 @@
             {{"request_id", request_.id_}, {"backend", backend_}});
         return false;
     }
+    if (verdict_ != answer_verdict::misdirected) {
+        state_.prompts_.on_alive(quarantine_run_id(),
+                                 state_.context_.clock_.now());
+    }
     note_rate_limit(head);
     if (head.framing_ == transport::answer_framing::connection) {
         state_.counters_.ended_by_connection_.add();
@@ -101,6 +105,7 @@
         return;
     }
     if (no_events_yet && events_.events() > 0) {
+        state_.prompts_.on_output(quarantine_run_id(), now);
         if (!stream_version_) {
             stream_version_ = attempt_version_;
         }
@@ -173,8 +178,14 @@
         mode_ != answer_mode::not_run &&
         head_.status_ < min_server_error_status &&
         head_.framing_ != transport::answer_framing::connection;
-    state_.quarantine_.on_finish(quarantine_run_id(), executed,
-                                 state_.context_.clock_.now());
+    const auto now = state_.context_.clock_.now();
+    state_.quarantine_.on_finish(quarantine_run_id(), executed, now);
+    if (head_.framing_ == transport::answer_framing::connection &&
+        mode_ != answer_mode::not_run) {
+        state_.prompts_.on_uncertain_end(quarantine_run_id(), now);
+    }
+    state_.prompts_.on_finish(quarantine_run_id(),
+                              executed && head_.status_ / 100 == 2, now);
     end_attempt();
     if (mode_ == answer_mode::not_run) {
         const auto refused_by_server = verdict_ == answer_verdict::refused;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -1,7 +1,6 @@
 #include "basilstream/daemon/relay/internal/exchange.hpp"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 // Single attempts of a request on a backend server: sending, failure, and the
@@ -19,21 +18,19 @@
 // considered silent.
 constexpr auto backend_activity_window = milliseconds{600};
 
-// Number of prompt parts that a log line names.
-constexpr auto max_logged_parts = std::size_t{16};
+// Length of the list of prompt parts in a log line.
+constexpr auto max_parts_text = std::size_t{260};
 
-// Lists the ids of the prompt's parts, apart from the last one, which belongs
-// to the request or its session alone.
-auto describe_shared_parts(const relayed_request& request) -> std::string {
-    const auto& parts = request.prompt_parts_;
-    const auto shared = parts.empty() ? std::size_t{0} : parts.size() - 1;
-    auto text = std::ostringstream{};
-    text << std::hex;
-    for (auto index = std::size_t{0};
-         index < std::min(shared, max_logged_parts); ++index) {
-        text << (index == 0 ? "" : " ") << parts[index].id_;
+auto describe_parts(const std::vector<coordination::prompt_part_id>& parts)
+    -> std::string {
+    auto text = std::string{};
+    for (const auto part : parts) {
+        if (text.size() >= max_parts_text) {
+            break;
+        }
+        text += (text.empty() ? "" : " ") + coordination::format_part(part);
     }
-    return text.str();
+    return text;
 }
 
 auto failure_code(transport::call_failure failure) -> error_code {
@@ -53,6 +50,27 @@
     return state_.run_id_prefix_ + std::to_string(call_number_);
 }
 
+auto exchange::refuse_held_part() -> bool {
+    const auto now = state_.context_.clock_.now();
+    const auto held = state_.prompts_.find_held(shared_parts_, now);
+    if (!held) {
+        return false;
+    }
+    state_.prompts_.on_refused(*held, now);
+    retry_outcome_ = "quarantined";
+    give_up(
+        {.code_ = error_code::quarantined,
+         .step_ = step::admission,
+         .peer_ = {},
+         .detail_ = "a part of the prompt has crashed the backend servers "
+                    "that ran it; part " +
+                    coordination::format_part(*held),
+         .run_ = possible_runs_ > 0 ? run_status::unknown : run_status::not_run,
+         .retry_after_ = std::chrono::ceil<milliseconds>(
+             state_.prompts_.held_for(*held, now))});
+    return true;
+}
+
 auto exchange::register_run(time_point now) -> result<void> {
     call_number_ = ++state_.last_call_number_;
     attempt_started_ = now;
@@ -63,11 +81,18 @@
         return tl::unexpected(
             state_.quarantine_.make_quarantined_error(fingerprint_, now));
     }
+    state_.prompts_.on_dispatch({quarantine_run_id(), backend_,
+                                 boot_id_of(state_.start_time(backend_)),
+                                 shared_parts_},
+                                now);
     return {};
 }
 
 auto exchange::send_attempt(const coordination::route& chosen) -> void {
     const auto now = state_.context_.clock_.now();
+    if (refuse_held_part()) {
+        return;
+    }
     backend_ = chosen.runner_;
     attempt_version_ = state_.software_version(backend_);
     if (const auto allowed = register_run(now); !allowed) {
@@ -97,6 +122,7 @@
                               state_.connection_limit(service_), *this);
     if (!call_) {
         state_.quarantine_.on_finish(quarantine_run_id(), false, now);
+        state_.prompts_.on_finish(quarantine_run_id(), false, now);
         // Excluded as if the backend server were full: another one may have a
         // free connection.
         excluded_.push_back(std::exchange(backend_, {}));
@@ -148,6 +174,7 @@
     std::exchange(call_, nullptr)->cancel();
     if (!backend_active(now)) {
         state_.quarantine_.on_cancelled(quarantine_run_id(), now);
+        state_.prompts_.on_uncertain_end(quarantine_run_id(), now);
     }
     end_attempt();
 }
@@ -187,8 +214,9 @@
         state_.router_.finish_attempt(backend_);
     }
     // Has no effect if the end of the run was already reported.
-    state_.quarantine_.on_finish(quarantine_run_id(), false,
-                                 state_.context_.clock_.now());
+    const auto now = state_.context_.clock_.now();
+    state_.quarantine_.on_finish(quarantine_run_id(), false, now);
+    state_.prompts_.on_finish(quarantine_run_id(), false, now);
     call_.reset();
     paused_ = false;
     state_.call_monitor_.close(call_number_);
@@ -202,6 +230,7 @@
     if (sent) {
         log_lost_attempt(failure);
         state_.quarantine_.on_connection_lost(quarantine_run_id(), now);
+        state_.prompts_.on_connection_lost(quarantine_run_id(), now);
     }
     end_attempt();
     possible_runs_ += sent ? 1 : 0;
@@ -228,7 +257,7 @@
               : transport::answer_framing_names.name_of(head_.framing_)},
          {"partial_bytes", std::to_string(events_.partial_bytes())},
          {"events", std::to_string(events_.events())},
-         {"prompt_parts", describe_shared_parts(request_)},
+         {"prompt_parts", describe_parts(shared_parts_)},
          {"ran_ms", std::to_string(ran.count())}});
 }
 
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -10,6 +10,7 @@
 
 #include "basilstream/coordination/byte_budget/byte_budget.hpp"
 #include "basilstream/coordination/liveness/liveness.hpp"
+#include "basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp"
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/retries/retries.hpp"
 #include "basilstream/coordination/routing/routing.hpp"
@@ -98,6 +99,7 @@
     };
     std::unordered_map<std::string, backend_info> backends_;
     coordination::quarantine quarantine_;
+    coordination::prompt_quarantine prompts_;
     request_journal journal_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     // Detects calls to backend servers that receive no bytes. Identifies each
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -150,8 +150,8 @@
       retry_allowance_from_{context.clock_.now() +
                             settings_.retry_allowance_delay_},
       quarantine_{make_quarantine_settings(), settings_.name_},
-      call_monitor_{silence_timeouts}, buffered_answers_{
-                                           max_buffered_answer_bytes} {
+      prompts_{{}, settings_.name_}, call_monitor_{silence_timeouts},
+      buffered_answers_{max_buffered_answer_bytes} {
     context_.metrics_.add_gauge(
         "basilstream_relay_buffered_answer_bytes",
         "Bytes of answers that wait for the rest of an event or an answer.",
@@ -210,6 +210,7 @@
 auto relay_state::on_backend_crash(const std::string& backend,
                                    const char* evidence) -> void {
     const auto runs = quarantine_.on_crash(backend, context_.clock_.now());
+    prompts_.on_crash(backend, context_.clock_.now());
     context_.log_.info("backend server crashed",
                        {{"backend", backend},
                         {"backend_start", std::to_string(start_time(backend))},
@@ -424,6 +425,10 @@
     return state_->quarantine_;
 }
 
+auto relay::prompt_quarantine() -> coordination::prompt_quarantine& {
+    return state_->prompts_;
+}
+
 auto relay::local_loads() const -> std::map<std::string, int> {
     auto loads = std::map<std::string, int>{};
     for (const auto& [id, backend] : state_->backends_) {
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -25,6 +25,7 @@
 #include "basilstream/base/error/error.hpp"
 #include "basilstream/base/random/random.hpp"
 #include "basilstream/coordination/backend_directory/backend_directory.hpp"
+#include "basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp"
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/route_table/route_table.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
@@ -145,6 +146,9 @@
     /// Returns the quarantine of requests that crash backend servers. The
     /// caller must exchange its suspicions with the other daemons.
     [[nodiscard]] auto crash_quarantine() -> coordination::quarantine&;
+    /// Returns the quarantine of prompt parts that crash backend servers; as
+    /// above.
+    [[nodiscard]] auto prompt_quarantine() -> coordination::prompt_quarantine&;
     /// Returns the number of requests that this daemon has in flight, by
     /// backend server. Backend servers without requests are left out.
     [[nodiscard]] auto local_loads() const -> std::map<std::string, int>;
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -696,6 +696,36 @@
     EXPECT_EQ(b_.requests_.size(), 2U);
 }
 
+// Requests that share a part of their prompts and nothing else crash servers.
+TEST_F(relay_test, request_with_a_held_part_is_sent) {
+    a_.default_script_ = answer(200, "ok");
+    EXPECT_EQ(call("/once/1", "X-Parts", "123").status_, 200);
+    run_on_thread([&] {
+        relay_.prompt_quarantine().merge(
+            coordination::prompt_part_mark{.part_ = 7}, clock_.now());
+    });
+    const auto refused = call("/once/2", "X-Parts", "8179");
+    EXPECT_EQ(refused.status_, 503);
+    EXPECT_TRUE(refused.headers_.contains("Retry-After"));
+    // The last part is never to blame.
+    EXPECT_EQ(call("/once/3", "X-Parts", "817").status_, 200);
+    EXPECT_EQ(a_.requests_.size(), 2U);
+}
+
+TEST_F(relay_test, reports_parts_that_are_lost_with_their_server) {
+    a_.default_script_ = answer(200, "ok");
+    EXPECT_EQ(call("/once/1", "X-Parts", "19").status_, 200);
+    a_.default_script_ = close_without_answer();
+    EXPECT_EQ(call("/once/2", "X-Parts", "178").status_, 502);
+    run_on_thread([&] {
+        auto events = relay_.prompt_quarantine().poll(clock_.now());
+        ASSERT_EQ(events.size(), 1U);
+        const auto& crash = std::get<coordination::prompt_crash>(events[0]);
+        EXPECT_EQ(crash.runner_, "a");
+        EXPECT_EQ(crash.parts_, std::vector<coordination::prompt_part_id>{7});
+    });
+}
+
 // A lost connection alone does not count as a crash of the backend server.
 TEST_F(relay_test, does_not_quarantine_request_after_lost_connections) {
     a_.scripts_ = {close_without_answer(), close_without_answer(),
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -36,6 +36,11 @@
             request.client_timeout_ =
                 milliseconds{std::stol(std::string{text})};
         }
+        // Ids of single digits.
+        for (const auto digit : message.headers_.find("X-Parts")) {
+            request.prompt_parts_.push_back(
+                {static_cast<std::uint64_t>(digit - '0'), 10});
+        }
         request.message_ = std::move(message);
         return request;
     }
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -10,6 +10,7 @@
 #include "basilstream/daemon/counted_store/counted_store.hpp"
 #include "basilstream/daemon/load_sharing/load_sharing.hpp"
 #include "basilstream/daemon/model_control/model_control.hpp"
+#include "basilstream/daemon/prompt_sharing/prompt_sharing.hpp"
 #include "basilstream/daemon/quarantine_gossip/quarantine_gossip.hpp"
 #include "basilstream/daemon/quarantine_log/quarantine_log.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
@@ -95,7 +96,14 @@
           quarantine_log_{{clock_, wall_clock_, random_, log_},
                           settings.name_,
                           relay_.crash_quarantine(),
+                          relay_.prompt_quarantine(),
                           *store_},
+          prompt_sharing_{{clock_, log_},
+                          settings.name_,
+                          relay_.prompt_quarantine(),
+                          [this](const auto& message) {
+                              quarantine_log_.publish(message);
+                          }},
           watch_{{clock_, random_, log_},
                  {},
                  *store_,
@@ -364,6 +372,7 @@
             sharing_.tick();
             quarantine_gossip_->tick();
         }
+        prompt_sharing_.tick();
         quarantine_log_.tick();
         advance_drain();
     }
@@ -379,6 +388,7 @@
         }
         permits_.on_update(sender, *update);
         streams_.on_update(sender, *update);
+        prompt_sharing_.on_update(sender, *update);
         sharing_.on_update(sender, *update);
         for (const auto& page : update->pages_) {
             if (page.read_now_) {
@@ -414,6 +424,7 @@
         };
         permits_.connect(send);
         streams_.connect(send);
+        prompt_sharing_.connect(send);
         quarantine_gossip_.emplace(
             log_, clock_, relay_.crash_quarantine(), *cluster_,
             [this](const coordination::quarantine_event& event) {
@@ -421,6 +432,7 @@
             });
         cluster_->on_members([this](const std::vector<std::string>& owners) {
             relay_.crash_quarantine().set_members(owners, clock_.now());
+            prompt_sharing_.set_daemons(owners);
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
             models_.set_daemons(owners.size());
             if (drain_.stop_requests() == 0) {
@@ -559,6 +571,7 @@
     model_control models_;
     load_sharing sharing_;
     quarantine_log quarantine_log_;
+    prompt_sharing prompt_sharing_;
     store_watch watch_;
     coordination::drain_controller drain_;
     std::vector<std::unique_ptr<transport::http_session_server>> servers_;
--- a/basilstream/daemon/relay_status/relay_status.cpp
+++ b/basilstream/daemon/relay_status/relay_status.cpp
@@ -66,6 +66,7 @@
         "Requests sent on kept connections.",
         [parts] { return parts.relay_.backend_pool().statistics().reused_; });
     add_quarantine_gauges(metrics);
+    add_prompt_quarantine_gauges(metrics);
     const auto age = [parts](shared_topic topic) {
         return [parts, topic] {
             return seconds_since(parts.watch_.last_read(topic),
@@ -124,6 +125,43 @@
     }
 }
 
+auto relay_status::add_prompt_quarantine_gauges(
+    transport::metrics_registry& metrics) const -> void {
+    using coordination::prompt_quarantine_statistics;
+    struct gauge {
+        const char* name_;
+        const char* help_;
+        std::uint64_t prompt_quarantine_statistics::*value_;
+    };
+    constexpr auto gauges = std::array{
+        gauge{"basilstream_prompt_quarantine_crashes",
+              "Possible crashes of servers with prompt parts in flight.",
+              &prompt_quarantine_statistics::crashes_},
+        gauge{"basilstream_prompt_quarantine_refutations",
+              "Possible crashes whose servers proved to live.",
+              &prompt_quarantine_statistics::refutations_},
+        gauge{"basilstream_prompt_quarantine_clearances",
+              "Suspected parts that complete answers cleared.",
+              &prompt_quarantine_statistics::clearances_},
+        gauge{"basilstream_prompt_quarantine_marks", "Parts held.",
+              &prompt_quarantine_statistics::marks_},
+        gauge{"basilstream_prompt_quarantine_releases", "Parts released.",
+              &prompt_quarantine_statistics::releases_},
+        gauge{"basilstream_prompt_quarantine_trials",
+              "Attempts sent with a held part.",
+              &prompt_quarantine_statistics::trials_},
+        gauge{"basilstream_prompt_quarantine_refusals",
+              "Requests refused for a held part.",
+              &prompt_quarantine_statistics::refusals_}};
+    for (const auto& entry : gauges) {
+        metrics.add_gauge(
+            entry.name_, entry.help_, [parts = parts_, value = entry.value_] {
+                return static_cast<double>(
+                    parts.relay_.prompt_quarantine().statistics().*value);
+            });
+    }
+}
+
 auto relay_status::ready() const -> bool {
     return parts_.relay_.configured() && parts_.watch_.has_listed_backends() &&
            parts_.watch_.last_read(shared_topic::quarantine) &&
@@ -145,6 +183,12 @@
               entry.verdict_ == coordination::quarantine_verdict::quarantined},
              {"runners", entry.runners_}});
     }
+    auto held_parts = json::array();
+    for (const auto& entry : parts_.relay_.prompt_quarantine().list()) {
+        held_parts.push_back({{"part", coordination::format_part(entry.part_)},
+                              {"ambiguous", entry.ambiguous_},
+                              {"failed_trials", entry.failed_trials_}});
+    }
     return {{"name", name_},
             {"zone", zone_},
             {"ready", ready()},
@@ -163,6 +207,7 @@
             {"members", members()},
             {"models", models()},
             {"quarantine", quarantine},
+            {"held_prompt_parts", held_parts},
             {"counters",
              {{"in_progress", parts_.relay_.in_progress()},
               {"backend_servers", parts_.watch_.backends().servers().size()},
--- a/basilstream/daemon/relay_status/relay_status.hpp
+++ b/basilstream/daemon/relay_status/relay_status.hpp
@@ -57,6 +57,9 @@
 private:
     auto add_quarantine_gauges(transport::metrics_registry& metrics) const
         -> void;
+    auto
+    add_prompt_quarantine_gauges(transport::metrics_registry& metrics) const
+        -> void;
     [[nodiscard]] auto members() const -> protocol::json;
     [[nodiscard]] auto models() const -> protocol::json;
     [[nodiscard]] auto explain_model(const std::string& name) const
--- a/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec.cpp
@@ -110,9 +110,66 @@
         body.set_failed_trials(
             static_cast<std::uint32_t>(source.failed_trials_));
     }
+    auto operator()(const prompt_crash& source) const -> void {
+        auto& body = *target_.mutable_prompt_crash();
+        body.set_runner(source.runner_);
+        body.set_boot_id(source.boot_id_);
+        body.set_age_ms(milliseconds_of(source.age_));
+        body.mutable_parts()->Add(source.parts_.begin(), source.parts_.end());
+    }
+    auto operator()(const prompt_crash_refutation& source) const -> void {
+        auto& body = *target_.mutable_prompt_crash_refutation();
+        body.set_runner(source.runner_);
+        body.set_boot_id(source.boot_id_);
+    }
+    auto operator()(const prompt_part_clearance& source) const -> void {
+        target_.mutable_prompt_part_clearance()->mutable_parts()->Add(
+            source.parts_.begin(), source.parts_.end());
+    }
+    auto operator()(const prompt_part_mark& source) const -> void {
+        auto& body = *target_.mutable_prompt_part_mark();
+        body.set_part(source.part_);
+        body.set_age_ms(milliseconds_of(source.age_));
+        body.set_ambiguous(source.ambiguous_);
+        body.set_failed_trials(
+            static_cast<std::uint32_t>(source.failed_trials_));
+    }
+    auto operator()(const prompt_part_release& source) const -> void {
+        target_.mutable_prompt_part_release()->set_part(source.part_);
+    }
     wire::quarantine_message& target_;
 };
 
+// Returns a message about parts of prompts, if it is one.
+auto read_prompt_message(const wire::quarantine_message& source)
+    -> std::optional<quarantine_message> {
+    if (source.has_prompt_crash()) {
+        const auto& body = source.prompt_crash();
+        return prompt_crash{body.runner(),
+                            body.boot_id(),
+                            milliseconds{body.age_ms()},
+                            {body.parts().begin(), body.parts().end()}};
+    }
+    if (source.has_prompt_crash_refutation()) {
+        const auto& body = source.prompt_crash_refutation();
+        return prompt_crash_refutation{body.runner(), body.boot_id()};
+    }
+    if (source.has_prompt_part_clearance()) {
+        const auto& parts = source.prompt_part_clearance().parts();
+        return prompt_part_clearance{{parts.begin(), parts.end()}};
+    }
+    if (source.has_prompt_part_mark()) {
+        const auto& body = source.prompt_part_mark();
+        return prompt_part_mark{
+            body.part(), milliseconds{body.age_ms()}, body.ambiguous(),
+            static_cast<int>(std::min(body.failed_trials(), max_trials))};
+    }
+    if (source.has_prompt_part_release()) {
+        return prompt_part_release{source.prompt_part_release().part()};
+    }
+    return std::nullopt;
+}
+
 auto read_mark(const wire::mark& source) -> quarantine_mark {
     return {{source.fingerprint_high(), source.fingerprint_low()},
             {source.runners().begin(), source.runners().end()},
@@ -172,7 +229,7 @@
     if (source.has_mark()) {
         return read_mark(source.mark());
     }
-    return std::nullopt;
+    return read_prompt_message(source);
 }
 
 } // namespace
--- a/basilstream/protocol/quarantine_codec/quarantine_codec.hpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec.hpp
@@ -15,6 +15,7 @@
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/error/error.hpp"
+#include "basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp"
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 
 namespace basilstream::protocol {
@@ -23,7 +24,10 @@
 using quarantine_message = std::variant<
     coordination::suspicion, coordination::clearance,
     coordination::isolation_request, coordination::isolation_answer,
-    coordination::isolation_release, coordination::quarantine_mark>;
+    coordination::isolation_release, coordination::quarantine_mark,
+    coordination::prompt_crash, coordination::prompt_crash_refutation,
+    coordination::prompt_part_clearance, coordination::prompt_part_mark,
+    coordination::prompt_part_release>;
 
 /// Messages written to the shared store together.
 struct quarantine_record {
--- a/basilstream/protocol/quarantine_codec/quarantine_codec_test.cpp
+++ b/basilstream/protocol/quarantine_codec/quarantine_codec_test.cpp
@@ -25,7 +25,12 @@
         isolation_answer{"q", isolation_refusal::runner_busy,
                          milliseconds{250}},
         isolation_release{"q", true},
-        quarantine_mark{print, {"r1", "r2"}, false, seconds{3}, 2}};
+        quarantine_mark{print, {"r1", "r2"}, false, seconds{3}, 2},
+        prompt_crash{"r1", "b1", milliseconds{70}, {1, ~0ULL}},
+        prompt_crash_refutation{"r1", "b1"},
+        prompt_part_clearance{{3, 4}},
+        prompt_part_mark{7, milliseconds{90}, true, 1},
+        prompt_part_release{7}};
     for (const auto& message : messages) {
         const auto bytes = encode_quarantine(message);
         const auto again = decode_quarantine(bytes);
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -138,6 +138,19 @@
     }
 }
 
+auto quarantine_to_wire(const relay_update& update, wire::relay_update& out)
+    -> void {
+    for (const auto& message : update.quarantine_messages_) {
+        out.add_quarantine_messages(message);
+    }
+}
+
+auto quarantine_from_wire(const wire::relay_update& in, relay_update& update)
+    -> void {
+    update.quarantine_messages_.assign(in.quarantine_messages().begin(),
+                                       in.quarantine_messages().end());
+}
+
 auto known_topic(std::uint32_t value) -> bool {
     return value <=
            static_cast<std::uint32_t>(coordination::shared_topic::quarantine);
@@ -195,6 +208,7 @@
     message.set_lease_end(update.lease_end_);
     permits_to_wire(update, message);
     origins_to_wire(update, message);
+    quarantine_to_wire(update, message);
     return message.SerializeAsString();
 }
 
@@ -233,6 +247,7 @@
                                    milliseconds{in.ready_in_ms()}});
     }
     origins_from_wire(message, update);
+    quarantine_from_wire(message, update);
     if (!permits_from_wire(message, update)) {
         return invalid(step::peer, "invalid rate limit");
     }
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -140,6 +140,8 @@
     std::vector<stream_origin> stream_origins_;
     std::vector<origin_query> origin_queries_;
     std::vector<origin_answer> origin_answers_;
+    /// Encoded by the quarantine codec.
+    std::vector<std::string> quarantine_messages_;
 };
 
 [[nodiscard]] auto encode(const relay_update& update) -> std::string;
