Log connections to servers that fail

not_sent did not tell a refused connection from one that hung, nor when the server had last been heard, so that a machine that is cut off and dead servers looked alike. No behaviour changes.

--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -146,6 +146,8 @@
     // Returns the journal entry of a request that ends now.
     [[nodiscard]] auto make_record(request_outcome outcome) const
         -> request_record;
+    // Logs that no connection for the current attempt could be made.
+    auto log_failed_connection() const -> void;
     // Logs that the connection of the current attempt ended before its answer
     // was complete.
     auto log_lost_attempt(transport::call_failure failure) const -> void;
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -227,6 +227,9 @@
     const auto self = shared_from_this();
     const auto sent = failure != transport::call_failure::not_sent;
     const auto now = state_.context_.clock_.now();
+    if (!sent) {
+        log_failed_connection();
+    }
     if (sent) {
         log_lost_attempt(failure);
         state_.quarantine_.on_connection_lost(quarantine_run_id(), now);
@@ -241,6 +244,24 @@
               sent ? run_status::unknown : run_status::not_run});
 }
 
+auto exchange::log_failed_connection() const -> void {
+    const auto waited = std::chrono::duration_cast<milliseconds>(
+        state_.context_.clock_.now() - attempt_started_);
+    const auto heard = state_.last_received_at_.find(backend_);
+    const auto silence =
+        heard == state_.last_received_at_.end()
+            ? std::string{"never"}
+            : std::to_string(std::chrono::duration_cast<milliseconds>(
+                                 state_.context_.clock_.now() - heard->second)
+                                 .count());
+    state_.context_.log_.info("connection to backend server failed",
+                              {{"request_id", request_.id_},
+                               {"service", service_},
+                               {"backend", backend_},
+                               {"waited_ms", std::to_string(waited.count())},
+                               {"heard_ms_ago", silence}});
+}
+
 auto exchange::log_lost_attempt(transport::call_failure failure) const -> void {
     const auto ran = std::chrono::duration_cast<milliseconds>(
         state_.context_.clock_.now() - attempt_started_);
