--- a/testing/fault_soak/fault_proxy.cpp
+++ b/testing/fault_soak/fault_proxy.cpp
@@ -3,6 +3,11 @@
 #include <deque>
 #include <utility>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace basilstream::testing {
 
 // A pair of connections. Closing one side closes the other after the bytes on
@@ -110,19 +115,67 @@
         transport::tcp_listener::open(thread, "127.0.0.1:0",
                                       [this](int socket) { accept(socket); })
             .value());
+    address_ = listener_->address();
 }
 
 fault_proxy::~fault_proxy() {
+    for (const auto descriptor : hanging_) {
+        ::close(descriptor);
+    }
     for (const auto& open : connections_) {
         open->abandon();
     }
 }
 
 auto fault_proxy::address() const -> std::string {
-    return listener_->address();
+    return address_;
+}
+
+auto fault_proxy::stop_accepting(bool hang) -> void {
+    listener_.reset();
+    if (!hang || !hanging_.empty()) {
+        return;
+    }
+    constexpr auto queued = 4;
+    auto local = sockaddr_in{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    local.sin_port = htons(static_cast<std::uint16_t>(
+        std::stoi(address_.substr(address_.find(':') + 1))));
+    const auto* const generic = reinterpret_cast<const sockaddr*>(&local);
+    const auto open_socket = [this] {
+        hanging_.push_back(
+            ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+        return hanging_.back();
+    };
+    const auto listener = open_socket();
+    const auto reuse = 1;
+    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    ::bind(listener, generic, sizeof local);
+    ::listen(listener, 0);
+    for (auto count = 0; count < queued; ++count) {
+        (void)::connect(open_socket(), generic, sizeof local);
+    }
+}
+
+auto fault_proxy::resume_accepting() -> void {
+    for (const auto descriptor : std::exchange(hanging_, {})) {
+        ::close(descriptor);
+    }
+    if (listener_) {
+        return;
+    }
+    auto opened = transport::tcp_listener::open(
+        thread_, address_, [this](int socket) { accept(socket); });
+    if (opened) {
+        listener_ = std::move(*opened);
+    } else {
+        thread_.after(milliseconds{50}, [this] { resume_accepting(); });
+    }
 }
 
 auto fault_proxy::accept(int descriptor) -> void {
+    ++accepted_;
     const auto accepted = std::make_shared<connection>(*this);
     connections_.insert(accepted);
     accepted->open(descriptor);
--- a/testing/fault_soak/fault_proxy.hpp
+++ b/testing/fault_soak/fault_proxy.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/transport/reactor/reactor.hpp"
@@ -43,6 +44,12 @@
     auto set_delay(milliseconds delay) -> void { delay_ = delay; }
     /// Resets all connections.
     auto reset_all() -> void;
+    /// Refuses new connections, or lets them hang while they are made.
+    auto stop_accepting(bool hang) -> void;
+    /// Accepts connections at the same address again.
+    auto resume_accepting() -> void;
+    /// Number of connections accepted so far.
+    [[nodiscard]] auto accepted() const -> int { return accepted_; }
 
 private:
     class connection;
@@ -52,7 +59,12 @@
     std::string target_;
     proxy_mode mode_ = proxy_mode::forward;
     milliseconds delay_{0};
+    std::string address_;
     std::unique_ptr<transport::tcp_listener> listener_;
+    // Sockets of a port at which connections hang: one that never accepts, and
+    // those that fill its queue.
+    std::vector<int> hanging_;
+    int accepted_ = 0;
     std::unordered_set<std::shared_ptr<connection>> connections_;
 };
 
--- a/testing/fault_soak/stand_in_store.cpp
+++ b/testing/fault_soak/stand_in_store.cpp
@@ -87,16 +87,29 @@
 
 stand_in_store::stand_in_store(transport::reactor_thread& thread,
                                const clock& time)
-    : thread_{thread} {
+    : thread_{thread}, clock_{time} {
     server_ = std::move(transport::http_session_server::open(
                             thread, time, {.address_ = "127.0.0.1:0"},
                             [this](const transport::request_message& request,
                                    transport::http_session& session) {
-                                answer(request, session);
+                                answer(request, session, {});
                             })
                             .value());
 }
 
+auto stand_in_store::add_view(record_view view) -> std::string {
+    view_servers_.push_back(
+        std::move(transport::http_session_server::open(
+                      thread_, clock_, {.address_ = "127.0.0.1:0"},
+                      [this, view = std::move(view)](
+                          const transport::request_message& request,
+                          transport::http_session& session) {
+                          answer(request, session, view);
+                      })
+                      .value()));
+    return view_servers_.back()->address();
+}
+
 stand_in_store::~stand_in_store() = default;
 
 auto stand_in_store::address() const -> std::string {
@@ -109,7 +122,8 @@
 }
 
 auto stand_in_store::answer(const transport::request_message& request,
-                            transport::http_session& session) -> void {
+                            transport::http_session& session,
+                            const record_view& view) -> void {
     const auto call = std::make_shared<held_call>();
     call->session_ = &session;
     call->slow_ = fault_ == store_fault::slow;
@@ -131,9 +145,9 @@
     } else if (path == "/basilstream/log-read") {
         read(topic, number_or(query_value(request.target_, "from"), 0),
              milliseconds{number_or(query_value(request.target_, "waitMs"), 0)},
-             call);
+             call, view);
     } else if (path == "/basilstream/log-newest") {
-        list(topic, call);
+        list(topic, call, view);
     } else {
         respond(call, 404, "");
     }
@@ -156,24 +170,30 @@
             json{{"offset", end}, {"end", topics_[topic].size()}}.dump());
 }
 
-auto stand_in_store::read_response(const std::string& topic, std::size_t from)
-    -> std::string {
+auto stand_in_store::read_response(const std::string& topic, std::size_t from,
+                                   const record_view& view) -> std::string {
     const auto& records = topics_[topic];
     auto body = big_endian(records.size(), 8) + big_endian(0, 8);
     for (auto offset = from; offset < records.size(); ++offset) {
-        body += big_endian(records[offset].size(), 4) + records[offset];
+        auto content = records[offset];
+        if (view && topic.starts_with("keyed.")) {
+            const auto [key, value] = split(records[offset]);
+            content = static_cast<char>(key.size()) + std::string{key} +
+                      view(topic, std::string{value});
+        }
+        body += big_endian(content.size(), 4) + content;
     }
     return body;
 }
 
 auto stand_in_store::read(const std::string& topic, std::size_t from,
-                          milliseconds longest_wait, const call_pointer& call)
-    -> void {
+                          milliseconds longest_wait, const call_pointer& call,
+                          const record_view& view) -> void {
     if (from < topics_[topic].size() || longest_wait.count() == 0) {
-        respond(call, 200, read_response(topic, from));
+        respond(call, 200, read_response(topic, from, view));
         return;
     }
-    waiting_.push_back({topic, from, call});
+    waiting_.push_back({topic, from, call, view});
     thread_.after(longest_wait, [this, call] {
         const auto found = std::find_if(
             waiting_.begin(), waiting_.end(),
@@ -181,13 +201,13 @@
         if (found != waiting_.end()) {
             const auto due = *found;
             waiting_.erase(found);
-            respond(call, 200, read_response(due.topic_, due.from_));
+            respond(call, 200, read_response(due.topic_, due.from_, due.view_));
         }
     });
 }
 
-auto stand_in_store::list(const std::string& topic, const call_pointer& call)
-    -> void {
+auto stand_in_store::list(const std::string& topic, const call_pointer& call,
+                          const record_view& view) -> void {
     const auto& records = topics_[topic];
     auto newest = std::map<std::string, std::size_t>{};
     for (auto offset = std::size_t{0}; offset < records.size(); ++offset) {
@@ -195,7 +215,10 @@
     }
     auto items = json::array();
     for (const auto& [key, offset] : newest) {
-        const auto value = split(records[offset]).second;
+        auto value = std::string{split(records[offset]).second};
+        if (view) {
+            value = view(topic, std::move(value));
+        }
         if (!value.empty()) {
             items.push_back(
                 {{"key", key}, {"value", base64(value)}, {"offset", offset}});
@@ -234,7 +257,7 @@
         waiting = next;
     }
     for (const auto& read : due) {
-        respond(read.call_, 200, read_response(topic, read.from_));
+        respond(read.call_, 200, read_response(topic, read.from_, read.view_));
     }
 }
 
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -221,6 +221,15 @@
     std::filesystem::create_directories(directory_);
     store_.put("keyed.op", "config", config_text(options_));
     daemons_.resize(options_.daemons_);
+    links_.resize(options_.daemons_with_faults_);
+    for (auto index = 0; index < options_.daemons_with_faults_; ++index) {
+        store_views_.push_back(store_.add_view(
+            [this, index](const std::string& topic, std::string value) {
+                return topic == "keyed.servers" && !value.empty()
+                           ? view_server(index, std::move(value))
+                           : value;
+            }));
+    }
     for (auto index = 0; index < options_.daemons_; ++index) {
         start_daemon(index);
     }
@@ -268,6 +277,43 @@
                      std::move(done));
 }
 
+auto raw_deployment::view_server(int daemon, std::string value) -> std::string {
+    auto entry = protocol::json::parse(value);
+    const auto target = entry.at("address").get<std::string>();
+    auto& link = links_[daemon][target];
+    if (!link) {
+        link = std::make_unique<fault_proxy>(thread_, target);
+    }
+    entry["address"] = link->address();
+    return entry.dump();
+}
+
+auto raw_deployment::cut_links(int daemon, link_fault fault) -> void {
+    for (const auto& [target, link] : links_[daemon]) {
+        link->stop_accepting(fault == link_fault::hang);
+        if (fault == link_fault::hang) {
+            link->set_mode(proxy_mode::silent);
+        } else if (fault == link_fault::reset) {
+            link->reset_all();
+        }
+    }
+}
+
+auto raw_deployment::heal_links(int daemon) -> void {
+    for (const auto& [target, link] : links_[daemon]) {
+        link->set_mode(proxy_mode::forward);
+        link->resume_accepting();
+    }
+}
+
+auto raw_deployment::connections_made(int daemon) const -> int {
+    auto count = 0;
+    for (const auto& [target, link] : links_[daemon]) {
+        count += link->accepted();
+    }
+    return count;
+}
+
 auto raw_deployment::restart_daemon(int index) -> void {
     daemons_[index].reset();
     start_daemon(index);
@@ -285,7 +331,9 @@
     daemons_[index] = std::make_unique<daemon_process>(
         daemon_options{.name_ = "d" + std::to_string(index),
                        .directory_ = directory_,
-                       .store_address_ = store_.address(),
+                       .store_address_ = index < options_.daemons_with_faults_
+                                             ? store_views_[index]
+                                             : store_.address(),
                        .retry_ratio_ = options_.retry_ratio_,
                        .retry_allowance_ = options_.retry_allowance_});
 }
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -18,6 +18,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,7 @@
 #include "basilstream/transport/reactor/reactor.hpp"
 #include "basilstream/transport/tcp_stream/tcp_stream.hpp"
 #include "testing/fault_soak/daemon_process.hpp"
+#include "testing/fault_soak/fault_proxy.hpp"
 #include "testing/fault_soak/stand_in_store.hpp"
 
 namespace basilstream::testing {
@@ -118,6 +120,16 @@
     milliseconds objective_{400};
 };
 
+/// How the links between a daemon and all servers fail.
+enum class link_fault {
+    /// Open connections and those being made hang.
+    hang,
+    /// Open connections are reset, new ones refused.
+    reset,
+    /// Open connections go on, new ones are refused.
+    refuse_new,
+};
+
 /// What a deployment consists of.
 struct raw_deployment_options {
     int daemons_ = 2;
@@ -127,6 +139,8 @@
     /// Adapters of the model "m" that each server holds; 0 for servers without
     /// models.
     int adapters_ = 0;
+    /// The first daemons, whose links to servers pass proxies and can fail.
+    int daemons_with_faults_ = 0;
 };
 
 class raw_deployment {
@@ -148,6 +162,12 @@
     /// answer over.
     auto send(int daemon, const std::string& bytes, answer_handler done)
         -> void;
+    /// Makes the links between a daemon and all servers fail, or work again.
+    /// Call for the first `daemons_with_faults_` only.
+    auto cut_links(int daemon, link_fault fault) -> void;
+    auto heal_links(int daemon) -> void;
+    /// Returns how many connections a daemon has made over such links.
+    [[nodiscard]] auto connections_made(int daemon) const -> int;
     /// Kills a daemon and starts it anew.
     auto restart_daemon(int index) -> void;
 
@@ -162,12 +182,18 @@
 
 private:
     auto start_daemon(int index) -> void;
+    // Returns an announcement with the address of the daemon's proxy.
+    auto view_server(int daemon, std::string value) -> std::string;
 
     const raw_deployment_options options_;
     steady_clock clock_;
     transport::reactor_thread thread_;
     stand_in_store store_;
     std::vector<std::unique_ptr<raw_server>> servers_;
+    // For each daemon whose links may fail: proxies by the servers' addresses.
+    std::vector<std::map<std::string, std::unique_ptr<fault_proxy>>> links_;
+    // Addresses of the store as these daemons see it.
+    std::vector<std::string> store_views_;
     // Settings and logs of the daemons.
     std::string directory_;
     std::vector<std::unique_ptr<daemon_process>> daemons_;
