Let other daemons make the attempts of one that reaches no server

Callers of a machine that was partitioned from all servers were refused after four attempts, or waited for their deadlines, while other machines served.

Cause: a daemon had no way to a server but its own connections, and each request found out anew that they fail.

Now a daemon judges for each service, from its own attempts, whether it still reaches a server. If not, it asks a few others, and one of them that does makes the whole attempt: by its own router, permits, pauses and quarantines, with the deadline, the number of runs, the stream's version and the configuration passed on. Requests that still wait for a connection go that way at once. Forwarded requests need a key that daemons tell each other over their own link, and are not forwarded again. If no daemon reaches a server, requests are refused at once. A connection is tried four times a second; requests return to the own links over a second.

--- /dev/null
+++ b/basilstream/coordination/server_reachability/server_reachability.cpp
@@ -0,0 +1,112 @@
+#include "basilstream/coordination/server_reachability/server_reachability.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace basilstream::coordination {
+
+auto server_reachability::enough(std::size_t servers) const -> bool {
+    return servers > 0 &&
+           servers >= std::min(settings_.failed_servers_,
+                               std::max<std::size_t>(servers_, 1));
+}
+
+auto server_reachability::on_started(std::uint64_t call,
+                                     const std::string& server, time_point now)
+    -> void {
+    attempts_[call] = {server, now};
+}
+
+auto server_reachability::on_ended(std::uint64_t call) -> void {
+    attempts_.erase(call);
+}
+
+auto server_reachability::on_connect_failed(std::uint64_t call, time_point now)
+    -> void {
+    const auto found = attempts_.find(call);
+    if (found == attempts_.end()) {
+        return;
+    }
+    failed_.try_emplace(found->second.server_, now);
+    attempts_.erase(found);
+}
+
+auto server_reachability::on_heard(time_point now) -> void {
+    heard_at_ = now;
+    failed_.clear();
+    if (state_ != reachability::reached) {
+        state_ = reachability::reached;
+        reached_again_at_ = now;
+    }
+}
+
+auto server_reachability::state(time_point now) -> reachability {
+    if (state_ == reachability::cut) {
+        return state_;
+    }
+    const auto is_silent = now - heard_at_ >= settings_.silence_after_failures_;
+    auto first_failure = now;
+    for (const auto& [server, at] : failed_) {
+        first_failure = std::min(first_failure, at);
+    }
+    const auto failing =
+        enough(failed_.size()) && is_silent &&
+        now - first_failure >= settings_.silence_after_failures_ / 2;
+    auto unanswered = std::set<std::string>{};
+    for (const auto& [call, entry] : attempts_) {
+        if (now - entry.started_at_ >= settings_.silence_of_requests_) {
+            unanswered.insert(entry.server_);
+        }
+    }
+    for (const auto& [server, at] : failed_) {
+        unanswered.insert(server);
+    }
+    const auto hanging = now - heard_at_ >= settings_.silence_of_requests_ &&
+                         enough(unanswered.size());
+    if (failing || (hanging && state_ == reachability::reached)) {
+        if (state_ == reachability::reached) {
+            next_probe_ = now + settings_.probe_interval_;
+        }
+        state_ = failing ? reachability::cut : reachability::silent;
+        reached_again_at_.reset();
+    }
+    return state_;
+}
+
+auto server_reachability::probe_due(time_point now) -> bool {
+    if (state_ == reachability::reached || now < next_probe_) {
+        return false;
+    }
+    next_probe_ = now + settings_.probe_interval_;
+    return true;
+}
+
+auto server_reachability::on_probe(bool connected, time_point now) -> void {
+    if (state_ == reachability::reached) {
+        return;
+    }
+    if (!connected) {
+        state_ = reachability::cut;
+        return;
+    }
+    state_ = reachability::reached;
+    reached_again_at_ = now;
+    failed_.clear();
+    // What was sent before the cut says nothing about the links now.
+    attempts_.clear();
+    heard_at_ = now;
+}
+
+auto server_reachability::own_share(time_point now) const -> double {
+    if (state_ != reachability::reached) {
+        return 0;
+    }
+    if (!reached_again_at_) {
+        return 1;
+    }
+    const auto since = std::chrono::duration<double>(now - *reached_again_at_);
+    const auto whole = std::chrono::duration<double>(settings_.return_time_);
+    return std::min(1.0, since / whole);
+}
+
+} // namespace basilstream::coordination
--- /dev/null
+++ b/basilstream/coordination/server_reachability/server_reachability_test.cpp
@@ -0,0 +1,93 @@
+#include "basilstream/coordination/server_reachability/server_reachability.hpp"
+
+#include <gtest/gtest.h>
+
+namespace basilstream::coordination {
+namespace {
+
+class server_reachability_test : public ::testing::Test {
+protected:
+    server_reachability_test() {
+        servers_.set_servers(18);
+        servers_.on_heard(now_);
+    }
+
+    auto fail(const std::string& server) -> void {
+        servers_.on_started(++call_, server, now_);
+        servers_.on_connect_failed(call_, now_);
+    }
+    auto advance(milliseconds time) -> reachability {
+        now_ += time;
+        return servers_.state(now_);
+    }
+
+    time_point now_ = time_point{} + seconds{100};
+    server_reachability servers_{{}};
+    std::uint64_t call_ = 0;
+};
+
+TEST_F(server_reachability_test, refused_connections_to_several_servers) {
+    fail("s1");
+    fail("s2");
+    EXPECT_EQ(advance(milliseconds{400}), reachability::reached);
+    fail("s3");
+    EXPECT_EQ(advance(milliseconds{1}), reachability::cut);
+    EXPECT_EQ(servers_.own_share(now_), 0);
+}
+
+// One server that is down counted as a cut.
+TEST_F(server_reachability_test, dead_server_is_taken_for_a_cut) {
+    for (auto count = 0; count < 50; ++count) {
+        fail("s1");
+        fail("s2");
+        fail("s3");
+        EXPECT_EQ(advance(milliseconds{100}), reachability::reached);
+        servers_.on_heard(now_);
+    }
+}
+
+TEST_F(server_reachability_test, requests_that_hang_at_several_servers) {
+    for (const auto* const server : {"s1", "s2", "s3"}) {
+        servers_.on_started(++call_, server, now_);
+    }
+    EXPECT_EQ(advance(milliseconds{1200}), reachability::reached);
+    EXPECT_EQ(advance(milliseconds{400}), reachability::silent);
+    servers_.on_heard(now_);
+    EXPECT_EQ(advance(milliseconds{1}), reachability::reached);
+}
+
+// One silent server held all requests of a daemon.
+TEST_F(server_reachability_test, one_silent_server_is_taken_for_a_cut) {
+    for (auto count = 0; count < 5; ++count) {
+        servers_.on_started(++call_, "s1", now_);
+    }
+    EXPECT_EQ(advance(milliseconds{3000}), reachability::reached);
+}
+
+TEST_F(server_reachability_test, service_with_one_server) {
+    servers_.set_servers(1);
+    fail("s1");
+    EXPECT_EQ(advance(milliseconds{300}), reachability::cut);
+}
+
+TEST_F(server_reachability_test, probes_and_returns_step_by_step) {
+    for (const auto* const server : {"s1", "s2", "s3"}) {
+        fail(server);
+    }
+    EXPECT_EQ(advance(milliseconds{300}), reachability::cut);
+    EXPECT_FALSE(servers_.probe_due(now_));
+    EXPECT_EQ(advance(milliseconds{250}), reachability::cut);
+    EXPECT_TRUE(servers_.probe_due(now_));
+    EXPECT_FALSE(servers_.probe_due(now_));
+    servers_.on_probe(false, now_);
+    EXPECT_EQ(advance(milliseconds{250}), reachability::cut);
+    EXPECT_TRUE(servers_.probe_due(now_));
+    servers_.on_probe(true, now_);
+    EXPECT_EQ(advance(milliseconds{500}), reachability::reached);
+    EXPECT_NEAR(servers_.own_share(now_), 0.5, 0.01);
+    EXPECT_EQ(advance(milliseconds{600}), reachability::reached);
+    EXPECT_EQ(servers_.own_share(now_), 1);
+}
+
+} // namespace
+} // namespace basilstream::coordination
--- a/basilstream/daemon/backend_dialect/backend_dialect.hpp
+++ b/basilstream/daemon/backend_dialect/backend_dialect.hpp
@@ -51,6 +51,7 @@
 
 /// An attempt to send a request to a backend server.
 struct relay_attempt {
+    /// Empty if the request is forwarded to another daemon.
     std::string backend_id_;
     /// Time until the deadline of the request.
     milliseconds remaining_time_{0};
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -56,7 +56,8 @@
 exchange::exchange(relay_state& state, transport::http_session& client,
                    std::shared_ptr<const coordination::relay_config> config,
                    const coordination::relay_route& route,
-                   relayed_request request)
+                   relayed_request request,
+                   std::optional<forwarding_order> forwarded)
     : state_{state}, client_{&client}, config_{std::move(config)},
       route_{route}, request_{std::move(request)},
       service_{
@@ -64,7 +65,10 @@
       fingerprint_{coordination::make_fingerprint(
           coordination::canonical_host(request_.host_),
           request_.message_.target_, request_.message_.body_)},
-      shared_parts_{find_shared_parts(request_)},
+      shared_parts_{find_shared_parts(request_)}, forwarded_{std::move(
+                                                      forwarded)},
+      max_runs_{forwarded_ ? std::min(forwarded_->runs_, route.attempts_)
+                           : route.attempts_},
       arrived_{state.context_.clock_.now()},
       deadline_{arrived_ +
                 std::min(route.timeout_,
@@ -87,7 +91,13 @@
 auto exchange::start() -> void {
     client_->observe(this);
     state_.counters_.requests_.add();
-    state_.retry_policy_of(service_).on_request(arrived_);
+    if (!forwarded_) {
+        state_.retry_policy_of(service_).on_request(arrived_);
+    } else if (forwarded_->stream_version_) {
+        stream_version_ = forwarded_->stream_version_;
+        dispatch();
+        return;
+    }
     if (request_.last_event_ && route_.resumable_) {
         state_.counters_.resume_requests_.add();
         state_.context_.log_.info(
@@ -150,6 +160,9 @@
     if (refuse_held_part()) {
         return;
     }
+    if (!forwarded_ && state_.prefers_forwarding(service_) && forward()) {
+        return;
+    }
     avoid_limited_servers();
     const auto key = routing_key(service_, request_.model_);
     auto routing_request = make_route_request(key);
@@ -358,8 +371,7 @@
 
 auto exchange::deliver_buffered() -> void {
     if (client_ != nullptr) {
-        client_->respond(head_.status_, state_.dialect_.answer_headers(head_),
-                         body_);
+        client_->respond(head_.status_, passed_on_headers(), body_);
     }
     state_.counters_.answered_.add();
     log_answer(head_.status_);
@@ -408,9 +420,13 @@
         const auto status = not_run ? 503 : timed_out ? 504 : 502;
         const auto hint =
             not_run ? std::optional{retry_hint(cause)} : std::nullopt;
-        client_->respond(
-            status, state_.dialect_.local_reply_headers(request_.id_, hint),
-            error_body(cause));
+        auto headers = state_.dialect_.local_reply_headers(request_.id_, hint);
+        if (forwarded_) {
+            write_forwarding_outcome({not_run ? forwarding_outcome::not_run
+                                              : forwarding_outcome::failed},
+                                     headers);
+        }
+        client_->respond(status, headers, error_body(cause));
     }
     finish();
 }
@@ -425,7 +441,7 @@
     entry.service_ = service_;
     entry.model_ = request_.model_;
     entry.adapter_ = request_.adapter_;
-    entry.backend_ = backend_;
+    entry.backend_ = helper_.empty() ? backend_ : helper_;
     entry.retry_ = retry_outcome_;
     entry.attempts_ = attempts_sent_;
     entry.events_ = events_.events();
@@ -453,6 +469,7 @@
          {"model", request_.model_},
          {"adapter", request_.adapter_},
          {"backend", backend_},
+         {"peer", helper_},
          {"fingerprint", fingerprint_.to_string()},
          {"code", error_code_names.name_of(cause.code_)},
          {"step", step_names.name_of(cause.step_)},
@@ -491,7 +508,8 @@
         {{"request_id", request_.id_},
          {"route", route_.name_},
          {"backend", backend_},
-         {"version", state_.software_version(backend_)},
+         {"peer", helper_},
+         {"version", attempt_version_},
          {"status", std::to_string(status)},
          {"attempts", std::to_string(attempts_sent_)},
          {"events", std::to_string(events_.events())},
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "basilstream/coordination/quarantine/quarantine.hpp"
+#include "basilstream/daemon/relay/internal/forwarding_fields.hpp"
 #include "basilstream/daemon/relay/internal/parts.hpp"
 #include "basilstream/protocol/event_stream/event_stream.hpp"
 
@@ -22,7 +23,8 @@
 public:
     exchange(relay_state& state, transport::http_session& client,
              std::shared_ptr<const coordination::relay_config> config,
-             const coordination::relay_route& route, relayed_request request);
+             const coordination::relay_route& route, relayed_request request,
+             std::optional<forwarding_order> forwarded = std::nullopt);
 
     /// Starts the first attempt; may finish the exchange before it returns.
     auto start() -> void;
@@ -30,6 +32,12 @@
     auto on_backends_changed() -> void;
     /// Ends the request if its deadline or its wait for a model has expired.
     auto enforce_deadline(time_point now) -> void;
+    /// Sends the request another way if its attempt still waits for a
+    /// connection, as no server of the service can be reached.
+    auto on_service_unreached() -> void;
+    [[nodiscard]] auto service() const -> const std::string& {
+        return service_;
+    }
     /// Handles a silence time-out of the current attempt: retries on another
     /// backend server if that is allowed, else keeps waiting.
     auto on_backend_silent() -> void;
@@ -92,6 +100,18 @@
     [[nodiscard]] auto make_route_request(std::string_view key) const
         -> coordination::route_request;
     auto send_attempt(const coordination::route& chosen) -> void;
+    // Lets another daemon make the attempt. Returns false if none can, and the
+    // own links should be tried.
+    auto forward() -> bool;
+    auto send_forwarded(const forwarding_helper& helper) -> void;
+    auto on_forwarded_head(const transport::answer_head& head) -> bool;
+    // Handles a forwarded request that has not run, and one that was lost.
+    auto on_forwarding_refused() -> void;
+    auto on_forwarding_failed(transport::call_failure failure) -> void;
+    // Starts to pass on, or to buffer, an answer.
+    auto begin_answer(const transport::answer_head& head) -> void;
+    // Returns the header fields of an answer that is passed on.
+    [[nodiscard]] auto passed_on_headers() const -> transport::header_list;
     // Returns how long the request may wait for a backend server.
     [[nodiscard]] auto longest_wait(time_point now) const -> duration;
     // Waits for the model to be loaded if that is expected in time, else gives
@@ -170,6 +190,15 @@
     coordination::fingerprint fingerprint_;
     // Parts of the prompt that other requests may share.
     std::vector<coordination::prompt_part_id> shared_parts_;
+    // Set if another daemon has forwarded the request.
+    std::optional<forwarding_order> forwarded_;
+    // Number of backend servers on which the request may run.
+    int max_runs_ = 1;
+    // Daemon that makes the current attempt; empty if this one does.
+    std::string helper_;
+    int forwarded_runs_ = 0;
+    forwarding_outcome forwarding_outcome_ = forwarding_outcome::failed;
+    std::vector<std::string> failed_helpers_;
     time_point arrived_;
     time_point deadline_;
     // End of the wait for a model; empty while the request is not waiting.
--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -20,6 +20,10 @@
 } // namespace
 
 auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
+    if (!helper_.empty()) {
+        return on_forwarded_head(head);
+    }
+    state_.reachability_of(service_).on_heard(state_.context_.clock_.now());
     verdict_ = state_.dialect_.classify_answer(head, request_.id_);
     state_.last_received_at_[backend_] = state_.context_.clock_.now();
     note_server_state(head);
@@ -41,6 +45,20 @@
         mode_ = answer_mode::not_run;
         return true;
     }
+    begin_answer(head);
+    return true;
+}
+
+auto exchange::passed_on_headers() const -> transport::header_list {
+    auto headers = state_.dialect_.answer_headers(head_);
+    if (forwarded_) {
+        write_forwarding_outcome({forwarding_outcome::answered, backend_},
+                                 headers);
+    }
+    return headers;
+}
+
+auto exchange::begin_answer(const transport::answer_head& head) -> void {
     head_ = head;
     body_.clear();
     (void)buffered_.resize(events_.partial_bytes());
@@ -50,17 +68,15 @@
         route_.kind_ == coordination::request_kind::streaming &&
         head.status_ / 100 == 2;
     mode_ = streamed ? answer_mode::streamed : answer_mode::buffered;
-    if (streamed && route_.resumable_) {
+    if (streamed && route_.resumable_ && helper_.empty()) {
         state_.context_.streams_.on_stream_begun(
             request_.last_event_ ? request_.resumed_request_ : request_.id_,
             service_, attempt_version_);
     }
     if (streamed && !std::exchange(stream_started_, true) &&
         client_ != nullptr) {
-        client_->begin_stream(head.status_,
-                              state_.dialect_.answer_headers(head));
+        client_->begin_stream(head.status_, passed_on_headers());
     }
-    return true;
 }
 
 auto exchange::note_server_state(const transport::answer_head& head) -> void {
@@ -93,7 +109,10 @@
         return;
     }
     const auto now = state_.context_.clock_.now();
-    state_.last_received_at_[backend_] = now;
+    if (helper_.empty()) {
+        state_.last_received_at_[backend_] = now;
+        state_.reachability_of(service_).on_heard(now);
+    }
     state_.call_monitor_.on_progress(call_number_, request_.id_, now);
     received_stream_ = true;
     if (mode_ != answer_mode::streamed || client_ == nullptr) {
@@ -140,7 +159,7 @@
     body_ = {};
     (void)events_.take_partial();
     (void)buffered_.resize(0);
-    ++possible_runs_;
+    possible_runs_ += helper_.empty() ? 1 : forwarded_runs_;
     state_.router_.on_failure(backend_, state_.context_.clock_.now());
     on_attempt_failed(error{error_code::backend_error, step::attempt, backend_,
                             "the answer exceeds a bound", run_status::unknown});
@@ -187,6 +206,10 @@
     state_.prompts_.on_finish(quarantine_run_id(),
                               executed && head_.status_ / 100 == 2, now);
     end_attempt();
+    if (mode_ == answer_mode::not_run && !helper_.empty()) {
+        on_forwarding_refused();
+        return;
+    }
     if (mode_ == answer_mode::not_run) {
         const auto refused_by_server = verdict_ == answer_verdict::refused;
         on_attempt_failed(error{
@@ -199,7 +222,7 @@
             run_status::not_run});
         return;
     }
-    ++possible_runs_;
+    possible_runs_ += helper_.empty() ? 1 : forwarded_runs_;
     state_.router_.on_success(backend_);
     if (mode_ == answer_mode::buffered && stream_started_) {
         // This answer cannot continue the stream that the client has received
@@ -228,7 +251,7 @@
     const auto repeatable =
         head_.status_ >= min_server_error_status &&
         route_.kind_ == coordination::request_kind::idempotent &&
-        possible_runs_ < route_.attempts_ && client_ != nullptr;
+        possible_runs_ < max_runs_ && client_ != nullptr;
     if (!repeatable) {
         return false;
     }
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -94,6 +94,7 @@
         return;
     }
     backend_ = chosen.runner_;
+    helper_.clear();
     attempt_version_ = state_.software_version(backend_);
     if (const auto allowed = register_run(now); !allowed) {
         backend_.clear();
@@ -138,6 +139,7 @@
                                          : server_call::further_attempt,
                                      request_.id_);
     ++attempts_sent_;
+    state_.reachability_of(service_).on_started(call_number_, backend_, now);
     state_.router_.start_attempt(backend_);
     state_.context_.permits_.on_sent(backend_);
     monitor_call();
@@ -217,6 +219,7 @@
     const auto now = state_.context_.clock_.now();
     state_.quarantine_.on_finish(quarantine_run_id(), false, now);
     state_.prompts_.on_finish(quarantine_run_id(), false, now);
+    state_.reachability_of(service_).on_ended(call_number_);
     call_.reset();
     paused_ = false;
     state_.call_monitor_.close(call_number_);
@@ -225,12 +228,16 @@
 
 auto exchange::on_call_failed(transport::call_failure failure) -> void {
     const auto self = shared_from_this();
+    if (!helper_.empty()) {
+        on_forwarding_failed(failure);
+        return;
+    }
     const auto sent = failure != transport::call_failure::not_sent;
     const auto now = state_.context_.clock_.now();
     if (!sent) {
         log_failed_connection();
-    }
-    if (sent) {
+        state_.reachability_of(service_).on_connect_failed(call_number_, now);
+    } else {
         log_lost_attempt(failure);
         state_.quarantine_.on_connection_lost(quarantine_run_id(), now);
         state_.prompts_.on_connection_lost(quarantine_run_id(), now);
@@ -286,8 +293,7 @@
     const auto continuable =
         !stream_started_ || events_.events() == 0 || events_.last_id();
     return possible_runs == 0 ||
-           (route_.is_repeatable() && possible_runs < route_.attempts_ &&
-            continuable);
+           (route_.is_repeatable() && possible_runs < max_runs_ && continuable);
 }
 
 auto exchange::on_attempt_failed(error cause) -> void {
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -14,9 +14,11 @@
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/retries/retries.hpp"
 #include "basilstream/coordination/routing/routing.hpp"
+#include "basilstream/coordination/server_reachability/server_reachability.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
 #include "basilstream/transport/http_pool/http_pool.hpp"
 #include "basilstream/transport/http_session/http_session.hpp"
+#include "basilstream/transport/tcp_stream/tcp_stream.hpp"
 
 namespace basilstream::daemon::internal {
 
@@ -35,10 +37,25 @@
     transport::counter& client_disconnects_;
     transport::counter& ended_by_connection_;
     transport::counter& oversized_answers_;
+    transport::counter& forwarded_;
+    transport::counter& taken_from_peers_;
     transport::duration_histogram& first_byte_;
     transport::duration_histogram& total_time_;
 };
 
+/// Tries to connect to a server.
+class connection_probe final : public transport::tcp_observer {
+public:
+    connection_probe(transport::reactor_thread& thread,
+                     const std::string& address);
+    [[nodiscard]] auto established() const -> bool;
+    auto on_data(std::string_view /*bytes*/) -> void override {}
+    auto on_closed(transport::close_reason /*reason*/) -> void override;
+
+private:
+    std::unique_ptr<transport::tcp_stream> stream_;
+};
+
 /// State shared by all exchanges. Not thread-safe: used on the reactor thread
 /// only.
 struct relay_state {
@@ -72,6 +89,18 @@
     /// Notifies exchanges whose backend server exceeded a silence time-out and
     /// whose request may be sent again.
     auto handle_silent_calls() -> void;
+    /// Routes a request that another daemon has forwarded, and starts its
+    /// exchange, or refuses it.
+    auto on_forwarded_request(transport::request_message message,
+                              transport::http_session& session) -> void;
+    /// Returns how well the servers of a service are reached.
+    [[nodiscard]] auto reachability_of(const std::string& service)
+        -> coordination::server_reachability&;
+    /// Returns whether a request of the service should go to another daemon.
+    [[nodiscard]] auto prefers_forwarding(const std::string& service) -> bool;
+    /// Notices services that cannot be reached any more, and tries to connect
+    /// to their servers now and then.
+    auto check_reachability() -> void;
     /// Answers with `status`; adds a retry hint to status 503.
     auto refuse(transport::http_session& session, int status,
                 const std::string& request_id, const char* reason) -> void;
@@ -87,17 +116,26 @@
     coordination::router router_;
     transport::http_pool pool_;
     std::unique_ptr<transport::http_session_server> server_;
+    // For requests that other daemons forward; null before it is opened.
+    std::unique_ptr<transport::http_session_server> forwarding_server_;
     std::unordered_map<std::string, coordination::retry_policy> retry_policies_;
     // From when on the retry allowance may be used.
     const time_point retry_allowance_from_;
     // Last reported state of a backend server, to detect crashes.
     struct backend_info {
         std::string service_;
+        std::string address_;
         std::int64_t started_at_ = 0;
         std::string software_version_;
         bool draining_ = false;
     };
     std::unordered_map<std::string, backend_info> backends_;
+    struct service_links {
+        coordination::server_reachability reachability_{{}};
+        bool reached_ = true;
+        std::unique_ptr<connection_probe> probe_;
+    };
+    std::map<std::string, service_links> links_;
     coordination::quarantine quarantine_;
     coordination::prompt_quarantine prompts_;
     request_journal journal_;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -37,6 +37,8 @@
 constexpr auto max_buffered_answer_bytes = std::size_t{32} << 20U;
 // Bound of the random number that distinguishes the runs of a restarted daemon.
 constexpr auto max_run_id_nonce = std::uint64_t{1} << 32U;
+// Size of the header fields that a daemon adds to a forwarded request, at most.
+constexpr auto forwarding_header_bytes = 1024;
 // Connections per backend server for services without a configured limit.
 constexpr auto default_connection_limit = 64;
 
@@ -131,6 +133,12 @@
       oversized_answers_{metrics.add_counter(
           "basilstream_relay_oversized_answers_total",
           "Answers that were cut off because they exceeded a bound.")},
+      forwarded_{metrics.add_counter(
+          "basilstream_relay_forwarded_total",
+          "Requests sent to other daemons, as no server was reached.")},
+      taken_from_peers_{
+          metrics.add_counter("basilstream_relay_taken_from_peers_total",
+                              "Requests that other daemons have forwarded.")},
       first_byte_{metrics.add_histogram(
           "basilstream_relay_first_byte_seconds",
           "Time to an answer or a stream's first event.")},
@@ -283,6 +291,109 @@
     new_exchange->start();
 }
 
+connection_probe::connection_probe(transport::reactor_thread& thread,
+                                   const std::string& address)
+    : stream_{transport::tcp_stream::connect(thread, address, *this)} {}
+
+auto connection_probe::established() const -> bool {
+    return stream_ && stream_->established();
+}
+
+auto connection_probe::on_closed(transport::close_reason /*reason*/) -> void {
+    stream_.reset();
+}
+
+auto relay_state::on_forwarded_request(transport::request_message message,
+                                       transport::http_session& session)
+    -> void {
+    const auto order = read_forwarding_fields(message.headers_);
+    if (!order || order->key_ != context_.forwarding_.key()) {
+        session.respond(403, {}, "");
+        return;
+    }
+    counters_.taken_from_peers_.add();
+    erase_forwarding_fields(message.headers_);
+    auto request = dialect_.read(std::move(message));
+    const auto& config = routes_.config();
+    const auto* const route =
+        request && config && config->version_ >= order->config_version_
+            ? routes_.match(request->host_, request->message_.target_)
+            : nullptr;
+    if (!accepting_ || route == nullptr || route->targets_.empty()) {
+        auto headers = dialect_.local_reply_headers(request ? request->id_ : "",
+                                                    settings_.retry_hint_);
+        write_forwarding_outcome({forwarding_outcome::unreached}, headers);
+        session.respond(503, headers, "");
+        return;
+    }
+    const auto new_exchange = std::make_shared<exchange>(
+        *this, session, config, *route, std::move(*request), order);
+    exchanges_.insert(new_exchange);
+    new_exchange->start();
+}
+
+auto relay_state::reachability_of(const std::string& service)
+    -> coordination::server_reachability& {
+    return links_[service].reachability_;
+}
+
+auto relay_state::prefers_forwarding(const std::string& service) -> bool {
+    auto& reachability = reachability_of(service);
+    (void)reachability.state(context_.clock_.now());
+    const auto share = reachability.own_share(context_.clock_.now());
+    return share < 1 && context_.random_.fraction() >= share;
+}
+
+auto relay_state::check_reachability() -> void {
+    const auto now = context_.clock_.now();
+    auto addresses = std::map<std::string, std::vector<std::string>>{};
+    for (const auto& [id, backend] : backends_) {
+        addresses[backend.service_].push_back(backend.address_);
+    }
+    for (auto& [service, links] : links_) {
+        auto& reachability = links.reachability_;
+        const auto& servers = addresses[service];
+        reachability.set_servers(servers.size());
+        if (links.probe_ && links.probe_->established()) {
+            links.probe_.reset();
+            reachability.on_probe(true, now);
+        }
+        const auto reached =
+            reachability.state(now) == coordination::reachability::reached;
+        if (reached != links.reached_) {
+            links.reached_ = reached;
+            context_.log_.warning(
+                reached ? "servers of a service are reached again"
+                        : "no server of a service can be reached",
+                {{"service", service},
+                 {"servers", std::to_string(servers.size())}});
+            for (const auto& address : servers) {
+                pool_.drop_idle(address);
+            }
+            const auto snapshot = std::vector<std::shared_ptr<exchange>>{
+                exchanges_.begin(), exchanges_.end()};
+            for (const auto& open_exchange : snapshot) {
+                if (!reached && open_exchange->service() == service) {
+                    open_exchange->on_service_unreached();
+                }
+            }
+        }
+        if (reached) {
+            links.probe_.reset();
+            continue;
+        }
+        context_.forwarding_.seek();
+        if (!servers.empty() && reachability.probe_due(now)) {
+            if (links.probe_) {
+                reachability.on_probe(false, now);
+            }
+            links.probe_ = std::make_unique<connection_probe>(
+                context_.thread_,
+                servers[context_.random_.below(servers.size())]);
+        }
+    }
+}
+
 } // namespace internal
 
 using internal::exchange;
@@ -311,6 +422,32 @@
     return {};
 }
 
+auto relay::open_forwarding(const std::string& address) -> result<void> {
+    auto& state = *state_;
+    auto opened = transport::http_session_server::open(
+        state.context_.thread_, state.context_.clock_, {.address_ = address},
+        [&state](transport::request_message request,
+                 transport::http_session& session) {
+            state.on_forwarded_request(std::move(request), session);
+        });
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    state.forwarding_server_ = std::move(*opened);
+    state.context_.forwarding_.set_listener(
+        state.forwarding_server_->address(), [&state] {
+            auto told = forwarding_state{};
+            for (const auto& [service, links] : state.links_) {
+                if (!links.reached_) {
+                    told.unreached_.push_back(service);
+                }
+            }
+            told.in_progress_ = state.exchanges_.size();
+            return told;
+        });
+    return {};
+}
+
 auto relay::set_config(std::shared_ptr<const coordination::relay_config> config)
     -> void {
     auto& state = *state_;
@@ -320,6 +457,13 @@
     }
     state.server_->set_limits({limits.header_bytes_, limits.body_bytes_},
                               limits.header_timeout_, limits.idle_timeout_);
+    if (state.forwarding_server_) {
+        // Leaves room for the fields that daemons add.
+        state.forwarding_server_->set_limits(
+            {limits.header_bytes_ + internal::forwarding_header_bytes,
+             limits.body_bytes_},
+            limits.header_timeout_, limits.idle_timeout_);
+    }
     state.context_.log_.info(
         "configuration activated",
         {{"version", std::to_string(config->version_)},
@@ -355,8 +499,9 @@
         previous->second.started_at_ != server.started_at_) {
         state.on_backend_crash(server.id_, "started anew");
     }
-    state.backends_[server.id_] = {server.service_, server.started_at_,
-                                   server.software_version_, leaving};
+    state.backends_[server.id_] = {server.service_, server.address_,
+                                   server.started_at_, server.software_version_,
+                                   leaving};
     state.router_.update_runner(info);
     state.context_.permits_.set_server(server.id_, server.started_at_);
     state.router_.set_paused_until(server.id_,
@@ -467,6 +612,9 @@
 
 auto relay::close_idle() -> void {
     state_->server_->close_idle();
+    if (state_->forwarding_server_) {
+        state_->forwarding_server_->close_idle();
+    }
 }
 
 auto relay::in_progress() const -> std::size_t {
@@ -486,8 +634,12 @@
         open_exchange->enforce_deadline(now);
     }
     state.handle_silent_calls();
+    state.check_reachability();
     state.pool_.sweep();
     state.server_->sweep();
+    if (state.forwarding_server_) {
+        state.forwarding_server_->sweep();
+    }
 }
 
 auto relay::address() const -> std::string {
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -29,6 +29,7 @@
 #include "basilstream/coordination/quarantine/quarantine.hpp"
 #include "basilstream/coordination/route_table/route_table.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
+#include "basilstream/daemon/peer_forwarding/peer_forwarding.hpp"
 #include "basilstream/daemon/request_journal/request_journal.hpp"
 #include "basilstream/daemon/server_notices/server_notices.hpp"
 #include "basilstream/daemon/server_permits/server_permits.hpp"
@@ -50,6 +51,7 @@
     server_permits& permits_;
     stream_directory& streams_;
     server_notices& notices_;
+    peer_forwarding& forwarding_;
 };
 
 /// Identifies the model, or the adapter of a model, that a request needs.
@@ -118,6 +120,11 @@
     /// Starts to listen; fails if the address cannot be bound.
     [[nodiscard]] auto open() -> result<void>;
 
+    /// Starts to listen on "IP:PORT" for requests that other daemons forward,
+    /// and offers that to them. Call after open().
+    [[nodiscard]] auto open_forwarding(const std::string& address)
+        -> result<void>;
+
     /// Activates `config` if its version is newer than the active one. Call
     /// open() first.
     auto set_config(std::shared_ptr<const coordination::relay_config> config)
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -76,8 +76,9 @@
                                                             settings.name_},
           streams_{{clock_, metrics_}, settings.name_}, notices_{{clock_, log_,
                                                                   metrics_}},
-          context_{clock_,   random_,  thread_,  log_,
-                   metrics_, permits_, streams_, notices_},
+          forwarding_{{clock_, random_, log_, metrics_}, settings.name_},
+          context_{clock_,   random_,  thread_,  log_,       metrics_,
+                   permits_, streams_, notices_, forwarding_},
           relay_{context_, relay_settings_of(settings), deployment.dialect(),
                  *this},
           control_calls_{thread_, clock_},
@@ -122,6 +123,9 @@
         if (auto opened = open_link(); !opened) {
             return opened;
         }
+        if (auto opened = open_forwarding(); !opened) {
+            return opened;
+        }
         const auto listen = [this](const std::string& address, auto method)
             -> result<std::unique_ptr<transport::http_session_server>> {
             return transport::http_session_server::open(
@@ -300,6 +304,20 @@
         return tl::unexpected(failure);
     }
 
+    // Listens for forwarded requests on the last free port for other daemons,
+    // or on any if none is free.
+    auto open_forwarding() -> result<void> {
+        for (auto port = int{settings_.last_peer_port_};
+             port >= std::max(int{settings_.first_peer_port_}, 1); --port) {
+            const auto address =
+                settings_.peer_ip_ + ":" + std::to_string(port);
+            if (auto opened = relay_.open_forwarding(address)) {
+                return opened;
+            }
+        }
+        return relay_.open_forwarding(settings_.peer_ip_ + ":0");
+    }
+
     auto answer_readiness(const transport::request_message& request,
                           transport::http_session& session) -> void {
         const auto for_readiness = deployment_.is_readiness_request(request);
@@ -388,6 +406,7 @@
         }
         permits_.on_update(sender, *update);
         streams_.on_update(sender, *update);
+        forwarding_.on_update(sender, *update);
         prompt_sharing_.on_update(sender, *update);
         sharing_.on_update(sender, *update);
         for (const auto& page : update->pages_) {
@@ -424,6 +443,7 @@
         };
         permits_.connect(send);
         streams_.connect(send);
+        forwarding_.connect(send);
         prompt_sharing_.connect(send);
         quarantine_gossip_.emplace(
             log_, clock_, relay_.crash_quarantine(), *cluster_,
@@ -433,6 +453,7 @@
         cluster_->on_members([this](const std::vector<std::string>& owners) {
             relay_.crash_quarantine().set_members(owners, clock_.now());
             prompt_sharing_.set_daemons(owners);
+            forwarding_.set_daemons(owners);
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
             models_.set_daemons(owners.size());
             if (drain_.stop_requests() == 0) {
@@ -563,6 +584,7 @@
     server_permits permits_;
     stream_directory streams_;
     server_notices notices_;
+    peer_forwarding forwarding_;
     relay_context context_;
     relay relay_;
     // Connections to the store, separate from those for traffic.
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -151,6 +151,33 @@
                                        in.quarantine_messages().end());
 }
 
+auto forwarding_to_wire(const relay_update& update, wire::relay_update& out)
+    -> void {
+    out.set_asks_for_forwarding(update.asks_for_forwarding_);
+    if (const auto& offer = update.forwarding_offer_) {
+        auto& copy = *out.mutable_forwarding_offer();
+        copy.set_address(offer->address_);
+        copy.set_key(offer->key_);
+        copy.set_in_progress(offer->in_progress_);
+        for (const auto& service : offer->unreached_) {
+            copy.add_unreached(service);
+        }
+    }
+}
+
+auto forwarding_from_wire(const wire::relay_update& in, relay_update& update)
+    -> void {
+    update.asks_for_forwarding_ = in.asks_for_forwarding();
+    if (in.has_forwarding_offer()) {
+        const auto& offer = in.forwarding_offer();
+        update.forwarding_offer_ = {
+            offer.address(),
+            offer.key(),
+            {offer.unreached().begin(), offer.unreached().end()},
+            offer.in_progress()};
+    }
+}
+
 auto known_topic(std::uint32_t value) -> bool {
     return value <=
            static_cast<std::uint32_t>(coordination::shared_topic::quarantine);
@@ -209,6 +236,7 @@
     permits_to_wire(update, message);
     origins_to_wire(update, message);
     quarantine_to_wire(update, message);
+    forwarding_to_wire(update, message);
     return message.SerializeAsString();
 }
 
@@ -248,6 +276,7 @@
     }
     origins_from_wire(message, update);
     quarantine_from_wire(message, update);
+    forwarding_from_wire(message, update);
     if (!permits_from_wire(message, update)) {
         return invalid(step::peer, "invalid rate limit");
     }
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -116,6 +116,16 @@
 
 /// A message between daemons; parts that are empty say nothing, but for
 /// `loads_` if `has_loads_`, which then replaces the sender's former ones.
+/// Offer of a daemon to take requests that another one cannot deliver.
+struct forwarding_offer {
+    /// "IP:PORT" of its listener.
+    std::string address_;
+    std::string key_;
+    /// Services whose servers it does not reach.
+    std::vector<std::string> unreached_;
+    std::uint32_t in_progress_ = 0;
+};
+
 struct relay_update {
     bool has_loads_ = false;
     std::vector<backend_load> loads_;
@@ -142,6 +152,8 @@
     std::vector<origin_answer> origin_answers_;
     /// Encoded by the quarantine codec.
     std::vector<std::string> quarantine_messages_;
+    bool asks_for_forwarding_ = false;
+    std::optional<forwarding_offer> forwarding_offer_;
 };
 
 [[nodiscard]] auto encode(const relay_update& update) -> std::string;
--- a/basilstream/transport/http_pool/http_pool.cpp
+++ b/basilstream/transport/http_pool/http_pool.cpp
@@ -67,6 +67,10 @@
     }
 }
 
+auto http_call_connection::established() const -> bool {
+    return stream_ && stream_->established();
+}
+
 auto http_call_connection::on_head(answer_head head) -> void {
     foreign_ = observer_ != nullptr && !observer_->on_answer_head(head);
     if (foreign_) {
--- a/basilstream/transport/http_pool/http_pool.hpp
+++ b/basilstream/transport/http_pool/http_pool.hpp
@@ -79,6 +79,9 @@
     auto cancel() -> void;
     /// Stops or resumes reading the answer, for back-pressure.
     auto set_reading(bool wanted) -> void;
+    /// Returns whether the connection has been made; until then, nothing of the
+    /// request has left.
+    [[nodiscard]] auto established() const -> bool;
 
     auto on_data(std::string_view bytes) -> void override;
     auto on_closed(close_reason reason) -> void override;
--- a/testing/fault_soak/fault_proxy.cpp
+++ b/testing/fault_soak/fault_proxy.cpp
@@ -150,9 +150,10 @@
     };
     const auto listener = open_socket();
     const auto reuse = 1;
-    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-    ::bind(listener, generic, sizeof local);
-    ::listen(listener, 0);
+    (void)::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse,
+                       sizeof reuse);
+    (void)::bind(listener, generic, sizeof local);
+    (void)::listen(listener, 0);
     for (auto count = 0; count < queued; ++count) {
         (void)::connect(open_socket(), generic, sizeof local);
     }
