Charge the retry budget only for attempts that were sent

Cause: each retry was charged, also after an attempt for which no connection was made. The budget bounds requests that servers get beyond the first; an attempt that was not sent has given them none, so that the next one is still covered. The number of attempts stays bounded for each request.

failed_connections_are_charged_to_the_budget failed before.

--- a/basilstream/coordination/retries/retries.cpp
+++ b/basilstream/coordination/retries/retries.cpp
@@ -138,7 +138,7 @@
     if (not_before >= failure.deadline_) {
         return give_up(failure, give_up_reason::deadline);
     }
-    if (!guards_.within_budget_(budget_, now)) {
+    if (!failure.nothing_sent_ && !guards_.within_budget_(budget_, now)) {
         return give_up(failure, give_up_reason::budget_exhausted);
     }
     auto excluded = failure.failed_runners_;
--- a/basilstream/coordination/retries/retries.hpp
+++ b/basilstream/coordination/retries/retries.hpp
@@ -63,6 +63,9 @@
     /// Only the daemon that serves the caller retries; otherwise the attempts
     /// of both daemons would multiply.
     bool forwarded_ = false;
+    /// Whether nothing of the request has left this daemon, so that sending it
+    /// elsewhere gives no runner an additional request.
+    bool nothing_sent_ = false;
     time_point deadline_ = time_point::max();
     /// Runners on which earlier attempts failed, without `runner_`.
     std::vector<std::string> failed_runners_ = {};
--- a/basilstream/coordination/retries/retries_test.cpp
+++ b/basilstream/coordination/retries/retries_test.cpp
@@ -124,6 +124,17 @@
     EXPECT_EQ(late.error_->retry_after_, milliseconds{700});
 }
 
+// Attempts that no runner saw used up the budget of all others.
+TEST_F(retries, failed_connections_are_charged_to_the_budget) {
+    const auto unsent = attempt_failure{
+        .error_ = make_error(error_code::unavailable, run_status::not_run),
+        .nothing_sent_ = true};
+    for (auto request = 0; request < 1000; ++request) {
+        EXPECT_TRUE(decide(unsent).retry_);
+    }
+    EXPECT_TRUE(decide({.error_ = no_slot_}).retry_);
+}
+
 TEST_F(retries, delay_is_jittered_below_an_exponential_bound) {
     auto longest = duration{};
     for (auto draw = 0; draw < 200; ++draw) {
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -242,6 +242,8 @@
     // Number of attempts that ran or may have run, and of all attempts sent.
     int possible_runs_ = 0;
     int attempts_sent_ = 0;
+    // Whether no connection was made for the last attempt.
+    bool nothing_sent_ = false;
     // Incremented with each scheduled dispatch; invalidates earlier timers.
     std::uint64_t dispatch_generation_ = 0;
 
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -139,6 +139,7 @@
                                          : server_call::further_attempt,
                                      request_.id_);
     ++attempts_sent_;
+    nothing_sent_ = false;
     state_.reachability_of(service_).on_started(call_number_, backend_, now);
     state_.router_.start_attempt(backend_);
     state_.context_.permits_.on_sent(backend_);
@@ -233,6 +234,7 @@
         return;
     }
     const auto sent = failure != transport::call_failure::not_sent;
+    nothing_sent_ = !sent;
     const auto now = state_.context_.clock_.now();
     if (!sent) {
         log_failed_connection();
@@ -345,6 +347,7 @@
          .idempotent_ = route_.is_repeatable(),
          .delivered_ = events_.events(),
          .resumable_ = route_.resumable_,
+         .nothing_sent_ = nothing_sent_,
          .deadline_ = deadline_,
          .failed_runners_ = excluded_},
         now);
