Keep the ports of proxies that refuse connections

testing_partitioned_daemons failed once in a whole test run: of all_7_are_reset's 500 requests 48 were not refused at once, 36 of them served after the cut. A proxy that refuses connections closed its listener, so that another process could get its port and accept the daemons' connections. It now keeps the port bound.

--- a/testing/fault_soak/fault_proxy.cpp
+++ b/testing/fault_soak/fault_proxy.cpp
@@ -119,7 +119,7 @@
 }
 
 fault_proxy::~fault_proxy() {
-    for (const auto descriptor : hanging_) {
+    for (const auto descriptor : held_) {
         ::close(descriptor);
     }
     for (const auto& open : connections_) {
@@ -133,7 +133,7 @@
 
 auto fault_proxy::stop_accepting(bool hang) -> void {
     listener_.reset();
-    if (!hang || !hanging_.empty()) {
+    if (!held_.empty()) {
         return;
     }
     constexpr auto queued = 4;
@@ -144,15 +144,20 @@
         std::stoi(address_.substr(address_.find(':') + 1))));
     const auto* const generic = reinterpret_cast<const sockaddr*>(&local);
     const auto open_socket = [this] {
-        hanging_.push_back(
+        held_.push_back(
             ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-        return hanging_.back();
+        return held_.back();
     };
+    // A bound socket that does not listen refuses connections, and keeps other
+    // processes from taking the port.
     const auto listener = open_socket();
     const auto reuse = 1;
     (void)::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse,
                        sizeof reuse);
     (void)::bind(listener, generic, sizeof local);
+    if (!hang) {
+        return;
+    }
     (void)::listen(listener, 0);
     for (auto count = 0; count < queued; ++count) {
         (void)::connect(open_socket(), generic, sizeof local);
@@ -160,7 +165,7 @@
 }
 
 auto fault_proxy::resume_accepting() -> void {
-    for (const auto descriptor : std::exchange(hanging_, {})) {
+    for (const auto descriptor : std::exchange(held_, {})) {
         ::close(descriptor);
     }
     if (listener_) {
--- a/testing/fault_soak/fault_proxy.hpp
+++ b/testing/fault_soak/fault_proxy.hpp
@@ -61,9 +61,9 @@
     milliseconds delay_{0};
     std::string address_;
     std::unique_ptr<transport::tcp_listener> listener_;
-    // Sockets of a port at which connections hang: one that never accepts, and
-    // those that fill its queue.
-    std::vector<int> hanging_;
+    // Sockets that keep the port while no connections are accepted: one that is
+    // bound, and those that fill its queue so that others hang.
+    std::vector<int> held_;
     int accepted_ = 0;
     std::unordered_set<std::shared_ptr<connection>> connections_;
 };
