--- a/testing/partitioned_daemons/partitioned_daemons_test.cpp
+++ b/testing/partitioned_daemons/partitioned_daemons_test.cpp
@@ -30,7 +30,6 @@
 constexpr auto min_served_ratio = 0.9;
 constexpr auto time_to_refuse = milliseconds{400};
 constexpr auto time_to_return = seconds{2};
-constexpr auto client_deadline = 4000;
 constexpr auto calm_time = seconds{2};
 constexpr auto time_to_end = seconds{5};
 
@@ -46,6 +45,8 @@
     // Servers fall silent in turn for this long, and then go on.
     duration silence_{};
     duration length_ = seconds{13};
+    // In milliseconds.
+    int deadline_ = 4000;
 };
 
 class partitioned_daemons_world {
@@ -200,7 +201,8 @@
             std::string{request.headers_.find(deadline_field)};
         ++runs_[id];
         long_deadlines_ +=
-            deadline.empty() || std::stoi(deadline) > client_deadline ? 1 : 0;
+            deadline.empty() || std::stoi(deadline) > options_.deadline_ ? 1
+                                                                         : 0;
         const auto streamed = request.target_.starts_with("/stream/");
         after_silence(number, milliseconds{20}, [=, this] {
             if (!streamed) {
@@ -249,7 +251,7 @@
         auto headers = transport::header_list{};
         headers.add("Host", "x");
         headers.add(request_id_field, requests_[index].id_);
-        headers.add(deadline_field, std::to_string(client_deadline));
+        headers.add(deadline_field, std::to_string(options_.deadline_));
         deployment_.send(daemon,
                          transport::write_request(
                              "POST", prefixes.at(kind) + std::to_string(index),
@@ -333,6 +335,9 @@
                  .cut_daemons_ = 20,
                  .servers_ = 12,
                  .request_interval_ = milliseconds{4}},
+        scenario{.name_ = "one_of_7_hangs_short_deadlines",
+                 .servers_ = 3,
+                 .deadline_ = 900},
         scenario{.name_ = "servers_of_7_fall_silent",
                  .cuts_at_ = {},
                  .silence_ = milliseconds{1200}}),
