Keep the ports of crashed servers

A run of testing_partitioned_daemons beside a whole test run got 33 requests whose deadlines were longer than any that its clients had sent; the next run got none. Servers of testing_crashing_parts and testing_brittle_servers free their ports when they crash, while daemons still send to them, so that servers of another test may get these ports and requests. Crashed servers keep their ports now. That the 33 requests came that way is only suspected: their values were not kept.

--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -5,6 +5,9 @@
 #include <future>
 #include <utility>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "basilstream/protocol/json/json.hpp"
@@ -61,6 +64,26 @@
         .dump();
 }
 
+auto port_of(const std::string& address) -> std::uint16_t {
+    return static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.find(':') + 1)));
+}
+
+// Returns a socket that keeps a port, at which connections are refused.
+auto hold_port(std::uint16_t port) -> int {
+    const auto descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto reuse = 1;
+    (void)::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse,
+                       sizeof reuse);
+    auto local = sockaddr_in{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    local.sin_port = htons(port);
+    (void)::bind(descriptor, reinterpret_cast<const sockaddr*>(&local),
+                 sizeof local);
+    return descriptor;
+}
+
 // A client's connection, which keeps itself until its answer has ended.
 class raw_client final : public transport::tcp_observer,
                          public transport::response_sink {
@@ -161,6 +184,12 @@
     open();
 }
 
+raw_server::~raw_server() {
+    for (const auto descriptor : held_ports_) {
+        ::close(descriptor);
+    }
+}
+
 auto raw_server::open() -> void {
     auto opened = transport::tcp_listener::open(
         thread_, "127.0.0.1:0", [this](int descriptor) {
@@ -174,7 +203,9 @@
 }
 
 auto raw_server::crash(bool reset) -> void {
+    const auto port = port_of(listener_->address());
     listener_.reset();
+    held_ports_.push_back(hold_port(port));
     for (const auto& connection : std::exchange(connections_, {})) {
         if (reset) {
             connection->reset();
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -70,7 +70,7 @@
                raw_connection::handler on_request);
     raw_server(const raw_server&) = delete;
     auto operator=(const raw_server&) -> raw_server& = delete;
-    ~raw_server() = default;
+    ~raw_server();
 
     [[nodiscard]] auto id() const -> const std::string& { return id_; }
     /// Announces a process that started at `started_at`, in Unix milliseconds.
@@ -98,6 +98,9 @@
     const bool holds_model_;
     std::vector<std::shared_ptr<raw_connection>> connections_;
     std::unique_ptr<transport::tcp_listener> listener_;
+    // Sockets that keep the ports of ended processes, so that their callers do
+    // not reach others.
+    std::vector<int> held_ports_;
 };
 
 /// What a client has received until its answer or its connection ended.
