Count attempts that are given up unanswered towards a cut

Callers with short deadlines were not served by a daemon that reached no server, as their deadlines passed before a connection had failed: such attempts left no trace. An attempt that is given up after 0.4 s or more, with nothing heard from any server since it began, counts as unanswered now; several such servers and 1.5 s of silence let the daemon ask others for help.

--- a/basilstream/coordination/server_reachability/server_reachability.cpp
+++ b/basilstream/coordination/server_reachability/server_reachability.cpp
@@ -1,7 +1,6 @@
 #include "basilstream/coordination/server_reachability/server_reachability.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace basilstream::coordination {
 
@@ -17,8 +16,17 @@
     attempts_[call] = {server, now};
 }
 
-auto server_reachability::on_ended(std::uint64_t call) -> void {
-    attempts_.erase(call);
+auto server_reachability::on_ended(std::uint64_t call, time_point now) -> void {
+    const auto found = attempts_.find(call);
+    if (found == attempts_.end()) {
+        return;
+    }
+    const auto& [server, started_at] = found->second;
+    if (heard_at_ <= started_at &&
+        now - started_at >= settings_.shortest_attempt_) {
+        unanswered_.insert(server);
+    }
+    attempts_.erase(found);
 }
 
 auto server_reachability::on_connect_failed(std::uint64_t call, time_point now)
@@ -34,6 +42,7 @@
 auto server_reachability::on_heard(time_point now) -> void {
     heard_at_ = now;
     failed_.clear();
+    unanswered_.clear();
     if (state_ != reachability::reached) {
         state_ = reachability::reached;
         reached_again_at_ = now;
@@ -52,7 +61,7 @@
     const auto failing =
         enough(failed_.size()) && is_silent &&
         now - first_failure >= settings_.silence_after_failures_ / 2;
-    auto unanswered = std::set<std::string>{};
+    auto unanswered = unanswered_;
     for (const auto& [call, entry] : attempts_) {
         if (now - entry.started_at_ >= settings_.silence_of_requests_) {
             unanswered.insert(entry.server_);
@@ -92,6 +101,7 @@
     state_ = reachability::reached;
     reached_again_at_ = now;
     failed_.clear();
+    unanswered_.clear();
     // What was sent before the cut says nothing about the links now.
     attempts_.clear();
     heard_at_ = now;
--- a/basilstream/coordination/server_reachability/server_reachability.hpp
+++ b/basilstream/coordination/server_reachability/server_reachability.hpp
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "basilstream/base/clock/clock.hpp"
@@ -43,6 +44,8 @@
     /// requests.
     duration silence_after_failures_ = milliseconds{300};
     duration silence_of_requests_ = milliseconds{1500};
+    /// An attempt that was given up sooner says nothing about its server.
+    duration shortest_attempt_ = milliseconds{400};
     duration probe_interval_ = milliseconds{250};
     /// Time over which requests return to the own links.
     duration return_time_ = seconds{1};
@@ -58,8 +61,8 @@
     /// Records that an attempt was sent, or waits for a connection.
     auto on_started(std::uint64_t call, const std::string& server,
                     time_point now) -> void;
-    /// Records the end of an attempt.
-    auto on_ended(std::uint64_t call) -> void;
+    /// Records the end of an attempt, also of one that was given up.
+    auto on_ended(std::uint64_t call, time_point now) -> void;
     /// Records that no connection for an attempt was made.
     auto on_connect_failed(std::uint64_t call, time_point now) -> void;
     /// Records that bytes have arrived from a server.
@@ -89,6 +92,8 @@
     std::map<std::uint64_t, attempt> attempts_;
     // When the first connection to each server failed since one was heard.
     std::map<std::string, time_point> failed_;
+    // Servers at which attempts were given up without an answer since then.
+    std::set<std::string> unanswered_;
     time_point heard_at_{};
     reachability state_ = reachability::reached;
     std::optional<time_point> reached_again_at_;
--- a/basilstream/coordination/server_reachability/server_reachability_test.cpp
+++ b/basilstream/coordination/server_reachability/server_reachability_test.cpp
@@ -64,6 +64,18 @@
     EXPECT_EQ(advance(milliseconds{3000}), reachability::reached);
 }
 
+// Deadlines passed before connections had failed.
+TEST_F(server_reachability_test, requests_that_are_given_up_tell_nothing) {
+    for (const auto* const server : {"s1", "s2", "s3"}) {
+        servers_.on_started(++call_, server, now_);
+    }
+    EXPECT_EQ(advance(milliseconds{900}), reachability::reached);
+    for (auto call = std::uint64_t{1}; call <= call_; ++call) {
+        servers_.on_ended(call, now_);
+    }
+    EXPECT_EQ(advance(milliseconds{700}), reachability::silent);
+}
+
 TEST_F(server_reachability_test, service_with_one_server) {
     servers_.set_servers(1);
     fail("s1");
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -220,7 +220,7 @@
     const auto now = state_.context_.clock_.now();
     state_.quarantine_.on_finish(quarantine_run_id(), false, now);
     state_.prompts_.on_finish(quarantine_run_id(), false, now);
-    state_.reachability_of(service_).on_ended(call_number_);
+    state_.reachability_of(service_).on_ended(call_number_, now);
     call_.reset();
     paused_ = false;
     state_.call_monitor_.close(call_number_);
