Notice connections that the reactor gives up by itself

Cause: while a reset arrives, the kernel reports a hang-up for a moment without input or output. The reactor then removes the handler of that socket; nobody was told, and the socket stayed open outside the event set (seen in fdinfo of a client that was stuck: its socket is in no epoll set and in no state that ss lists).

--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -110,6 +110,16 @@
         return 0;
     }
 
+    // The reactor removes a handler by itself when it sees an error or hang-up
+    // and neither input nor output, as during the arrival of a reset.
+    auto handle_close(ACE_HANDLE /*handle*/, ACE_Reactor_Mask /*mask*/)
+        -> int override {
+        if (!closed_) {
+            fail_later();
+        }
+        return 0;
+    }
+
     auto write(std::string_view bytes) -> void {
         if (closed_) {
             return;
--- /dev/null
+++ b/basilstream/transport/tcp_stream/tcp_stream_test.cpp
@@ -0,0 +1,125 @@
+#include "basilstream/transport/tcp_stream/tcp_stream.hpp"
+
+#include <future>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace basilstream::transport {
+namespace {
+
+constexpr auto connections_at_a_time = 64;
+constexpr auto connections_in_all = 20'000;
+
+// A server that answers each connection with some bytes and resets it.
+class resetting_server {
+public:
+    explicit resetting_server(reactor_thread& thread) : thread_{thread} {
+        listener_ = std::move(
+            *tcp_listener::open(thread, "127.0.0.1:0", [this](int descriptor) {
+                auto accepted = std::make_shared<peer>(*this);
+                accepted->stream_ =
+                    tcp_stream::adopt(thread_, descriptor, *accepted);
+                peers_.insert(std::move(accepted));
+            }));
+    }
+    [[nodiscard]] auto address() const -> std::string {
+        return listener_->address();
+    }
+
+private:
+    struct peer final : tcp_observer, std::enable_shared_from_this<peer> {
+        explicit peer(resetting_server& owner) : owner_{owner} {}
+        auto on_data(std::string_view /*bytes*/) -> void override {
+            const auto self = shared_from_this();
+            stream_->write("HTTP/1.");
+            end(true);
+        }
+        auto on_closed(close_reason /*reason*/) -> void override { end(false); }
+        auto end(bool reset) -> void {
+            const auto self = shared_from_this();
+            if (stream_ && reset) {
+                stream_->reset();
+            }
+            stream_.reset();
+            owner_.peers_.erase(self);
+        }
+        resetting_server& owner_;
+        std::unique_ptr<tcp_stream> stream_;
+    };
+
+    reactor_thread& thread_;
+    std::set<std::shared_ptr<peer>> peers_;
+    std::unique_ptr<tcp_listener> listener_;
+};
+
+// Clients of which each connects anew from the callback of its end.
+class client final : public tcp_observer {
+public:
+    client(reactor_thread& thread, std::string address,
+           std::function<bool()> next, std::function<void()> done)
+        : thread_{thread}, address_{std::move(address)}, next_{std::move(next)},
+          done_{std::move(done)} {}
+    auto connect() -> void {
+        if (!next_()) {
+            done_();
+            return;
+        }
+        stream_ = tcp_stream::connect(thread_, address_, *this);
+        stream_->write("request");
+    }
+    auto on_data(std::string_view /*bytes*/) -> void override {}
+    auto on_closed(close_reason /*reason*/) -> void override {
+        stream_.reset();
+        connect();
+    }
+
+private:
+    reactor_thread& thread_;
+    std::string address_;
+    std::function<bool()> next_;
+    std::function<void()> done_;
+    std::unique_ptr<tcp_stream> stream_;
+};
+
+// The end of a connection was never told, so that its request waited for its
+// deadline.
+TEST(tcp_stream, reset_is_not_noticed) {
+    auto server_thread = reactor_thread{"server", 1024};
+    auto client_thread = reactor_thread{"client", 1024};
+    auto server = resetting_server{server_thread};
+    auto begun = 0;
+    auto ended = 0;
+    auto all_ended = std::promise<void>{};
+    auto clients = std::vector<std::unique_ptr<client>>{};
+    for (auto index = 0; index < connections_at_a_time; ++index) {
+        clients.push_back(std::make_unique<client>(
+            client_thread, server.address(),
+            [&] { return begun++ < connections_in_all; },
+            [&] {
+                if (++ended == connections_at_a_time) {
+                    all_ended.set_value();
+                }
+            }));
+    }
+    client_thread.after(milliseconds{0}, [&] {
+        for (const auto& each : clients) {
+            each->connect();
+        }
+    });
+    server_thread.start();
+    client_thread.start();
+    const auto outcome = all_ended.get_future().wait_for(seconds{60});
+    client_thread.stop();
+    server_thread.stop();
+    EXPECT_EQ(outcome, std::future_status::ready)
+        << ended << " of " << connections_at_a_time << " clients, after "
+        << begun << " connections";
+}
+
+} // namespace
+} // namespace basilstream::transport
