Let daemons of raw deployments pick their ports

Ports were looked up before the daemons started; another process could take one in between, and clients of one test could reach a daemon of another one. The daemons now listen on ports that they pick, and the harness reads the callers' address from the line that tells their start.

--- a/testing/fault_soak/daemon_process.cpp
+++ b/testing/fault_soak/daemon_process.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <string_view>
 #include <utility>
@@ -18,6 +19,8 @@
 namespace basilstream::testing {
 namespace {
 
+constexpr auto any_address = "127.0.0.1:0";
+
 // Returns a port that was free a moment ago.
 auto free_port() -> int {
     const auto descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -39,11 +42,21 @@
 } // namespace
 
 daemon_process::daemon_process(daemon_options options)
-    : options_{std::move(options)}, caller_address_{free_address()},
-      readiness_address_{free_address()}, directory_address_{free_address()},
-      metrics_address_{free_address()}, peer_port_{free_port()} {
+    : options_{std::move(options)}, log_path_{options_.directory_ + "/" +
+                                              options_.name_ + ".log"} {
+    const auto pick = [this] {
+        return options_.picks_ports_ ? std::string{any_address}
+                                     : free_address();
+    };
+    caller_address_ = pick();
+    readiness_address_ = pick();
+    directory_address_ = pick();
+    metrics_address_ = pick();
+    peer_port_ = options_.picks_ports_ ? 0 : free_port();
+    auto ignored = std::error_code{};
+    const auto size = std::filesystem::file_size(log_path_, ignored);
+    log_begin_ = ignored ? 0 : static_cast<std::streamoff>(size);
     const auto settings = options_.directory_ + "/" + options_.name_ + ".json";
-    const auto log = options_.directory_ + "/" + options_.name_ + ".log";
     write_settings(settings);
     auto arguments =
         std::array<std::string, 3>{options_.program_, "--config", settings};
@@ -52,7 +65,7 @@
     pid_ = ::fork();
     if (pid_ == 0) {
         const auto output =
-            ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            ::open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         ::execv(pointers[0], pointers.data());
@@ -89,6 +102,25 @@
         {"logging", {{"level", "info"}, {"format", "json"}}}};
 }
 
+auto daemon_process::caller_address() -> const std::string& {
+    if (caller_address_ == any_address) {
+        read_caller_address();
+    }
+    static const auto refusing_address = std::string{"127.0.0.1:1"};
+    return caller_address_ == any_address ? refusing_address : caller_address_;
+}
+
+auto daemon_process::read_caller_address() -> void {
+    auto log = std::ifstream{log_path_};
+    log.seekg(log_begin_);
+    for (auto line = std::string{}; std::getline(log, line);) {
+        const auto entry = protocol::json::parse(line, nullptr, false);
+        if (entry.is_object() && entry.value("event", "") == "started") {
+            caller_address_ = entry.value("callers", std::string{any_address});
+        }
+    }
+}
+
 auto daemon_process::signal(int number) -> void {
     if (!ended_ && pid_ > 0) {
         ::kill(pid_, number);
--- a/testing/fault_soak/daemon_process.hpp
+++ b/testing/fault_soak/daemon_process.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstddef>
+#include <ios>
 #include <string>
 
 #include <sys/types.h>
@@ -21,6 +22,9 @@
     int grace_seconds_ = 4;
     double retry_ratio_ = 0.2;
     double retry_allowance_ = 50;
+    /// Whether the process picks its ports itself, so that no other process can
+    /// take them before it listens; its addresses are known later.
+    bool picks_ports_ = false;
 };
 
 class daemon_process {
@@ -38,17 +42,22 @@
     /// Returns the largest resident size of the process so far, in bytes; 0 if
     /// it is not known.
     [[nodiscard]] auto peak_memory() const -> std::size_t;
-    [[nodiscard]] auto caller_address() const -> const std::string& {
-        return caller_address_;
-    }
+    /// Returns the address for callers. If the process picks its ports and has
+    /// not told them yet, connections to the returned address are refused.
+    [[nodiscard]] auto caller_address() -> const std::string&;
     [[nodiscard]] auto readiness_address() const -> const std::string& {
         return readiness_address_;
     }
 
 private:
     auto write_settings(const std::string& path) const -> void;
+    // Reads the address for callers from the log.
+    auto read_caller_address() -> void;
 
     daemon_options options_;
+    std::string log_path_;
+    // Size of the log when the process started.
+    std::streamoff log_begin_ = 0;
     std::string caller_address_;
     std::string readiness_address_;
     std::string directory_address_;
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -366,7 +366,8 @@
                                              ? store_views_[index]
                                              : store_.address(),
                        .retry_ratio_ = options_.retry_ratio_,
-                       .retry_allowance_ = options_.retry_allowance_});
+                       .retry_allowance_ = options_.retry_allowance_,
+                       .picks_ports_ = true});
 }
 
 } // namespace basilstream::testing
