Check hints against the pauses that a daemon can know

testing_paused_servers failed once in a whole test run, and in 3 of 36 runs beside each other, all in only_server: one refusal named another time than the pause's. Traced: in each case the server had asked for a new pause in the same millisecond in which the client got the refusal (asked at 7983 ms, refusal received at 7983 ms), so that the daemon could not know it; the pause before had ended.

A refusal must fit all pauses, as before, or all but those asked for in the last 100 ms. Any other hint still fails.

--- a/testing/paused_servers/paused_servers_test.cpp
+++ b/testing/paused_servers/paused_servers_test.cpp
@@ -27,6 +27,9 @@
 // Set by servers, also in the refusals that are passed on.
 constexpr auto server_field = "X-Server";
 constexpr auto notice_delay = milliseconds{500};
+// Time in which a server's refusal reaches the daemon, and the daemon's its
+// client.
+constexpr auto time_to_learn = milliseconds{100};
 constexpr auto calls_in_pause = 2;
 constexpr auto time_to_return = milliseconds{1500};
 // Requests wait for the end of a pause for at most twice their objective of
@@ -344,24 +347,31 @@
         late_refusals_ +=
             reply.took_ > time_to_refuse && options_.adapters_ == 0 ? 1 : 0;
         const auto hint = std::string{reply.headers_.find("Retry-After")};
-        const auto expected = time_to_first_end("d" + std::to_string(daemon));
         const auto named = parse_pause(hint);
-        const auto fits =
-            named && (!expected || (*named >= *expected - milliseconds{50} &&
-                                    *named <= *expected * 3 / 2 + seconds{1}));
-        badly_hinted_ += fits ? 0 : 1;
+        const auto fits = [&](duration known_for) {
+            const auto expected =
+                time_to_first_end("d" + std::to_string(daemon), known_for);
+            return named &&
+                   (!expected || (*named >= *expected - milliseconds{50} &&
+                                  *named <= *expected * 3 / 2 + seconds{1}));
+        };
+        // A pause that the server has just asked for may not be known to the
+        // daemon when it refuses.
+        badly_hinted_ += fits(duration{0}) || fits(time_to_learn) ? 0 : 1;
     }
 
     // Returns when the first pause of a server for a daemon ends, if all
-    // servers have one.
-    [[nodiscard]] auto time_to_first_end(const std::string& daemon) const
+    // servers have one. Counts those asked for at least `known_for` ago.
+    [[nodiscard]] auto time_to_first_end(const std::string& daemon,
+                                         duration known_for) const
         -> std::optional<duration> {
         const auto now = deployment_.time().now();
         auto first = std::optional<duration>{};
         for (const auto& server : servers_) {
             auto left = duration{0};
             for (const auto& entry : server.arrivals_) {
-                if (entry.pause_ && entry.daemon_ == daemon) {
+                if (entry.pause_ && entry.daemon_ == daemon &&
+                    entry.at_ + known_for <= now) {
                     left = std::max(left, entry.at_ + *entry.pause_ - now);
                 }
             }
