--- a/basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp
+++ b/basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp
@@ -247,6 +247,8 @@
         std::unordered_set<const crash*> explained_;
     };
 
+    class blame_search;
+
     [[nodiscard]] auto is_innocent(prompt_part_id part) const -> bool;
     auto remember_innocent(prompt_part_id part) -> void;
     [[nodiscard]] auto next_trial(const mark& entry) const
