--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include "basilstream/coordination/byte_budget/byte_budget.hpp"
 #include "basilstream/coordination/liveness/liveness.hpp"
@@ -136,6 +137,15 @@
         std::unique_ptr<connection_probe> probe_;
     };
     std::map<std::string, service_links> links_;
+
+    auto check_links(const std::string& service, service_links& links,
+                     const std::vector<std::string>& addresses) -> void;
+    // Logs the change, and lets requests that wait for connections go another
+    // way.
+    auto on_reachability_changed(const std::string& service, bool reached,
+                                 const std::vector<std::string>& addresses)
+        -> void;
+
     coordination::quarantine quarantine_;
     coordination::prompt_quarantine prompts_;
     request_journal journal_;
