Do not use a thread that has ended when its reactor closes

testing_server_limits aborted in a test run beside others (corrupt heap), once, on the code since; the address sanitizer showed the cause in its first run.

Cause: a reactor that closes tells the handlers that are still registered. Since streams listen to that, a stream that outlived its thread, as calls do that keep themselves, added a timer to members that had been destroyed.

A stopped thread takes no timers any more, and closes its reactor while its members exist. stream_uses_its_thread_after_its_end: use after free under the address sanitizer before, none now.

--- a/basilstream/transport/reactor/reactor.cpp
+++ b/basilstream/transport/reactor/reactor.cpp
@@ -113,6 +113,8 @@
         for (const auto& timer : timers_) {
             reactor_.cancel_timer(timer.get());
         }
+        // Tells handlers that are still registered, while all members exist.
+        reactor_.close();
         ::close(wake_.descriptor_);
     }
 
@@ -136,6 +138,9 @@
     }
 
     auto add_timer(milliseconds delay, bool repeats, work_item work) -> void {
+        if (stopping_.load()) {
+            return;
+        }
         auto handler =
             std::make_shared<timer_handler>(std::move(work), repeats, timers_);
         auto value = ACE_Time_Value{};
--- a/basilstream/transport/reactor/reactor.hpp
+++ b/basilstream/transport/reactor/reactor.hpp
@@ -51,7 +51,8 @@
     /// `start` or on the thread.
     auto every(milliseconds period, work_item work) -> void;
 
-    /// Calls `work` on the thread once, after `delay`. On the thread only.
+    /// Calls `work` on the thread once, after `delay`. On the thread only. Does
+    /// nothing once the thread has stopped.
     auto after(milliseconds delay, work_item work) -> void;
 
     /// The reactor, for handlers of file descriptors. On the thread only.
--- a/basilstream/transport/tcp_stream/tcp_stream_test.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream_test.cpp
@@ -121,5 +121,27 @@
         << begun << " connections";
 }
 
+// A stream that was still registered when its thread ended used the thread.
+TEST(tcp_stream, stream_uses_its_thread_after_its_end) {
+    struct observer final : tcp_observer {
+        auto on_data(std::string_view /*bytes*/) -> void override {}
+        auto on_closed(close_reason /*reason*/) -> void override { ++closed_; }
+        int closed_ = 0;
+    };
+    auto watching = observer{};
+    {
+        auto thread = reactor_thread{"ended", 16};
+        auto listener =
+            tcp_listener::open(thread, "127.0.0.1:0", [](int /*socket*/) {});
+        thread.after(seconds{60}, [] {});
+        // Nobody destroys it, as with an object that keeps itself.
+        auto* const kept =
+            tcp_stream::connect(thread, (*listener)->address(), watching)
+                .release();
+        EXPECT_FALSE(kept->established());
+    }
+    EXPECT_EQ(watching.closed_, 0);
+}
+
 } // namespace
 } // namespace basilstream::transport
