--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -774,6 +774,30 @@
     EXPECT_TRUE(a_.requests_.empty());
 }
 
+// Two daemons that reached no server sent a request to and fro.
+TEST_F(relay_forwarding, forwarded_request_is_forwarded_again) {
+    run_on_thread([&] {
+        auto unreachable = a_.server("app");
+        unreachable.address_ = "127.0.0.1:1";
+        relay_.set_backend(unreachable);
+        auto update = protocol::relay_update{};
+        update.forwarding_offer_ = {b_.server("app").address_, "key", {}, 0};
+        forwarding_.on_update("peer", update);
+    });
+    b_.default_script_ = answer(200, "ok");
+    // Until the daemon notices that it reaches no server.
+    constexpr auto most_tries = 500;
+    for (auto tries = 0; tries < most_tries && b_.requests_.empty(); ++tries) {
+        (void)call("/safe/" + std::to_string(tries));
+    }
+    ASSERT_EQ(b_.requests_.size(), 1U);
+    EXPECT_EQ(b_.requests_[0].headers_.find("Forwarding-Key"), "key");
+    const auto refused = forward("/safe/x", offer_.key_, 2, 1);
+    EXPECT_EQ(refused.status_, 503);
+    EXPECT_EQ(refused.headers_.find("Forwarding-Outcome"), "not_run");
+    EXPECT_EQ(b_.requests_.size(), 1U);
+}
+
 // Both daemons sent a request as often as its route allows.
 TEST_F(relay_forwarding, request_runs_more_often_than_its_route_allows) {
     add_backend_b();
@@ -785,6 +809,17 @@
     EXPECT_EQ(a_.requests_.size() + b_.requests_.size(), 1U);
 }
 
+TEST_F(relay_test, part_that_stands_twice_is_reported_twice) {
+    a_.default_script_ = close_without_answer();
+    EXPECT_EQ(call("/once/1", "X-Parts", "7778").status_, 502);
+    run_on_thread([&] {
+        auto events = relay_.prompt_quarantine().poll(clock_.now());
+        ASSERT_EQ(events.size(), 1U);
+        EXPECT_EQ(std::get<coordination::prompt_crash>(events[0]).parts_,
+                  std::vector<coordination::prompt_part_id>{7});
+    });
+}
+
 TEST_F(relay_test, reports_parts_that_are_lost_with_their_server) {
     a_.default_script_ = answer(200, "ok");
     EXPECT_EQ(call("/once/1", "X-Parts", "19").status_, 200);
