--- a/basilstream/coordination/prompt_quarantine/prompt_quarantine_benchmark.cpp
+++ b/basilstream/coordination/prompt_quarantine/prompt_quarantine_benchmark.cpp
@@ -10,7 +10,7 @@
 auto judge_crashes(benchmark::State& state) -> void {
     constexpr auto crashes = 64;
     const auto parts = static_cast<prompt_part_id>(state.range(0));
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         state.PauseTiming();
         auto tracker = prompt_quarantine{{}, "d"};
         auto now = time_point{} + std::chrono::hours{1};
@@ -39,7 +39,7 @@
     const auto now = time_point{} + std::chrono::hours{1};
     tracker.merge(prompt_part_mark{.part_ = 99}, now);
     const auto parts = std::vector<prompt_part_id>{1, 2, 3, 4};
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(tracker.find_held(parts, now));
     }
 }
