--- a/testing/brittle_servers/brittle_servers_test.cpp
+++ b/testing/brittle_servers/brittle_servers_test.cpp
@@ -43,6 +43,8 @@
     // Requests, against what the servers can do.
     double load_ = 0.6;
     double min_served_ = 0.9;
+    // What servers announce as the number of requests that they run at once.
+    int announced_slots_ = 32;
 };
 
 struct server_state {
@@ -57,12 +59,13 @@
 class brittle_servers_world {
 public:
     explicit brittle_servers_world(const scenario& options)
-        : options_{options}, deployment_{{.daemons_ = options.daemons_,
-                                          .routes_ = {{"/safe/", "idempotent"},
-                                                      {"/once/",
-                                                       "non_idempotent"}},
-                                          .retry_ratio_ = 0.2,
-                                          .retry_allowance_ = 50}},
+        : options_{options},
+          deployment_{{.daemons_ = options.daemons_,
+                       .routes_ = {{"/safe/", "idempotent"},
+                                   {"/once/", "non_idempotent"}},
+                       .retry_ratio_ = 0.2,
+                       .retry_allowance_ = 50,
+                       .announced_slots_ = options.announced_slots_}},
           servers_(server_count) {
         for (auto number = 0; number < server_count; ++number) {
             servers_[number].server_ = &deployment_.add_server(
@@ -238,7 +241,32 @@
         scenario{.name_ = "load_085_7_daemons", .load_ = 0.85},
         scenario{.name_ = "one_bearable_7_daemons", .bearable_ = "1"},
         scenario{.name_ = "load_200_7_daemons", .load_ = 2, .min_served_ = 0.4},
-        scenario{.name_ = "load_060_80_daemons", .daemons_ = 80}),
+        scenario{.name_ = "load_060_80_daemons", .daemons_ = 80},
+        scenario{.name_ = "known_slots_load_085_2_daemons",
+                 .daemons_ = 2,
+                 .load_ = 0.85,
+                 .announced_slots_ = slots},
+        scenario{.name_ = "known_slots_load_085_7_daemons",
+                 .load_ = 0.85,
+                 .announced_slots_ = slots},
+        scenario{.name_ = "known_slots_none_bearable_load_085_7_daemons",
+                 .bearable_ = "0",
+                 .load_ = 0.85,
+                 .announced_slots_ = slots},
+        scenario{.name_ = "known_slots_one_bearable_load_200_7_daemons",
+                 .bearable_ = "1",
+                 .load_ = 2,
+                 .min_served_ = 0.4,
+                 .announced_slots_ = slots},
+        scenario{.name_ = "known_slots_load_085_80_daemons",
+                 .daemons_ = 80,
+                 .load_ = 0.85,
+                 .announced_slots_ = slots},
+        scenario{.name_ = "known_slots_load_200_80_daemons",
+                 .daemons_ = 80,
+                 .load_ = 2,
+                 .min_served_ = 0.4,
+                 .announced_slots_ = slots}),
     [](const auto& info) { return std::string{info.param.name_}; });
 
 } // namespace
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -177,10 +177,10 @@
 }
 
 raw_server::raw_server(std::string id, transport::reactor_thread& thread,
-                       stand_in_store& store, bool holds_model,
+                       stand_in_store& store, bool holds_model, int slots,
                        raw_connection::handler on_request)
     : id_{std::move(id)}, thread_{thread}, on_request_{std::move(on_request)},
-      store_{store}, holds_model_{holds_model} {
+      store_{store}, holds_model_{holds_model}, slots_{slots} {
     open();
 }
 
@@ -232,7 +232,7 @@
                               {"address", address()},
                               {"zone", "a"},
                               {"version", "v1"},
-                              {"slots", 32},
+                              {"slots", slots_},
                               {"state", "ready"},
                               {"models", models},
                               {"sequence", 0},
@@ -277,7 +277,8 @@
     -> raw_server& {
     servers_.push_back(std::make_unique<raw_server>(
         "s" + std::to_string(servers_.size()), thread_, store_,
-        options_.adapters_ > 0, std::move(on_request)));
+        options_.adapters_ > 0, options_.announced_slots_,
+        std::move(on_request)));
     servers_.back()->announce(1000);
     return *servers_.back();
 }
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -65,8 +65,9 @@
 /// A backend server that the store announces.
 class raw_server {
 public:
+    /// Announces `slots` as the number of requests that it runs at once.
     raw_server(std::string id, transport::reactor_thread& thread,
-               stand_in_store& store, bool holds_model,
+               stand_in_store& store, bool holds_model, int slots,
                raw_connection::handler on_request);
     raw_server(const raw_server&) = delete;
     auto operator=(const raw_server&) -> raw_server& = delete;
@@ -96,6 +97,7 @@
     raw_connection::handler on_request_;
     stand_in_store& store_;
     const bool holds_model_;
+    const int slots_;
     std::vector<std::shared_ptr<raw_connection>> connections_;
     std::unique_ptr<transport::tcp_listener> listener_;
     // Sockets that keep the ports of ended processes, so that their callers do
@@ -142,6 +144,8 @@
     /// Adapters of the model "m" that each server holds; 0 for servers without
     /// models.
     int adapters_ = 0;
+    /// Requests that servers announce to run at once.
+    int announced_slots_ = 32;
     /// The first daemons, whose links to servers pass proxies and can fail.
     int daemons_with_faults_ = 0;
 };
