Send servers that bear few rejections no more than they have places for

Cause: no daemon read Server-Brittle. Each sent to the server that it took for the least loaded one, without knowing what the others had sent there in the same moment; short queues turned that into bursts of rejections, rejections and what fallen servers had run went to the next servers, and a server that was back drew everything at once. Change: while a server states how many rejections it bears, requests to the servers of its service take a place there first. The owner of a server's permits hands places out: as many as slots, fewer after rejections, slowly to a new process (coordination/server_places; server_permits carries the messages). The surplus waits at the owner for twice the objective at most, or is refused with a time to come back. Other servers are sent requests as before.

--- /dev/null
+++ b/basilstream/coordination/server_places/server_places.hpp
@@ -0,0 +1,182 @@
+/// Limits how many requests are on each backend server that falls over if it
+/// has to reject too many.
+///
+///     auto places = place_ledger{};
+///     places.set_server("i-7f3a", started_at, 32, false);
+///     places.take({.server_ = "i-7f3a", .daemon_ = "entry-2", .id_ = 7,
+///                  .bearable_ = 5, .max_wait_ = milliseconds{400},
+///                  .lifetime_ = seconds{3}}, now);
+///     for (const auto& decision : places.take_decisions()) { ... }
+///     places.give_back("i-7f3a", {"entry-2", 7}, place_outcome::answered,
+///     now);
+///
+/// One daemon keeps the ledger of a server and decides for all. A request holds
+/// a place from the decision until its answer has ended, so that the ledger
+/// never counts fewer requests than the server does. A server has as many
+/// places as it announces slots, because it may reject whatever has to wait.
+/// Rejections reduce that number multiplicatively; it grows again additively
+/// while it is fully used and nothing is rejected (AIMD; Chiu and Jain, 1989).
+///
+/// Load pattern: tens of daemons that send a server a few requests per second
+/// each. None of them sees from its own requests that the server is full.
+///
+/// Sans-I/O; not safe for concurrent use.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/name_table/name_table.hpp"
+
+namespace basilstream::coordination {
+
+/// Daemon that sends a request, and the request's number, which is unique in
+/// the daemon's process.
+using place_holder = std::pair<std::string, std::uint64_t>;
+
+/// A request that needs a place on a server.
+struct place_request {
+    std::string server_;
+    std::string daemon_;
+    std::uint64_t id_ = 0;
+    /// Rejections per second that the server bears.
+    double bearable_ = 0;
+    /// How long the request may wait for a place.
+    duration max_wait_{};
+    /// Longest time for which the request holds its place. A place that is not
+    /// given back becomes free after that.
+    duration lifetime_{};
+    /// Handed back with the decision: how long to wait after the grant because
+    /// of a rate limit.
+    duration rate_wait_{};
+};
+
+/// How a request ended that held a place.
+enum class place_outcome : std::uint8_t {
+    /// Not sent.
+    unused,
+    answered,
+    /// Rejected for lack of room.
+    rejected,
+    /// Cancelled, lost, or ended in any other way.
+    ended,
+};
+
+inline constexpr auto place_outcome_names =
+    name_table<place_outcome, 4>{{{{place_outcome::unused, "unused"},
+                                   {place_outcome::answered, "answered"},
+                                   {place_outcome::rejected, "rejected"},
+                                   {place_outcome::ended, "ended"}}}};
+
+/// Whether a request gets a place.
+struct place_decision {
+    place_holder holder_;
+    bool granted_ = false;
+    /// If granted, place_request::rate_wait_; else the expected time until a
+    /// place is free.
+    duration wait_{};
+};
+
+/// Keeps the places of servers that this daemon owns.
+class place_ledger {
+public:
+    /// Adds a server or updates its description. A process that starts at
+    /// another time has all its places free; if `starting`, it gets them one
+    /// after the other.
+    auto set_server(const std::string& server, std::int64_t started_at,
+                    int slots, bool starting) -> void;
+    auto remove_server(const std::string& server) -> void;
+    /// Frees the places of daemons that are not among `daemons`.
+    auto set_daemons(const std::vector<std::string>& daemons) -> void;
+
+    /// Decides now or, if the request may wait and is expected to get a place
+    /// in time, later.
+    auto take(const place_request& request, time_point now) -> void;
+    /// Frees the place of a request, or ends its wait for one. Has no effect if
+    /// there is neither.
+    auto give_back(const std::string& server, const place_holder& holder,
+                   place_outcome outcome, time_point now) -> void;
+    /// Decides about requests whose wait has ended. Call about every 50 ms.
+    auto tick(time_point now) -> void;
+    /// Returns the decisions made since the last call.
+    [[nodiscard]] auto take_decisions() -> std::vector<place_decision>;
+
+    /// Return the number of requests on the server, of requests that wait, and
+    /// of places; 0 if no request for the server was made.
+    [[nodiscard]] auto in_use(const std::string& server) const -> int;
+    [[nodiscard]] auto waiting(const std::string& server) const -> int;
+    [[nodiscard]] auto limit(const std::string& server) const -> int;
+
+private:
+    struct description {
+        std::int64_t started_at_ = 0;
+        int slots_ = 1;
+        bool starting_ = false;
+    };
+    struct lease {
+        time_point granted_at_{};
+        time_point expires_at_{};
+        // Number of requests on the server, this one included, at the grant.
+        int in_use_ = 0;
+    };
+    struct waiting_request {
+        place_request request_;
+        time_point expires_at_{};
+    };
+    struct server_places {
+        int slots_ = 1;
+        int limit_ = 1;
+        // Whether the limit has only grown since the process started.
+        bool starting_ = false;
+        // Whether the limit has kept a request waiting since it last changed.
+        bool limit_reached_ = false;
+        time_point limit_changed_at_{};
+        time_point limit_reduced_at_ = time_point::min();
+        std::map<place_holder, lease> leases_;
+        std::deque<waiting_request> waiting_;
+        // Rejections of the last second.
+        std::deque<time_point> rejections_;
+        time_point last_rejection_ = time_point::min();
+        // Largest number of requests that the server has held since then.
+        int confirmed_ = 0;
+        // Until then the server may hold requests that took no place.
+        time_point settled_at_{};
+        double bearable_ = 0;
+        // Running mean of the time for which answered requests held a place;
+        // zero if not known.
+        duration mean_hold_{};
+        // When the next refused caller should return.
+        time_point next_return_{};
+    };
+
+    auto places_of(const std::string& server, time_point now) -> server_places&;
+    // Brings what depends on the time alone up to date.
+    static auto refresh(server_places& places, time_point now) -> void;
+    static auto grow(server_places& places, time_point now) -> void;
+    static auto reduce(server_places& places, const lease& rejected,
+                       time_point now) -> void;
+    // Returns whether another request may be sent.
+    static auto has_room(server_places& places, time_point now) -> bool;
+    // Returns the expected time until a request that is queued now gets a
+    // place.
+    static auto expected_wait(const server_places& places) -> duration;
+    auto grant(server_places& places, const place_request& request,
+               time_point now) -> void;
+    auto refuse(const place_request& request, duration wait) -> void;
+    // Refuses a request whose caller should come back later.
+    auto turn_back(server_places& places, const place_request& request,
+                   time_point now) -> void;
+    auto serve_waiting(server_places& places, time_point now) -> void;
+
+    std::map<std::string, description> descriptions_;
+    std::map<std::string, server_places> servers_;
+    std::vector<place_decision> decisions_;
+};
+
+} // namespace basilstream::coordination
--- a/basilstream/daemon/backend_dialect/backend_dialect.hpp
+++ b/basilstream/daemon/backend_dialect/backend_dialect.hpp
@@ -81,12 +81,12 @@
       {answer_verdict::misdirected, "misdirected"},
       {answer_verdict::other_request, "foreign"}}}};
 
-/// What an answer states about the rate of requests that its server accepts.
-struct rate_limit_notice {
+/// What an answer states about a number per second.
+struct per_second_notice {
     enum class kind { absent, malformed, valid };
     kind kind_ = kind::absent;
-    /// Requests per second of all daemons together, finite and not negative.
-    /// Set if `kind_` is `valid`.
+    /// For all daemons together, finite and not negative. Set if `kind_` is
+    /// `valid`.
     double per_second_ = 0;
 };
 
@@ -122,10 +122,15 @@
     classify_answer(const transport::answer_head& head,
                     const std::string& request_id) const -> answer_verdict = 0;
     /// Returns what the answer, or the reply to any other call, states about
-    /// its server's rate limit.
+    /// the requests that its server accepts.
     [[nodiscard]] virtual auto
     rate_limit(const transport::header_list& headers) const
-        -> rate_limit_notice = 0;
+        -> per_second_notice = 0;
+    /// Returns what the answer, or the reply to any other call, states about
+    /// the rejections for lack of room that its server bears.
+    [[nodiscard]] virtual auto
+    bearable_rejections(const transport::header_list& headers) const
+        -> per_second_notice = 0;
     /// Returns what the answer to a request, or the reply to any other call,
     /// states about a pause.
     [[nodiscard]] virtual auto
--- a/basilstream/daemon/load_sharing/load_sharing.cpp
+++ b/basilstream/daemon/load_sharing/load_sharing.cpp
@@ -122,7 +122,7 @@
 auto load_sharing::share_directly(time_point now) -> void {
     const auto update = own_loads();
     if (!update.loads_.empty() || !update.limits_.empty() ||
-        now >= next_heartbeat_) {
+        !update.bearable_rejections_.empty() || now >= next_heartbeat_) {
         next_heartbeat_ = now + heartbeat_interval;
         send_to_all(update);
     }
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -383,8 +383,9 @@
         return;
     }
     permits.acquire(
-        runner, max_wait,
-        [this, call_unless_paused, refused](const coordination::permit& given) {
+        runner, {.max_wait_ = max_wait},
+        [this, call_unless_paused, refused](const coordination::permit& given,
+                                            const server_place& /*place*/) {
             if (!given.granted_) {
                 refused(given.wait_);
             } else if (given.wait_ == duration{0}) {
@@ -404,9 +405,13 @@
         return;
     }
     const auto notice = place_.dialect().rate_limit(reply->headers_);
-    if (notice.kind_ != rate_limit_notice::kind::absent) {
+    if (notice.kind_ != per_second_notice::kind::absent) {
         context_.permits_.on_notice(runner, notice, sent_at);
     }
+    const auto bearable = place_.dialect().bearable_rejections(reply->headers_);
+    if (bearable.kind_ != per_second_notice::kind::absent) {
+        context_.permits_.on_bearable_stated(runner, bearable, sent_at);
+    }
     if (place_.dialect().is_leaving(runner, reply->headers_)) {
         context_.notices_.on_leaving_stated(runner);
     }
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -19,6 +19,10 @@
 // A model whose servers all pause for less than this is not loaded elsewhere;
 // loading takes about as long.
 constexpr auto short_pause = seconds{5};
+// Servers without room that a request asks for a place before it waits for one.
+constexpr auto max_servers_without_room = 3;
+// How long after its deadline a request may still be on a server.
+constexpr auto place_margin = seconds{1};
 // Time over which requests return to a server after its pause.
 constexpr auto pause_end_spread = milliseconds{200};
 
@@ -157,6 +161,7 @@
 
 auto exchange::dispatch() -> void {
     const auto now = state_.context_.clock_.now();
+    place_.give_back(coordination::place_outcome::unused);
     if (refuse_held_part()) {
         return;
     }
@@ -182,11 +187,15 @@
                                        prompt_equivalent_tokens(request_),
                                        chosen.has_value() || soon_served);
     }
+    // Asking one full server after the other would delay the request.
+    const auto enough_asked = servers_without_room_ >= max_servers_without_room;
+    if ((!chosen || enough_asked) && wait_for_permit(routing_request)) {
+        return;
+    }
     if (chosen) {
         wait_until_.reset();
         request_permit(*chosen, duration{0});
-    } else if (!wait_for_permit(routing_request) &&
-               !wait_for_pause_end(routing_request) && !waiting()) {
+    } else if (!wait_for_pause_end(routing_request) && !waiting()) {
         wait_for_model(chosen.error());
     }
 }
@@ -245,61 +254,65 @@
 auto exchange::request_permit(const coordination::route& chosen,
                               duration max_wait) -> void {
     auto& permits = state_.context_.permits_;
-    if (!permits.limit_of(chosen.runner_)) {
+    if (!permits.needs_permit(chosen.runner_)) {
         send_attempt(chosen);
         return;
     }
-    permits.acquire(chosen.runner_, max_wait,
-                    [self = shared_from_this(), chosen, max_wait,
-                     number = ++permit_requests_](const auto& given) {
-                        if (!self->done_ && self->permit_requests_ == number) {
-                            self->on_permit(chosen, max_wait, given);
-                        }
-                    });
+    permits.acquire(
+        chosen.runner_,
+        {max_wait, time_left(state_.context_.clock_.now()) + place_margin},
+        [self = shared_from_this(), chosen, max_wait,
+         number = ++permit_requests_](const auto& given, server_place place) {
+            if (!self->done_ && self->permit_requests_ == number) {
+                self->on_permit(chosen, max_wait, given, std::move(place));
+            }
+        });
 }
 
 auto exchange::on_permit(const coordination::route& chosen, duration max_wait,
-                         const coordination::permit& given) -> void {
-    const auto now = state_.context_.clock_.now();
-    if (!given.granted_) {
-        state_.router_.set_rate_limited_until(chosen.runner_,
-                                              now + given.wait_);
-        const auto may_try_another =
-            max_wait == duration{0} || refused_by_.empty();
-        if (max_wait > duration{0}) {
-            refused_by_ = chosen.runner_;
-            expected_wait_ = std::chrono::ceil<milliseconds>(given.wait_);
-        }
-        if (may_try_another) {
-            dispatch();
-            return;
-        }
-        retry_outcome_ = "rate_limited";
-        give_up(error{error_code::overloaded, step::routing, chosen.runner_,
-                      "the backend servers are at their rate limits",
-                      possible_runs_ > 0 ? run_status::unknown
-                                         : run_status::not_run});
+                         const coordination::permit& given, server_place place)
+    -> void {
+    place_ = std::move(place);
+    if (given.granted_) {
+        state_.context_.thread_.after(
+            std::chrono::ceil<milliseconds>(given.wait_),
+            [self = shared_from_this(), chosen, number = permit_requests_] {
+                if (!self->done_ && self->permit_requests_ == number) {
+                    self->send_permitted(chosen);
+                }
+            });
         return;
     }
-    const auto send = [self = shared_from_this(), chosen,
-                       number = permit_requests_] {
-        if (self->done_ || self->permit_requests_ != number) {
-            return;
-        }
-        // The backend server may have begun to drain in the meantime, or have
-        // asked for a pause.
-        if (self->state_.router_.accepts_work(
-                chosen.runner_, self->state_.context_.clock_.now())) {
-            self->send_attempt(chosen);
-        } else {
-            self->dispatch();
-        }
-    };
-    if (given.wait_ == duration{0}) {
-        send();
+    state_.router_.set_rate_limited_until(
+        chosen.runner_, state_.context_.clock_.now() + given.wait_);
+    const auto no_room =
+        state_.context_.permits_.bearable_of(chosen.runner_).has_value();
+    servers_without_room_ += no_room ? 1 : 0;
+    const auto may_try_another = max_wait == duration{0} || refused_by_.empty();
+    if (max_wait > duration{0}) {
+        refused_by_ = chosen.runner_;
+        expected_wait_ = std::chrono::ceil<milliseconds>(given.wait_);
+    }
+    if (may_try_another) {
+        dispatch();
+        return;
+    }
+    retry_outcome_ = no_room ? "no_room" : "rate_limited";
+    give_up(error{
+        error_code::overloaded, step::routing, chosen.runner_,
+        no_room ? "the backend servers have no room and bear few rejections"
+                : "the backend servers are at their rate limits",
+        possible_runs_ > 0 ? run_status::unknown : run_status::not_run});
+}
+
+auto exchange::send_permitted(const coordination::route& chosen) -> void {
+    // The backend server may have begun to drain in the meantime, or have asked
+    // for a pause.
+    if (state_.router_.accepts_work(chosen.runner_,
+                                    state_.context_.clock_.now())) {
+        send_attempt(chosen);
     } else {
-        state_.context_.thread_.after(
-            std::chrono::ceil<milliseconds>(given.wait_), send);
+        dispatch();
     }
 }
 
@@ -526,6 +539,7 @@
         client_->observe(nullptr);
         client_ = nullptr;
     }
+    place_.give_back(coordination::place_outcome::unused);
     state_.counters_.total_time_.record(state_.context_.clock_.now() -
                                         arrived_);
     state_.exchanges_.erase(shared_from_this());
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -80,12 +80,16 @@
     // Selects a backend server and sends an attempt; waits or gives up if none
     // is available.
     auto dispatch() -> void;
-    // Sends an attempt to `chosen` as soon as the rate limit of the backend
-    // server permits, if that is within `max_wait`.
+    // Sends an attempt to `chosen` as soon as the rate limit and the room of
+    // the backend server permit, if that is within `max_wait`.
     auto request_permit(const coordination::route& chosen, duration max_wait)
         -> void;
     auto on_permit(const coordination::route& chosen, duration max_wait,
-                   const coordination::permit& given) -> void;
+                   const coordination::permit& given, server_place place)
+        -> void;
+    // Sends an attempt under a permit, unless the backend server accepts no
+    // work any more.
+    auto send_permitted(const coordination::route& chosen) -> void;
     // Waits for the first of the backend servers that are at their rate limits.
     // Returns false if there is none to wait for.
     auto wait_for_permit(const coordination::route_request& request) -> bool;
@@ -124,8 +128,12 @@
     // Handles what the answer states about pauses and the departure of its
     // server, whichever request it belongs to.
     auto note_server_state(const transport::answer_head& head) -> void;
-    // Handles what the answer states about the rate limit of its server.
-    auto note_rate_limit(const transport::answer_head& head) -> void;
+    // Handles what the answer states about the rate limit of its server and
+    // the rejections that it bears.
+    auto note_rates(const transport::answer_head& head) -> void;
+    // Returns whether the server rejects the request for lack of room.
+    [[nodiscard]] auto is_full(const transport::answer_head& head) const
+        -> bool;
     // Cancels the attempt in flight and ends it.
     auto cancel_attempt() -> void;
     // Releases what the attempt holds in the router, quarantine and call
@@ -216,6 +224,12 @@
     // Backend server of the last permit that was refused after a wait was
     // offered; empty if there is none.
     std::string refused_by_;
+    // Number of permits refused at once because a server had no room.
+    int servers_without_room_ = 0;
+    // What the current attempt holds on its backend server, and how it ended.
+    server_place place_;
+    coordination::place_outcome place_outcome_ =
+        coordination::place_outcome::ended;
     bool demand_recorded_ = false;
     // Software version of the backend server of the last attempt.
     std::string attempt_version_;
--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -16,6 +16,7 @@
 constexpr auto max_buffered_bytes = std::size_t{4} << 20U;
 constexpr auto max_event_bytes = std::size_t{256} << 10U;
 constexpr auto min_server_error_status = 500;
+constexpr auto unavailable_status = 503;
 
 } // namespace
 
@@ -37,10 +38,13 @@
         state_.prompts_.on_alive(quarantine_run_id(),
                                  state_.context_.clock_.now());
     }
-    note_rate_limit(head);
+    note_rates(head);
     if (head.framing_ == transport::answer_framing::connection) {
         state_.counters_.ended_by_connection_.add();
     }
+    if (is_full(head)) {
+        place_outcome_ = coordination::place_outcome::rejected;
+    }
     if (verdict_ != answer_verdict::answer) {
         mode_ = answer_mode::not_run;
         return true;
@@ -88,19 +92,33 @@
     }
 }
 
-auto exchange::note_rate_limit(const transport::answer_head& head) -> void {
-    const auto notice = state_.dialect_.rate_limit(head.headers_);
-    // A refusal need not repeat the limit, and a misdirected request was
-    // answered by another process.
-    const auto says_something =
-        verdict_ == answer_verdict::answer ||
-        (verdict_ == answer_verdict::refused &&
-         notice.kind_ != rate_limit_notice::kind::absent);
-    if (says_something) {
-        state_.context_.permits_.on_notice(backend_, notice, attempt_started_);
+auto exchange::note_rates(const transport::answer_head& head) -> void {
+    const auto limit = state_.dialect_.rate_limit(head.headers_);
+    const auto bearable = state_.dialect_.bearable_rejections(head.headers_);
+    // A refusal need not repeat what the server states, and a misdirected
+    // request was answered by another process.
+    const auto says_something = [this](const per_second_notice& notice) {
+        return verdict_ == answer_verdict::answer ||
+               (verdict_ == answer_verdict::refused &&
+                notice.kind_ != per_second_notice::kind::absent);
+    };
+    auto& permits = state_.context_.permits_;
+    if (says_something(limit)) {
+        permits.on_notice(backend_, limit, attempt_started_);
+    }
+    if (says_something(bearable)) {
+        permits.on_bearable_stated(backend_, bearable, attempt_started_);
     }
 }
 
+auto exchange::is_full(const transport::answer_head& head) const -> bool {
+    return verdict_ == answer_verdict::refused &&
+           head.status_ == unavailable_status &&
+           state_.dialect_.pause(head.status_, head.headers_).kind_ ==
+               pause_notice::kind::absent &&
+           !state_.dialect_.is_leaving(backend_, head.headers_);
+}
+
 auto exchange::on_answer_body(std::string_view piece) -> void {
     const auto self = shared_from_this();
     if (mode_ == answer_mode::buffered) {
@@ -205,6 +223,9 @@
     }
     state_.prompts_.on_finish(quarantine_run_id(),
                               executed && head_.status_ / 100 == 2, now);
+    if (mode_ != answer_mode::not_run) {
+        place_outcome_ = coordination::place_outcome::answered;
+    }
     end_attempt();
     if (mode_ == answer_mode::not_run && !helper_.empty()) {
         on_forwarding_refused();
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -400,7 +400,8 @@
                                    server.started_at_, server.software_version_,
                                    leaving};
     state.router_.update_runner(info);
-    state.context_.permits_.set_server(server.id_, server.started_at_);
+    state.context_.permits_.set_server(server.id_, server.service_,
+                                       server.started_at_, server.slots_);
     state.router_.set_paused_until(server.id_,
                                    notices.end_of_pause(server.id_));
     state.context_.streams_.set_server(server.id_, server.service_,
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -70,11 +70,20 @@
     }
 
     [[nodiscard]] auto rate_limit(const transport::header_list& headers) const
-        -> rate_limit_notice override {
+        -> per_second_notice override {
         const auto text = headers.find("X-Rate-Limit");
-        using kind = rate_limit_notice::kind;
-        return text.empty() ? rate_limit_notice{}
-                            : rate_limit_notice{kind::valid,
+        using kind = per_second_notice::kind;
+        return text.empty() ? per_second_notice{}
+                            : per_second_notice{kind::valid,
+                                                std::stod(std::string{text})};
+    }
+    [[nodiscard]] auto
+    bearable_rejections(const transport::header_list& headers) const
+        -> per_second_notice override {
+        const auto text = headers.find("X-Bearable");
+        using kind = per_second_notice::kind;
+        return text.empty() ? per_second_notice{}
+                            : per_second_notice{kind::valid,
                                                 std::stod(std::string{text})};
     }
     [[nodiscard]] auto pause(int status,
--- a/basilstream/daemon/server_permits/server_permits.cpp
+++ b/basilstream/daemon/server_permits/server_permits.cpp
@@ -46,32 +46,55 @@
           "Permits that were refused, as the server is at its limit.")},
       unanswered_{context.metrics_.add_counter(
           "basilstream_permits_unanswered_total",
-          "Permit requests that the owner has not answered in time.")} {
+          "Permit requests that the owner has not answered in time.")},
+      rejected_{context.metrics_.add_counter(
+          "basilstream_place_rejections_total",
+          "Requests that a server rejected although they held a place.")} {
     context_.metrics_.add_gauge(
         "basilstream_rate_limited_servers",
         "Servers that have named a rate limit.",
         [this] { return static_cast<double>(limits_.size()); });
+    context_.metrics_.add_gauge(
+        "basilstream_brittle_servers",
+        "Servers that state how many rejections per second they bear.",
+        [this] { return static_cast<double>(bearable_.size()); });
 }
 
 auto server_permits::set_server(const std::string& server,
-                                std::int64_t started_at) -> void {
+                                const std::string& service,
+                                std::int64_t started_at, int slots) -> void {
+    const auto brittle = brittle_services_.contains(service);
     limits_.set_server(server, started_at);
+    bearable_.set_server(server, started_at);
+    places_.set_server(server, started_at, slots, brittle);
+    services_[server] = service;
+    if (brittle) {
+        find_brittle_services();
+    }
 }
 
 auto server_permits::remove_server(const std::string& server) -> void {
     limits_.remove_server(server);
     ledger_.remove_server(server);
+    bearable_.remove_server(server);
+    places_.remove_server(server);
+    services_.erase(server);
+    if (!brittle_services_.empty()) {
+        find_brittle_services();
+    }
+    pass_on_decisions();
 }
 
 auto server_permits::set_daemons(const std::vector<std::string>& daemons)
     -> void {
     ownership_.set_daemons(daemons, context_.clock_.now());
+    places_.set_daemons(daemons);
 }
 
 auto server_permits::on_notice(const std::string& server,
-                               const rate_limit_notice& notice,
+                               const per_second_notice& notice,
                                time_point sent_at) -> void {
-    using kind = rate_limit_notice::kind;
+    using kind = per_second_notice::kind;
     const auto now = context_.clock_.now();
     auto changed = false;
     switch (notice.kind_) {
@@ -108,43 +131,117 @@
     return ledger_.reserve(server, *limit, max_wait, now);
 }
 
-auto server_permits::acquire(const std::string& server, duration max_wait,
-                             permit_handler done) -> void {
+auto server_permits::acquire(const std::string& server,
+                             const permit_terms& terms, permit_handler done)
+    -> void {
+    const auto now = context_.clock_.now();
+    auto request = protocol::permit_request{
+        .id_ = ++last_request_,
+        .server_ = server,
+        .max_wait_ = std::chrono::floor<milliseconds>(terms.max_wait_),
+        .lifetime_ = std::chrono::ceil<milliseconds>(terms.lifetime_)};
+    if (terms.lifetime_ > duration{0}) {
+        request.bearable_ = bearable_of(server);
+    }
     const auto owner = ownership_.owner_of(server);
-    if (!send_ || owner.empty() || owner == self_) {
-        settle(done, reserve(server, max_wait));
-    } else {
-        ask_owner(owner, server, max_wait, std::move(done));
+    const auto expires_at = now + answer_timeout +
+                            (request.bearable_ ? terms.max_wait_ : duration{0});
+    const auto asks = send_ && !owner.empty() && owner != self_;
+    pending_[request.id_] = {std::move(done), expires_at, asks ? owner : self_,
+                             server, request.bearable_.has_value()};
+    if (!asks) {
+        decide(self_, request);
+        pass_on_decisions();
+        return;
     }
-}
-
-auto server_permits::ask_owner(const std::string& owner,
-                               const std::string& server, duration max_wait,
-                               permit_handler done) -> void {
-    const auto now = context_.clock_.now();
     auto update = protocol::relay_update{};
+    // The owner may not have heard of the limit, or has forgotten it.
     if (const auto limit = limits_.find(server)) {
-        // The owner may not have heard of the limit, or has forgotten it.
         update.limits_ = {relayed(*limit, now)};
     }
-    const auto id = ++last_request_;
-    update.permit_requests_ = {
-        {id, server, std::chrono::floor<milliseconds>(max_wait)}};
+    update.permit_requests_ = {request};
     if (!send_(owner, update)) {
         unanswered_.add();
-        settle(done, no_answer);
+        const auto asked = pending_.extract(request.id_);
+        settle(asked.mapped().done_, no_answer, {});
+    }
+}
+
+auto server_permits::decide(const std::string& daemon,
+                            const protocol::permit_request& request) -> void {
+    const auto now = context_.clock_.now();
+    const auto limited = limits_.limit_of(request.server_).has_value();
+    const auto given = limited || request.bearable_
+                           ? reserve(request.server_, request.max_wait_)
+                           : coordination::permit{true, duration{0}};
+    if (!request.bearable_ || !given.granted_) {
+        answer(daemon,
+               {request.id_, given.granted_,
+                std::chrono::ceil<milliseconds>(given.wait_)},
+               request.server_);
+        return;
+    }
+    places_.take({.server_ = request.server_,
+                  .daemon_ = daemon,
+                  .id_ = request.id_,
+                  .bearable_ = *request.bearable_,
+                  .max_wait_ = request.max_wait_,
+                  .lifetime_ = request.lifetime_,
+                  .rate_wait_ = given.wait_},
+                 now);
+}
+
+auto server_permits::answer(const std::string& daemon,
+                            const protocol::permit_answer& given,
+                            const std::string& server) -> void {
+    if (daemon == self_) {
+        on_answer(self_, given);
         return;
     }
-    pending_[id] = {std::move(done), now + answer_timeout};
+    auto update = protocol::relay_update{};
+    update.permit_answers_ = {given};
+    if (const auto limit = limits_.find(server)) {
+        update.limits_ = {relayed(*limit, context_.clock_.now())};
+    }
+    if (send_) {
+        (void)send_(daemon, update);
+    }
+}
+
+auto server_permits::pass_on_decisions() -> void {
+    for (const auto& decision : places_.take_decisions()) {
+        answer(decision.holder_.first,
+               {decision.holder_.second, decision.granted_,
+                std::chrono::ceil<milliseconds>(decision.wait_),
+                decision.granted_},
+               {});
+    }
+}
+
+auto server_permits::on_answer(const std::string& sender,
+                               const protocol::permit_answer& given) -> void {
+    const auto asked = pending_.extract(given.id_);
+    if (asked.empty()) {
+        return;
+    }
+    auto& request = asked.mapped();
+    auto place = server_place{};
+    if (given.holds_place_) {
+        held_places_[given.id_] = {sender, request.server_};
+        place = server_place{*this, given.id_};
+    }
+    settle(request.done_, {given.granted_, given.wait_}, std::move(place));
 }
 
 auto server_permits::settle(const permit_handler& done,
-                            const coordination::permit& given) -> void {
+                            const coordination::permit& given,
+                            server_place place) -> void {
     (given.granted_ ? granted_ : refused_).add();
     done(given.granted_
              ? given
-             : coordination::permit{
-                   false, std::max<duration>(given.wait_, min_refusal_wait)});
+             : coordination::permit{false, std::max<duration>(
+                                               given.wait_, min_refusal_wait)},
+         std::move(place));
 }
 
 auto server_permits::on_update(const std::string& sender,
@@ -156,23 +253,21 @@
             log_change(limit.server_, "peer");
         }
     }
-    auto reply = protocol::relay_update{};
-    for (const auto& request : update.permit_requests_) {
-        const auto given = reserve(request.server_, request.max_wait_);
-        reply.permit_answers_.push_back(
-            {request.id_, given.granted_,
-             std::chrono::ceil<milliseconds>(given.wait_)});
-        if (const auto limit = limits_.find(request.server_)) {
-            reply.limits_.push_back(relayed(*limit, now));
+    for (const auto& stated : update.bearable_rejections_) {
+        if (bearable_.merge({stated.server_, stated.started_at_,
+                             stated.per_second_, now - stated.age_})) {
+            on_bearable_changed(stated.server_, "peer");
         }
     }
-    if (!reply.permit_answers_.empty() && send_) {
-        (void)send_(sender, reply);
+    for (const auto& given_back : update.place_returns_) {
+        apply_return(sender, given_back);
     }
-    for (const auto& answer : update.permit_answers_) {
-        if (const auto asked = pending_.extract(answer.id_); !asked.empty()) {
-            settle(asked.mapped().done_, {answer.granted_, answer.wait_});
-        }
+    for (const auto& request : update.permit_requests_) {
+        decide(sender, request);
+    }
+    pass_on_decisions();
+    for (const auto& given : update.permit_answers_) {
+        on_answer(sender, given);
     }
 }
 
@@ -182,22 +277,32 @@
     for (const auto& limit : limits_.changed_since(now - age)) {
         update.limits_.push_back(relayed(limit, now));
     }
+    for (const auto& stated : bearable_.changed_since(now - age)) {
+        update.bearable_rejections_.push_back(relayed(stated, now));
+    }
 }
 
 auto server_permits::tick() -> void {
     const auto now = context_.clock_.now();
-    auto expired = std::vector<permit_handler>{};
+    auto expired = std::vector<std::pair<std::uint64_t, pending_request>>{};
     std::erase_if(pending_, [&](auto& entry) {
         const auto due = now >= entry.second.expires_at_;
         if (due) {
-            expired.push_back(std::move(entry.second.done_));
+            expired.emplace_back(entry.first, std::move(entry.second));
         }
         return due;
     });
-    for (const auto& done : expired) {
+    for (const auto& [id, request] : expired) {
         unanswered_.add();
-        settle(done, no_answer);
+        if (request.needs_place_) {
+            // The owner may have granted it in the meantime.
+            return_place(request.owner_, {id, request.server_,
+                                          coordination::place_outcome::unused});
+        }
+        settle(request.done_, no_answer, {});
     }
+    places_.tick(now);
+    pass_on_decisions();
 }
 
 auto server_permits::on_sent(const std::string& server) -> void {
--- a/basilstream/daemon/server_permits/server_permits.hpp
+++ b/basilstream/daemon/server_permits/server_permits.hpp
@@ -1,18 +1,19 @@
 /// Keeps the daemons together within the request rates that backend servers
-/// name in their answers. Asks the daemon that owns a server's limit for a
-/// permit for each request, and hands out permits for the servers that this
-/// daemon owns.
+/// name in their answers, and within the places of servers that bear few
+/// rejections. Asks the daemon that owns a server for a permit for each
+/// request, and hands out permits for the servers that this daemon owns.
 ///
 ///     auto permits = server_permits{{clock, log, metrics}, "entry-1"};
 ///     permits.connect(send);
 ///     permits.set_daemons({"entry-1", "entry-2"});
 ///     permits.on_notice("i-7f3a", dialect.rate_limit(headers), sent_at);
-///     if (permits.limit_of("i-7f3a")) {
-///         permits.acquire("i-7f3a", max_wait, [](const permit& given) {...});
+///     if (permits.needs_permit("i-7f3a")) {
+///         permits.acquire("i-7f3a", {max_wait, time_left},
+///                         [](const permit& given, server_place place) {...});
 ///     }
 ///
 /// Costs two messages for each request to a limited server that another daemon
-/// owns, and nothing for other requests.
+/// owns, three if it needs a place, and nothing for other requests.
 ///
 /// Not thread-safe: use on the traffic thread only.
 #pragma once
@@ -27,6 +28,7 @@
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/coordination/server_limits/server_limits.hpp"
+#include "basilstream/coordination/server_places/server_places.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 #include "basilstream/transport/logging/logging.hpp"
@@ -44,7 +46,39 @@
 /// Sends an update to another daemon. Returns false if it is not known.
 using update_sender = std::function<bool(const std::string& daemon,
                                          const protocol::relay_update& update)>;
-using permit_handler = std::function<void(const coordination::permit&)>;
+
+class server_permits;
+
+/// A place on a server, given back when it is destroyed. Empty if the request
+/// needs none.
+class server_place {
+public:
+    server_place() = default;
+    server_place(server_permits& permits, std::uint64_t id)
+        : permits_{&permits}, id_{id} {}
+    server_place(server_place&& other) noexcept
+        : permits_{std::exchange(other.permits_, nullptr)}, id_{other.id_} {}
+    auto operator=(server_place&& other) noexcept -> server_place&;
+    ~server_place() { give_back(coordination::place_outcome::unused); }
+
+    auto give_back(coordination::place_outcome outcome) -> void;
+
+private:
+    server_permits* permits_ = nullptr;
+    std::uint64_t id_ = 0;
+};
+
+/// What a permit is asked for.
+struct permit_terms {
+    /// How long to wait for it, apart from the time for the messages.
+    duration max_wait_{};
+    /// Longest time until the request has ended; zero for calls that need no
+    /// place.
+    duration lifetime_{};
+};
+
+using permit_handler =
+    std::function<void(const coordination::permit&, server_place)>;
 
 class server_permits {
 public:
@@ -64,19 +98,34 @@
     /// every 50 ms.
     auto tick() -> void;
 
-    /// Sets when the current process of a backend server started, in Unix
-    /// milliseconds; 0 if not known.
-    auto set_server(const std::string& server, std::int64_t started_at) -> void;
+    /// Sets the service of a backend server, when its current process started,
+    /// in Unix milliseconds, 0 if not known, and how many requests it runs at
+    /// once.
+    auto set_server(const std::string& server, const std::string& service,
+                    std::int64_t started_at, int slots) -> void;
     auto remove_server(const std::string& server) -> void;
 
     /// Handles what an answer to a request sent at `sent_at` states.
-    auto on_notice(const std::string& server, const rate_limit_notice& notice,
+    auto on_notice(const std::string& server, const per_second_notice& notice,
                    time_point sent_at) -> void;
-    /// Asks for a permit to send one request to a backend server. Waits for it
-    /// at most `max_wait`, apart from the time for the messages. Calls `done`
+    /// Handles what an answer to a request sent at `sent_at` states about the
+    /// rejections that its server bears. The other servers of its service are
+    /// treated alike, those that have just started too.
+    auto on_bearable_stated(const std::string& server,
+                            const per_second_notice& notice, time_point sent_at)
+        -> void;
+    /// Asks for a permit to send one request to a backend server. Calls `done`
     /// exactly once, possibly before it returns.
-    auto acquire(const std::string& server, duration max_wait,
+    auto acquire(const std::string& server, const permit_terms& terms,
                  permit_handler done) -> void;
+    /// Returns whether a request to the server needs a permit.
+    [[nodiscard]] auto needs_permit(const std::string& server) const -> bool {
+        return limit_of(server) || bearable_of(server);
+    }
+    /// Returns the rejections per second that the server bears, empty if it
+    /// bears any number.
+    [[nodiscard]] auto bearable_of(const std::string& server) const
+        -> std::optional<double>;
     /// Counts a request that is sent to a backend server.
     auto on_sent(const std::string& server) -> void;
     /// Returns the backend servers that have named a limit.
@@ -88,20 +137,47 @@
         -> std::optional<double>;
 
 private:
+    friend class server_place;
+
     struct pending_request {
         permit_handler done_;
         time_point expires_at_{};
+        std::string owner_;
+        std::string server_;
+        bool needs_place_ = false;
+    };
+    struct held_place {
+        std::string owner_;
+        std::string server_;
     };
 
     auto log_change(const std::string& server, const char* source) -> void;
+    // Handles a change of what servers bear.
+    auto on_bearable_changed(const std::string& server, const char* source)
+        -> void;
+    auto find_brittle_services() -> void;
     // Hands out or refuses a permit of a server that this daemon owns.
     [[nodiscard]] auto reserve(const std::string& server, duration max_wait)
         -> coordination::permit;
-    auto ask_owner(const std::string& owner, const std::string& server,
-                   duration max_wait, permit_handler done) -> void;
-    // Counts the permit and passes it on.
-    auto settle(const permit_handler& done, const coordination::permit& given)
+    // Answers a request of this or another daemon for a permit of a server
+    // that this daemon owns, now or later.
+    auto decide(const std::string& daemon,
+                const protocol::permit_request& request) -> void;
+    auto answer(const std::string& daemon, const protocol::permit_answer& given,
+                const std::string& server) -> void;
+    // Passes on what the ledger of places has decided.
+    auto pass_on_decisions() -> void;
+    auto on_answer(const std::string& sender,
+                   const protocol::permit_answer& given) -> void;
+    auto give_back(std::uint64_t id, coordination::place_outcome outcome)
         -> void;
+    auto return_place(const std::string& owner,
+                      const protocol::place_return& given_back) -> void;
+    auto apply_return(const std::string& daemon,
+                      const protocol::place_return& given_back) -> void;
+    // Counts the permit and passes it on.
+    auto settle(const permit_handler& done, const coordination::permit& given,
+                server_place place) -> void;
 
     const server_permits_context context_;
     const std::string self_;
@@ -109,6 +185,13 @@
     coordination::named_limits limits_;
     coordination::permit_ownership ownership_;
     coordination::permit_ledger ledger_;
+    // What servers state about the rejections that they bear.
+    coordination::named_limits bearable_;
+    coordination::place_ledger places_;
+    std::map<std::string, std::string> services_;
+    // The smallest number that a server of the service bears.
+    std::map<std::string, double> brittle_services_;
+    std::map<std::uint64_t, held_place> held_places_;
     // Requests to other daemons that have not been answered, by id.
     std::map<std::uint64_t, pending_request> pending_;
     std::uint64_t last_request_ = 0;
@@ -118,6 +201,7 @@
     transport::counter& granted_;
     transport::counter& refused_;
     transport::counter& unanswered_;
+    transport::counter& rejected_;
 };
 
 } // namespace basilstream::daemon
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -51,52 +51,101 @@
     return static_cast<std::uint32_t>(std::max(value, milliseconds{0}).count());
 }
 
+auto to_wire(const relayed_limit& limit, wire::named_limit& out) -> void {
+    out.set_server(limit.server_);
+    out.set_started_at_ms(limit.started_at_);
+    out.set_has_limit(limit.per_second_.has_value());
+    out.set_per_second(limit.per_second_.value_or(0));
+    out.set_age_ms(to_milliseconds(limit.age_));
+}
+
+auto is_rate(double value) -> bool {
+    return std::isfinite(value) && value >= 0;
+}
+
+// Returns whether the limit is valid.
+auto append_limit(const wire::named_limit& limit,
+                  std::vector<relayed_limit>& limits) -> bool {
+    if (limit.has_limit() && !is_rate(limit.per_second())) {
+        return false;
+    }
+    limits.push_back(
+        {limit.server(), limit.started_at_ms(),
+         limit.has_limit() ? std::optional{limit.per_second()} : std::nullopt,
+         milliseconds{limit.age_ms()}});
+    return true;
+}
+
 auto permits_to_wire(const relay_update& update, wire::relay_update& out)
     -> void {
     for (const auto& limit : update.limits_) {
-        auto& copy = *out.add_named_limits();
-        copy.set_server(limit.server_);
-        copy.set_started_at_ms(limit.started_at_);
-        copy.set_has_limit(limit.per_second_.has_value());
-        copy.set_per_second(limit.per_second_.value_or(0));
-        copy.set_age_ms(to_milliseconds(limit.age_));
+        to_wire(limit, *out.add_named_limits());
+    }
+    for (const auto& limit : update.bearable_rejections_) {
+        to_wire(limit, *out.add_bearable_rejections());
+    }
+    for (const auto& given_back : update.place_returns_) {
+        auto& copy = *out.add_place_returns();
+        copy.set_id(given_back.id_);
+        copy.set_server(given_back.server_);
+        copy.set_outcome(static_cast<std::uint32_t>(given_back.outcome_));
     }
     for (const auto& request : update.permit_requests_) {
         auto& copy = *out.add_permit_requests();
         copy.set_id(request.id_);
         copy.set_server(request.server_);
         copy.set_max_wait_ms(to_milliseconds(request.max_wait_));
+        copy.set_needs_place(request.bearable_.has_value());
+        copy.set_bearable_per_second(request.bearable_.value_or(0));
+        copy.set_lifetime_ms(to_milliseconds(request.lifetime_));
     }
     for (const auto& answer : update.permit_answers_) {
         auto& copy = *out.add_permit_answers();
         copy.set_id(answer.id_);
         copy.set_granted(answer.granted_);
         copy.set_wait_ms(to_milliseconds(answer.wait_));
+        copy.set_holds_place(answer.holds_place_);
     }
 }
 
-// Returns whether all limits are valid.
+// Returns whether all numbers are valid.
 auto permits_from_wire(const wire::relay_update& in, relay_update& update)
     -> bool {
     for (const auto& limit : in.named_limits()) {
-        if (limit.has_limit() &&
-            !(std::isfinite(limit.per_second()) && limit.per_second() >= 0)) {
+        if (!append_limit(limit, update.limits_)) {
+            return false;
+        }
+    }
+    for (const auto& limit : in.bearable_rejections()) {
+        if (!append_limit(limit, update.bearable_rejections_)) {
             return false;
         }
-        update.limits_.push_back({limit.server(), limit.started_at_ms(),
-                                  limit.has_limit()
-                                      ? std::optional{limit.per_second()}
-                                      : std::nullopt,
-                                  milliseconds{limit.age_ms()}});
     }
     for (const auto& request : in.permit_requests()) {
+        if (request.needs_place() && !is_rate(request.bearable_per_second())) {
+            return false;
+        }
         update.permit_requests_.push_back(
             {request.id(), request.server(),
-             milliseconds{request.max_wait_ms()}});
+             milliseconds{request.max_wait_ms()},
+             request.needs_place()
+                 ? std::optional{request.bearable_per_second()}
+                 : std::nullopt,
+             milliseconds{request.lifetime_ms()}});
     }
     for (const auto& answer : in.permit_answers()) {
-        update.permit_answers_.push_back(
-            {answer.id(), answer.granted(), milliseconds{answer.wait_ms()}});
+        update.permit_answers_.push_back({answer.id(), answer.granted(),
+                                          milliseconds{answer.wait_ms()},
+                                          answer.holds_place()});
+    }
+    for (const auto& given_back : in.place_returns()) {
+        if (given_back.outcome() >=
+            coordination::place_outcome_names.rows_.size()) {
+            return false;
+        }
+        update.place_returns_.push_back(
+            {given_back.id(), given_back.server(),
+             static_cast<coordination::place_outcome>(given_back.outcome())});
     }
     return true;
 }
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -16,6 +16,7 @@
 #include "basilstream/base/error/error.hpp"
 #include "basilstream/coordination/placement_lease/placement_lease.hpp"
 #include "basilstream/coordination/record_store/record_store.hpp"
+#include "basilstream/coordination/server_places/server_places.hpp"
 
 namespace basilstream::protocol {
 
@@ -65,12 +66,13 @@
     bool read_now_ = false;
 };
 
-/// Latest statement of a backend server about its rate limit.
+/// Latest statement of a backend server about a number per second: its rate
+/// limit, or the rejections that it bears.
 struct relayed_limit {
     std::string server_;
     /// Start time of the server's process in Unix milliseconds; 0 if unknown.
     std::int64_t started_at_ = 0;
-    /// Requests per second of all daemons together; empty if not limited.
+    /// For all daemons together; empty if the server no longer states one.
     std::optional<double> per_second_;
     /// Time since the statement.
     milliseconds age_{0};
@@ -82,6 +84,11 @@
     std::uint64_t id_ = 0;
     std::string server_;
     milliseconds max_wait_{0};
+    /// Set if the request also needs a place on the server: the rejections per
+    /// second that this bears.
+    std::optional<double> bearable_;
+    /// Longest time for which the request holds its place.
+    milliseconds lifetime_{0};
 };
 
 /// Answer to the permit request `id_` of the receiver.
@@ -91,6 +98,15 @@
     /// Time until the request may be sent or, if not granted, until a permit
     /// may be available.
     milliseconds wait_{0};
+    /// Whether the sender must give back a place.
+    bool holds_place_ = false;
+};
+
+/// Gives back the place that the permit request `id_` of the sender got.
+struct place_return {
+    std::uint64_t id_ = 0;
+    std::string server_;
+    coordination::place_outcome outcome_ = coordination::place_outcome::ended;
 };
 
 /// Software version at which the stream of a request began.
@@ -147,6 +163,8 @@
     std::vector<relayed_limit> limits_;
     std::vector<permit_request> permit_requests_;
     std::vector<permit_answer> permit_answers_;
+    std::vector<relayed_limit> bearable_rejections_;
+    std::vector<place_return> place_returns_;
     std::vector<stream_origin> stream_origins_;
     std::vector<origin_query> origin_queries_;
     std::vector<origin_answer> origin_answers_;
