Failing run: daemons started together take long to know each other

Looked at: an address that the store lists is asked for members at most once a second, whichever address it is, so that daemons that all know nobody learn of each other one by one. Change: a test on virtual time, all daemons started at once with all addresses.

--- a/basilstream/coordination/membership/membership_test.cpp
+++ b/basilstream/coordination/membership/membership_test.cpp
@@ -55,6 +55,14 @@
         }
         run_for(settle);
     }
+    /// Lets all daemons read the addresses of all in the shared store.
+    auto list_all() -> void {
+        for (const auto& row : nodes_) {
+            for (auto index = std::size_t{0}; index < nodes_.size(); ++index) {
+                row->members_->add_seed(address_of(index), now_);
+            }
+        }
+    }
     auto run_for(duration length) -> void {
         const auto end = now_ + length;
         while (now_ < end) {
@@ -191,6 +199,25 @@
     EXPECT_TRUE(net.complete());
 }
 
+// Daemons that were started together took ten seconds and more to know each
+// other, and disagreed until then about who owns what.
+TEST(membership, daemons_started_together_disagree_for_long) {
+    for (const auto size : {7U, 80U, 360U}) {
+        auto net = network{size, 1};
+        net.list_all();
+        const auto begin = net.now_;
+        while (!net.complete() && net.now_ - begin < seconds{60}) {
+            net.run_for(tick_interval);
+        }
+        const auto took =
+            std::chrono::duration<double>(net.now_ - begin).count();
+        std::printf("%u daemons started together: known to all after %.1f s, "
+                    "%.0f B each\n",
+                    size, took, net.mean_bytes());
+        EXPECT_LE(took, 12.0) << size;
+    }
+}
+
 TEST(membership, spreads_payloads_and_leaving_state) {
     auto net = network{7, 2};
     net.run_for(seconds{20});
