Ask listed daemons for members ten times a second while they are unknown

Cause: a daemon asked at most one listed address a second for members. If many are started together nobody knows anybody, so that their lists stay incomplete for long and two daemons own the same server. Ruled out: leases that are lost with members that seem gone (no member was lost in the traced run, its logs show additions only); requests without places (all daemons had read the statement 0.3 s after the first). Change: membership_settings::request_interval_, 100 ms, in place of the probe interval of 1 s. Addresses that do not answer are asked every 5 s as before.

--- a/basilstream/coordination/membership/membership.cpp
+++ b/basilstream/coordination/membership/membership.cpp
@@ -334,11 +334,11 @@
 }
 
 // Requests members from an address that may belong to a daemon, at most once
-// per probe interval.
+// per request interval.
 auto membership::try_request_members(const std::string& address, time_point now)
     -> void {
     if (now >= next_request_at_) {
-        next_request_at_ = now + settings_.probe_interval_;
+        next_request_at_ = now + settings_.request_interval_;
         request_members(address, sync_cursor_);
     }
 }
--- a/basilstream/coordination/membership/membership.hpp
+++ b/basilstream/coordination/membership/membership.hpp
@@ -147,6 +147,8 @@
     duration dead_retention_ = seconds{300};
     /// Minimum time between two sync requests to a seed that is not a member.
     duration seed_interval_ = seconds{5};
+    /// Minimum time between two sync requests to any such seeds.
+    duration request_interval_ = milliseconds{100};
 };
 
 /// Counters for metrics.
