Log how the members of a daemon change

Cause: that two daemons owned one server was found only by a line that was added for it; logs did not say which members a daemon knows. Change: event members changed, with their number, how many were added and the names of those that are gone.

--- a/basilstream/daemon/cluster/cluster.cpp
+++ b/basilstream/daemon/cluster/cluster.cpp
@@ -123,12 +123,32 @@
     if (membership_.take_changed()) {
         update_endpoints();
         const auto owners = membership_.owners();
+        log_members(owners);
         for (const auto& observer : member_observers_) {
             observer(owners);
         }
     }
 }
 
+auto cluster::log_members(const std::vector<std::string>& members) -> void {
+    const auto is_missing_in = [](const std::vector<std::string>& names) {
+        return [&names](const std::string& name) {
+            return std::find(names.begin(), names.end(), name) == names.end();
+        };
+    };
+    auto gone = std::string{};
+    for (const auto& name : last_members_) {
+        gone += is_missing_in(members)(name) ? " " + name : "";
+    }
+    const auto added = std::count_if(members.begin(), members.end(),
+                                     is_missing_in(last_members_));
+    last_members_ = members;
+    base_.log_.info("members changed",
+                    {{"members", std::to_string(members.size())},
+                     {"added", std::to_string(added)},
+                     {"gone", gone}});
+}
+
 auto cluster::transmit(const std::string& address,
                        protocol::peer_channel channel, std::string bytes)
     -> void {
--- a/basilstream/daemon/cluster/cluster.hpp
+++ b/basilstream/daemon/cluster/cluster.hpp
@@ -116,6 +116,8 @@
     }
 
 private:
+    // Logs how the members differ from those of the last call.
+    auto log_members(const std::vector<std::string>& members) -> void;
     auto transmit(const std::string& address, protocol::peer_channel channel,
                   std::string bytes) -> void;
     auto update_endpoints() -> void;
@@ -128,6 +130,7 @@
     coordination::endpoint_directory directory_;
     std::map<protocol::peer_channel, channel_handler> channels_;
     std::map<coordination::payload_kind, payload_handler> payloads_;
+    std::vector<std::string> last_members_;
     std::vector<std::function<void(const std::vector<std::string>&)>>
         member_observers_;
     std::map<std::string, std::uint32_t> loads_;
