Look for brittle services only if a statement begins or ends

Cause: read in the diff; each update of a server's record went through all statements, and a statement that came before its server's announcement counted for no service until the next change. Change: the services are found anew only if the server's statement begins or ends to count, announcement included.

--- a/basilstream/daemon/server_permits/server_permits.cpp
+++ b/basilstream/daemon/server_permits/server_permits.cpp
@@ -64,22 +64,25 @@
                                 const std::string& service,
                                 std::int64_t started_at, int slots) -> void {
     const auto brittle = brittle_services_.contains(service);
+    const auto counted =
+        services_.contains(server) && bearable_.limit_of(server);
     limits_.set_server(server, started_at);
     bearable_.set_server(server, started_at);
     places_.set_server(server, started_at, slots, brittle);
     services_[server] = service;
-    if (brittle) {
+    if (counted != bearable_.limit_of(server).has_value()) {
         find_brittle_services();
     }
 }
 
 auto server_permits::remove_server(const std::string& server) -> void {
+    const auto stated = bearable_.limit_of(server).has_value();
     limits_.remove_server(server);
     ledger_.remove_server(server);
     bearable_.remove_server(server);
     places_.remove_server(server);
     services_.erase(server);
-    if (!brittle_services_.empty()) {
+    if (stated) {
         find_brittle_services();
     }
     pass_on_decisions();
--- a/basilstream/daemon/server_permits/server_permits_test.cpp
+++ b/basilstream/daemon/server_permits/server_permits_test.cpp
@@ -123,6 +123,17 @@
     EXPECT_FALSE(permits.needs_permit("s"));
 }
 
+TEST_F(server_permits_cluster, statement_comes_before_the_announcement) {
+    auto& permits = *members_[asker_];
+    permits.on_bearable_stated("v", {kind::valid, 5}, clock_.now());
+    EXPECT_FALSE(permits.needs_permit("v"));
+    permits.set_server("v", "late", 0, 2);
+    EXPECT_EQ(permits.bearable_of("v"), 5);
+    permits.remove_server("v");
+    permits.set_server("v", "late", 0, 2);
+    EXPECT_FALSE(permits.needs_permit("v"));
+}
+
 TEST_F(server_permits_cluster, daemons_share_the_places_of_a_server) {
     for (const auto& name : names_) {
         state(name, 5);
