Let only the owner of a server hand out its places

Cause: a request for a place passed the check of ownership only if the server also named a rate limit. A daemon that an asker with fewer members took for the owner granted places beside the owner, and a new owner did so at once instead of after the takeover delay. Ruled out: the ledger (its simulation has one owner and no fall). Change: reserve() checks ownership and takeover for places as well.

--- a/basilstream/daemon/server_permits/server_permits.cpp
+++ b/basilstream/daemon/server_permits/server_permits.cpp
@@ -117,11 +117,12 @@
     }
 }
 
-auto server_permits::reserve(const std::string& server, duration max_wait)
+auto server_permits::reserve(const protocol::permit_request& request)
     -> coordination::permit {
     const auto now = context_.clock_.now();
+    const auto& server = request.server_;
     const auto limit = limits_.limit_of(server);
-    if (!limit) {
+    if (!limit && !request.bearable_) {
         return {true, duration{0}};
     }
     const auto takeover_wait = ownership_.takeover_wait(server, now);
@@ -131,7 +132,8 @@
     if (*takeover_wait > duration{0}) {
         return {false, *takeover_wait};
     }
-    return ledger_.reserve(server, *limit, max_wait, now);
+    return limit ? ledger_.reserve(server, *limit, request.max_wait_, now)
+                 : coordination::permit{true, duration{0}};
 }
 
 auto server_permits::acquire(const std::string& server,
@@ -173,10 +175,7 @@
 auto server_permits::decide(const std::string& daemon,
                             const protocol::permit_request& request) -> void {
     const auto now = context_.clock_.now();
-    const auto limited = limits_.limit_of(request.server_).has_value();
-    const auto given = limited || request.bearable_
-                           ? reserve(request.server_, request.max_wait_)
-                           : coordination::permit{true, duration{0}};
+    const auto given = reserve(request);
     if (!request.bearable_ || !given.granted_) {
         answer(daemon,
                {request.id_, given.granted_,
--- a/basilstream/daemon/server_permits/server_permits.hpp
+++ b/basilstream/daemon/server_permits/server_permits.hpp
@@ -156,8 +156,9 @@
     auto on_bearable_changed(const std::string& server, const char* source)
         -> void;
     auto find_brittle_services() -> void;
-    // Hands out or refuses a permit of a server that this daemon owns.
-    [[nodiscard]] auto reserve(const std::string& server, duration max_wait)
+    // Hands out or refuses a permit, apart from the place, of a server that
+    // this daemon owns.
+    [[nodiscard]] auto reserve(const protocol::permit_request& request)
         -> coordination::permit;
     // Answers a request of this or another daemon for a permit of a server
     // that this daemon owns, now or later.
--- a/basilstream/daemon/server_permits/server_permits_test.cpp
+++ b/basilstream/daemon/server_permits/server_permits_test.cpp
@@ -186,6 +186,24 @@
     EXPECT_TRUE(acquire(asker_)->permit_.granted_);
 }
 
+// A daemon that knew fewer members asked another one than the owner, which
+// handed out all places of the server a second time.
+TEST_F(server_permits_cluster, daemon_that_is_no_owner_hands_out_places) {
+    state(asker_, 5);
+    auto others = names_;
+    std::erase(others, owner_);
+    members_[asker_]->set_daemons(others);
+    const auto wrong_owner = coordination::select_permit_owner("s", others);
+    if (wrong_owner != asker_) {
+        EXPECT_FALSE(acquire(asker_)->permit_.granted_);
+    }
+    // Nor does one that takes itself for the owner since a moment ago.
+    members_[wrong_owner]->set_daemons(others);
+    EXPECT_FALSE(acquire(asker_)->permit_.granted_);
+    clock_.advance(takeover_time);
+    EXPECT_TRUE(acquire(asker_)->permit_.granted_);
+}
+
 TEST_F(server_permits_cluster, silent_owner_does_not_hold_the_request) {
     state(asker_, 5);
     cut_off_.insert(owner_);
