--- a/basilstream/coordination/server_places/server_places.hpp
+++ b/basilstream/coordination/server_slots/server_slots.hpp
@@ -1,21 +1,21 @@
 /// Limits how many requests are on each backend server that falls over if it
 /// has to reject too many.
 ///
-///     auto places = place_ledger{};
-///     places.set_server("i-7f3a", started_at, 32, false);
-///     places.take({.server_ = "i-7f3a", .daemon_ = "entry-2", .id_ = 7,
+///     auto ledger = slot_ledger{};
+///     ledger.set_server("i-7f3a", started_at, 32, false);
+///     ledger.take({.server_ = "i-7f3a", .daemon_ = "entry-2", .id_ = 7,
 ///                  .bearable_ = 5, .max_wait_ = milliseconds{400},
 ///                  .lifetime_ = seconds{3}}, now);
-///     for (const auto& decision : places.take_decisions()) { ... }
-///     places.give_back("i-7f3a", {"entry-2", 7}, place_outcome::answered,
-///     now);
+///     for (const auto& decision : ledger.take_decisions()) { ... }
+///     ledger.give_back("i-7f3a", {"entry-2", 7}, slot_outcome::answered, now);
 ///
 /// One daemon keeps the ledger of a server and decides for all. A request holds
-/// a place from the decision until its answer has ended, so that the ledger
-/// never counts fewer requests than the server does. A server has as many
-/// places as it announces slots, because it may reject whatever has to wait.
-/// Rejections reduce that number multiplicatively; it grows again additively
-/// while it is fully used and nothing is rejected (AIMD; Chiu and Jain, 1989).
+/// a slot from the decision until its answer has ended, so that the ledger
+/// never counts fewer requests than the server does. The ledger
+/// grants as many slots as the server announces, because it may reject whatever
+/// has to wait. Rejections reduce that number multiplicatively; it grows again
+/// additively while it is fully used and nothing is rejected (AIMD; Chiu and
+/// Jain, 1989).
 ///
 /// Load pattern: tens of daemons that send a server a few requests per second
 /// each. None of them sees from its own requests that the server is full.
@@ -38,18 +38,18 @@
 
 /// Daemon that sends a request, and the request's number, which is unique in
 /// the daemon's process.
-using place_holder = std::pair<std::string, std::uint64_t>;
+using slot_holder = std::pair<std::string, std::uint64_t>;
 
-/// A request that needs a place on a server.
-struct place_request {
+/// A request that needs a slot on a server.
+struct slot_request {
     std::string server_;
     std::string daemon_;
     std::uint64_t id_ = 0;
     /// Rejections per second that the server bears.
     double bearable_ = 0;
-    /// How long the request may wait for a place.
+    /// How long the request may wait for a slot.
     duration max_wait_{};
-    /// Longest time for which the request holds its place. A place that is not
+    /// Longest time for which the request holds its slot. A slot that is not
     /// given back becomes free after that.
     duration lifetime_{};
     /// Handed back with the decision: how long to wait after the grant because
@@ -57,8 +57,8 @@
     duration rate_wait_{};
 };
 
-/// How a request ended that held a place.
-enum class place_outcome : std::uint8_t {
+/// How a request ended that held a slot.
+enum class slot_outcome : std::uint8_t {
     /// Not sent.
     unused,
     answered,
@@ -68,47 +68,47 @@
     ended,
 };
 
-inline constexpr auto place_outcome_names =
-    name_table<place_outcome, 4>{{{{place_outcome::unused, "unused"},
-                                   {place_outcome::answered, "answered"},
-                                   {place_outcome::rejected, "rejected"},
-                                   {place_outcome::ended, "ended"}}}};
+inline constexpr auto slot_outcome_names =
+    name_table<slot_outcome, 4>{{{{slot_outcome::unused, "unused"},
+                                  {slot_outcome::answered, "answered"},
+                                  {slot_outcome::rejected, "rejected"},
+                                  {slot_outcome::ended, "ended"}}}};
 
-/// Whether a request gets a place.
-struct place_decision {
-    place_holder holder_;
+/// Whether a request gets a slot.
+struct slot_decision {
+    slot_holder holder_;
     bool granted_ = false;
-    /// If granted, place_request::rate_wait_; else the expected time until a
-    /// place is free.
+    /// If granted, slot_request::rate_wait_; else the expected time until a
+    /// slot is free.
     duration wait_{};
 };
 
-/// Keeps the places of servers that this daemon owns.
-class place_ledger {
+/// Keeps the slots of servers that this daemon owns.
+class slot_ledger {
 public:
     /// Adds a server or updates its description. A process that starts at
-    /// another time has all its places free; if `starting`, it gets them one
+    /// another time has all its slots free; if `starting`, it gets them one
     /// after the other.
     auto set_server(const std::string& server, std::int64_t started_at,
                     int slots, bool starting) -> void;
     auto remove_server(const std::string& server) -> void;
-    /// Frees the places of daemons that are not among `daemons`.
+    /// Frees the slots of daemons that are not among `daemons`.
     auto set_daemons(const std::vector<std::string>& daemons) -> void;
 
-    /// Decides now or, if the request may wait and is expected to get a place
+    /// Decides now or, if the request may wait and is expected to get a slot
     /// in time, later.
-    auto take(const place_request& request, time_point now) -> void;
-    /// Frees the place of a request, or ends its wait for one. Has no effect if
+    auto take(const slot_request& request, time_point now) -> void;
+    /// Frees the slot of a request, or ends its wait for one. Has no effect if
     /// there is neither.
-    auto give_back(const std::string& server, const place_holder& holder,
-                   place_outcome outcome, time_point now) -> void;
+    auto give_back(const std::string& server, const slot_holder& holder,
+                   slot_outcome outcome, time_point now) -> void;
     /// Decides about requests whose wait has ended. Call about every 50 ms.
     auto tick(time_point now) -> void;
     /// Returns the decisions made since the last call.
-    [[nodiscard]] auto take_decisions() -> std::vector<place_decision>;
+    [[nodiscard]] auto take_decisions() -> std::vector<slot_decision>;
 
     /// Return the number of requests on the server, of requests that wait, and
-    /// of places; 0 if no request for the server was made.
+    /// of slots; 0 if no request for the server was made.
     [[nodiscard]] auto in_use(const std::string& server) const -> int;
     [[nodiscard]] auto waiting(const std::string& server) const -> int;
     [[nodiscard]] auto limit(const std::string& server) const -> int;
@@ -126,10 +126,10 @@
         int in_use_ = 0;
     };
     struct waiting_request {
-        place_request request_;
+        slot_request request_;
         time_point expires_at_{};
     };
-    struct server_places {
+    struct server_state {
         int slots_ = 1;
         int limit_ = 1;
         // Whether the limit has only grown since the process started.
@@ -138,45 +138,45 @@
         bool limit_reached_ = false;
         time_point limit_changed_at_{};
         time_point limit_reduced_at_ = time_point::min();
-        std::map<place_holder, lease> leases_;
+        std::map<slot_holder, lease> leases_;
         std::deque<waiting_request> waiting_;
         // Rejections of the last second.
         std::deque<time_point> rejections_;
         time_point last_rejection_ = time_point::min();
         // Largest number of requests that the server has held since then.
         int confirmed_ = 0;
-        // Until then the server may hold requests that took no place.
+        // Until then the server may hold requests that took no slot.
         time_point settled_at_{};
         double bearable_ = 0;
-        // Running mean of the time for which answered requests held a place;
+        // Running mean of the time for which answered requests held a slot;
         // zero if not known.
         duration mean_hold_{};
         // When the next refused caller should return.
         time_point next_return_{};
     };
 
-    auto places_of(const std::string& server, time_point now) -> server_places&;
+    auto state_of(const std::string& server, time_point now) -> server_state&;
     // Brings what depends on the time alone up to date.
-    static auto refresh(server_places& places, time_point now) -> void;
-    static auto grow(server_places& places, time_point now) -> void;
-    static auto reduce(server_places& places, const lease& rejected,
+    static auto refresh(server_state& state, time_point now) -> void;
+    static auto grow(server_state& state, time_point now) -> void;
+    static auto reduce(server_state& state, const lease& rejected,
                        time_point now) -> void;
     // Returns whether another request may be sent.
-    static auto has_room(server_places& places, time_point now) -> bool;
+    static auto has_room(server_state& state, time_point now) -> bool;
     // Returns the expected time until a request that is queued now gets a
-    // place.
-    static auto expected_wait(const server_places& places) -> duration;
-    auto grant(server_places& places, const place_request& request,
-               time_point now) -> void;
-    auto refuse(const place_request& request, duration wait) -> void;
+    // slot.
+    static auto expected_wait(const server_state& state) -> duration;
+    auto grant(server_state& state, const slot_request& request, time_point now)
+        -> void;
+    auto refuse(const slot_request& request, duration wait) -> void;
     // Refuses a request whose caller should come back later.
-    auto turn_back(server_places& places, const place_request& request,
+    auto turn_back(server_state& state, const slot_request& request,
                    time_point now) -> void;
-    auto serve_waiting(server_places& places, time_point now) -> void;
+    auto serve_waiting(server_state& state, time_point now) -> void;
 
     std::map<std::string, description> descriptions_;
-    std::map<std::string, server_places> servers_;
-    std::vector<place_decision> decisions_;
+    std::map<std::string, server_state> servers_;
+    std::vector<slot_decision> decisions_;
 };
 
 } // namespace basilstream::coordination
--- a/basilstream/coordination/server_places/server_places_test.cpp
+++ b/basilstream/coordination/server_slots/server_slots_test.cpp
@@ -1,4 +1,4 @@
-#include "basilstream/coordination/server_places/server_places.hpp"
+#include "basilstream/coordination/server_slots/server_slots.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -13,11 +13,11 @@
 namespace basilstream::coordination {
 namespace {
 
-class server_places : public ::testing::Test {
+class server_slots : public ::testing::Test {
 protected:
     // Returns the decision about a request that is made now, if it is made.
     auto take(std::uint64_t id, duration max_wait = duration{0},
-              double bearable = 5) -> std::optional<place_decision> {
+              double bearable = 5) -> std::optional<slot_decision> {
         ledger_.take({.server_ = "s",
                       .daemon_ = "d",
                       .id_ = id,
@@ -27,7 +27,7 @@
                      now_);
         const auto decisions = ledger_.take_decisions();
         for (const auto& decision : decisions) {
-            if (decision.holder_ == place_holder{"d", id}) {
+            if (decision.holder_ == slot_holder{"d", id}) {
                 return decision;
             }
         }
@@ -39,32 +39,32 @@
         return decision && decision->granted_;
     }
 
-    auto give_back(std::uint64_t id, place_outcome outcome) -> void {
+    auto give_back(std::uint64_t id, slot_outcome outcome) -> void {
         ledger_.give_back("s", {"d", id}, outcome, now_);
     }
 
     time_point now_ = time_point{} + std::chrono::hours{1};
-    place_ledger ledger_;
+    slot_ledger ledger_;
 };
 
-TEST_F(server_places, server_gets_no_more_requests_than_it_has_slots) {
+TEST_F(server_slots, server_gets_no_more_requests_than_it_has_slots) {
     ledger_.set_server("s", 1000, 2, false);
     EXPECT_TRUE(is_granted(1));
     EXPECT_TRUE(is_granted(2));
     EXPECT_FALSE(is_granted(3));
-    give_back(1, place_outcome::answered);
+    give_back(1, slot_outcome::answered);
     EXPECT_TRUE(is_granted(4));
     EXPECT_EQ(ledger_.in_use("s"), 2);
 }
 
-TEST_F(server_places, request_waits_for_the_next_place) {
+TEST_F(server_slots, request_waits_for_the_next_slot) {
     ledger_.set_server("s", 1000, 1, false);
     EXPECT_TRUE(is_granted(1));
     EXPECT_FALSE(take(2, milliseconds{400}).has_value());
     EXPECT_FALSE(take(3, milliseconds{400}).has_value());
     // Nobody overtakes those that wait.
     now_ += milliseconds{20};
-    give_back(1, place_outcome::answered);
+    give_back(1, slot_outcome::answered);
     const auto decisions = ledger_.take_decisions();
     ASSERT_EQ(decisions.size(), 1U);
     EXPECT_EQ(decisions[0].holder_.second, 2U);
@@ -79,11 +79,11 @@
     EXPECT_GT(expired[0].wait_, duration{0});
 }
 
-TEST_F(server_places, surplus_is_refused_at_once) {
+TEST_F(server_slots, surplus_is_refused_at_once) {
     ledger_.set_server("s", 1000, 1, false);
     EXPECT_TRUE(is_granted(1));
     now_ += milliseconds{100};
-    give_back(1, place_outcome::answered);
+    give_back(1, slot_outcome::answered);
     EXPECT_TRUE(is_granted(2));
     auto queued = 0;
     auto waits = std::vector<duration>{};
@@ -100,17 +100,17 @@
     EXPECT_GE(waits.back() - waits.front(), milliseconds{1000});
 }
 
-TEST_F(server_places, rejections_reduce_the_places_which_return) {
+TEST_F(server_slots, rejections_reduce_the_slots_which_return) {
     ledger_.set_server("s", 1000, 32, false);
     for (auto id = std::uint64_t{1}; id <= 16; ++id) {
         EXPECT_TRUE(is_granted(id));
     }
     now_ += seconds{1};
-    give_back(16, place_outcome::rejected);
+    give_back(16, slot_outcome::rejected);
     EXPECT_EQ(ledger_.limit("s"), 12);
     EXPECT_FALSE(is_granted(17));
     for (auto id = std::uint64_t{1}; id <= 15; ++id) {
-        give_back(id, place_outcome::answered);
+        give_back(id, slot_outcome::answered);
     }
     for (auto second = 0; second < 12; ++second) {
         for (auto id = std::uint64_t{100}; id < 140; ++id) {
@@ -118,13 +118,13 @@
             now_ += milliseconds{40};
         }
         for (auto id = std::uint64_t{100}; id < 140; ++id) {
-            give_back(id, place_outcome::answered);
+            give_back(id, slot_outcome::answered);
         }
     }
     EXPECT_EQ(ledger_.limit("s"), 32);
 }
 
-TEST_F(server_places, no_place_is_lost_with_its_holder) {
+TEST_F(server_slots, no_slot_is_lost_with_its_holder) {
     ledger_.set_server("s", 1000, 1, false);
     EXPECT_TRUE(is_granted(1));
     ledger_.set_daemons({"other"});
@@ -132,16 +132,16 @@
     EXPECT_TRUE(is_granted(2));
     now_ += seconds{6};
     EXPECT_TRUE(is_granted(3));
-    give_back(3, place_outcome::unused);
+    give_back(3, slot_outcome::unused);
     EXPECT_TRUE(is_granted(4));
-    // A request that was given up while it waited gets no place.
+    // A request that was given up while it waited gets no slot.
     EXPECT_FALSE(take(5, milliseconds{400}).has_value());
-    give_back(5, place_outcome::unused);
-    give_back(4, place_outcome::answered);
+    give_back(5, slot_outcome::unused);
+    give_back(4, slot_outcome::answered);
     EXPECT_EQ(ledger_.in_use("s"), 0);
 }
 
-TEST_F(server_places, new_process_is_filled_slowly) {
+TEST_F(server_slots, new_process_is_filled_slowly) {
     ledger_.set_server("s", 1000, 32, false);
     for (auto id = std::uint64_t{1}; id <= 32; ++id) {
         EXPECT_TRUE(is_granted(id));
@@ -238,7 +238,7 @@
     struct request {
         int server_ = 0;
         int asked_ = 0;
-        place_holder holder_;
+        slot_holder holder_;
     };
 
     static auto name_of(int number) -> std::string {
@@ -284,7 +284,7 @@
         }
     }
 
-    auto give_back(const request& made, place_outcome outcome) -> void {
+    auto give_back(const request& made, slot_outcome outcome) -> void {
         schedule(message_time, [this, made, outcome] {
             ledger_.give_back(name_of(made.server_), made.holder_, outcome,
                               now_);
@@ -301,7 +301,7 @@
                      [this, made, process] { finish(made, process); });
         };
         if (server.down_) {
-            give_back(made, place_outcome::ended);
+            give_back(made, slot_outcome::ended);
         } else if (server.running_ < slots) {
             ++server.running_;
             work();
@@ -315,11 +315,11 @@
     auto finish(const request& made, int process) -> void {
         auto& server = servers_[made.server_];
         if (server.process_ != process) {
-            give_back(made, place_outcome::ended);
+            give_back(made, slot_outcome::ended);
             return;
         }
         ++served_;
-        give_back(made, place_outcome::answered);
+        give_back(made, slot_outcome::answered);
         --server.running_;
         if (!server.waiting_.empty()) {
             ++server.running_;
@@ -331,7 +331,7 @@
 
     auto reject(const request& made) -> void {
         auto& server = servers_[made.server_];
-        give_back(made, place_outcome::rejected);
+        give_back(made, slot_outcome::rejected);
         server.rejections_.push_back(now_);
         std::erase_if(server.rejections_, [this](time_point at) {
             return now_ - at >= seconds{1};
@@ -357,20 +357,20 @@
 
     const load_case options_;
     seeded_random random_{5};
-    place_ledger ledger_;
+    slot_ledger ledger_;
     std::vector<server_state> servers_;
     std::priority_queue<event> events_;
     std::uint64_t last_event_ = 0;
     std::uint64_t last_request_ = 0;
-    std::map<place_holder, request> requests_;
+    std::map<slot_holder, request> requests_;
     time_point now_{};
     double sent_ = 0;
     double served_ = 0;
 };
 
-class server_places_load : public ::testing::TestWithParam<load_case> {};
+class server_slots_load : public ::testing::TestWithParam<load_case> {};
 
-TEST_P(server_places_load, servers_bear_the_rejections) {
+TEST_P(server_slots_load, servers_bear_the_rejections) {
     const auto& options = GetParam();
     auto world = simulation{options};
     world.run();
@@ -381,7 +381,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    loads, server_places_load,
+    loads, server_slots_load,
     ::testing::Values(
         load_case{.name_ = "load_060", .load_ = 0.6},
         load_case{.name_ = "load_085"},
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -385,7 +385,7 @@
     permits.acquire(
         runner, {.max_wait_ = max_wait},
         [this, call_unless_paused, refused](const coordination::permit& given,
-                                            const server_place& /*place*/) {
+                                            const server_slot& /*slot*/) {
             if (!given.granted_) {
                 refused(given.wait_);
             } else if (given.wait_ == duration{0}) {
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -19,10 +19,10 @@
 // A model whose servers all pause for less than this is not loaded elsewhere;
 // loading takes about as long.
 constexpr auto short_pause = seconds{5};
-// Servers without room that a request asks for a place before it waits for one.
+// Servers without room that a request asks for a slot before it waits for one.
 constexpr auto max_servers_without_room = 3;
 // How long after its deadline a request may still be on a server.
-constexpr auto place_margin = seconds{1};
+constexpr auto slot_margin = seconds{1};
 // Time over which requests return to a server after its pause.
 constexpr auto pause_end_spread = milliseconds{200};
 
@@ -161,7 +161,7 @@
 
 auto exchange::dispatch() -> void {
     const auto now = state_.context_.clock_.now();
-    place_.give_back(coordination::place_outcome::unused);
+    slot_.give_back(coordination::slot_outcome::unused);
     if (refuse_held_part()) {
         return;
     }
@@ -260,19 +260,19 @@
     }
     permits.acquire(
         chosen.runner_,
-        {max_wait, time_left(state_.context_.clock_.now()) + place_margin},
+        {max_wait, time_left(state_.context_.clock_.now()) + slot_margin},
         [self = shared_from_this(), chosen, max_wait,
-         number = ++permit_requests_](const auto& given, server_place place) {
+         number = ++permit_requests_](const auto& given, server_slot slot) {
             if (!self->done_ && self->permit_requests_ == number) {
-                self->on_permit(chosen, max_wait, given, std::move(place));
+                self->on_permit(chosen, max_wait, given, std::move(slot));
             }
         });
 }
 
 auto exchange::on_permit(const coordination::route& chosen, duration max_wait,
-                         const coordination::permit& given, server_place place)
+                         const coordination::permit& given, server_slot slot)
     -> void {
-    place_ = std::move(place);
+    slot_ = std::move(slot);
     if (given.granted_) {
         state_.context_.thread_.after(
             std::chrono::ceil<milliseconds>(given.wait_),
@@ -539,7 +539,7 @@
         client_->observe(nullptr);
         client_ = nullptr;
     }
-    place_.give_back(coordination::place_outcome::unused);
+    slot_.give_back(coordination::slot_outcome::unused);
     state_.counters_.total_time_.record(state_.context_.clock_.now() -
                                         arrived_);
     state_.exchanges_.erase(shared_from_this());
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -85,8 +85,7 @@
     auto request_permit(const coordination::route& chosen, duration max_wait)
         -> void;
     auto on_permit(const coordination::route& chosen, duration max_wait,
-                   const coordination::permit& given, server_place place)
-        -> void;
+                   const coordination::permit& given, server_slot slot) -> void;
     // Sends an attempt under a permit, unless the backend server accepts no
     // work any more.
     auto send_permitted(const coordination::route& chosen) -> void;
@@ -227,9 +226,9 @@
     // Number of permits refused at once because a server had no room.
     int servers_without_room_ = 0;
     // What the current attempt holds on its backend server, and how it ended.
-    server_place place_;
-    coordination::place_outcome place_outcome_ =
-        coordination::place_outcome::ended;
+    server_slot slot_;
+    coordination::slot_outcome slot_outcome_ =
+        coordination::slot_outcome::ended;
     bool demand_recorded_ = false;
     // Software version of the backend server of the last attempt.
     std::string attempt_version_;
--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -43,7 +43,7 @@
         state_.counters_.ended_by_connection_.add();
     }
     if (is_full(head)) {
-        place_outcome_ = coordination::place_outcome::rejected;
+        slot_outcome_ = coordination::slot_outcome::rejected;
     }
     if (verdict_ != answer_verdict::answer) {
         mode_ = answer_mode::not_run;
@@ -224,7 +224,7 @@
     state_.prompts_.on_finish(quarantine_run_id(),
                               executed && head_.status_ / 100 == 2, now);
     if (mode_ != answer_mode::not_run) {
-        place_outcome_ = coordination::place_outcome::answered;
+        slot_outcome_ = coordination::slot_outcome::answered;
     }
     end_attempt();
     if (mode_ == answer_mode::not_run && !helper_.empty()) {
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -95,7 +95,7 @@
     }
     backend_ = chosen.runner_;
     helper_.clear();
-    place_outcome_ = coordination::place_outcome::ended;
+    slot_outcome_ = coordination::slot_outcome::ended;
     attempt_version_ = state_.software_version(backend_);
     if (const auto allowed = register_run(now); !allowed) {
         backend_.clear();
@@ -226,7 +226,7 @@
     paused_ = false;
     state_.call_monitor_.close(call_number_);
     state_.monitored_calls_.erase(call_number_);
-    place_.give_back(place_outcome_);
+    slot_.give_back(slot_outcome_);
 }
 
 auto exchange::on_call_failed(transport::call_failure failure) -> void {
--- a/basilstream/daemon/relay/relay_places_test.cpp
+++ b/basilstream/daemon/relay/relay_slots_test.cpp
@@ -6,14 +6,14 @@
 namespace {
 
 // A backend server with four slots that states how many rejections it bears.
-class relay_places : public relay_test {
+class relay_slots : public relay_test {
 protected:
     struct held_request {
         std::string id_;
         test_backend::connection* from_ = nullptr;
     };
 
-    relay_places() {
+    relay_slots() {
         hold_ = [this](const transport::request_message& request,
                        test_backend::connection& from) {
             held_.push_back(
@@ -57,7 +57,7 @@
 
 // Requests were sent to a server beyond what it runs at once, which it rejected
 // until it fell over.
-TEST_F(relay_places, full_server_gets_further_requests) {
+TEST_F(relay_slots, full_server_gets_further_requests) {
     EXPECT_EQ(call("/safe/").status_, 200);
     start_requests(6);
     ASSERT_TRUE(wait_for_held(4));
@@ -75,7 +75,7 @@
     }
 }
 
-TEST_F(relay_places, surplus_gets_a_time_to_come_back) {
+TEST_F(relay_slots, surplus_gets_a_time_to_come_back) {
     EXPECT_EQ(call("/safe/").status_, 200);
     start_requests(4);
     ASSERT_TRUE(wait_for_held(4));
@@ -85,7 +85,7 @@
     EXPECT_EQ(a_.requests_.size(), 5U);
 }
 
-TEST_F(relay_places, place_of_a_request_whose_client_has_left_is_free) {
+TEST_F(relay_slots, slot_of_a_request_whose_client_has_left_is_free) {
     EXPECT_EQ(call("/safe/").status_, 200);
     start_requests(4);
     ASSERT_TRUE(wait_for_held(4));
@@ -98,7 +98,7 @@
     run_on_thread([&] { EXPECT_EQ(a_.requests_.back().target_, "/once/0"); });
 }
 
-TEST_F(relay_places, other_server_takes_what_one_has_no_room_for) {
+TEST_F(relay_slots, other_server_takes_what_one_has_no_room_for) {
     EXPECT_EQ(call("/safe/").status_, 200);
     start_requests(4);
     ASSERT_TRUE(wait_for_held(4));
@@ -109,7 +109,7 @@
 }
 
 // A server that rejects a request of its own accord still gets others.
-TEST_F(relay_places, rejections_leave_the_server_in_use) {
+TEST_F(relay_slots, rejections_leave_the_server_in_use) {
     EXPECT_EQ(call("/safe/").status_, 200);
     a_.default_script_ = answer(503, "", "X-Not-Run");
     EXPECT_EQ(call("/once/rejected").status_, 503);
--- a/basilstream/daemon/server_permits/server_permits.cpp
+++ b/basilstream/daemon/server_permits/server_permits.cpp
@@ -48,8 +48,8 @@
           "basilstream_permits_unanswered_total",
           "Permit requests that the owner has not answered in time.")},
       rejected_{context.metrics_.add_counter(
-          "basilstream_place_rejections_total",
-          "Requests that a server rejected although they held a place.")} {
+          "basilstream_slot_rejections_total",
+          "Requests that a server rejected although they held a slot.")} {
     context_.metrics_.add_gauge(
         "basilstream_rate_limited_servers",
         "Servers that have named a rate limit.",
@@ -68,7 +68,7 @@
         services_.contains(server) && bearable_.limit_of(server);
     limits_.set_server(server, started_at);
     bearable_.set_server(server, started_at);
-    places_.set_server(server, started_at, slots, brittle);
+    slots_.set_server(server, started_at, slots, brittle);
     services_[server] = service;
     if (counted != bearable_.limit_of(server).has_value()) {
         find_brittle_services();
@@ -80,7 +80,7 @@
     limits_.remove_server(server);
     ledger_.remove_server(server);
     bearable_.remove_server(server);
-    places_.remove_server(server);
+    slots_.remove_server(server);
     services_.erase(server);
     if (stated) {
         find_brittle_services();
@@ -91,7 +91,7 @@
 auto server_permits::set_daemons(const std::vector<std::string>& daemons)
     -> void {
     ownership_.set_daemons(daemons, context_.clock_.now());
-    places_.set_daemons(daemons);
+    slots_.set_daemons(daemons);
 }
 
 auto server_permits::on_notice(const std::string& server,
@@ -183,14 +183,14 @@
                request.server_);
         return;
     }
-    places_.take({.server_ = request.server_,
-                  .daemon_ = daemon,
-                  .id_ = request.id_,
-                  .bearable_ = *request.bearable_,
-                  .max_wait_ = request.max_wait_,
-                  .lifetime_ = request.lifetime_,
-                  .rate_wait_ = given.wait_},
-                 now);
+    slots_.take({.server_ = request.server_,
+                 .daemon_ = daemon,
+                 .id_ = request.id_,
+                 .bearable_ = *request.bearable_,
+                 .max_wait_ = request.max_wait_,
+                 .lifetime_ = request.lifetime_,
+                 .rate_wait_ = given.wait_},
+                now);
 }
 
 auto server_permits::answer(const std::string& daemon,
@@ -211,7 +211,7 @@
 }
 
 auto server_permits::pass_on_decisions() -> void {
-    for (const auto& decision : places_.take_decisions()) {
+    for (const auto& decision : slots_.take_decisions()) {
         answer(decision.holder_.first,
                {decision.holder_.second, decision.granted_,
                 std::chrono::ceil<milliseconds>(decision.wait_),
@@ -227,23 +227,23 @@
         return;
     }
     auto& request = asked.mapped();
-    auto place = server_place{};
-    if (given.holds_place_) {
-        held_places_[given.id_] = {sender, request.server_};
-        place = server_place{*this, given.id_};
+    auto slot = server_slot{};
+    if (given.holds_slot_) {
+        held_slots_[given.id_] = {sender, request.server_};
+        slot = server_slot{*this, given.id_};
     }
-    settle(request.done_, {given.granted_, given.wait_}, std::move(place));
+    settle(request.done_, {given.granted_, given.wait_}, std::move(slot));
 }
 
 auto server_permits::settle(const permit_handler& done,
-                            const coordination::permit& given,
-                            server_place place) -> void {
+                            const coordination::permit& given, server_slot slot)
+    -> void {
     (given.granted_ ? granted_ : refused_).add();
     done(given.granted_
              ? given
              : coordination::permit{false, std::max<duration>(
                                                given.wait_, min_refusal_wait)},
-         std::move(place));
+         std::move(slot));
 }
 
 auto server_permits::on_update(const std::string& sender,
@@ -261,7 +261,7 @@
             on_bearable_changed(stated.server_, "peer");
         }
     }
-    for (const auto& given_back : update.place_returns_) {
+    for (const auto& given_back : update.slot_returns_) {
         apply_return(sender, given_back);
     }
     for (const auto& request : update.permit_requests_) {
@@ -296,14 +296,14 @@
     });
     for (const auto& [id, request] : expired) {
         unanswered_.add();
-        if (request.needs_place_) {
+        if (request.needs_slot_) {
             // The owner may have granted it in the meantime.
-            return_place(request.owner_, {id, request.server_,
-                                          coordination::place_outcome::unused});
+            return_slot(request.owner_, {id, request.server_,
+                                         coordination::slot_outcome::unused});
         }
         settle(request.done_, no_answer, {});
     }
-    places_.tick(now);
+    slots_.tick(now);
     pass_on_decisions();
 }
 
--- a/basilstream/daemon/server_permits/server_permits.hpp
+++ b/basilstream/daemon/server_permits/server_permits.hpp
@@ -1,5 +1,5 @@
 /// Keeps the daemons together within the request rates that backend servers
-/// name in their answers, and within the places of servers that bear few
+/// name in their answers, and within the slots of servers that bear few
 /// rejections. Asks the daemon that owns a server for a permit for each
 /// request, and hands out permits for the servers that this daemon owns.
 ///
@@ -9,11 +9,11 @@
 ///     permits.on_notice("i-7f3a", dialect.rate_limit(headers), sent_at);
 ///     if (permits.needs_permit("i-7f3a")) {
 ///         permits.acquire("i-7f3a", {max_wait, time_left},
-///                         [](const permit& given, server_place place) {...});
+///                         [](const permit& given, server_slot slot) {...});
 ///     }
 ///
 /// Costs two messages for each request to a limited server that another daemon
-/// owns, three if it needs a place, and nothing for other requests.
+/// owns, three if it needs a slot, and nothing for other requests.
 ///
 /// Not thread-safe: use on the traffic thread only.
 #pragma once
@@ -28,7 +28,7 @@
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/coordination/server_limits/server_limits.hpp"
-#include "basilstream/coordination/server_places/server_places.hpp"
+#include "basilstream/coordination/server_slots/server_slots.hpp"
 #include "basilstream/daemon/backend_dialect/backend_dialect.hpp"
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 #include "basilstream/transport/logging/logging.hpp"
@@ -49,19 +49,19 @@
 
 class server_permits;
 
-/// A place on a server, given back when it is destroyed. Empty if the request
+/// A slot on a server, given back when it is destroyed. Empty if the request
 /// needs none.
-class server_place {
+class server_slot {
 public:
-    server_place() = default;
-    server_place(server_permits& permits, std::uint64_t id)
+    server_slot() = default;
+    server_slot(server_permits& permits, std::uint64_t id)
         : permits_{&permits}, id_{id} {}
-    server_place(server_place&& other) noexcept
+    server_slot(server_slot&& other) noexcept
         : permits_{std::exchange(other.permits_, nullptr)}, id_{other.id_} {}
-    auto operator=(server_place&& other) noexcept -> server_place&;
-    ~server_place() { give_back(coordination::place_outcome::unused); }
+    auto operator=(server_slot&& other) noexcept -> server_slot&;
+    ~server_slot() { give_back(coordination::slot_outcome::unused); }
 
-    auto give_back(coordination::place_outcome outcome) -> void;
+    auto give_back(coordination::slot_outcome outcome) -> void;
 
 private:
     server_permits* permits_ = nullptr;
@@ -73,12 +73,12 @@
     /// How long to wait for it, apart from the time for the messages.
     duration max_wait_{};
     /// Longest time until the request has ended; zero for calls that need no
-    /// place.
+    /// slot.
     duration lifetime_{};
 };
 
 using permit_handler =
-    std::function<void(const coordination::permit&, server_place)>;
+    std::function<void(const coordination::permit&, server_slot)>;
 
 class server_permits {
 public:
@@ -137,16 +137,16 @@
         -> std::optional<double>;
 
 private:
-    friend class server_place;
+    friend class server_slot;
 
     struct pending_request {
         permit_handler done_;
         time_point expires_at_{};
         std::string owner_;
         std::string server_;
-        bool needs_place_ = false;
+        bool needs_slot_ = false;
     };
-    struct held_place {
+    struct held_slot {
         std::string owner_;
         std::string server_;
     };
@@ -156,7 +156,7 @@
     auto on_bearable_changed(const std::string& server, const char* source)
         -> void;
     auto find_brittle_services() -> void;
-    // Hands out or refuses a permit, apart from the place, of a server that
+    // Hands out or refuses a permit, apart from the slot, of a server that
     // this daemon owns.
     [[nodiscard]] auto reserve(const protocol::permit_request& request)
         -> coordination::permit;
@@ -166,19 +166,19 @@
                 const protocol::permit_request& request) -> void;
     auto answer(const std::string& daemon, const protocol::permit_answer& given,
                 const std::string& server) -> void;
-    // Passes on what the ledger of places has decided.
+    // Passes on what the ledger of slots has decided.
     auto pass_on_decisions() -> void;
     auto on_answer(const std::string& sender,
                    const protocol::permit_answer& given) -> void;
-    auto give_back(std::uint64_t id, coordination::place_outcome outcome)
+    auto give_back(std::uint64_t id, coordination::slot_outcome outcome)
         -> void;
-    auto return_place(const std::string& owner,
-                      const protocol::place_return& given_back) -> void;
+    auto return_slot(const std::string& owner,
+                     const protocol::slot_return& given_back) -> void;
     auto apply_return(const std::string& daemon,
-                      const protocol::place_return& given_back) -> void;
+                      const protocol::slot_return& given_back) -> void;
     // Counts the permit and passes it on.
     auto settle(const permit_handler& done, const coordination::permit& given,
-                server_place place) -> void;
+                server_slot slot) -> void;
 
     const server_permits_context context_;
     const std::string self_;
@@ -188,11 +188,11 @@
     coordination::permit_ledger ledger_;
     // What servers state about the rejections that they bear.
     coordination::named_limits bearable_;
-    coordination::place_ledger places_;
+    coordination::slot_ledger slots_;
     std::map<std::string, std::string> services_;
     // The smallest number that a server of the service bears.
     std::map<std::string, double> brittle_services_;
-    std::map<std::uint64_t, held_place> held_places_;
+    std::map<std::uint64_t, held_slot> held_slots_;
     // Requests to other daemons that have not been answered, by id.
     std::map<std::uint64_t, pending_request> pending_;
     std::uint64_t last_request_ = 0;
--- a/basilstream/daemon/server_permits/server_permits_test.cpp
+++ b/basilstream/daemon/server_permits/server_permits_test.cpp
@@ -9,7 +9,7 @@
 namespace basilstream::daemon {
 namespace {
 
-using coordination::place_outcome;
+using coordination::slot_outcome;
 using kind = per_second_notice::kind;
 
 constexpr auto takeover_time = seconds{3};
@@ -21,7 +21,7 @@
     struct answer {
         bool done_ = false;
         coordination::permit permit_;
-        server_place place_;
+        server_slot slot_;
     };
 
     server_permits_cluster() {
@@ -68,11 +68,11 @@
         -> std::shared_ptr<answer> {
         auto given = std::make_shared<answer>();
         members_[daemon]->acquire("s", {max_wait, seconds{2}},
-                                  [given](const auto& permit, auto place) {
+                                  [given](const auto& permit, auto slot) {
                                       EXPECT_FALSE(given->done_);
                                       given->done_ = true;
                                       given->permit_ = permit;
-                                      given->place_ = std::move(place);
+                                      given->slot_ = std::move(slot);
                                   });
         deliver();
         return given;
@@ -134,7 +134,7 @@
     EXPECT_FALSE(permits.needs_permit("v"));
 }
 
-TEST_F(server_permits_cluster, daemons_share_the_places_of_a_server) {
+TEST_F(server_permits_cluster, daemons_share_the_slots_of_a_server) {
     for (const auto& name : names_) {
         state(name, 5);
     }
@@ -145,16 +145,16 @@
     EXPECT_FALSE(acquire("c")->permit_.granted_);
     const auto waiting = acquire("c", milliseconds{400});
     EXPECT_FALSE(waiting->done_);
-    first->place_.give_back(place_outcome::answered);
+    first->slot_.give_back(slot_outcome::answered);
     deliver();
     EXPECT_TRUE(waiting->permit_.granted_);
-    // A place that is dropped becomes free as well.
-    second->place_ = {};
+    // A slot that is dropped becomes free as well.
+    second->slot_ = {};
     deliver();
     EXPECT_TRUE(acquire("a")->permit_.granted_);
 }
 
-// The owner granted a place that nobody took, and counted it for good.
+// The owner granted a slot that nobody took, and counted it for good.
 TEST_F(server_permits_cluster, late_grant_is_given_back) {
     state(asker_, 5);
     const auto first = acquire(asker_);
@@ -165,12 +165,12 @@
     members_[asker_]->tick();
     EXPECT_TRUE(waiting->done_);
     EXPECT_FALSE(waiting->permit_.granted_);
-    first->place_.give_back(place_outcome::answered);
+    first->slot_.give_back(slot_outcome::answered);
     deliver();
     EXPECT_TRUE(acquire(asker_)->permit_.granted_);
 }
 
-TEST_F(server_permits_cluster, place_of_a_lost_daemon_becomes_free) {
+TEST_F(server_permits_cluster, slot_of_a_lost_daemon_becomes_free) {
     const auto other = asker_ == "a" ? (owner_ == "b" ? "c" : "b") : "a";
     state(asker_, 5);
     state(other, 5);
@@ -187,8 +187,8 @@
 }
 
 // A daemon that knew fewer members asked another one than the owner, which
-// handed out all places of the server a second time.
-TEST_F(server_permits_cluster, daemon_that_is_no_owner_hands_out_places) {
+// handed out all slots of the server a second time.
+TEST_F(server_permits_cluster, daemon_that_is_no_owner_hands_out_slots) {
     state(asker_, 5);
     auto others = names_;
     std::erase(others, owner_);
@@ -214,18 +214,18 @@
     EXPECT_FALSE(asked->permit_.granted_);
 }
 
-TEST_F(server_permits_cluster, place_needs_the_rate_limit_too) {
+TEST_F(server_permits_cluster, slot_needs_the_rate_limit_too) {
     state(asker_, 5);
     members_[asker_]->on_notice("s", {kind::valid, 1}, clock_.now());
     // A new schedule begins without a burst.
     const auto first = acquire(asker_, milliseconds{900});
     EXPECT_TRUE(first->permit_.granted_);
     EXPECT_FALSE(acquire(asker_)->permit_.granted_);
-    first->place_.give_back(place_outcome::answered);
-    // Calls that take no place need the rate limit only.
+    first->slot_.give_back(slot_outcome::answered);
+    // Calls that take no slot need the rate limit only.
     auto refused = false;
     members_[asker_]->acquire("s", {},
-                              [&](const auto& permit, const auto& /*place*/) {
+                              [&](const auto& permit, const auto& /*slot*/) {
                                   refused = !permit.granted_;
                               });
     deliver();
--- a/basilstream/daemon/server_permits/places.cpp
+++ b/basilstream/daemon/server_permits/slots.cpp
@@ -2,23 +2,23 @@
 
 #include <algorithm>
 
-// Places on servers that bear few rejections: what servers state, and how
-// places are given back.
+// Slots on servers that bear few rejections: what servers state, and how
+// slots are given back.
 
 namespace basilstream::daemon {
 
-using coordination::place_outcome;
+using coordination::slot_outcome;
 
-auto server_place::operator=(server_place&& other) noexcept -> server_place& {
+auto server_slot::operator=(server_slot&& other) noexcept -> server_slot& {
     if (this != &other) {
-        give_back(place_outcome::unused);
+        give_back(slot_outcome::unused);
         permits_ = std::exchange(other.permits_, nullptr);
         id_ = other.id_;
     }
     return *this;
 }
 
-auto server_place::give_back(place_outcome outcome) -> void {
+auto server_slot::give_back(slot_outcome outcome) -> void {
     if (auto* const permits = std::exchange(permits_, nullptr)) {
         permits->give_back(id_, outcome);
     }
@@ -86,20 +86,19 @@
                                              : std::optional{stated->second};
 }
 
-auto server_permits::give_back(std::uint64_t id, place_outcome outcome)
-    -> void {
-    const auto held = held_places_.extract(id);
+auto server_permits::give_back(std::uint64_t id, slot_outcome outcome) -> void {
+    const auto held = held_slots_.extract(id);
     if (held.empty()) {
         return;
     }
-    if (outcome == place_outcome::rejected) {
+    if (outcome == slot_outcome::rejected) {
         rejected_.add();
     }
-    return_place(held.mapped().owner_, {id, held.mapped().server_, outcome});
+    return_slot(held.mapped().owner_, {id, held.mapped().server_, outcome});
 }
 
-auto server_permits::return_place(const std::string& owner,
-                                  const protocol::place_return& given_back)
+auto server_permits::return_slot(const std::string& owner,
+                                 const protocol::slot_return& given_back)
     -> void {
     if (owner == self_) {
         apply_return(self_, given_back);
@@ -107,25 +106,25 @@
         return;
     }
     auto update = protocol::relay_update{};
-    update.place_returns_ = {given_back};
+    update.slot_returns_ = {given_back};
     if (send_) {
         (void)send_(owner, update);
     }
 }
 
 auto server_permits::apply_return(const std::string& daemon,
-                                  const protocol::place_return& given_back)
+                                  const protocol::slot_return& given_back)
     -> void {
-    places_.give_back(given_back.server_, {daemon, given_back.id_},
-                      given_back.outcome_, context_.clock_.now());
-    if (given_back.outcome_ != place_outcome::rejected) {
+    slots_.give_back(given_back.server_, {daemon, given_back.id_},
+                     given_back.outcome_, context_.clock_.now());
+    if (given_back.outcome_ != slot_outcome::rejected) {
         return;
     }
     context_.log_.info(
-        "backend server rejected a request that held a place",
+        "backend server rejected a request that held a slot",
         {{"backend", given_back.server_},
-         {"in_use", std::to_string(places_.in_use(given_back.server_))},
-         {"places", std::to_string(places_.limit(given_back.server_))}});
+         {"in_use", std::to_string(slots_.in_use(given_back.server_))},
+         {"slots", std::to_string(slots_.limit(given_back.server_))}});
 }
 
 } // namespace basilstream::daemon
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -84,8 +84,8 @@
     for (const auto& limit : update.bearable_rejections_) {
         to_wire(limit, *out.add_bearable_rejections());
     }
-    for (const auto& given_back : update.place_returns_) {
-        auto& copy = *out.add_place_returns();
+    for (const auto& given_back : update.slot_returns_) {
+        auto& copy = *out.add_slot_returns();
         copy.set_id(given_back.id_);
         copy.set_server(given_back.server_);
         copy.set_outcome(static_cast<std::uint32_t>(given_back.outcome_));
@@ -95,7 +95,7 @@
         copy.set_id(request.id_);
         copy.set_server(request.server_);
         copy.set_max_wait_ms(to_milliseconds(request.max_wait_));
-        copy.set_needs_place(request.bearable_.has_value());
+        copy.set_needs_slot(request.bearable_.has_value());
         copy.set_bearable_per_second(request.bearable_.value_or(0));
         copy.set_lifetime_ms(to_milliseconds(request.lifetime_));
     }
@@ -104,7 +104,7 @@
         copy.set_id(answer.id_);
         copy.set_granted(answer.granted_);
         copy.set_wait_ms(to_milliseconds(answer.wait_));
-        copy.set_holds_place(answer.holds_place_);
+        copy.set_holds_slot(answer.holds_slot_);
     }
 }
 
@@ -122,30 +122,29 @@
         }
     }
     for (const auto& request : in.permit_requests()) {
-        if (request.needs_place() && !is_rate(request.bearable_per_second())) {
+        if (request.needs_slot() && !is_rate(request.bearable_per_second())) {
             return false;
         }
         update.permit_requests_.push_back(
             {request.id(), request.server(),
              milliseconds{request.max_wait_ms()},
-             request.needs_place()
-                 ? std::optional{request.bearable_per_second()}
-                 : std::nullopt,
+             request.needs_slot() ? std::optional{request.bearable_per_second()}
+                                  : std::nullopt,
              milliseconds{request.lifetime_ms()}});
     }
     for (const auto& answer : in.permit_answers()) {
         update.permit_answers_.push_back({answer.id(), answer.granted(),
                                           milliseconds{answer.wait_ms()},
-                                          answer.holds_place()});
+                                          answer.holds_slot()});
     }
-    for (const auto& given_back : in.place_returns()) {
+    for (const auto& given_back : in.slot_returns()) {
         if (given_back.outcome() >=
-            coordination::place_outcome_names.rows_.size()) {
+            coordination::slot_outcome_names.rows_.size()) {
             return false;
         }
-        update.place_returns_.push_back(
+        update.slot_returns_.push_back(
             {given_back.id(), given_back.server(),
-             static_cast<coordination::place_outcome>(given_back.outcome())});
+             static_cast<coordination::slot_outcome>(given_back.outcome())});
     }
     return true;
 }
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -16,7 +16,7 @@
 #include "basilstream/base/error/error.hpp"
 #include "basilstream/coordination/placement_lease/placement_lease.hpp"
 #include "basilstream/coordination/record_store/record_store.hpp"
-#include "basilstream/coordination/server_places/server_places.hpp"
+#include "basilstream/coordination/server_slots/server_slots.hpp"
 
 namespace basilstream::protocol {
 
@@ -84,10 +84,10 @@
     std::uint64_t id_ = 0;
     std::string server_;
     milliseconds max_wait_{0};
-    /// Set if the request also needs a place on the server: the rejections per
+    /// Set if the request also needs a slot on the server: the rejections per
     /// second that this bears.
     std::optional<double> bearable_;
-    /// Longest time for which the request holds its place.
+    /// Longest time for which the request holds its slot.
     milliseconds lifetime_{0};
 };
 
@@ -98,15 +98,15 @@
     /// Time until the request may be sent or, if not granted, until a permit
     /// may be available.
     milliseconds wait_{0};
-    /// Whether the sender must give back a place.
-    bool holds_place_ = false;
+    /// Whether the sender must give back a slot.
+    bool holds_slot_ = false;
 };
 
-/// Gives back the place that the permit request `id_` of the sender got.
-struct place_return {
+/// Gives back the slot that the permit request `id_` of the sender got.
+struct slot_return {
     std::uint64_t id_ = 0;
     std::string server_;
-    coordination::place_outcome outcome_ = coordination::place_outcome::ended;
+    coordination::slot_outcome outcome_ = coordination::slot_outcome::ended;
 };
 
 /// Software version at which the stream of a request began.
@@ -164,7 +164,7 @@
     std::vector<permit_request> permit_requests_;
     std::vector<permit_answer> permit_answers_;
     std::vector<relayed_limit> bearable_rejections_;
-    std::vector<place_return> place_returns_;
+    std::vector<slot_return> slot_returns_;
     std::vector<stream_origin> stream_origins_;
     std::vector<origin_query> origin_queries_;
     std::vector<origin_answer> origin_answers_;
--- a/basilstream/protocol/relay_codec/relay_codec_test.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -34,7 +34,7 @@
     update.permit_answers_ = {{8, true, milliseconds{90}},
                               {9, true, milliseconds{0}, true}};
     update.bearable_rejections_ = {{"i-5", 1000, 0.0, milliseconds{20}}};
-    update.place_returns_ = {{9, "i-5", coordination::place_outcome::rejected}};
+    update.slot_returns_ = {{9, "i-5", coordination::slot_outcome::rejected}};
     update.stream_origins_ = {{"q1", "v1.2"}};
     update.origin_queries_ = {{9, "q2", "chat"}};
     update.origin_answers_ = {{10, "v1"}, {11, std::nullopt}};
@@ -59,14 +59,14 @@
     EXPECT_EQ(read->permit_requests_.at(0).bearable_, std::nullopt);
     EXPECT_EQ(read->permit_requests_.at(1).bearable_, 0.0);
     EXPECT_EQ(read->permit_requests_.at(1).lifetime_, milliseconds{3000});
-    EXPECT_FALSE(read->permit_answers_.at(0).holds_place_);
-    EXPECT_TRUE(read->permit_answers_.at(1).holds_place_);
+    EXPECT_FALSE(read->permit_answers_.at(0).holds_slot_);
+    EXPECT_TRUE(read->permit_answers_.at(1).holds_slot_);
     EXPECT_EQ(read->bearable_rejections_.at(0).server_, "i-5");
     EXPECT_EQ(read->bearable_rejections_.at(0).per_second_, 0.0);
-    EXPECT_EQ(read->place_returns_.at(0).id_, 9U);
-    EXPECT_EQ(read->place_returns_.at(0).server_, "i-5");
-    EXPECT_EQ(read->place_returns_.at(0).outcome_,
-              coordination::place_outcome::rejected);
+    EXPECT_EQ(read->slot_returns_.at(0).id_, 9U);
+    EXPECT_EQ(read->slot_returns_.at(0).server_, "i-5");
+    EXPECT_EQ(read->slot_returns_.at(0).outcome_,
+              coordination::slot_outcome::rejected);
     EXPECT_EQ(read->permit_answers_.at(0).id_, 8U);
     EXPECT_TRUE(read->permit_answers_.at(0).granted_);
     EXPECT_EQ(read->permit_answers_.at(0).wait_, milliseconds{90});
