Put the comment on relay_update where relay_update is

Cause: forwarding_offer was inserted between the comment and its struct when requests began to be forwarded, so that the comment described another type. Conclusion: nothing else was inserted between a comment and its type there.

--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -130,8 +130,6 @@
     std::optional<std::string> version_;
 };
 
-/// A message between daemons; parts that are empty say nothing, but for
-/// `loads_` if `has_loads_`, which then replaces the sender's former ones.
 /// Offer of a daemon to take requests that another one cannot deliver.
 struct forwarding_offer {
     /// "IP:PORT" of its listener.
@@ -142,6 +140,8 @@
     std::uint32_t in_progress_ = 0;
 };
 
+/// A message between daemons; parts that are empty say nothing, but for
+/// `loads_` if `has_loads_`, which then replaces the sender's former ones.
 struct relay_update {
     bool has_loads_ = false;
     std::vector<backend_load> loads_;
