Let adapters go before model loads, and in turns if they outnumber slots

Adapters of equal rate that outnumber the slots were never loaded if they came last. Ruled out: a lost lease (one owner until 31 s), forgotten demand.

--- a/basilstream/coordination/demand_placement/demand_book.cpp
+++ b/basilstream/coordination/demand_placement/demand_book.cpp
@@ -26,6 +26,19 @@
     record.tokens_ = decayed_tokens(record, now) + sample.tokens_;
     record.updated_ = now;
     record.last_request_ = now;
+    if (sample.unserved_ <= 0) {
+        record.unserved_since_.reset();
+    } else if (!record.unserved_since_) {
+        record.unserved_since_ = now;
+    }
+}
+
+auto demand_tracker::unserved_for(const demand_key& key, time_point now) const
+    -> duration {
+    const auto found = entries_.find(key);
+    return found == entries_.end() || !found->second.unserved_since_
+               ? duration{0}
+               : now - *found->second.unserved_since_;
 }
 
 auto demand_tracker::rate(const demand_key& key, time_point now) const
--- a/basilstream/coordination/demand_placement/demand_placement.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <optional>
 #include <set>
+#include <tuple>
 
 namespace basilstream::coordination {
 namespace {
@@ -61,13 +62,21 @@
     }
 
     auto run() -> std::vector<fleet_step> {
+        // A runner refuses orders for adapters for as long as it loads a model,
+        // seconds, whereas an adapter takes milliseconds.
+        place_adapters(adapter_room::free_slots_only);
         place_unserved_models();
         place_more_copies();
-        place_adapters();
+        place_adapters(adapter_room::with_eviction);
+        place_copies_for_adapters();
         return std::move(steps_);
     }
 
 private:
+    // Which adapters place_adapters() places: only those without a copy, in
+    // free slots, or all, also in place of others.
+    enum class adapter_room { free_slots_only, with_eviction };
+
     auto key_of(const std::string& model, const std::string& adapter = {}) const
         -> demand_key {
         return {input_.service_, model, adapter};
@@ -225,6 +234,7 @@
         const auto& runner = input_.runners_[index];
         if (runner.draining_ || runner.models_blocked_ ||
             runners_with_model_step_.contains(runner.id_) ||
+            runners_with_adapter_step_.contains(runner.id_) ||
             runner.find(model.name_) != nullptr) {
             return std::nullopt;
         }
@@ -292,9 +302,34 @@
         return best;
     }
 
-    auto place_adapters() -> void {
-        auto adapters_by_rank = std::vector<
-            std::pair<double, std::pair<std::string, std::string>>>{};
+    // Places copies of models that have more adapters in demand than their
+    // runners have slots for: those would evict each other in turn.
+    auto place_copies_for_adapters() -> void {
+        for (const auto& model : input_.engine_.models_) {
+            if (models_without_slots_.contains(model.name_) &&
+                models_loading_ < settings_.max_models_loading_ &&
+                !is_loading(model.name_)) {
+                place_copy(model, fleet_reason::demand);
+            }
+        }
+    }
+
+    auto is_loading(const std::string& model) const -> bool {
+        return std::any_of(input_.runners_.begin(), input_.runners_.end(),
+                           [&](const auto& runner) {
+                               const auto* const held = runner.find(model);
+                               return held != nullptr &&
+                                      held->state_ == load_state::loading;
+                           });
+    }
+
+    auto place_adapters(adapter_room room) -> void {
+        struct ranked_adapter {
+            bool missing_ = false;
+            double rate_ = 0;
+            std::pair<std::string, std::string> name_;
+        };
+        auto adapters_by_rank = std::vector<ranked_adapter>{};
         for (const auto& [name, stats] : adapters_) {
             const auto in_demand = input_.demand_.in_demand(
                 key_of(name.first, name.second), input_.now_);
@@ -303,26 +338,27 @@
                 stats.count_ > 0 && stats.rate_ > min_tokens_per_second &&
                 stats.rate_per_copy() >
                     settings_.adapter_copy_share_ * mean_load_;
-            if (missing || overloaded) {
-                const auto rank = missing
-                                      ? std::numeric_limits<double>::infinity()
-                                      : stats.rate_per_copy();
-                adapters_by_rank.push_back({rank, name});
+            const auto considered =
+                missing || (overloaded && room == adapter_room::with_eviction);
+            if (considered) {
+                adapters_by_rank.push_back(
+                    {missing, missing ? aged_rate(name) : stats.rate_per_copy(),
+                     name});
             }
         }
-        std::sort(adapters_by_rank.begin(), adapters_by_rank.end(),
-                  [](const auto& left, const auto& right) {
-                      return left.first != right.first
-                                 ? left.first > right.first
-                                 : left.second < right.second;
-                  });
-        for (const auto& [rank, name] : adapters_by_rank) {
-            place_adapter(name.first, name.second);
+        std::sort(
+            adapters_by_rank.begin(), adapters_by_rank.end(),
+            [](const auto& left, const auto& right) {
+                return std::tuple{!left.missing_, -left.rate_, left.name_} <
+                       std::tuple{!right.missing_, -right.rate_, right.name_};
+            });
+        for (const auto& adapter : adapters_by_rank) {
+            place_adapter(adapter.name_.first, adapter.name_.second, room);
         }
     }
 
-    auto place_adapter(const std::string& model, const std::string& adapter)
-        -> void {
+    auto place_adapter(const std::string& model, const std::string& adapter,
+                       adapter_room room) -> void {
         const auto* const declared = input_.engine_.find_model(model);
         if (declared == nullptr) {
             return;
@@ -331,6 +367,7 @@
         auto best_cost = std::numeric_limits<double>::infinity();
         const held_adapter* best_victim = nullptr;
         std::string best_victim_model;
+        auto no_slot = false;
         for (auto index = std::size_t{0}; index < input_.runners_.size();
              ++index) {
             const auto& runner = input_.runners_[index];
@@ -344,9 +381,14 @@
                     input_.engine_.adapter_slots_ ||
                 runner_usages_[index].memory_mb_ + declared->adapter_mb_ >
                     input_.engine_.weights_mb_;
+            if (needs_eviction && room == adapter_room::free_slots_only) {
+                continue;
+            }
             if (needs_eviction) {
                 victim =
                     find_adapter_victim(runner, model, adapter, victim_model);
+                no_slot = no_slot || victim == nullptr ||
+                          is_sole_wanted_copy(victim_model, victim->name_);
                 if (victim == nullptr) {
                     continue;
                 }
@@ -361,6 +403,14 @@
                 best_victim_model = victim_model;
             }
         }
+        const auto is_missing = adapters_[{model, adapter}].count_ == 0;
+        const auto displaces =
+            best_victim != nullptr &&
+            is_sole_wanted_copy(best_victim_model, best_victim->name_);
+        if (no_slot && is_missing &&
+            (best == input_.runners_.size() || displaces)) {
+            models_without_slots_.insert(model);
+        }
         if (best == input_.runners_.size()) {
             return;
         }
@@ -376,9 +426,8 @@
                               {}});
             return;
         }
-        const auto reason = adapters_[{model, adapter}].count_ == 0
-                                ? fleet_reason::unserved
-                                : fleet_reason::demand;
+        const auto reason =
+            is_missing ? fleet_reason::unserved : fleet_reason::demand;
         steps_.push_back({runner.id_, true, model, adapter, reason, false,
                           settings_.adapter_load_time_});
         ++adapters_[{model, adapter}].count_;
@@ -399,6 +448,21 @@
                             });
     }
 
+    // Returns the rate of an adapter without a copy, raised by its wait.
+    auto aged_rate(const std::pair<std::string, std::string>& name) -> double {
+        const auto waited = input_.demand_.unserved_for(
+            key_of(name.first, name.second), input_.now_);
+        return adapters_[name].rate_ *
+               (1 +
+                seconds_of(waited) / seconds_of(settings_.adapter_aging_time_));
+    }
+
+    auto is_sole_wanted_copy(const std::string& model,
+                             const std::string& adapter) -> bool {
+        return adapters_[{model, adapter}].count_ <= 1 &&
+               input_.demand_.in_demand(key_of(model, adapter), input_.now_);
+    }
+
     // Returns the adapter with the lowest rate per copy on the runner among
     // those that may be evicted for the given adapter, and sets `victim_model`
     // to its model. Returns null if there is none.
@@ -410,6 +474,7 @@
         const auto rate_gained = requested_stats.count_ == 0
                                      ? std::numeric_limits<double>::infinity()
                                      : requested_stats.rate_per_copy();
+        const auto rate_requested = aged_rate({model, adapter});
         const held_adapter* best = nullptr;
         auto lowest_rate = std::numeric_limits<double>::infinity();
         for (const auto& held : runner.models_) {
@@ -418,17 +483,16 @@
                     continue;
                 }
                 const auto& stats = adapters_[{held.name_, candidate.name_}];
-                const auto in_demand = input_.demand_.in_demand(
-                    key_of(held.name_, candidate.name_), input_.now_);
-                const auto is_last_copy = stats.count_ <= 1 && in_demand;
+                const auto is_last_copy =
+                    is_sole_wanted_copy(held.name_, candidate.name_);
                 // The last copy of an adapter in demand may be evicted only for
                 // an adapter that has no copy and a higher rate.
                 const auto rate_lost =
                     stats.rate_per_copy() * settings_.eviction_factor_;
-                const auto evictable =
-                    is_last_copy ? requested_stats.count_ == 0 &&
-                                       rate_lost < requested_stats.rate_
-                                 : rate_lost < rate_gained;
+                const auto evictable = is_last_copy
+                                           ? requested_stats.count_ == 0 &&
+                                                 rate_lost < rate_requested
+                                           : rate_lost < rate_gained;
                 if (evictable && stats.rate_per_copy() < lowest_rate) {
                     best = &candidate;
                     lowest_rate = stats.rate_per_copy();
@@ -455,6 +519,9 @@
     // Runners that already get an order in this plan.
     std::set<std::string> runners_with_model_step_;
     std::set<std::string> runners_with_adapter_step_;
+    // Models with an adapter in demand that finds no slot but in place of
+    // another one in demand.
+    std::set<std::string> models_without_slots_;
     std::vector<fleet_step> steps_;
 };
 
--- a/basilstream/coordination/demand_placement/demand_placement.hpp
+++ b/basilstream/coordination/demand_placement/demand_placement.hpp
@@ -11,9 +11,11 @@
 /// milliseconds, but each runner has only a few adapter slots. Models and
 /// adapters that are in demand and resident on no runner are placed first.
 /// After that, the model with the highest rate per copy gets another copy,
-/// which may evict the copy with the lowest rate. The last copy of a model is
-/// evicted only for a model without a copy, and only after its retention
-/// period.
+/// which may evict the copy with the lowest rate. A runner takes no order for
+/// an adapter while it loads a model, so adapters that fit go first, and a
+/// model with more adapters in demand than slots gets another copy. The last
+/// copy of a model is evicted only for a model without a copy, and only after
+/// its retention period.
 ///
 /// The planner in coordination/placement keeps every declared model resident
 /// with all of its adapters; this one handles more models and adapters than
@@ -84,6 +86,10 @@
     /// Returns whether the key was requested within `idle_after_`.
     [[nodiscard]] auto in_demand(const demand_key& key, time_point now) const
         -> bool;
+    /// Returns for how long requests for the key have arrived unserved; zero if
+    /// the last one was served.
+    [[nodiscard]] auto unserved_for(const demand_key& key, time_point now) const
+        -> duration;
     /// Returns whether the last copy of the model may be evicted, because it
     /// has not been requested for `last_copy_retention_`.
     [[nodiscard]] auto retention_expired(const demand_key& key,
@@ -102,6 +108,7 @@
         double tokens_ = 0;
         time_point updated_{};
         time_point last_request_{};
+        std::optional<time_point> unserved_since_;
     };
     [[nodiscard]] auto decayed_tokens(const entry& record, time_point now) const
         -> double;
@@ -182,6 +189,10 @@
     /// A copy is evicted for another one only if the rate lost, times this
     /// factor, is below the rate gained.
     double eviction_factor_ = 1.6;
+    /// The rate of an adapter without a copy counts once more for each such
+    /// time that its requests have been unserved, so that adapters that
+    /// outnumber the slots are served in turn.
+    duration adapter_aging_time_ = seconds{1};
     /// No additional copy of a served model is placed while this many model
     /// loads are in progress.
     std::size_t max_models_loading_ = 12;
--- a/basilstream/coordination/demand_placement/demand_placement_test.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement_test.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/coordination/demand_placement/demand_placement.hpp"
 
 #include <algorithm>
+#include <map>
 
 #include <gtest/gtest.h>
 
@@ -237,5 +238,165 @@
     }
 }
 
+// A runner that loads a model takes no adapter for seconds. An adapter that
+// needs a free slot only was ordered after the model and refused.
+TEST(plan_fleet, missing_adapter_waits_for_a_model_load) {
+    const auto engine = engine_of(2);
+    const auto runners = std::vector<fleet_runner>{runner_of("a", {"m0"})};
+    auto tracker = demand_tracker{};
+    add_demand(tracker, "m0", "", 1, start);
+    add_demand(tracker, "m0", "a1", 1, start);
+    add_demand(tracker, "m1", "", 1, start);
+    const auto steps = plan(engine, runners, tracker, start);
+    ASSERT_EQ(steps.size(), 1U);
+    EXPECT_EQ(steps[0].model_, "m0");
+    EXPECT_EQ(steps[0].adapter_, "a1");
+}
+
+// Adapters in demand that outnumber the slots of their model's only runner
+// evicted each other, although another runner had room for the model.
+TEST(plan_fleet, adapters_beyond_the_slots_evict_each_other) {
+    const auto engine = engine_of(1);
+    auto holder = runner_of("a", {"m0"});
+    holder.models_[0].adapters_ = {{"a1", load_state::ready},
+                                   {"a2", load_state::ready}};
+    const auto runners = std::vector<fleet_runner>{holder, runner_of("b", {})};
+    auto tracker = demand_tracker{};
+    // The model's own demand is below that for another copy.
+    add_demand(tracker, "m0", "", 0.001, start);
+    for (const auto* const adapter : {"a1", "a2", "a3"}) {
+        add_demand(tracker, "m0", adapter, 0.001, start);
+    }
+    const auto steps = plan(engine, runners, tracker, start);
+    ASSERT_EQ(steps.size(), 1U);
+    EXPECT_TRUE(steps[0].is_load_);
+    EXPECT_EQ(steps[0].model_, "m0");
+    EXPECT_EQ(steps[0].adapter_, "");
+    EXPECT_EQ(steps[0].runner_, "b");
+}
+
+// Replays the load of a deployment of nine runners, of which six are left after
+// crashes: a model with 26 adapters in demand, and other models that demand
+// moves on to. Runners load a model in 5.8 s and take no adapter meanwhile.
+class adapter_replay {
+public:
+    adapter_replay() : engine_{engine_of(18, 220'000, 72'700)} {
+        engine_.adapter_slots_ = 8;
+        for (auto index = 0; index < 6; ++index) {
+            const auto text = [](int number) {
+                return "m" + std::to_string(number);
+            };
+            runners_.push_back(runner_of("r" + std::to_string(index),
+                                         {text(index % 3), text(3 + index)}));
+        }
+        model_ready_at_.resize(runners_.size());
+    }
+
+    // Returns the longest time for which an adapter was asked for and not
+    // loaded.
+    auto longest_wait() -> duration {
+        constexpr auto step = milliseconds{50};
+        auto longest = duration{0};
+        auto asked_since = std::map<std::string, time_point>{};
+        for (auto now = start; now < start + seconds{40}; now += step) {
+            finish_loads(now);
+            const auto number = (now - start) / step;
+            // Each adapter is asked for every 2.6 s.
+            const auto adapter = "a" + std::to_string(number / 2 % 26);
+            if (number % 2 == 0) {
+                const auto unserved = has_adapter(adapter) ? 0.0 : 1.0;
+                add_demand(tracker_, "m0", "", 1, now);
+                tracker_.add({"chat", "m0", adapter}, {1, unserved, 1000}, now);
+                asked_since.try_emplace(adapter, now);
+            }
+            add_demand(tracker_, "m" + std::to_string(1 + number / 80 % 17), "",
+                       2, now);
+            for (auto& [name, since] : asked_since) {
+                const auto wait = has_adapter(name) ? duration{0} : now - since;
+                since = has_adapter(name) ? now : since;
+                longest = std::max(longest, wait);
+            }
+            for (const auto& order : plan(engine_, runners_, tracker_, now)) {
+                carry_out(order, now);
+            }
+        }
+        return longest;
+    }
+
+private:
+    auto carry_out(const fleet_step& order, time_point now) -> void {
+        const auto found = std::find_if(
+            runners_.begin(), runners_.end(),
+            [&](const auto& runner) { return runner.id_ == order.runner_; });
+        auto& models = found->models_;
+        if (found->models_blocked_) {
+            // Refused, as an order for a model is in progress.
+            return;
+        }
+        if (order.adapter_.empty() && order.is_load_) {
+            models.push_back({order.model_, load_state::loading, {}});
+            found->models_blocked_ = true;
+            model_ready_at_[static_cast<std::size_t>(
+                found - runners_.begin())] = now + milliseconds{5800};
+            return;
+        }
+        if (order.adapter_.empty()) {
+            std::erase_if(models, [&](const auto& model) {
+                return model.name_ == order.model_;
+            });
+            return;
+        }
+        auto& adapters =
+            std::find_if(models.begin(), models.end(), [&](const auto& model) {
+                return model.name_ == order.model_;
+            })->adapters_;
+        if (order.is_load_) {
+            adapters.push_back({order.adapter_, load_state::ready});
+        } else {
+            std::erase_if(adapters, [&](const auto& adapter) {
+                return adapter.name_ == order.adapter_;
+            });
+        }
+    }
+
+    auto finish_loads(time_point now) -> void {
+        for (auto index = std::size_t{0}; index < runners_.size(); ++index) {
+            auto& runner = runners_[index];
+            if (runner.models_blocked_ && now >= model_ready_at_[index]) {
+                runner.models_blocked_ = false;
+                for (auto& model : runner.models_) {
+                    model.state_ = load_state::ready;
+                }
+            }
+            // As the ledger does.
+            runner.adapters_blocked_ = runner.models_blocked_;
+        }
+    }
+
+    auto has_adapter(const std::string& name) const -> bool {
+        return std::any_of(
+            runners_.begin(), runners_.end(), [&](const auto& runner) {
+                const auto* const model = runner.find("m0");
+                return model != nullptr &&
+                       std::any_of(model->adapters_.begin(),
+                                   model->adapters_.end(),
+                                   [&](const auto& adapter) {
+                                       return adapter.name_ == name;
+                                   });
+            });
+    }
+
+    service_engine engine_;
+    std::vector<fleet_runner> runners_;
+    std::vector<time_point> model_ready_at_;
+    demand_tracker tracker_;
+};
+
+// Two loads of a model: one in progress as the adapter is first asked for, and
+// one of a copy with a slot for it.
+TEST(plan_fleet, adapters_starve_while_models_are_loaded) {
+    EXPECT_LE(adapter_replay{}.longest_wait(), seconds{12});
+}
+
 } // namespace
 } // namespace basilstream::coordination
--- a/basilstream/coordination/fleet_ledger/fleet_ledger.cpp
+++ b/basilstream/coordination/fleet_ledger/fleet_ledger.cpp
@@ -247,8 +247,10 @@
             {.id_ = id,
              .draining_ = runner.server_.draining_,
              .models_blocked_ = blocked || model_order_open(runner),
+             // A runner refuses orders for adapters while one for a model is in
+             // progress.
              .adapters_blocked_ =
-                 blocked ||
+                 blocked || model_order_open(runner) ||
                  open_adapter_orders >= settings_.max_open_adapter_orders_,
              .models_ = std::move(models),
              .weights_in_memory_ = runner.server_.weights_in_memory_,
--- a/basilstream/coordination/residency_overlay/residency_overlay.cpp
+++ b/basilstream/coordination/residency_overlay/residency_overlay.cpp
@@ -94,4 +94,19 @@
     return soonest;
 }
 
+auto residency_overlay::loading_for(const std::string& runner,
+                                    time_point now) const -> duration {
+    const auto found = runners_.find(runner);
+    auto longest = duration{0};
+    if (found == runners_.end()) {
+        return longest;
+    }
+    for (const auto& [name, update] : found->second) {
+        if (name.second.empty() && update.state_ == load_state::loading) {
+            longest = std::max(longest, update.ready_at_ - now);
+        }
+    }
+    return longest;
+}
+
 } // namespace basilstream::coordination
--- a/basilstream/coordination/residency_overlay/residency_overlay.hpp
+++ b/basilstream/coordination/residency_overlay/residency_overlay.hpp
@@ -55,6 +55,10 @@
                                 const std::string& adapter,
                                 time_point now) const
         -> std::optional<duration>;
+    /// Returns the expected time until a runner has loaded the models that it
+    /// is loading; zero if it is loading none. It loads no adapter before.
+    [[nodiscard]] auto loading_for(const std::string& runner,
+                                   time_point now) const -> duration;
 
 private:
     struct update {
--- a/basilstream/coordination/residency_overlay/residency_overlay_test.cpp
+++ b/basilstream/coordination/residency_overlay/residency_overlay_test.cpp
@@ -55,5 +55,20 @@
               (std::vector<std::string>{"a1"}));
 }
 
+// A request for an adapter waited at a runner that was loading a model, and was
+// refused with a time that did not hold.
+TEST(residency_overlay, runner_that_loads_a_model_takes_no_adapter) {
+    const auto now = time_point{seconds{100}};
+    auto overlay = residency_overlay{};
+    EXPECT_EQ(overlay.loading_for("r1", now), duration{0});
+    overlay.add({"r1", "m1", "", load_state::loading, seconds{5}}, now);
+    overlay.add({"r1", "m1", "a1", load_state::loading, seconds{9}}, now);
+    EXPECT_EQ(overlay.loading_for("r1", now + seconds{2}), seconds{3});
+    EXPECT_EQ(overlay.loading_for("r1", now + seconds{6}), duration{0});
+    EXPECT_EQ(overlay.loading_for("r2", now), duration{0});
+    overlay.add({"r1", "m1", "", load_state::ready, {}}, now + seconds{1});
+    EXPECT_EQ(overlay.loading_for("r1", now + seconds{2}), duration{0});
+}
+
 } // namespace
 } // namespace basilstream::coordination
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -129,6 +129,11 @@
 
     // Places nothing more on a runner that has said that it is leaving.
     auto set_leaving(const std::string& id) -> void;
+    // Returns the shortest time that a server with the model is still loading
+    // another one and so takes no adapter; zero if one is not, nothing if no
+    // server has the model.
+    [[nodiscard]] auto shortest_model_load(const model_reference& want) const
+        -> std::optional<duration>;
     // Enters a server in the ledger if it can hold models.
     auto update_ledger(const coordination::backend_server& server) -> void;
     auto advance_lease() -> void;
