Keep the software versions of services in the store

Cause: clients that do not name the try that began their stream were resumed at the only version that a daemon had seen. A process that started after the last server of the old version had left saw the new one only. Clients that name it were refused for a minute after each start of all daemons. Ruled out: server start times (do not show a version that shrank away). Change: two daemons record each version in the store while it serves and for a minute after; all read the records once, before they take a version for the only one. Streams of two versions in service are still refused if clients do not name the try.

--- a/basilstream/coordination/record_store/record_store.hpp
+++ b/basilstream/coordination/record_store/record_store.hpp
@@ -35,14 +35,17 @@
     /// Crash suspicions of each daemon, and quarantine marks of requests;
     /// keyed.
     quarantine,
+    /// Software versions that services have had lately; keyed.
+    software_versions,
 };
 
-inline constexpr auto shared_topic_names = name_table<shared_topic, 5>{
+inline constexpr auto shared_topic_names = name_table<shared_topic, 6>{
     {{{shared_topic::configuration, "configuration"},
       {shared_topic::backends, "backends"},
       {shared_topic::daemons, "daemons"},
       {shared_topic::placement_lease, "placement_lease"},
-      {shared_topic::quarantine, "quarantine"}}}};
+      {shared_topic::quarantine, "quarantine"},
+      {shared_topic::software_versions, "software_versions"}}}};
 
 /// One record. In a keyed topic, a record without a value deletes its key.
 struct store_record {
--- a/basilstream/coordination/stream_origins/stream_origins.cpp
+++ b/basilstream/coordination/stream_origins/stream_origins.cpp
@@ -1,5 +1,7 @@
 #include "basilstream/coordination/stream_origins/stream_origins.hpp"
 
+#include <algorithm>
+
 namespace basilstream::coordination {
 
 auto stream_origins::record(const std::string& request,
@@ -43,8 +45,8 @@
         remove_server(server, now);
     }
     servers_[server] = {service, version};
-    auto& state =
-        services_.try_emplace(service, service_state{now, {}}).first->second;
+    auto& state = services_.try_emplace(service, service_state{now, {}, false})
+                      .first->second;
     ++state.versions_[version].servers_;
 }
 
@@ -60,13 +62,54 @@
     state.last_server_at_ = now;
 }
 
+auto version_history::record_as_seen(const service_version& record,
+                                     time_point now) -> void {
+    auto& state =
+        services_.try_emplace(record.service_, service_state{now, {}, false})
+            .first->second;
+    state.recorded_ = true;
+    auto& version = state.versions_[record.version_];
+    version.last_server_at_ = std::max(version.last_server_at_, now);
+}
+
+auto version_history::present_versions() const -> std::vector<service_version> {
+    auto present = std::vector<service_version>{};
+    for (const auto& [service, state] : services_) {
+        for (const auto& [version, servers] : state.versions_) {
+            if (servers.servers_ > 0 && !version.empty()) {
+                present.push_back({service, version});
+            }
+        }
+    }
+    return present;
+}
+
+auto version_history::take_expired(time_point now)
+    -> std::vector<service_version> {
+    auto expired = std::vector<service_version>{};
+    for (auto& [service, state] : services_) {
+        std::erase_if(state.versions_, [&, &name = service](const auto& entry) {
+            const auto& [version, servers] = entry;
+            const auto is_expired =
+                servers.servers_ == 0 &&
+                now - servers.last_server_at_ > stream_memory;
+            if (is_expired && !version.empty()) {
+                expired.push_back({name, version});
+            }
+            return is_expired;
+        });
+    }
+    return expired;
+}
+
 auto version_history::sole_version(const std::string& service,
                                    time_point now) const
     -> std::optional<std::string> {
     const auto found = services_.find(service);
     const auto known_long_enough =
         found != services_.end() &&
-        now - found->second.known_since_ >= stream_memory;
+        (found->second.recorded_ ||
+         now - found->second.known_since_ >= stream_memory);
     return known_long_enough ? sole_version_seen(service, now) : std::nullopt;
 }
 
@@ -74,7 +117,7 @@
                                         time_point now) const
     -> std::optional<std::string> {
     const auto found = services_.find(service);
-    if (found == services_.end()) {
+    if (awaits_records_ || found == services_.end()) {
         return std::nullopt;
     }
     auto sole = std::optional<std::string>{};
--- a/basilstream/coordination/stream_origins/stream_origins.hpp
+++ b/basilstream/coordination/stream_origins/stream_origins.hpp
@@ -18,6 +18,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "basilstream/base/clock/clock.hpp"
 
@@ -56,8 +57,19 @@
     std::deque<std::pair<time_point, std::string>> order_;
 };
 
+/// A software version of a service.
+struct service_version {
+    std::string service_;
+    std::string version_;
+    auto operator==(const service_version&) const -> bool = default;
+};
+
 /// Software versions of the servers of each service within the time for which
 /// streams may be resumed.
+///
+/// A process that has just started sees only the present servers. Versions
+/// whose last server left before are known from records that earlier processes
+/// have written (see record_as_seen()).
 class version_history {
 public:
     /// Adds or updates a server. An empty version is unknown.
@@ -65,6 +77,23 @@
                     const std::string& version, time_point now) -> void;
     auto remove_server(const std::string& server, time_point now) -> void;
 
+    /// No version is taken for the sole one until on_records_read(): earlier
+    /// processes may have seen others.
+    auto await_records() -> void { awaits_records_ = true; }
+    /// Adds a version that an earlier process has seen. Its last server may
+    /// have left just before this process started.
+    auto record_as_seen(const service_version& record, time_point now) -> void;
+    /// All records have been passed to record_as_seen(). The history of the
+    /// services in them is then complete.
+    auto on_records_read() -> void { awaits_records_ = false; }
+    /// Returns the versions that servers have at present, unknown ones left
+    /// out.
+    [[nodiscard]] auto present_versions() const -> std::vector<service_version>;
+    /// Removes and returns the versions whose streams can no longer be resumed,
+    /// as their last server left more than `stream_memory` ago.
+    [[nodiscard]] auto take_expired(time_point now)
+        -> std::vector<service_version>;
+
     /// Returns the version of all servers that the service has had since
     /// `stream_memory` ago. Returns nothing if there were several, one is
     /// unknown, or the service has not been known for that long.
@@ -85,6 +114,8 @@
     struct service_state {
         time_point known_since_{};
         std::map<std::string, version_state> versions_;
+        // Whether earlier processes have recorded the versions of the service.
+        bool recorded_ = false;
     };
     struct server_state {
         std::string service_;
@@ -93,6 +124,7 @@
 
     std::map<std::string, service_state> services_;
     std::map<std::string, server_state> servers_;
+    bool awaits_records_ = false;
 };
 
 } // namespace basilstream::coordination
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -16,6 +16,7 @@
 #include "basilstream/daemon/relay/relay.hpp"
 #include "basilstream/daemon/relay_status/relay_status.hpp"
 #include "basilstream/daemon/store_watch/store_watch.hpp"
+#include "basilstream/daemon/version_log/version_log.hpp"
 #include "basilstream/protocol/relay_codec/relay_codec.hpp"
 #include "basilstream/transport/http_session/http_session.hpp"
 #include "basilstream/transport/metrics/metrics.hpp"
@@ -105,6 +106,10 @@
                           [this](const auto& message) {
                               quarantine_log_.publish(message);
                           }},
+          version_log_{{clock_, random_, log_},
+                       settings.name_,
+                       streams_.versions(),
+                       *store_},
           watch_{{clock_, random_, log_},
                  {},
                  *store_,
@@ -334,9 +339,7 @@
             session.respond(404, {}, "");
             return;
         }
-        const auto settled =
-            joined_at_ && clock_.now() - *joined_at_ > join_settling_time;
-        if (!settled) {
+        if (!has_settled()) {
             session.respond(503, {}, "");
             return;
         }
@@ -392,6 +395,7 @@
         }
         prompt_sharing_.tick();
         quarantine_log_.tick();
+        version_log_.tick();
         advance_drain();
     }
 
@@ -460,6 +464,7 @@
                 permits_.set_daemons(owners);
                 streams_.set_daemons(owners);
             }
+            update_version_writers();
         });
         cluster_->on_channel(
             protocol::peer_channel::relay,
@@ -507,6 +512,9 @@
         }
         if (!joined_at_) {
             joined_at_ = clock_.now();
+            // Also if no other daemon is ever found.
+            thread_.after(join_settling_time + milliseconds{1},
+                          [this] { update_version_writers(); });
         }
         const auto reads_store_directly =
             cluster_->members().size() == 1 || !sharing_.followers().empty();
@@ -515,6 +523,22 @@
                       [this] { read_daemon_list(); });
     }
 
+    // Returns whether this daemon has had time to find the others.
+    [[nodiscard]] auto has_settled() const -> bool {
+        return joined_at_ && clock_.now() - *joined_at_ > join_settling_time;
+    }
+
+    auto update_version_writers() -> void {
+        if (!has_settled()) {
+            return;
+        }
+        auto names = std::vector<std::string>{};
+        for (const auto& member : cluster_->members()) {
+            names.push_back(member.name_);
+        }
+        version_log_.set_daemons(std::move(names));
+    }
+
     auto tick_cluster() -> void {
         if (cluster_) {
             cluster_->set_load(relay_.in_progress());
@@ -594,6 +618,7 @@
     load_sharing sharing_;
     quarantine_log quarantine_log_;
     prompt_sharing prompt_sharing_;
+    version_log version_log_;
     store_watch watch_;
     coordination::drain_controller drain_;
     std::vector<std::unique_ptr<transport::http_session_server>> servers_;
--- a/basilstream/daemon/stream_directory/stream_directory.hpp
+++ b/basilstream/daemon/stream_directory/stream_directory.hpp
@@ -53,6 +53,10 @@
     auto set_server(const std::string& server, const std::string& service,
                     const std::string& version) -> void;
     auto remove_server(const std::string& server) -> void;
+    /// Returns the versions that this daemon has seen.
+    [[nodiscard]] auto versions() -> coordination::version_history& {
+        return versions_;
+    }
 
     /// Records that the stream of a request has begun, or goes on, at a version
     /// of the service. Call again if it begins anew at another version.
--- a/testing/stream_versions/stream_versions_test.cpp
+++ b/testing/stream_versions/stream_versions_test.cpp
@@ -31,6 +31,9 @@
 constexpr auto max_mixed_streams = 2;
 constexpr auto min_resumed_share = 0.5;
 constexpr auto max_client_tries = 3;
+// Clients that outlast a kill of all daemons: 4 s.
+constexpr auto max_patient_tries = 40;
+constexpr auto patient_retry_delay = milliseconds{100};
 
 struct scenario {
     const char* name_ = "";
@@ -45,6 +48,14 @@
     bool one_version_first_ = false;
     // Interval at which a daemon is replaced by a new process, none if zero.
     milliseconds daemon_restart_interval_{0};
+    // Interval at which all daemons are killed at once and started again, never
+    // if zero.
+    milliseconds kill_all_interval_{0};
+    // Whether all servers are replaced by those of the next version just before
+    // all daemons are killed.
+    bool release_before_kill_ = false;
+    // Whether clients that resume a stream name the try that began it.
+    bool clients_name_try_ = true;
     milliseconds length_{10'000};
 };
 
@@ -149,6 +160,8 @@
     std::set<std::string> versions_;
     int last_event_ = 0;
     int tries_ = 0;
+    int resume_tries_ = 0;
+    bool went_on_ = false;
 };
 
 // Daemons, servers and clients of one scenario. Servers and clients run on one
@@ -203,6 +216,17 @@
                                   : static_cast<double>(resumed_) /
                                         static_cast<double>(resume_tries_);
     }
+    // Returns the number of streams that clients tried to take up, and of those
+    // that went on then.
+    [[nodiscard]] auto taken_up() const -> std::pair<int, int> {
+        const auto count = [this](auto has) {
+            return static_cast<int>(
+                std::count_if(streams_.begin(), streams_.end(), has));
+        };
+        return {
+            count([](const auto& stream) { return stream->resume_tries_ > 0; }),
+            count([](const auto& stream) { return stream->went_on_; })};
+    }
     [[nodiscard]] auto begun_share() const -> double {
         return static_cast<double>(begun_) / static_cast<double>(new_tries_);
     }
@@ -253,6 +277,7 @@
                 const auto event = text_.substr(0, end);
                 text_.erase(0, end + 2);
                 ++events_;
+                stream_->went_on_ = stream_->went_on_ || resumes_;
                 if (stream_->began_as_.empty()) {
                     stream_->began_as_ = id_;
                 }
@@ -263,6 +288,8 @@
         }
         auto end(bool complete) -> void {
             const auto keep = std::exchange(self_, nullptr);
+            // After its last event, a stream that goes on has none left.
+            stream_->went_on_ = stream_->went_on_ || (resumes_ && complete);
             owner_.on_try_ended(stream_, {complete, events_ > 0, counts_,
                                           resumes_, status_, sent_at_});
         }
@@ -353,6 +380,9 @@
                 next.replace(next.version() + 1);
             });
         }
+        if (options_.kill_all_interval_.count() > 0) {
+            thread_.every(options_.kill_all_interval_, [this] { kill_all(); });
+        }
         if (options_.daemon_restart_interval_.count() > 0) {
             thread_.every(options_.daemon_restart_interval_, [this] {
                 next_restart_ = (next_restart_ + 1) % options_.daemons_;
@@ -362,6 +392,22 @@
         }
     }
 
+    auto kill_all() -> void {
+        for (const auto& server : servers_) {
+            if (options_.release_before_kill_) {
+                server->replace(server->version() + 1);
+            } else {
+                server->break_streams();
+            }
+        }
+        for (auto& running : daemons_) {
+            running.reset();
+        }
+        for (auto index = 0; index < options_.daemons_; ++index) {
+            start_daemon(index);
+        }
+    }
+
     auto send(const std::shared_ptr<client_stream>& stream) -> void {
         const auto index = static_cast<int>(random_.below(daemons_.size()));
         const auto id = "q" + std::to_string(++requests_);
@@ -370,7 +416,10 @@
         headers.add("X-Id", id);
         if (stream->last_event_ > 0) {
             headers.add("X-Last", std::to_string(stream->last_event_));
-            headers.add("X-Resumes", stream->began_as_);
+            ++stream->resume_tries_;
+            if (options_.clients_name_try_) {
+                headers.add("X-Resumes", stream->began_as_);
+            }
         }
         ++stream->tries_;
         const auto settled = clock_.now() > started_at_[index] + stable_window;
@@ -404,9 +453,11 @@
             slowest_refusal_ =
                 std::max(slowest_refusal_, clock_.now() - outcome.sent_at_);
         }
+        const auto patient = options_.kill_all_interval_.count() > 0;
         if (!outcome.complete_ && stream->last_event_ > 0 &&
-            stream->tries_ < max_client_tries) {
-            thread_.after(milliseconds{20}, [this, stream] { send(stream); });
+            stream->tries_ < (patient ? max_patient_tries : max_client_tries)) {
+            thread_.after(patient ? patient_retry_delay : milliseconds{20},
+                          [this, stream] { send(stream); });
         }
     }
 
@@ -468,5 +519,61 @@
                                .length_ = milliseconds{14'000}}),
     [](const auto& info) { return std::string{info.param.name_}; });
 
+class killed_daemons : public ::testing::TestWithParam<scenario> {};
+
+// Daemons that started after the servers of a version had left took the new
+// version for the only one, and joined streams from both.
+TEST_P(killed_daemons, stream_goes_on_at_the_version_of_the_daemons_restart) {
+    auto world = deployment{GetParam()};
+    world.run();
+    const auto [tried, went_on] = world.taken_up();
+    std::cout << GetParam().name_ << ": " << world.mixed_streams()
+              << " streams of several versions; of " << tried
+              << " that clients took up, " << went_on << " went on; "
+              << world.begun_share() << " of new streams began\n";
+    EXPECT_EQ(world.mixed_streams(), 0);
+    EXPECT_GE(tried, 20);
+    EXPECT_GE(world.begun_share(), 0.9);
+    if (!GetParam().release_before_kill_) {
+        EXPECT_GE(went_on, 0.9 * tried);
+    }
+}
+
+constexpr auto kill_interval = milliseconds{4000};
+
+INSTANTIATE_TEST_SUITE_P(
+    scenarios, killed_daemons,
+    ::testing::Values(scenario{.name_ = "release_2_daemons",
+                               .break_interval_ = seconds{60},
+                               .one_version_first_ = true,
+                               .kill_all_interval_ = kill_interval,
+                               .release_before_kill_ = true,
+                               .clients_name_try_ = false},
+                      scenario{.name_ = "release_7_daemons",
+                               .daemons_ = 7,
+                               .break_interval_ = seconds{60},
+                               .one_version_first_ = true,
+                               .kill_all_interval_ = kill_interval,
+                               .release_before_kill_ = true,
+                               .clients_name_try_ = false},
+                      scenario{.name_ = "release_clients_name_the_try",
+                               .daemons_ = 7,
+                               .break_interval_ = seconds{60},
+                               .one_version_first_ = true,
+                               .kill_all_interval_ = kill_interval,
+                               .release_before_kill_ = true},
+                      scenario{.name_ = "one_version",
+                               .daemons_ = 7,
+                               .break_interval_ = seconds{60},
+                               .one_version_first_ = true,
+                               .kill_all_interval_ = kill_interval,
+                               .clients_name_try_ = false},
+                      scenario{.name_ = "one_version_clients_name_the_try",
+                               .daemons_ = 7,
+                               .break_interval_ = seconds{60},
+                               .one_version_first_ = true,
+                               .kill_all_interval_ = kill_interval}),
+    [](const auto& info) { return std::string{info.param.name_}; });
+
 } // namespace
 } // namespace basilstream::testing
