Read the store once for a group within a zone, and as seldom as bounds allow

Cause: of 195 daemons each made 35 to 50 calls to the store from 14 s before to 11 s after the start of traffic (counted on eleven): groups of up to 31 over all zones, pages over 125 KB for a group read by all of it, reads spaced for a bound of 2 s where it is 4 s. Why followers lost their reader before traffic is open. Change: groups within zones, compressed pages (zlib; earlier versions read the store instead), read intervals from two new settings.

--- a/basilstream/coordination/reader_groups/reader_groups.cpp
+++ b/basilstream/coordination/reader_groups/reader_groups.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <utility>
 
 #include <xxhash.h>
@@ -17,25 +18,37 @@
 
 } // namespace
 
-auto followers_of(const std::string& self,
-                  const std::vector<std::string>& members,
+auto followers_of(const group_member& self,
+                  const std::vector<group_member>& members,
                   std::size_t group_size) -> std::vector<std::string> {
-    const auto group_count = (members.size() + group_size - 1) / group_size;
+    const auto groups_for = [&](std::size_t count) {
+        return (count + group_size - 1) / group_size;
+    };
+    auto zones = std::map<std::string, std::size_t>{};
+    for (const auto& member : members) {
+        ++zones[member.zone_];
+    }
+    // With few daemons, a group in each zone would mean more reads.
+    const auto within_zones = zones.size() <= groups_for(members.size());
+    const auto group_count =
+        groups_for(within_zones ? zones[self.zone_] : members.size());
     if (group_count == 0) {
         return {};
     }
-    const auto group = (hash_of(self) >> 32U) % group_count;
+    const auto self_hash = hash_of(self.name_);
+    const auto group = (self_hash >> 32U) % group_count;
     auto followers = std::vector<std::string>{};
-    for (const auto& name : members) {
+    for (const auto& [name, zone] : members) {
         const auto hash = hash_of(name);
-        if ((hash >> 32U) % group_count != group || name == self) {
+        if ((within_zones && zone != self.zone_) ||
+            (hash >> 32U) % group_count != group || name == self.name_) {
             continue;
         }
         const auto low_bits = [](std::uint64_t value) {
             return static_cast<std::uint32_t>(value);
         };
         if (std::pair{low_bits(hash), name} >
-            std::pair{low_bits(hash_of(self)), self}) {
+            std::pair{low_bits(self_hash), self.name_}) {
             return {};
         }
         followers.push_back(name);
--- a/basilstream/daemon/load_sharing/load_sharing.cpp
+++ b/basilstream/daemon/load_sharing/load_sharing.cpp
@@ -52,11 +52,13 @@
     if (peers_ == nullptr) {
         return {};
     }
-    auto names = std::vector<std::string>{};
+    auto members = std::vector<coordination::group_member>{};
+    auto self = coordination::group_member{self_, {}};
     for (const auto& member : peers_->members()) {
-        names.push_back(member.name_);
+        members.push_back({member.name_, member.zone_});
+        self.zone_ = member.name_ == self_ ? member.zone_ : self.zone_;
     }
-    return coordination::followers_of(self_, names);
+    return coordination::followers_of(self, members);
 }
 
 auto load_sharing::send_to(const std::vector<std::string>& daemons,
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -41,9 +41,9 @@
 // The same interval for followers, which get store records from another daemon
 // of their group. That daemon finds lost members, and gossip spreads them.
 constexpr auto follower_list_interval = seconds{30};
-// Maximum total size of the copies of one page of records that a daemon sends
-// to its followers: 100 ms on a 10 Mbit/s link.
-constexpr auto max_forwarded_bytes = std::size_t{125'000};
+// Maximum total size of the copies of one page of records, compressed, that a
+// daemon sends to its followers: 200 ms on a 10 Mbit/s link.
+constexpr auto max_forwarded_bytes = std::size_t{250'000};
 // A daemon that has been silent for longer is left out of endpoint responses.
 constexpr auto max_peer_silence = milliseconds{2000};
 // The daemon stops this long before the end of the grace period, after which
@@ -111,7 +111,8 @@
                        streams_.versions(),
                        *store_},
           watch_{{clock_, random_, log_},
-                 {},
+                 schedule_reads(settings.limits_.announcement_delay_,
+                                settings.limits_.config_delay_),
                  *store_,
                  deployment.decoder(),
                  *this},
@@ -226,17 +227,13 @@
             return;
         }
         auto update = protocol::relay_update{};
-        auto bytes = std::size_t{0};
-        for (const auto& record : page.records_) {
-            bytes += record.value_ ? record.value_->size() : 0;
-        }
+        update.pages_ = {{topic, from, page.end_, page.records_, false}};
         // Followers read a large page from the store: sending it would occupy
         // the link of a small VM for too long.
-        const auto large = bytes * followers.size() > max_forwarded_bytes;
-        update.pages_ = {
-            {topic, from, large ? from : page.end_,
-             large ? std::vector<coordination::store_record>{} : page.records_,
-             large}};
+        if (protocol::encode(update).size() * followers.size() >
+            max_forwarded_bytes) {
+            update.pages_ = {{topic, from, from, {}, true}};
+        }
         sharing_.send_to(followers, update);
     }
     auto on_residency_changed(const coordination::backend_server& server)
--- a/basilstream/daemon/relay_settings/relay_settings.cpp
+++ b/basilstream/daemon/relay_settings/relay_settings.cpp
@@ -25,6 +25,7 @@
     "port": {"type": "integer", "minimum": 0, "maximum": 65535},
     "period": {"type": ["number", "null"], "minimum": 10, "maximum": 3600000},
     "window": {"type": ["number", "null"], "minimum": 1, "maximum": 3600},
+    "delay": {"type": ["number", "null"], "minimum": 500, "maximum": 60000},
     "figure": {"type": ["number", "null"], "minimum": 0, "maximum": 1000000}
   },
   "properties": {
@@ -50,7 +51,9 @@
         "retry_allowance": {"$ref": "#/definitions/figure"},
         "retry_window_s": {"$ref": "#/definitions/window"},
         "lease_ms": {"$ref": "#/definitions/period"},
-        "load_window_s": {"$ref": "#/definitions/window"}}},
+        "load_window_s": {"$ref": "#/definitions/window"},
+        "announcement_delay_ms": {"$ref": "#/definitions/delay"},
+        "config_delay_ms": {"$ref": "#/definitions/delay"}}},
     "stop": {"type": "object", "additionalProperties": false, "properties": {
         "grace_s": {"$ref": "#/definitions/window"}}},
     "logging": {"type": "object", "additionalProperties": false, "properties": {
@@ -101,6 +104,8 @@
     read_period(document, "retry_window_s", limits.retry_window_);
     read_period(document, "lease_ms", limits.lease_);
     read_period(document, "load_window_s", limits.load_window_);
+    read_period(document, "announcement_delay_ms", limits.announcement_delay_);
+    read_period(document, "config_delay_ms", limits.config_delay_);
 }
 
 auto read_logging(const json& document, transport::logger_options& logging)
--- a/basilstream/daemon/relay_settings/relay_settings.hpp
+++ b/basilstream/daemon/relay_settings/relay_settings.hpp
@@ -28,6 +28,10 @@
     milliseconds lease_{3000};
     /// Window over which loads from the weight store are counted.
     seconds load_window_{5};
+    /// Time within which an announcement of a backend server, for example that
+    /// it is draining, must be followed; likewise a configuration.
+    milliseconds announcement_delay_{2000};
+    milliseconds config_delay_{2000};
 };
 
 /// Time limits of a shutdown.
--- a/basilstream/daemon/store_watch/store_watch.cpp
+++ b/basilstream/daemon/store_watch/store_watch.cpp
@@ -9,6 +9,19 @@
 using coordination::record_page;
 using coordination::shared_topic;
 
+auto schedule_reads(milliseconds announcement_delay, milliseconds config_delay)
+    -> store_watch_settings {
+    // Time for a page to reach the followers of a daemon.
+    constexpr auto relay_time = milliseconds{300};
+    auto settings = store_watch_settings{};
+    // A follower reads for itself after half of the delay.
+    settings.backend_deferral_ = announcement_delay / 2;
+    settings.backend_interval_ = announcement_delay * 3 / 10;
+    settings.config_wait_ = config_delay / 2;
+    settings.config_deferral_ = settings.config_wait_ + relay_time;
+    return settings;
+}
+
 store_watch::store_watch(const store_watch_context& context,
                          store_watch_settings settings,
                          coordination::record_store& store,
--- a/basilstream/daemon/store_watch/store_watch.hpp
+++ b/basilstream/daemon/store_watch/store_watch.hpp
@@ -63,7 +63,7 @@
     /// Shortest time between the starts of two reads of the configuration.
     milliseconds config_interval_{100};
     /// The same for the quarantine records, which are rare.
-    milliseconds quarantine_wait_{1000};
+    milliseconds quarantine_wait_{3000};
     milliseconds quarantine_interval_{200};
     /// Shortest time between the starts of two reads of the announcements.
     /// Announcements arrive so often that a long poll would return at once.
@@ -71,7 +71,7 @@
     /// How long a page relayed by another daemon defers this daemon's next read
     /// of the topic.
     milliseconds config_deferral_{1300};
-    milliseconds quarantine_deferral_{1300};
+    milliseconds quarantine_deferral_{3300};
     milliseconds backend_deferral_{1000};
     /// A page whose read took longer than its wait by more than this is not
     /// relayed: this daemon lags, and others may have read further.
@@ -81,6 +81,14 @@
     milliseconds max_backoff_{1000};
 };
 
+/// Returns the settings with which announcements and configurations are
+/// followed in time, also if the daemon that reads for others fails just before
+/// a read, or a long poll gets no answer. Reads are as rare as that allows:
+/// the store's load and its cost grow with their number.
+[[nodiscard]] auto schedule_reads(milliseconds announcement_delay,
+                                  milliseconds config_delay)
+    -> store_watch_settings;
+
 class store_watch {
 public:
     store_watch(const store_watch_context& context,
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <zlib.h>
+
 #include "basilstream/protocol/generated/relay.pb.h"
 
 namespace basilstream::protocol {
@@ -17,6 +19,51 @@
     return out.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
 }
 
+// Records above this size are compressed. Those of a page resemble each other
+// and shrink to about a fifth.
+constexpr auto min_packed_bytes = std::size_t{2'000};
+// Bounds what a daemon unpacks, whatever a message claims.
+constexpr auto max_unpacked_bytes = std::size_t{8} << 20U;
+
+// Appends the original size (4 bytes, little-endian) to the compressed bytes.
+auto pack(const std::string& bytes) -> std::string {
+    auto size = ::compressBound(bytes.size());
+    auto packed = std::string(size, '\0');
+    if (::compress2(reinterpret_cast<Bytef*>(packed.data()), &size,
+                    reinterpret_cast<const Bytef*>(bytes.data()), bytes.size(),
+                    Z_BEST_SPEED) != Z_OK) {
+        return {};
+    }
+    packed.resize(size);
+    for (auto shift = 0U; shift < 32U; shift += 8U) {
+        packed.push_back(static_cast<char>((bytes.size() >> shift) & 0xFFU));
+    }
+    return packed;
+}
+
+auto unpack(std::string_view packed) -> std::optional<std::string> {
+    constexpr auto size_bytes = std::size_t{4};
+    if (packed.size() < size_bytes) {
+        return std::nullopt;
+    }
+    auto size = std::size_t{0};
+    for (const auto byte : {3U, 2U, 1U, 0U}) {
+        size = (size << 8U) | static_cast<unsigned char>(
+                                  packed[packed.size() - size_bytes + byte]);
+    }
+    packed.remove_suffix(size_bytes);
+    if (size > max_unpacked_bytes) {
+        return std::nullopt;
+    }
+    auto bytes = std::string(size, '\0');
+    auto written = static_cast<uLongf>(size);
+    const auto status = ::uncompress(
+        reinterpret_cast<Bytef*>(bytes.data()), &written,
+        reinterpret_cast<const Bytef*>(packed.data()), packed.size());
+    return status == Z_OK && written == size ? std::optional{std::move(bytes)}
+                                             : std::nullopt;
+}
+
 auto to_wire(const relayed_page& page, wire::read_page& out) -> void {
     out.set_topic(static_cast<std::uint32_t>(page.topic_));
     out.set_from(page.from_);
@@ -29,6 +76,14 @@
         copy.set_has_value(record.value_.has_value());
         copy.set_value(record.value_.value_or(""));
     }
+    if (page.read_now_ || out.ByteSizeLong() < min_packed_bytes) {
+        return;
+    }
+    if (auto packed = pack(out.SerializeAsString()); !packed.empty()) {
+        out.clear_records();
+        out.set_packed_records(std::move(packed));
+        out.set_read_now(true);
+    }
 }
 
 auto from_wire(const wire::read_page& in) -> relayed_page {
@@ -38,7 +93,17 @@
                      in.end(),
                      {},
                      in.read_now()};
-    for (const auto& record : in.records()) {
+    auto unpacked = wire::read_page{};
+    if (!in.packed_records().empty()) {
+        // The daemon reads for itself if they cannot be unpacked.
+        const auto bytes = unpack(in.packed_records());
+        if (!bytes || !parse(*bytes, unpacked)) {
+            return page;
+        }
+        page.read_now_ = false;
+    }
+    const auto& records = in.packed_records().empty() ? in : unpacked;
+    for (const auto& record : records.records()) {
         page.records_.push_back(
             {record.key(),
              record.has_value() ? std::optional{record.value()} : std::nullopt,
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -61,8 +61,8 @@
     std::uint64_t from_ = 0;
     std::uint64_t end_ = 0;
     std::vector<coordination::store_record> records_;
-    /// Set if there is news that is too large to be passed on: each daemon
-    /// should read it for itself, now.
+    /// Set if there is news that is too large to be passed on, even though
+    /// records are compressed: each daemon should read it for itself, now.
     bool read_now_ = false;
 };
 
--- a/basilstream/protocol/relay_codec/relay_codec_test.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "basilstream/protocol/generated/relay.pb.h"
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -116,5 +117,57 @@
     (void)decode_lease_entry(bytes);
 }
 
+auto large_page() -> relay_update {
+    auto page = relayed_page{coordination::shared_topic::backends, 5, 31, {}};
+    for (auto number = 0; number < 26; ++number) {
+        page.records_.push_back({"i-" + std::to_string(number),
+                                 "{\"service\":\"chat\",\"models\":[" +
+                                     std::string(400, 'm') + "]}",
+                                 static_cast<std::uint64_t>(5 + number)});
+    }
+    auto update = relay_update{};
+    update.pages_ = {page};
+    return update;
+}
+
+// Nine changed servers of a deployment with 195 daemons were more than a daemon
+// sent to its followers, so that all of them read the store.
+TEST(relay_codec, page_of_similar_records_takes_their_whole_size) {
+    const auto update = large_page();
+    const auto bytes = encode(update);
+    EXPECT_LT(bytes.size(), 3'000U);
+    const auto read = decode_relay_update(bytes);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->pages_.size(), 1U);
+    EXPECT_FALSE(read->pages_[0].read_now_);
+    ASSERT_EQ(read->pages_[0].records_.size(), 26U);
+    EXPECT_EQ(read->pages_[0].records_[25].value_,
+              update.pages_[0].records_[25].value_);
+    EXPECT_EQ(read->pages_[0].records_[25].offset_, 30U);
+}
+
+// A daemon of an earlier version ignores packed records; it must not take the
+// page for one without changes.
+TEST(relay_codec, earlier_version_skips_packed_records) {
+    auto message = wire::relay_update{};
+    ASSERT_TRUE(message.ParseFromString(encode(large_page())));
+    ASSERT_EQ(message.pages_size(), 1);
+    EXPECT_TRUE(message.pages(0).read_now());
+    EXPECT_EQ(message.pages(0).records_size(), 0);
+}
+
+TEST(relay_codec, damaged_packed_records_are_lost) {
+    auto message = wire::relay_update{};
+    ASSERT_TRUE(message.ParseFromString(encode(large_page())));
+    for (const auto& damaged : {std::string{"x"}, std::string(40, '\xFF'),
+                                message.pages(0).packed_records().substr(10)}) {
+        message.mutable_pages(0)->set_packed_records(damaged);
+        const auto read = decode_relay_update(message.SerializeAsString());
+        ASSERT_TRUE(read);
+        EXPECT_TRUE(read->pages_[0].read_now_);
+        EXPECT_TRUE(read->pages_[0].records_.empty());
+    }
+}
+
 } // namespace
 } // namespace basilstream::protocol
