Let one of many daemons clear a suspected part of a prompt

Cause: at each crash report all daemons that knew a suspected part as innocent told all others, each in a message of its own: 37,600 messages for one part among 195 daemons. They also wrote it to the store, up to ten times a second each, which ended all waiting reads. Change: among more than twelve, each waits up to 10 ms for each daemon and drops its clearance when another arrives; one message a daemon and tick; records are collected for 5 ms for each daemon.

--- a/basilstream/coordination/prompt_quarantine/crashes.cpp
+++ b/basilstream/coordination/prompt_quarantine/crashes.cpp
@@ -2,6 +2,7 @@
 #include "basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -159,7 +160,7 @@
     }
     auto& seen = add_crash(received.runner_, received.boot_id_, seen_at);
     add_parts(seen, received.parts_, false);
-    clear_suspects(received.parts_);
+    clear_suspects(received.parts_, now);
     explain_uncertain_ends(received.runner_, received.boot_id_, seen_at);
 }
 
@@ -178,16 +179,38 @@
 }
 
 auto prompt_quarantine::clear_suspects(
-    const std::vector<prompt_part_id>& reported) -> void {
-    auto cleared = prompt_part_clearance{};
+    const std::vector<prompt_part_id>& reported, time_point now) -> void {
     for (const auto part : reported) {
         const auto known = suspects_.find(part);
         if (known != suspects_.end() &&
             known->second >= static_cast<int>(crashes_to_hold) - 1 &&
             is_innocent(part)) {
-            cleared.parts_.push_back(part);
+            pending_clearances_.try_emplace(part, now + clearance_delay(part));
         }
     }
+}
+
+auto prompt_quarantine::clearance_delay(prompt_part_id part) const -> duration {
+    if (members_ <= max_prompt_repliers) {
+        return duration{0};
+    }
+    const auto hash =
+        std::hash<std::string>{}(self_ + "/" + std::to_string(part));
+    const auto spread =
+        settings_.clearance_delay_per_member_ * static_cast<int>(members_);
+    return duration{static_cast<duration::rep>(
+        hash % static_cast<std::uint64_t>(spread.count()))};
+}
+
+auto prompt_quarantine::send_due_clearances(time_point now) -> void {
+    auto cleared = prompt_part_clearance{};
+    std::erase_if(pending_clearances_, [&](const auto& entry) {
+        const auto due = now >= entry.second;
+        if (due) {
+            cleared.parts_.push_back(entry.first);
+        }
+        return due;
+    });
     if (!cleared.parts_.empty()) {
         events_.emplace_back(std::move(cleared));
     }
--- a/basilstream/coordination/prompt_quarantine/prompt_quarantine.cpp
+++ b/basilstream/coordination/prompt_quarantine/prompt_quarantine.cpp
@@ -47,6 +47,7 @@
 
 auto prompt_quarantine::set_members(const std::vector<std::string>& members,
                                     time_point now) -> void {
+    members_ = members.size();
     const auto selected = select_by_weight(arbiter_key, members, 1);
     const auto& elected = selected.empty() ? self_ : selected.front();
     if (elected == arbiter_) {
@@ -205,6 +206,7 @@
                               time_point /*now*/) -> void {
     for (const auto part : received.parts_) {
         ++statistics_.clearances_;
+        pending_clearances_.erase(part);
         remember_innocent(part);
         judge_again_ = judge_again_ || suspects_.contains(part);
         release(part, arbiter_ == self_);
@@ -244,6 +246,7 @@
         update_marks(own || arbiter_ == self_, now);
     }
     report_crashes(now);
+    send_due_clearances(now);
     return std::exchange(events_, {});
 }
 
--- a/basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp
+++ b/basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp
@@ -127,8 +127,14 @@
     duration shortest_restart_ = milliseconds{1500};
     /// How long a new arbiter waits before it tries a held part.
     duration takeover_delay_ = seconds{12};
+    /// Spread of the delays before many daemons clear a suspected part, for
+    /// each of them. A clearance reaches the others within some tens of ms.
+    duration clearance_delay_per_member_ = milliseconds{10};
 };
 
+/// Up to this number of daemons, each clears suspected parts at once.
+inline constexpr auto max_prompt_repliers = std::size_t{12};
+
 /// Counters, for metrics.
 struct prompt_quarantine_statistics {
     /// Crashes known, and those that were refuted.
@@ -280,7 +286,13 @@
                   time_point now) -> void;
     auto release(prompt_part_id part, bool publish) -> void;
     // Tells the others of suspected parts that this daemon knows as innocent.
-    auto clear_suspects(const std::vector<prompt_part_id>& reported) -> void;
+    auto clear_suspects(const std::vector<prompt_part_id>& reported,
+                        time_point now) -> void;
+    // Returns how long this daemon waits for another one to clear a part. With
+    // many daemons nearly all could, so the waits spread and the first
+    // clearance ends the others (suppression as in SRM: Floyd et al., 1997).
+    [[nodiscard]] auto clearance_delay(prompt_part_id part) const -> duration;
+    auto send_due_clearances(time_point now) -> void;
     auto report_crashes(time_point now) -> void;
     auto expire(time_point now) -> void;
 
@@ -298,6 +310,9 @@
     // Parts in `crashes_`, with the number of crashes.
     std::unordered_map<prompt_part_id, int> suspects_;
     std::map<prompt_part_id, mark> marks_;
+    // Suspected parts that this daemon will clear unless another one does.
+    std::map<prompt_part_id, time_point> pending_clearances_;
+    std::size_t members_ = 0;
     bool judge_again_ = false;
     bool own_crash_added_ = false;
     std::vector<prompt_quarantine_event> events_;
--- a/basilstream/coordination/prompt_quarantine/prompt_quarantine_test.cpp
+++ b/basilstream/coordination/prompt_quarantine/prompt_quarantine_test.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
+#include <variant>
 
 #include <gtest/gtest.h>
 
@@ -328,6 +330,60 @@
     }
 }
 
+class many_prompt_quarantines : public prompt_quarantine_test {
+protected:
+    many_prompt_quarantines() : prompt_quarantine_test{195} {}
+
+    // Lets the daemons exchange events for a time. Returns how many clearances
+    // they send.
+    auto count_clearances(duration time) -> int {
+        constexpr auto message_time = milliseconds{50};
+        auto clearances = 0;
+        for (const auto end = now_ + time; now_ < end; now_ += message_time) {
+            auto sent = std::vector<
+                std::pair<const prompt_quarantine*, prompt_quarantine_event>>{};
+            for (const auto& from : nodes_) {
+                for (auto& event : poll(from)) {
+                    clearances +=
+                        std::holds_alternative<prompt_part_clearance>(event)
+                            ? 1
+                            : 0;
+                    sent.emplace_back(&from, std::move(event));
+                }
+            }
+            for (const auto& [from, event] : sent) {
+                deliver(*from, event);
+            }
+        }
+        return clearances;
+    }
+
+private:
+    auto poll(const prompt_quarantine& node)
+        -> std::vector<prompt_quarantine_event> {
+        return const_cast<prompt_quarantine&>(node).poll(now_);
+    }
+};
+
+// All daemons knew a suspected part as innocent, and each told all others.
+TEST_F(many_prompt_quarantines, all_daemons_clear_a_suspected_part) {
+    // All but the one whose requests crash servers.
+    for (auto node = std::size_t{1}; node < nodes_.size(); ++node) {
+        const auto id = send(node, "alive", {shared});
+        nodes_[node].on_finish(id, true, now_);
+    }
+    auto clearances = count_clearances(seconds{1});
+    for (auto number = 0; number < 4; ++number) {
+        const auto id = send(0, "s" + std::to_string(number), {shared, guilty});
+        nodes_[0].on_connection_lost(id, now_);
+        clearances += count_clearances(milliseconds{500});
+    }
+    EXPECT_LE(clearances + count_clearances(seconds{4}), 20);
+    for (const auto& node : nodes_) {
+        EXPECT_FALSE(node.find_held({shared}, now_));
+    }
+}
+
 TEST(prompt_part_ids, are_written_in_hexadecimal) {
     EXPECT_EQ(format_part(0xe4402b7d), "00000000e4402b7d");
     EXPECT_EQ(parse_part("00000000e4402b7d"), 0xe4402b7dU);
--- a/basilstream/daemon/prompt_sharing/prompt_sharing.cpp
+++ b/basilstream/daemon/prompt_sharing/prompt_sharing.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/daemon/prompt_sharing/prompt_sharing.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <variant>
 
@@ -83,6 +84,8 @@
 }
 
 auto prompt_sharing::tick() -> void {
+    // One message to each daemon, whatever there is to tell.
+    auto updates = std::map<std::string, protocol::relay_update>{};
     for (const auto& event : tracker_.poll(context_.clock_.now())) {
         const auto message = std::visit(
             [](const auto& content) {
@@ -90,13 +93,13 @@
             },
             event);
         publish_(message);
-        if (!send_) {
-            continue;
-        }
-        auto update = protocol::relay_update{};
-        update.quarantine_messages_.push_back(
-            protocol::encode_quarantine(message));
+        const auto bytes = protocol::encode_quarantine(message);
         for (const auto& daemon : receivers_of(message)) {
+            updates[daemon].quarantine_messages_.push_back(bytes);
+        }
+    }
+    for (const auto& [daemon, update] : updates) {
+        if (send_) {
             (void)send_(daemon, update);
         }
     }
--- a/basilstream/daemon/quarantine_log/quarantine_log.cpp
+++ b/basilstream/daemon/quarantine_log/quarantine_log.cpp
@@ -30,8 +30,10 @@
 // while the store is unavailable. Above this, the oldest messages are dropped.
 constexpr auto max_pending = std::size_t{10'000};
 // Time for which messages are collected into one batch. Other daemons should
-// know of a crash well within a second.
-constexpr auto batch_interval = milliseconds{100};
+// know of a crash well within a second; with hundreds of them within one, since
+// all together make no more than 200 writes a second.
+constexpr auto min_batch_interval = milliseconds{100};
+constexpr auto batch_interval_per_daemon = milliseconds{5};
 // Bounds of the backoff after a failed write; jitter takes off up to half.
 constexpr auto initial_backoff = milliseconds{200};
 constexpr auto max_backoff = milliseconds{1000};
@@ -90,8 +92,14 @@
                                coordination::quarantine& tracker,
                                coordination::prompt_quarantine& prompts,
                                coordination::record_store& store)
-    : context_{context}, name_{std::move(name)},
-      quarantine_{tracker}, prompts_{prompts}, store_{store} {}
+    : context_{context}, name_{std::move(name)}, quarantine_{tracker},
+      prompts_{prompts}, store_{store}, batch_interval_{min_batch_interval} {}
+
+auto quarantine_log::set_daemons(std::size_t count) -> void {
+    batch_interval_ =
+        std::max<duration>(min_batch_interval,
+                           batch_interval_per_daemon * static_cast<int>(count));
+}
 
 auto quarantine_log::publish(const protocol::quarantine_message& message)
     -> void {
@@ -166,7 +174,7 @@
     if (pending_.empty() || !in_flight_.empty() || now < next_append_at_) {
         return;
     }
-    next_append_at_ = now + batch_interval;
+    next_append_at_ = now + batch_interval_;
     auto key = take_batch();
     store_.append(coordination::shared_topic::quarantine, std::nullopt,
                   {std::move(key), encode_in_flight()},
--- a/basilstream/daemon/quarantine_log/quarantine_log.hpp
+++ b/basilstream/daemon/quarantine_log/quarantine_log.hpp
@@ -57,6 +57,9 @@
     /// Writes what is queued, unless a write is in flight or a failed one is to
     /// be repeated later.
     auto tick() -> void;
+    /// Sets the number of daemons. The more there are, the longer each collects
+    /// what it writes, as each write ends the waiting reads of the topic.
+    auto set_daemons(std::size_t count) -> void;
     /// Applies a record that this or another daemon has written.
     auto apply(const coordination::store_record& record) -> void;
 
@@ -90,6 +93,7 @@
     std::deque<pending_write> pending_;
     std::deque<pending_write> in_flight_;
     time_point next_append_at_{};
+    duration batch_interval_;
     // Consecutive failed appends.
     int failures_ = 0;
 };
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -454,6 +454,7 @@
         cluster_->on_members([this](const std::vector<std::string>& owners) {
             relay_.crash_quarantine().set_members(owners, clock_.now());
             prompt_sharing_.set_daemons(owners);
+            quarantine_log_.set_daemons(owners.size());
             forwarding_.set_daemons(owners);
             relay_.set_daemons(std::max<std::size_t>(owners.size(), 1));
             models_.set_daemons(owners.size());
