--- a/testing/partitioned_daemons/partitioned_daemons_test.cpp
+++ b/testing/partitioned_daemons/partitioned_daemons_test.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <map>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,17 @@
     duration length_ = seconds{13};
     // In milliseconds.
     int deadline_ = 4000;
+    // Events of each stream, 50 ms apart.
+    int stream_events_ = 4;
 };
 
+auto event_chunk(int number) -> std::string {
+    const auto event = "id: " + std::to_string(number) + "\ndata: a\n\n";
+    auto size = std::ostringstream{};
+    size << std::hex << event.size();
+    return size.str() + "\r\n" + event + "\r\n";
+}
+
 class partitioned_daemons_world {
 public:
     explicit partitioned_daemons_world(const scenario& options)
@@ -223,11 +233,11 @@
                               std::string{request_id_field} + ": " + id +
                               "\r\nTransfer-Encoding: chunked\r\n\r\n"
                               "f\r\nid: 1\ndata: a\n\n\r\n");
-            for (auto event = 2; event <= 4; ++event) {
+            for (auto event = 2; event <= options_.stream_events_; ++event) {
                 after_silence(number, milliseconds{50} * (event - 1), [=] {
-                    connection->write("f\r\nid: " + std::to_string(event) +
-                                      "\ndata: a\n\n\r\n" +
-                                      (event == 4 ? "0\r\n\r\n" : ""));
+                    connection->write(
+                        event_chunk(event) +
+                        (event == options_.stream_events_ ? "0\r\n\r\n" : ""));
                 });
             }
         });
@@ -343,6 +353,24 @@
                  .cut_daemons_ = 20,
                  .servers_ = 12,
                  .request_interval_ = milliseconds{4}},
+        scenario{.name_ = "one_of_7_keeps_streams_of_60_servers",
+                 .fault_ = link_fault::refuse_new,
+                 .servers_ = 60,
+                 .request_interval_ = milliseconds{15},
+                 .stream_events_ = 40},
+        scenario{.name_ = "twenty_of_80_keep_streams_of_60_servers",
+                 .daemons_ = 80,
+                 .cut_daemons_ = 20,
+                 .fault_ = link_fault::refuse_new,
+                 .servers_ = 60,
+                 .request_interval_ = milliseconds{4},
+                 .stream_events_ = 40},
+        scenario{.name_ = "twenty_of_80_hang_60_servers",
+                 .daemons_ = 80,
+                 .cut_daemons_ = 20,
+                 .servers_ = 60,
+                 .request_interval_ = milliseconds{4},
+                 .stream_events_ = 40},
         scenario{.name_ = "one_of_7_hangs_short_deadlines",
                  .servers_ = 3,
                  .deadline_ = 900},
