Judge the reach of a service by connections made and failed, not by one answer

Cause: any byte from any server made a service reached. With 60 or 90 servers a stream of seconds always delivers bytes, while most attempts need new connections and fail. Change: the state partly_cut if connections to more servers fail than are made within 1.5 s; a byte no longer ends a cut; probes of three servers, half of which must succeed.

--- a/basilstream/coordination/server_reachability/server_reachability.cpp
+++ b/basilstream/coordination/server_reachability/server_reachability.cpp
@@ -29,6 +29,14 @@
     attempts_.erase(found);
 }
 
+auto server_reachability::on_connected(std::uint64_t call, time_point now)
+    -> void {
+    const auto found = attempts_.find(call);
+    if (found != attempts_.end()) {
+        connections_[found->second.server_] = {true, now};
+    }
+}
+
 auto server_reachability::on_connect_failed(std::uint64_t call, time_point now)
     -> void {
     const auto found = attempts_.find(call);
@@ -36,6 +44,7 @@
         return;
     }
     failed_.try_emplace(found->second.server_, now);
+    connections_[found->second.server_] = {false, now};
     attempts_.erase(found);
 }
 
@@ -43,24 +52,42 @@
     heard_at_ = now;
     failed_.clear();
     unanswered_.clear();
-    if (state_ != reachability::reached) {
+    if (state_ == reachability::silent) {
         state_ = reachability::reached;
         reached_again_at_ = now;
+    } else if (state_ == reachability::cut) {
+        state_ = reachability::partly_cut;
     }
 }
 
-auto server_reachability::state(time_point now) -> reachability {
-    if (state_ == reachability::cut) {
-        return state_;
+auto server_reachability::most_connections_fail(time_point now) -> bool {
+    std::erase_if(connections_, [&](const auto& entry) {
+        return now - entry.second.at_ > settings_.connection_window_;
+    });
+    auto made = std::size_t{0};
+    auto failed = std::size_t{0};
+    auto first_failure = now;
+    for (const auto& [server, outcome] : connections_) {
+        ++(outcome.made_ ? made : failed);
+        if (!outcome.made_) {
+            first_failure = std::min(first_failure, outcome.at_);
+        }
     }
-    const auto is_silent = now - heard_at_ >= settings_.silence_after_failures_;
+    return enough(failed) && failed > made &&
+           now - first_failure >= settings_.silence_after_failures_ / 2;
+}
+
+auto server_reachability::is_cut(time_point now) const -> bool {
     auto first_failure = now;
     for (const auto& [server, at] : failed_) {
         first_failure = std::min(first_failure, at);
     }
-    const auto failing =
-        enough(failed_.size()) && is_silent &&
-        now - first_failure >= settings_.silence_after_failures_ / 2;
+    return enough(failed_.size()) &&
+           now - heard_at_ >= settings_.silence_after_failures_ &&
+           now - first_failure >= settings_.silence_after_failures_ / 2;
+}
+
+auto server_reachability::is_hanging(time_point now) const -> bool {
     auto unanswered = unanswered_;
     for (const auto& [call, entry] : attempts_) {
         if (now - entry.started_at_ >= settings_.silence_of_requests_) {
@@ -70,14 +97,28 @@
     for (const auto& [server, at] : failed_) {
         unanswered.insert(server);
     }
-    const auto hanging = now - heard_at_ >= settings_.silence_of_requests_ &&
-                         enough(unanswered.size());
-    if (failing || (hanging && state_ == reachability::reached)) {
-        if (state_ == reachability::reached) {
-            next_probe_ = now + settings_.probe_interval_;
-        }
-        state_ = failing ? reachability::cut : reachability::silent;
-        reached_again_at_.reset();
+    return now - heard_at_ >= settings_.silence_of_requests_ &&
+           enough(unanswered.size());
+}
+
+auto server_reachability::enter(reachability state, time_point now) -> void {
+    if (state_ == reachability::reached) {
+        next_probe_ = now + settings_.probe_interval_;
+    }
+    state_ = state;
+    reached_again_at_.reset();
+}
+
+auto server_reachability::state(time_point now) -> reachability {
+    if (state_ == reachability::cut) {
+        return state_;
+    }
+    if (is_cut(now)) {
+        enter(reachability::cut, now);
+    } else if (most_connections_fail(now)) {
+        enter(reachability::partly_cut, now);
+    } else if (state_ == reachability::reached && is_hanging(now)) {
+        enter(reachability::silent, now);
     }
     return state_;
 }
@@ -90,18 +131,26 @@
     return true;
 }
 
-auto server_reachability::on_probe(bool connected, time_point now) -> void {
-    if (state_ == reachability::reached) {
+auto server_reachability::probes() const -> std::size_t {
+    return std::min(settings_.failed_servers_, servers_);
+}
+
+auto server_reachability::on_probes(std::size_t connected, std::size_t tried,
+                                    time_point now) -> void {
+    if (state_ == reachability::reached || tried == 0) {
         return;
     }
-    if (!connected) {
+    if (connected == 0 && state_ == reachability::silent) {
         state_ = reachability::cut;
+    }
+    if (2 * connected < tried) {
         return;
     }
     state_ = reachability::reached;
     reached_again_at_ = now;
     failed_.clear();
     unanswered_.clear();
+    connections_.clear();
     // What was sent before the cut says nothing about the links now.
     attempts_.clear();
     heard_at_ = now;
--- a/basilstream/coordination/server_reachability/server_reachability_test.cpp
+++ b/basilstream/coordination/server_reachability/server_reachability_test.cpp
@@ -16,6 +16,12 @@
         servers_.on_started(++call_, server, now_);
         servers_.on_connect_failed(call_, now_);
     }
+    auto connect(const std::string& server) -> void {
+        servers_.on_started(++call_, server, now_);
+        servers_.on_connected(call_, now_);
+        servers_.on_heard(now_);
+        servers_.on_ended(call_, now_);
+    }
     auto advance(milliseconds time) -> reachability {
         now_ += time;
         return servers_.state(now_);
@@ -35,6 +41,57 @@
     EXPECT_EQ(servers_.own_share(now_), 0);
 }
 
+// Streams on open connections hid that no new ones could be made.
+TEST_F(server_reachability_test, few_answers_hide_a_cut) {
+    for (const auto* const server : {"s1", "s2", "s3"}) {
+        fail(server);
+        servers_.on_heard(now_);
+    }
+    servers_.on_heard(now_ + milliseconds{150});
+    EXPECT_EQ(advance(milliseconds{150}), reachability::partly_cut);
+    EXPECT_EQ(servers_.own_share(now_), 0);
+    servers_.on_heard(now_);
+    EXPECT_EQ(advance(milliseconds{100}), reachability::partly_cut);
+    servers_.on_probes(3, 3, now_);
+    EXPECT_EQ(advance(milliseconds{100}), reachability::reached);
+}
+
+// One of 18 servers that answered ended the cut, again and again.
+TEST_F(server_reachability_test, one_answer_ends_a_cut) {
+    for (const auto* const server : {"s1", "s2", "s3"}) {
+        fail(server);
+    }
+    EXPECT_EQ(advance(milliseconds{300}), reachability::cut);
+    servers_.on_heard(now_);
+    EXPECT_EQ(advance(milliseconds{250}), reachability::partly_cut);
+    servers_.on_probes(1, 3, now_);
+    EXPECT_EQ(advance(milliseconds{250}), reachability::partly_cut);
+}
+
+// A quarter of the servers is down; the others are reached.
+TEST_F(server_reachability_test, some_dead_servers_are_taken_for_a_cut) {
+    for (auto count = 0; count < 50; ++count) {
+        for (auto number = 0; number < 4; ++number) {
+            fail("dead" + std::to_string(number));
+        }
+        for (auto number = 0; number < 12; ++number) {
+            connect("s" + std::to_string(number));
+        }
+        EXPECT_EQ(advance(milliseconds{300}), reachability::reached);
+    }
+}
+
+// A service with one dead server of two was never used again.
+TEST_F(server_reachability_test, half_of_the_probes_suffices) {
+    servers_.set_servers(2);
+    fail("s1");
+    fail("s2");
+    EXPECT_EQ(advance(milliseconds{300}), reachability::cut);
+    EXPECT_EQ(servers_.probes(), 2);
+    servers_.on_probes(1, 2, now_);
+    EXPECT_EQ(advance(milliseconds{0}), reachability::reached);
+}
+
 // One server that is down counted as a cut.
 TEST_F(server_reachability_test, dead_server_is_taken_for_a_cut) {
     for (auto count = 0; count < 50; ++count) {
@@ -91,10 +148,13 @@
     EXPECT_EQ(advance(milliseconds{250}), reachability::cut);
     EXPECT_TRUE(servers_.probe_due(now_));
     EXPECT_FALSE(servers_.probe_due(now_));
-    servers_.on_probe(false, now_);
+    EXPECT_EQ(servers_.probes(), 3);
+    servers_.on_probes(0, 3, now_);
     EXPECT_EQ(advance(milliseconds{250}), reachability::cut);
+    servers_.on_probes(1, 3, now_);
+    EXPECT_EQ(advance(milliseconds{0}), reachability::cut);
     EXPECT_TRUE(servers_.probe_due(now_));
-    servers_.on_probe(true, now_);
+    servers_.on_probes(2, 3, now_);
     EXPECT_EQ(advance(milliseconds{500}), reachability::reached);
     EXPECT_NEAR(servers_.own_share(now_), 0.5, 0.01);
     EXPECT_EQ(advance(milliseconds{600}), reachability::reached);
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -142,11 +142,20 @@
     ++attempts_sent_;
     nothing_sent_ = false;
     state_.reachability_of(service_).on_started(call_number_, backend_, now);
+    connecting_ = !call_->established();
     state_.router_.start_attempt(backend_);
     state_.context_.permits_.on_sent(backend_);
     monitor_call();
 }
 
+auto exchange::note_connection() -> void {
+    if (connecting_ && call_ && call_->established()) {
+        connecting_ = false;
+        state_.reachability_of(service_).on_connected(
+            call_number_, state_.context_.clock_.now());
+    }
+}
+
 auto exchange::monitor_call() -> void {
     state_.call_monitor_.close(call_number_);
     using coordination::connection_kind;
@@ -223,6 +232,7 @@
     state_.prompts_.on_finish(quarantine_run_id(), false, now);
     state_.reachability_of(service_).on_ended(call_number_, now);
     call_.reset();
+    connecting_ = false;
     paused_ = false;
     state_.call_monitor_.close(call_number_);
     state_.monitored_calls_.erase(call_number_);
--- a/basilstream/daemon/relay/internal/exchange_forwarding.cpp
+++ b/basilstream/daemon/relay/internal/exchange_forwarding.cpp
@@ -34,7 +34,7 @@
         dispatch_after(offer_wait);
         return true;
     }
-    if (state == coordination::reachability::silent) {
+    if (state != coordination::reachability::cut) {
         return false;
     }
     retry_outcome_ = "servers_unreachable";
--- a/basilstream/daemon/relay/internal/forwarding.cpp
+++ b/basilstream/daemon/relay/internal/forwarding.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -81,9 +82,11 @@
     -> void {
     const auto now = context_.clock_.now();
     auto& reachability = links.reachability_;
-    if (links.probe_ && links.probe_->established()) {
-        links.probe_.reset();
-        reachability.on_probe(true, now);
+    const auto made = static_cast<std::size_t>(
+        std::count_if(links.probes_.begin(), links.probes_.end(),
+                      [](const auto& probe) { return probe->established(); }));
+    if (made > 0) {
+        reachability.on_probes(made, links.probes_.size(), now);
     }
     const auto reached =
         reachability.state(now) == coordination::reachability::reached;
@@ -91,30 +94,44 @@
         on_reachability_changed(service, reached, addresses);
     }
     if (reached) {
-        links.probe_.reset();
+        links.probes_.clear();
         return;
     }
     context_.forwarding_.seek();
     if (!addresses.empty() && reachability.probe_due(now)) {
-        if (links.probe_) {
-            reachability.on_probe(false, now);
-        }
-        links.probe_ = std::make_unique<connection_probe>(
-            context_.thread_,
-            addresses[context_.random_.below(addresses.size())]);
+        reachability.on_probes(made, links.probes_.size(), now);
+        start_probes(links, addresses);
+    }
+}
+
+auto relay_state::start_probes(service_links& links,
+                               std::vector<std::string> addresses) -> void {
+    links.probes_.clear();
+    const auto count = std::min(links.reachability_.probes(), addresses.size());
+    for (auto index = std::size_t{0}; index < count; ++index) {
+        std::swap(addresses[index],
+                  addresses[index +
+                            context_.random_.below(addresses.size() - index)]);
+        links.probes_.push_back(std::make_unique<connection_probe>(
+            context_.thread_, addresses[index]));
     }
 }
 
 auto relay_state::on_reachability_changed(
     const std::string& service, bool reached,
     const std::vector<std::string>& addresses) -> void {
+    const auto state = reachability_of(service).state(context_.clock_.now());
     context_.log_.warning(
         reached ? "servers of a service are reached again"
-                : "no server of a service can be reached",
-        {{"service", service}, {"servers", std::to_string(addresses.size())}});
-    // Kept connections may have ended unnoticed.
-    for (const auto& address : addresses) {
-        pool_.drop_idle(address);
+                : "servers of a service cannot be reached",
+        {{"service", service},
+         {"servers", std::to_string(addresses.size())},
+         {"reachability", coordination::reachability_names.name_of(state)}});
+    if (state != coordination::reachability::partly_cut) {
+        // Kept connections may have ended unnoticed.
+        for (const auto& address : addresses) {
+            pool_.drop_idle(address);
+        }
     }
     if (reached) {
         return;
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -134,12 +134,15 @@
     struct service_links {
         coordination::server_reachability reachability_{{}};
         bool reached_ = true;
-        std::unique_ptr<connection_probe> probe_;
+        std::vector<std::unique_ptr<connection_probe>> probes_;
     };
     std::map<std::string, service_links> links_;
 
     auto check_links(const std::string& service, service_links& links,
                      const std::vector<std::string>& addresses) -> void;
+    // Tries to connect to some of the servers.
+    auto start_probes(service_links& links, std::vector<std::string> addresses)
+        -> void;
     // Logs the change, and lets requests that wait for connections go another
     // way.
     auto on_reachability_changed(const std::string& service, bool reached,
