Take answers, not open connections, for links to servers that work

Cause: probes were connections, so that a silent service became reached after each; requests lost on a connection that had been made counted as crashes only. Change: a new connection counts when it brings an answer; one that ends before an answer counts as failed; probes are status checks, but not to servers with permits, nor while a silent service gets requests from here.

--- a/basilstream/coordination/server_reachability/server_reachability.cpp
+++ b/basilstream/coordination/server_reachability/server_reachability.cpp
@@ -11,9 +11,19 @@
 }
 
 auto server_reachability::on_started(std::uint64_t call,
-                                     const std::string& server, time_point now)
+                                     const std::string& server,
+                                     bool new_connection, time_point now)
     -> void {
-    attempts_[call] = {server, now};
+    attempts_[call] = {server, new_connection, now};
+}
+
+auto server_reachability::on_answered(std::uint64_t call, time_point now)
+    -> void {
+    const auto found = attempts_.find(call);
+    if (found != attempts_.end() && found->second.new_connection_) {
+        connections_[found->second.server_] = {true, now};
+    }
+    on_heard(now);
 }
 
 auto server_reachability::on_ended(std::uint64_t call, time_point now) -> void {
@@ -21,30 +31,24 @@
     if (found == attempts_.end()) {
         return;
     }
-    const auto& [server, started_at] = found->second;
-    if (heard_at_ <= started_at &&
-        now - started_at >= settings_.shortest_attempt_) {
-        unanswered_.insert(server);
+    const auto& ended = found->second;
+    if (heard_at_ <= ended.started_at_ &&
+        now - ended.started_at_ >= settings_.shortest_attempt_) {
+        unanswered_.insert(ended.server_);
     }
     attempts_.erase(found);
 }
 
-auto server_reachability::on_connected(std::uint64_t call, time_point now)
-    -> void {
-    const auto found = attempts_.find(call);
-    if (found != attempts_.end()) {
-        connections_[found->second.server_] = {true, now};
-    }
-}
-
-auto server_reachability::on_connect_failed(std::uint64_t call, time_point now)
-    -> void {
+auto server_reachability::on_lost(std::uint64_t call, time_point now) -> void {
     const auto found = attempts_.find(call);
     if (found == attempts_.end()) {
         return;
     }
-    failed_.try_emplace(found->second.server_, now);
-    connections_[found->second.server_] = {false, now};
+    const auto& lost = found->second;
+    failed_.try_emplace(lost.server_, now);
+    if (lost.new_connection_) {
+        connections_[lost.server_] = {false, now};
+    }
     attempts_.erase(found);
 }
 
@@ -64,16 +68,16 @@
     std::erase_if(connections_, [&](const auto& entry) {
         return now - entry.second.at_ > settings_.connection_window_;
     });
-    auto made = std::size_t{0};
+    auto answered = std::size_t{0};
     auto failed = std::size_t{0};
     auto first_failure = now;
     for (const auto& [server, outcome] : connections_) {
-        ++(outcome.made_ ? made : failed);
-        if (!outcome.made_) {
+        ++(outcome.answered_ ? answered : failed);
+        if (!outcome.answered_) {
             first_failure = std::min(first_failure, outcome.at_);
         }
     }
-    return enough(failed) && failed > made &&
+    return enough(failed) && failed > answered &&
            now - first_failure >= settings_.silence_after_failures_ / 2;
 }
 
@@ -103,7 +107,10 @@
 
 auto server_reachability::enter(reachability state, time_point now) -> void {
     if (state_ == reachability::reached) {
-        next_probe_ = now + settings_.probe_interval_;
+        // Whether connections are still made is not known of a silent service.
+        next_probe_ = state == reachability::silent
+                          ? now
+                          : now + settings_.probe_interval_;
     }
     state_ = state;
     reached_again_at_.reset();
@@ -135,15 +142,15 @@
     return std::min(settings_.failed_servers_, servers_);
 }
 
-auto server_reachability::on_probes(std::size_t connected, std::size_t tried,
+auto server_reachability::on_probes(const probe_results& results,
                                     time_point now) -> void {
-    if (state_ == reachability::reached || tried == 0) {
+    if (state_ == reachability::reached || results.probed_ == 0) {
         return;
     }
-    if (connected == 0 && state_ == reachability::silent) {
+    if (results.connected_ == 0 && state_ == reachability::silent) {
         state_ = reachability::cut;
     }
-    if (2 * connected < tried) {
+    if (2 * results.answered_ < results.probed_) {
         return;
     }
     state_ = reachability::reached;
--- a/basilstream/daemon/peer_forwarding/peer_forwarding.cpp
+++ b/basilstream/daemon/peer_forwarding/peer_forwarding.cpp
@@ -119,6 +119,14 @@
            (asking_since_ &&
             context_.clock_.now() >= *asking_since_ + answer_time);
 }
+auto peer_forwarding::has_offer(const std::string& service) const -> bool {
+    const auto now = context_.clock_.now();
+    return std::any_of(offers_.begin(), offers_.end(), [&](const auto& entry) {
+        return now < entry.second.valid_until_ &&
+               !entry.second.unreached_.contains(service);
+    });
+}
+
 
 auto peer_forwarding::on_failed(const std::string& helper) -> void {
     offers_.erase(helper);
--- a/basilstream/daemon/peer_forwarding/peer_forwarding.hpp
+++ b/basilstream/daemon/peer_forwarding/peer_forwarding.hpp
@@ -79,6 +79,8 @@
     [[nodiscard]] auto choose(const std::string& service,
                               const std::vector<std::string>& excluded)
         -> std::optional<forwarding_helper>;
+    /// Returns whether choose() would return a daemon.
+    [[nodiscard]] auto has_offer(const std::string& service) const -> bool;
     /// Returns whether each daemon that was asked has had time to answer.
     [[nodiscard]] auto has_asked() const -> bool;
     /// Records that a helper cannot be reached.
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -352,7 +352,6 @@
     if (done_) {
         return;
     }
-    note_connection();
     if (now >= deadline_) {
         const auto may_have_run = possible_runs_ > 0 || call_;
         if (call_) {
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -148,8 +148,6 @@
     [[nodiscard]] auto register_run(time_point now) -> result<void>;
     // Retries or gives up; ends the exchange if the client has disconnected.
     auto on_attempt_failed(error cause) -> void;
-    // Reports a new connection to a backend server once it is made.
-    auto note_connection() -> void;
     auto retry_or_give_up(error cause) -> void;
     // Decides whether to retry; a retry is charged to the retry budget.
     [[nodiscard]] auto decide_retry(const error& cause)
@@ -259,8 +257,6 @@
     int attempts_sent_ = 0;
     // Whether no connection was made for the last attempt.
     bool nothing_sent_ = false;
-    // Whether the attempt in flight waits for a new connection.
-    bool connecting_ = false;
     // Incremented with each scheduled dispatch; invalidates earlier timers.
     std::uint64_t dispatch_generation_ = 0;
 
--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -24,8 +24,8 @@
     if (!helper_.empty()) {
         return on_forwarded_head(head);
     }
-    note_connection();
-    state_.reachability_of(service_).on_heard(state_.context_.clock_.now());
+    state_.reachability_of(service_).on_answered(call_number_,
+                                                 state_.context_.clock_.now());
     verdict_ = state_.dialect_.classify_answer(head, request_.id_);
     state_.last_received_at_[backend_] = state_.context_.clock_.now();
     note_server_state(head);
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -141,21 +141,13 @@
                                      request_.id_);
     ++attempts_sent_;
     nothing_sent_ = false;
-    state_.reachability_of(service_).on_started(call_number_, backend_, now);
-    connecting_ = !call_->established();
+    state_.reachability_of(service_).on_started(call_number_, backend_,
+                                                !call_->established(), now);
     state_.router_.start_attempt(backend_);
     state_.context_.permits_.on_sent(backend_);
     monitor_call();
 }
 
-auto exchange::note_connection() -> void {
-    if (connecting_ && call_ && call_->established()) {
-        connecting_ = false;
-        state_.reachability_of(service_).on_connected(
-            call_number_, state_.context_.clock_.now());
-    }
-}
-
 auto exchange::monitor_call() -> void {
     state_.call_monitor_.close(call_number_);
     using coordination::connection_kind;
@@ -232,7 +224,6 @@
     state_.prompts_.on_finish(quarantine_run_id(), false, now);
     state_.reachability_of(service_).on_ended(call_number_, now);
     call_.reset();
-    connecting_ = false;
     paused_ = false;
     state_.call_monitor_.close(call_number_);
     state_.monitored_calls_.erase(call_number_);
@@ -250,12 +241,14 @@
     const auto now = state_.context_.clock_.now();
     if (!sent) {
         log_failed_connection();
-        state_.reachability_of(service_).on_connect_failed(call_number_, now);
     } else {
         log_lost_attempt(failure);
         state_.quarantine_.on_connection_lost(quarantine_run_id(), now);
         state_.prompts_.on_connection_lost(quarantine_run_id(), now);
     }
+    if (mode_ == answer_mode::none) {
+        state_.reachability_of(service_).on_lost(call_number_, now);
+    }
     end_attempt();
     possible_runs_ += sent ? 1 : 0;
     state_.router_.on_failure(backend_, now);
--- a/basilstream/daemon/relay/internal/forwarding.cpp
+++ b/basilstream/daemon/relay/internal/forwarding.cpp
@@ -13,15 +13,26 @@
 
 namespace basilstream::daemon::internal {
 
-connection_probe::connection_probe(transport::reactor_thread& thread,
-                                   const std::string& address)
-    : stream_{transport::tcp_stream::connect(thread, address, *this)} {}
+server_probe::server_probe(transport::reactor_thread& thread,
+                           const std::string& address,
+                           const std::string& request)
+    : waits_for_answer_{!request.empty()}, stream_{
+                                               transport::tcp_stream::connect(
+                                                   thread, address, *this)} {
+    if (stream_) {
+        stream_->write(request);
+    }
+}
 
-auto connection_probe::established() const -> bool {
-    return stream_ && stream_->established();
+auto server_probe::connected() const -> bool {
+    return heard_ || (stream_ && stream_->established());
 }
 
-auto connection_probe::on_closed(transport::close_reason /*reason*/) -> void {
+auto server_probe::answered() const -> bool {
+    return waits_for_answer_ ? heard_ : connected();
+}
+
+auto server_probe::on_closed(transport::close_reason /*reason*/) -> void {
     stream_.reset();
 }
 
@@ -67,70 +78,99 @@
 }
 
 auto relay_state::check_reachability() -> void {
-    auto addresses = std::map<std::string, std::vector<std::string>>{};
+    auto servers = std::map<std::string, std::vector<server_address>>{};
     for (const auto& [id, backend] : backends_) {
-        addresses[backend.service_].push_back(backend.address_);
+        servers[backend.service_].push_back({id, backend.address_});
     }
     for (auto& [service, links] : links_) {
-        links.reachability_.set_servers(addresses[service].size());
-        check_links(service, links, addresses[service]);
+        links.reachability_.set_servers(servers[service].size());
+        check_links(service, links, servers[service]);
     }
 }
 
 auto relay_state::check_links(const std::string& service, service_links& links,
-                              const std::vector<std::string>& addresses)
+                              const std::vector<server_address>& servers)
     -> void {
     const auto now = context_.clock_.now();
     auto& reachability = links.reachability_;
-    const auto made = static_cast<std::size_t>(
-        std::count_if(links.probes_.begin(), links.probes_.end(),
-                      [](const auto& probe) { return probe->established(); }));
-    if (made > 0) {
-        reachability.on_probes(made, links.probes_.size(), now);
+    auto results = coordination::probe_results{links.probes_.size()};
+    for (const auto& probe : links.probes_) {
+        results.connected_ += probe->connected() ? 1 : 0;
+        results.answered_ += probe->answered() ? 1 : 0;
+    }
+    if (results.answered_ > 0) {
+        reachability.on_probes(results, now);
     }
-    const auto reached =
-        reachability.state(now) == coordination::reachability::reached;
+    const auto state = reachability.state(now);
+    const auto reached = state == coordination::reachability::reached;
     if (std::exchange(links.reached_, reached) != reached) {
-        on_reachability_changed(service, reached, addresses);
+        on_reachability_changed(service, reached, servers);
     }
     if (reached) {
         links.probes_.clear();
         return;
     }
     context_.forwarding_.seek();
-    if (!addresses.empty() && reachability.probe_due(now)) {
-        reachability.on_probes(made, links.probes_.size(), now);
-        start_probes(links, addresses);
+    // How a silent service is probed depends on whether others offer help.
+    const auto waits_for_offers = state == coordination::reachability::silent &&
+                                  !context_.forwarding_.has_offer(service) &&
+                                  !context_.forwarding_.has_asked();
+    if (!servers.empty() && !waits_for_offers && reachability.probe_due(now)) {
+        reachability.on_probes(results, now);
+        start_probes(service, links, servers);
     }
 }
 
-auto relay_state::start_probes(service_links& links,
-                               std::vector<std::string> addresses) -> void {
+auto relay_state::start_probes(const std::string& service, service_links& links,
+                               std::vector<server_address> servers) -> void {
     links.probes_.clear();
-    const auto count = std::min(links.reachability_.probes(), addresses.size());
+    // A service that gets requests from here needs no status checks, which take
+    // slots of servers that may only be busy.
+    const auto gets_requests =
+        links.reachability_.state(context_.clock_.now()) ==
+            coordination::reachability::silent &&
+        !context_.forwarding_.has_offer(service);
+    const auto count = std::min(links.reachability_.probes(), servers.size());
     for (auto index = std::size_t{0}; index < count; ++index) {
-        std::swap(addresses[index],
-                  addresses[index +
-                            context_.random_.below(addresses.size() - index)]);
-        links.probes_.push_back(std::make_unique<connection_probe>(
-            context_.thread_, addresses[index]));
+        const auto left = servers.size() - index;
+        std::swap(servers[index],
+                  servers[index + context_.random_.below(left)]);
+        links.probes_.push_back(std::make_unique<server_probe>(
+            context_.thread_, servers[index].address_,
+            gets_requests ? std::string{}
+                          : make_status_check(service, servers[index])));
+    }
+}
+
+auto relay_state::make_status_check(const std::string& service,
+                                    const server_address& server) const
+    -> std::string {
+    const auto& config = routes_.config();
+    const auto* const found = config ? config->find_service(service) : nullptr;
+    if (found == nullptr || found->health_path_.empty() ||
+        context_.permits_.needs_permit(server.id_)) {
+        return {};
     }
+    auto headers = transport::header_list{};
+    headers.add("Host", server.address_);
+    headers.add("Connection", "close");
+    return transport::write_request("GET", found->health_path_, headers, "");
 }
 
 auto relay_state::on_reachability_changed(
     const std::string& service, bool reached,
-    const std::vector<std::string>& addresses) -> void {
+    const std::vector<server_address>& servers) -> void {
     const auto state = reachability_of(service).state(context_.clock_.now());
     context_.log_.warning(
         reached ? "servers of a service are reached again"
                 : "servers of a service cannot be reached",
         {{"service", service},
-         {"servers", std::to_string(addresses.size())},
+         {"servers", std::to_string(servers.size())},
          {"reachability", coordination::reachability_names.name_of(state)}});
     if (state != coordination::reachability::partly_cut) {
         // Kept connections may have ended unnoticed.
-        for (const auto& address : addresses) {
-            pool_.drop_idle(address);
+        for (const auto& server : servers) {
+            pool_.drop_idle(server.address_);
         }
     }
     if (reached) {
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -44,16 +44,21 @@
     transport::duration_histogram& total_time_;
 };
 
-/// Tries to connect to a server.
-class connection_probe final : public transport::tcp_observer {
+/// Tries whether a server is reached: sends a request on a connection of its
+/// own and waits for the first byte of an answer. Without a request, the
+/// connection suffices.
+class server_probe final : public transport::tcp_observer {
 public:
-    connection_probe(transport::reactor_thread& thread,
-                     const std::string& address);
-    [[nodiscard]] auto established() const -> bool;
-    auto on_data(std::string_view /*bytes*/) -> void override {}
+    server_probe(transport::reactor_thread& thread, const std::string& address,
+                 const std::string& request);
+    [[nodiscard]] auto connected() const -> bool;
+    [[nodiscard]] auto answered() const -> bool;
+    auto on_data(std::string_view /*bytes*/) -> void override { heard_ = true; }
     auto on_closed(transport::close_reason /*reason*/) -> void override;
 
 private:
+    const bool waits_for_answer_;
+    bool heard_ = false;
     std::unique_ptr<transport::tcp_stream> stream_;
 };
 
@@ -99,8 +104,8 @@
         -> coordination::server_reachability&;
     /// Returns whether a request of the service should go to another daemon.
     [[nodiscard]] auto prefers_forwarding(const std::string& service) -> bool;
-    /// Notices services that cannot be reached any more, and tries to connect
-    /// to their servers now and then.
+    /// Notices services that cannot be reached any more, and probes their
+    /// servers now and then.
     auto check_reachability() -> void;
     /// Answers with `status`; adds a retry hint to status 503.
     auto refuse(transport::http_session& session, int status,
@@ -134,19 +139,29 @@
     struct service_links {
         coordination::server_reachability reachability_{{}};
         bool reached_ = true;
-        std::vector<std::unique_ptr<connection_probe>> probes_;
+        std::vector<std::unique_ptr<server_probe>> probes_;
     };
     std::map<std::string, service_links> links_;
 
+    struct server_address {
+        std::string id_;
+        std::string address_;
+    };
+
     auto check_links(const std::string& service, service_links& links,
-                     const std::vector<std::string>& addresses) -> void;
-    // Tries to connect to some of the servers.
-    auto start_probes(service_links& links, std::vector<std::string> addresses)
-        -> void;
+                     const std::vector<server_address>& servers) -> void;
+    // Probes some of the servers.
+    auto start_probes(const std::string& service, service_links& links,
+                      std::vector<server_address> servers) -> void;
+    // Returns a status check for a server; empty if it should not get one, as
+    // it counts requests or bears few rejections.
+    [[nodiscard]] auto make_status_check(const std::string& service,
+                                         const server_address& server) const
+        -> std::string;
     // Logs the change, and lets requests that wait for connections go another
     // way.
     auto on_reachability_changed(const std::string& service, bool reached,
-                                 const std::vector<std::string>& addresses)
+                                 const std::vector<server_address>& servers)
         -> void;
 
     coordination::quarantine quarantine_;
--- a/testing/fault_soak/fault_proxy.cpp
+++ b/testing/fault_soak/fault_proxy.cpp
@@ -68,6 +68,11 @@
         if (owner_ == nullptr) {
             return;
         }
+        if (owner_->mode_ == proxy_mode::reset) {
+            thread_.after(milliseconds{0},
+                          [self = shared_from_this()] { self->close(true); });
+            return;
+        }
         const auto drops =
             owner_->mode_ == proxy_mode::silent ||
             (owner_->mode_ == proxy_mode::one_way && from_server);
--- a/testing/fault_soak/fault_proxy.hpp
+++ b/testing/fault_soak/fault_proxy.hpp
@@ -26,6 +26,8 @@
     silent,
     /// Drops the bytes towards the client only.
     one_way,
+    /// Resets the connection on which bytes arrive.
+    reset,
 };
 
 class fault_proxy {
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -17,11 +17,13 @@
 
 constexpr auto settling_time = milliseconds{5000};
 constexpr auto route_timeout_ms = 8000;
+constexpr auto health_path = "/health";
 
 auto service_entry(int adapters) -> protocol::json {
     using protocol::json;
-    auto service = json{
-        {"name", "app"}, {"healthPath", "/health"}, {"connectionLimit", 4000}};
+    auto service = json{{"name", "app"},
+                        {"healthPath", health_path},
+                        {"connectionLimit", 4000}};
     if (adapters > 0) {
         service["engine"] = json{{"slots", 32},
                                  {"kvCacheTokens", 100'000},
@@ -167,9 +169,15 @@
 
 auto raw_connection::on_data(std::string_view bytes) -> void {
     const auto self = shared_from_this();
-    if (reader_.feed(bytes) == transport::read_state::complete) {
-        on_request_(reader_.take(), self);
+    if (reader_.feed(bytes) != transport::read_state::complete) {
+        return;
     }
+    auto request = reader_.take();
+    if (request.target_ == health_path) {
+        write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
+    on_request_(request, self);
 }
 
 auto raw_connection::on_closed(transport::close_reason /*reason*/) -> void {
@@ -322,11 +330,24 @@
 
 auto raw_deployment::cut_links(int daemon, link_fault fault) -> void {
     for (const auto& [target, link] : links_[daemon]) {
-        link->stop_accepting(fault == link_fault::hang);
-        if (fault == link_fault::hang) {
+        switch (fault) {
+        case link_fault::hang:
+            link->stop_accepting(true);
             link->set_mode(proxy_mode::silent);
-        } else if (fault == link_fault::reset) {
+            break;
+        case link_fault::reset:
+            link->stop_accepting(false);
             link->reset_all();
+            break;
+        case link_fault::refuse_new:
+            link->stop_accepting(false);
+            break;
+        case link_fault::carry_nothing:
+            link->set_mode(proxy_mode::silent);
+            break;
+        case link_fault::reset_requests:
+            link->set_mode(proxy_mode::reset);
+            break;
         }
     }
 }
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -34,7 +34,7 @@
 
 namespace basilstream::testing {
 
-/// A connection that a server has accepted.
+/// A connection that a server has accepted. Answers status checks itself.
 class raw_connection final
     : public transport::tcp_observer,
       public std::enable_shared_from_this<raw_connection> {
@@ -133,6 +133,10 @@
     reset,
     /// Open connections go on, new ones are refused.
     refuse_new,
+    /// New connections are made, but no connection carries anything.
+    carry_nothing,
+    /// New connections are made; any connection is reset by the first bytes.
+    reset_requests,
 };
 
 /// What a deployment consists of.
