--- a/basilstream/daemon/peer_forwarding/peer_forwarding.cpp
+++ b/basilstream/daemon/peer_forwarding/peer_forwarding.cpp
@@ -49,25 +49,30 @@
     state_ = std::move(state);
 }
 
+auto peer_forwarding::has_paused(time_point now) const -> bool {
+    return now > next_question_ + 2 * question_interval;
+}
+
 auto peer_forwarding::seek() -> void {
     const auto now = context_.clock_.now();
     if (!send_ || now < next_question_) {
         return;
     }
-    const auto paused = now > next_question_ + 2 * question_interval;
-    if (!asking_since_ || paused) {
+    if (!asking_since_ || has_paused(now)) {
         asking_since_ = now;
     }
     next_question_ = now + question_interval;
     questions_.add();
     auto question = protocol::relay_update{};
     question.asks_for_forwarding_ = true;
-    // Starts at a random daemon, so that all are asked in time.
-    const auto count = others_.size();
-    const auto first = count == 0 ? 0 : context_.random_.below(count);
-    for (auto index = std::size_t{0}; index < std::min(count, daemons_to_ask);
-         ++index) {
-        (void)send_(others_[(first + index) % count], question);
+    // Neighbours by name are often of one availability zone, which may be cut
+    // as a whole.
+    auto order = others_;
+    const auto count = std::min(order.size(), daemons_to_ask);
+    for (auto index = std::size_t{0}; index < count; ++index) {
+        const auto left = order.size() - index;
+        std::swap(order[index], order[index + context_.random_.below(left)]);
+        (void)send_(order[index], question);
     }
 }
 
@@ -114,11 +119,6 @@
     return chosen->helper_;
 }
 
-auto peer_forwarding::has_asked() const -> bool {
-    return others_.empty() ||
-           (asking_since_ &&
-            context_.clock_.now() >= *asking_since_ + answer_time);
-}
 auto peer_forwarding::has_offer(const std::string& service) const -> bool {
     const auto now = context_.clock_.now();
     return std::any_of(offers_.begin(), offers_.end(), [&](const auto& entry) {
@@ -127,6 +127,11 @@
     });
 }
 
+auto peer_forwarding::has_asked() const -> bool {
+    const auto now = context_.clock_.now();
+    return others_.empty() || (asking_since_ && !has_paused(now) &&
+                               now >= *asking_since_ + answer_time);
+}
 
 auto peer_forwarding::on_failed(const std::string& helper) -> void {
     offers_.erase(helper);
--- a/basilstream/daemon/peer_forwarding/peer_forwarding.hpp
+++ b/basilstream/daemon/peer_forwarding/peer_forwarding.hpp
@@ -97,6 +97,9 @@
         time_point valid_until_{};
     };
 
+    // Returns whether the last question is so old that its answers say nothing.
+    [[nodiscard]] auto has_paused(time_point now) const -> bool;
+
     const peer_forwarding_context context_;
     const std::string self_;
     const std::string key_;
--- a/basilstream/daemon/peer_forwarding/peer_forwarding_test.cpp
+++ b/basilstream/daemon/peer_forwarding/peer_forwarding_test.cpp
@@ -2,6 +2,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -79,5 +82,47 @@
     EXPECT_EQ(choose(), "");
 }
 
+// A daemon that was cut once more refused requests before it had asked again.
+TEST_F(peer_forwarding_test, former_questions_count_as_asked) {
+    nodes_["d1"]->seek();
+    clock_.advance(milliseconds{200});
+    EXPECT_TRUE(nodes_["d1"]->has_asked());
+    clock_.advance(seconds{5});
+    EXPECT_FALSE(nodes_["d1"]->has_asked());
+    nodes_["d1"]->seek();
+    EXPECT_FALSE(nodes_["d1"]->has_asked());
+    clock_.advance(milliseconds{200});
+    EXPECT_TRUE(nodes_["d1"]->has_asked());
+}
+
+// All daemons that were asked were of one availability zone, which was cut.
+TEST_F(peer_forwarding_test, only_neighbours_are_asked) {
+    auto names = std::vector<std::string>{"d1"};
+    for (const auto* const zone : {"a", "b", "c", "d"}) {
+        for (auto number = 10; number < 30; ++number) {
+            names.push_back(zone + std::to_string(number));
+        }
+    }
+    auto& node = *nodes_["d1"];
+    auto zones = std::set<char>{};
+    auto asked = std::set<std::string>{};
+    node.connect([&](const std::string& to, const auto& /*question*/) {
+        zones.insert(to[0]);
+        asked.insert(to);
+        return true;
+    });
+    node.set_daemons(names);
+    constexpr auto questions = 100;
+    auto of_one_zone = 0;
+    for (auto question = 0; question < questions; ++question) {
+        zones.clear();
+        node.seek();
+        of_one_zone += zones.size() == 1 ? 1 : 0;
+        clock_.advance(milliseconds{500});
+    }
+    EXPECT_LE(of_one_zone, 2);
+    EXPECT_EQ(asked.size(), names.size() - 1);
+}
+
 } // namespace
 } // namespace basilstream::daemon
--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -168,6 +168,14 @@
     if (!forwarded_ && state_.prefers_forwarding(service_) && forward()) {
         return;
     }
+    if (forwarded_ && possible_runs_ == 0 &&
+        refusal_outcome() == forwarding_outcome::unreached) {
+        retry_outcome_ = "servers_unreachable";
+        give_up(error{error_code::unavailable, step::routing, service_,
+                      "this daemon does not reach the service either",
+                      run_status::not_run});
+        return;
+    }
     avoid_limited_servers();
     const auto key = routing_key(service_, request_.model_);
     auto routing_request = make_route_request(key);
@@ -435,15 +443,23 @@
             not_run ? std::optional{retry_hint(cause)} : std::nullopt;
         auto headers = state_.dialect_.local_reply_headers(request_.id_, hint);
         if (forwarded_) {
-            write_forwarding_outcome({not_run ? forwarding_outcome::not_run
-                                              : forwarding_outcome::failed},
-                                     headers);
+            write_forwarding_outcome(
+                {not_run ? refusal_outcome() : forwarding_outcome::failed},
+                headers);
         }
         client_->respond(status, headers, error_body(cause));
     }
     finish();
 }
 
+auto exchange::refusal_outcome() const -> forwarding_outcome {
+    const auto reached =
+        state_.reachability_of(service_).state(state_.context_.clock_.now()) ==
+        coordination::reachability::reached;
+    return reached ? forwarding_outcome::not_run
+                   : forwarding_outcome::unreached;
+}
+
 auto exchange::make_record(request_outcome outcome) const -> request_record {
     const auto now = state_.context_.clock_.now();
     auto entry = request_record{};
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -169,6 +169,9 @@
     // Ends the exchange: sends a buffered 5xx answer if there is one, aborts a
     // stream that has started, else answers 502, 503 or 504.
     auto give_up(const error& cause) -> void;
+    // Returns what to tell the daemon whose request is refused without having
+    // run: whether others may reach the service.
+    [[nodiscard]] auto refusal_outcome() const -> forwarding_outcome;
     auto finish() -> void;
     // Returns the journal entry of a request that ends now.
     [[nodiscard]] auto make_record(request_outcome outcome) const
