Send further tries of a request on connections that have not carried it

Callers saw (report of another operator): 'not run, try again' for a request that ran, or a request that ran at a second server, after a copy of its refusal. Cause: a connection is used again for a try under the same id, and the id does not tell the copy of the first answer from the answer to the second try. Change: a pooled connection carries a request id once, and 512 requests at most.

--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -121,7 +121,8 @@
     chosen_backend_load_ = chosen.load_;
     mode_ = answer_mode::none;
     call_ = state_.pool_.send(chosen.address_, bytes, message.method_ == "HEAD",
-                              state_.connection_limit(service_), *this);
+                              state_.connection_limit(service_), *this,
+                              request_.id_);
     if (!call_) {
         state_.quarantine_.on_finish(quarantine_run_id(), false, now);
         state_.prompts_.on_finish(quarantine_run_id(), false, now);
--- a/basilstream/daemon/relay/internal/exchange_forwarding.cpp
+++ b/basilstream/daemon/relay/internal/exchange_forwarding.cpp
@@ -73,7 +73,7 @@
         helper.address_,
         transport::write_request(message.method_, message.target_, headers,
                                  message.body_),
-        message.method_ == "HEAD", max_helper_connections, *this);
+        message.method_ == "HEAD", max_helper_connections, *this, request_.id_);
     if (!call_) {
         failed_helpers_.push_back(std::exchange(helper_, {}));
         dispatch_after(milliseconds{0});
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -493,6 +493,39 @@
     };
 }
 
+// Returns a script that runs the request and answers it, after a copy of the
+// refusal that its connection has carried before.
+auto repeat_refusal_and_run(const test_backend::connection*& refused_on)
+    -> test_backend::script {
+    return [&refused_on](const transport::request_message& request,
+                         test_backend::connection& to) {
+        if (&to == refused_on) {
+            refuse()(request, to);
+        }
+        answer(200, "ran")(request, to);
+    };
+}
+
+// The copy of a refusal answered the next try under the same id, which ran: the
+// client was told that it had not, or it ran at another server as well.
+TEST_F(relay_test, refusal_written_once_more_answers_the_next_try) {
+    const test_backend::connection* refused_on = nullptr;
+    a_.scripts_ = {[&](const auto& request, auto& to) {
+        refused_on = &to;
+        refuse()(request, to);
+    }};
+    a_.default_script_ = repeat_refusal_and_run(refused_on);
+    EXPECT_EQ(call("/once/1", "X-Id", "same").status_, 503);
+    add_backend_b();
+    b_.default_script_ = answer(200, "ran");
+    for (auto tries = 0; tries < 20; ++tries) {
+        const auto again = call("/once/1", "X-Id", "same");
+        EXPECT_EQ(again.status_, 200);
+        EXPECT_EQ(again.body_, "ran");
+    }
+    EXPECT_EQ(a_.requests_.size() + b_.requests_.size(), 21U);
+}
+
 // A server that turned requests away and asked for a pause got the next ones.
 TEST_F(relay_test, sends_to_a_backend_that_asked_for_a_pause) {
     add_backend_b();
--- a/basilstream/transport/http_pool/http_pool.cpp
+++ b/basilstream/transport/http_pool/http_pool.cpp
@@ -2,11 +2,17 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace basilstream::transport {
 namespace {
 
+// Requests with an id that one connection carries at most, which bounds the
+// memory of their ids.
+constexpr auto max_requests = std::size_t{512};
+
 // Returns the idle time that a Keep-Alive header announces.
 auto announced_idle(std::string_view keep_alive, milliseconds otherwise)
     -> milliseconds {
@@ -122,8 +128,14 @@
 
 auto http_call_connection::reusable() const -> bool {
     return stream_ && keep_alive_ && !seen_foreign_ &&
-           reader_->surplus() == 0 && stream_->buffered() == 0 &&
-           pool_.clock_.now() < usable_until_;
+           carried_.size() < max_requests && reader_->surplus() == 0 &&
+           stream_->buffered() == 0 && pool_.clock_.now() < usable_until_;
+}
+
+auto http_call_connection::has_carried(std::string_view id) const -> bool {
+    return !id.empty() &&
+           std::find(carried_.begin(), carried_.end(),
+                     std::hash<std::string_view>{}(id)) != carried_.end();
 }
 
 auto http_call_connection::finish() -> void {
@@ -176,33 +188,52 @@
 
 http_pool::~http_pool() = default;
 
-auto http_pool::take_idle(address_entry& entry) -> connection_pointer {
+auto http_pool::take_idle(address_entry& entry, std::string_view id)
+    -> connection_pointer {
     const auto now = clock_.now();
-    while (!entry.idle_.empty()) {
-        auto connection = std::move(entry.idle_.back());
-        entry.idle_.pop_back();
-        if (now < connection->usable_until_) {
-            return connection;
+    std::erase_if(entry.idle_, [&](const connection_pointer& each) {
+        const auto over = now >= each->usable_until_;
+        if (over) {
+            each->stream_.reset();
         }
-        connection->stream_.reset();
+        return over;
+    });
+    const auto found =
+        std::find_if(entry.idle_.rbegin(), entry.idle_.rend(),
+                     [&](const auto& each) { return !each->has_carried(id); });
+    if (found == entry.idle_.rend()) {
+        return nullptr;
     }
-    return nullptr;
+    auto connection = *found;
+    entry.idle_.erase(std::next(found).base());
+    return connection;
 }
 
 auto http_pool::send(const std::string& address, std::string_view bytes,
-                     bool head_request, int limit, answer_observer& observer)
+                     bool head_request, int limit, answer_observer& observer,
+                     std::string_view id)
     -> std::shared_ptr<http_call_connection> {
     auto& entry = addresses_[address];
-    auto connection = take_idle(entry);
+    auto connection = take_idle(entry, id);
     if (connection) {
         ++statistics_.reused_;
     } else if (static_cast<int>(entry.busy_.size()) >= limit) {
         return nullptr;
     } else {
+        // Idle connections that have carried the id count as well.
+        if (!entry.idle_.empty() &&
+            static_cast<int>(entry.busy_.size() + entry.idle_.size()) >=
+                limit) {
+            entry.idle_.front()->stream_.reset();
+            entry.idle_.erase(entry.idle_.begin());
+        }
         ++statistics_.opened_;
         connection = std::make_shared<http_call_connection>(*this, address);
     }
     entry.busy_.push_back(connection);
+    if (!id.empty()) {
+        connection->carried_.push_back(std::hash<std::string_view>{}(id));
+    }
     connection->start(bytes, head_request, observer);
     return connection;
 }
--- a/basilstream/transport/http_pool/http_pool.hpp
+++ b/basilstream/transport/http_pool/http_pool.hpp
@@ -96,6 +96,7 @@
     auto finish() -> void;
     auto fail(call_failure failure) -> void;
     [[nodiscard]] auto reusable() const -> bool;
+    [[nodiscard]] auto has_carried(std::string_view id) const -> bool;
 
     http_pool& pool_;
     std::string address_;
@@ -104,6 +105,8 @@
     answer_observer* observer_ = nullptr;
     time_point since_;
     time_point usable_until_;
+    // Hashes of the ids of all requests so far.
+    std::vector<std::size_t> carried_;
     bool keep_alive_ = true;
     bool foreign_ = false;
     bool seen_foreign_ = false;
@@ -137,10 +140,13 @@
     ~http_pool();
 
     /// Sends a whole request. Null if `limit` connections to the address are
-    /// open and none is idle; the observer then hears nothing.
+    /// open and none is idle; the observer then hears nothing. Requests with
+    /// the same `id` use different connections: a server may write an earlier
+    /// answer once more, and the id does not tell it from that of a further
+    /// try. An empty id stands for a request that is never sent again.
     [[nodiscard]] auto send(const std::string& address, std::string_view bytes,
                             bool head_request, int limit,
-                            answer_observer& observer)
+                            answer_observer& observer, std::string_view id = {})
         -> std::shared_ptr<http_call_connection>;
     /// Closes idle connections whose time is over and those that could not be
     /// made in time; call every 100 ms or so.
@@ -162,7 +168,9 @@
         std::vector<connection_pointer> idle_;
     };
 
-    auto take_idle(address_entry& entry) -> connection_pointer;
+    // Returns an idle connection that has not carried a request with the id.
+    auto take_idle(address_entry& entry, std::string_view id)
+        -> connection_pointer;
     auto release(const connection_pointer& connection) -> void;
     auto remove(const connection_pointer& connection) -> void;
 
