Resume streams only with answers of the same media type

Cause: each 2xx answer to a streaming request counted as the continuation of its stream. Ruled out: 4xx and 5xx answers, which are kept apart. Change: the media type must be that of the answer with which the stream began.

--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -277,6 +277,8 @@
     protocol::event_splitter events_;
     // Whether the head of a stream has been sent to the client.
     bool stream_started_ = false;
+    // Media type of that head, which answers that resume the stream share.
+    std::string stream_type_;
     // Whether reading from the backend server is paused for flow control.
     bool paused_ = false;
     bool done_ = false;
--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -1,5 +1,6 @@
 #include "basilstream/daemon/relay/internal/exchange.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Answers of backend servers: what they state, their bodies and their ends.
@@ -18,6 +19,18 @@
 constexpr auto min_server_error_status = 500;
 constexpr auto unavailable_status = 503;
 
+// Returns the media type of an answer without its parameters, in lower case.
+auto media_type(const transport::header_list& headers) -> std::string {
+    const auto field = headers.find("Content-Type");
+    auto type = std::string{field.substr(0, field.find_first_of("; \t"))};
+    std::transform(type.begin(), type.end(), type.begin(), [](char letter) {
+        return letter >= 'A' && letter <= 'Z'
+                   ? static_cast<char>(letter - 'A' + 'a')
+                   : letter;
+    });
+    return type;
+}
+
 } // namespace
 
 auto exchange::on_answer_head(const transport::answer_head& head) -> bool {
@@ -69,17 +82,21 @@
     (void)buffered_.resize(events_.partial_bytes());
     received_stream_ = false;
     has_fallback_ = false;
+    const auto type = media_type(head.headers_);
     const auto streamed =
         route_.kind_ == coordination::request_kind::streaming &&
-        head.status_ / 100 == 2;
+        head.status_ / 100 == 2 && (!stream_started_ || type == stream_type_);
     mode_ = streamed ? answer_mode::streamed : answer_mode::buffered;
     if (streamed && route_.resumable_ && helper_.empty()) {
         state_.context_.streams_.on_stream_begun(
             request_.last_event_ ? request_.resumed_request_ : request_.id_,
             service_, attempt_version_);
     }
-    if (streamed && !std::exchange(stream_started_, true) &&
-        client_ != nullptr) {
+    if (!streamed || std::exchange(stream_started_, true)) {
+        return;
+    }
+    stream_type_ = type;
+    if (client_ != nullptr) {
         client_->begin_stream(head.status_, passed_on_headers());
     }
 }
--- a/basilstream/daemon/relay/relay_test.cpp
+++ b/basilstream/daemon/relay/relay_test.cpp
@@ -493,6 +493,52 @@
     };
 }
 
+// Returns a script that answers 200 with `bytes` after its head, then closes
+// the connection.
+auto write_raw(const std::string& fields, const std::string& bytes)
+    -> test_backend::script {
+    return [=](const transport::request_message& request,
+               test_backend::connection& to) {
+        to.write("HTTP/1.1 200 OK\r\nX-Id: " +
+                 std::string{request.headers_.find("X-Id")} + "\r\n" + fields +
+                 "\r\n" + bytes);
+        to.close();
+    };
+}
+
+// A text that is no stream of events became part of a resumed stream, or ended
+// it as if it were complete.
+TEST_F(relay_test, text_of_another_type_continues_a_stream) {
+    add_backend_b();
+    const auto first = write_raw("Content-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\n",
+                                 "11\r\nid: 1\ndata: one\n\n\r\n");
+    auto cases = 0;
+    for (const auto* const page : {"Down\n\n", "", "data:{}\n\n"}) {
+        for (const auto* const type : {"text/html", "application/json"}) {
+            const auto size = std::to_string(std::string_view{page}.size());
+            const auto second =
+                write_raw("Content-Type: " + std::string{type} +
+                              "\r\nContent-Length: " + size + "\r\n",
+                          page);
+            a_.scripts_.clear();
+            b_.scripts_.clear();
+            a_.requests_.clear();
+            b_.requests_.clear();
+            a_.default_script_ = [&](const auto& request, auto& to) {
+                (request.headers_.contains("X-Resume") ? second
+                                                       : first)(request, to);
+            };
+            b_.default_script_ = a_.default_script_;
+            const auto response = call("/resume/" + std::to_string(++cases));
+            EXPECT_EQ(response.status_, 200);
+            EXPECT_EQ(response.body_, "id: 1\ndata: one\n\n");
+            EXPECT_FALSE(response.complete_) << type << " " << page;
+            EXPECT_EQ(a_.requests_.size() + b_.requests_.size(), 2U);
+        }
+    }
+}
+
 // Returns a script that runs the request and answers it, after a copy of the
 // refusal that its connection has carried before.
 auto repeat_refusal_and_run(const test_backend::connection*& refused_on)
