Let evictions and loads in progress grow with the number of runners

Cause: at most four models unload and twelve load at a time, counts made for 18 runners; with 78 full runners each missing model waits for one of four evictions. Change: shares of the runners that take orders, the former counts as minimums.

--- a/basilstream/coordination/demand_placement/demand_placement.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement.cpp
@@ -59,6 +59,14 @@
             active_runners += runner.draining_ ? 0 : 1;
         }
         mean_load_ = total_rate / std::max(active_runners, 1);
+        const auto limit = [&](double share, std::size_t minimum) {
+            return std::max(minimum, static_cast<std::size_t>(
+                                         std::lround(share * active_runners)));
+        };
+        max_models_loading_ =
+            limit(settings_.max_loading_share_, settings_.min_models_loading_);
+        max_models_unloading_ = limit(settings_.max_unloading_share_,
+                                      settings_.min_models_unloading_);
     }
 
     auto run() -> std::vector<fleet_step> {
@@ -165,7 +173,7 @@
                   });
         for (const auto* const model : models_by_rate) {
             const auto& stats = models_[model->name_];
-            if (models_loading_ >= settings_.max_models_loading_ ||
+            if (models_loading_ >= max_models_loading_ ||
                 stats.rate_per_copy() <
                     settings_.model_copy_share_ * mean_load_ ||
                 stats.rate_ < min_tokens_per_second) {
@@ -272,7 +280,7 @@
                      double free_mb, fleet_reason reason) -> const held_model* {
         const held_model* best = nullptr;
         auto lowest_rate = std::numeric_limits<double>::infinity();
-        if (models_unloading_ >= settings_.max_models_unloading_) {
+        if (models_unloading_ >= max_models_unloading_) {
             return nullptr;
         }
         for (const auto& held : runner.models_) {
@@ -307,7 +315,7 @@
     auto place_copies_for_adapters() -> void {
         for (const auto& model : input_.engine_.models_) {
             if (models_without_slots_.contains(model.name_) &&
-                models_loading_ < settings_.max_models_loading_ &&
+                models_loading_ < max_models_loading_ &&
                 !is_loading(model.name_)) {
                 place_copy(model, fleet_reason::demand);
             }
@@ -516,6 +524,8 @@
     double mean_load_ = 0;
     std::size_t models_loading_ = 0;
     std::size_t models_unloading_ = 0;
+    std::size_t max_models_loading_ = 0;
+    std::size_t max_models_unloading_ = 0;
     // Runners that already get an order in this plan.
     std::set<std::string> runners_with_model_step_;
     std::set<std::string> runners_with_adapter_step_;
--- a/basilstream/coordination/demand_placement/demand_placement_test.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement_test.cpp
@@ -392,6 +392,110 @@
     demand_tracker tracker_;
 };
 
+// Replays the load of a deployment of 78 runners, all of them full with copies
+// of 26 busy models, as 39 further models are asked for at once. Unloading
+// takes as long as the requests on the copy, a load 9 s.
+class shift_replay {
+public:
+    shift_replay() : engine_{engine_of(170, 230'000, 70'000)} {
+        engine_.loads_per_second_ = 11;
+        for (auto index = 0; index < 78; ++index) {
+            const auto text = [](int number) {
+                return "m" + std::to_string(number % 26);
+            };
+            runners_.push_back(
+                runner_of("r" + std::to_string(index),
+                          {text(index), text(index + 9), text(index + 17)}));
+        }
+        changes_at_.resize(runners_.size());
+    }
+
+    // Returns the longest time for which a model was asked for and not loaded.
+    auto longest_wait() -> duration {
+        constexpr auto step = milliseconds{250};
+        auto longest = duration{0};
+        auto asked_since = std::map<std::string, time_point>{};
+        for (auto now = start; now < start + seconds{40}; now += step) {
+            finish_changes(now);
+            for (auto number = 0; number < 65; ++number) {
+                const auto name = "m" + std::to_string(number);
+                add_demand(tracker_, name, "", number < 26 ? 3 : 0.2, now);
+                auto& since = asked_since.try_emplace(name, now).first->second;
+                longest = std::max(longest,
+                                   has_model(name) ? duration{0} : now - since);
+                since = has_model(name) ? now : since;
+            }
+            std::erase_if(store_loads_, [&](time_point at) {
+                return now - at >= seconds{5};
+            });
+            const auto left = 55 - static_cast<int>(store_loads_.size());
+            for (const auto& order :
+                 plan(engine_, runners_, tracker_, now, left)) {
+                carry_out(order, now);
+            }
+        }
+        return longest;
+    }
+
+private:
+    auto carry_out(const fleet_step& order, time_point now) -> void {
+        const auto found = std::find_if(
+            runners_.begin(), runners_.end(),
+            [&](const auto& runner) { return runner.id_ == order.runner_; });
+        found->models_blocked_ = true;
+        changes_at_[static_cast<std::size_t>(found - runners_.begin())] =
+            now + (order.is_load_ ? seconds{9} : seconds{2});
+        if (order.is_load_) {
+            store_loads_.push_back(now);
+            found->models_.push_back({order.model_, load_state::loading, {}});
+            return;
+        }
+        for (auto& model : found->models_) {
+            if (model.name_ == order.model_) {
+                model.state_ = load_state::unloading;
+            }
+        }
+    }
+
+    auto finish_changes(time_point now) -> void {
+        for (auto index = std::size_t{0}; index < runners_.size(); ++index) {
+            auto& runner = runners_[index];
+            if (!runner.models_blocked_ || now < changes_at_[index]) {
+                continue;
+            }
+            runner.models_blocked_ = false;
+            std::erase_if(runner.models_, [](const auto& model) {
+                return model.state_ == load_state::unloading;
+            });
+            for (auto& model : runner.models_) {
+                model.state_ = load_state::ready;
+            }
+        }
+    }
+
+    auto has_model(const std::string& name) const -> bool {
+        return std::any_of(
+            runners_.begin(), runners_.end(), [&](const auto& runner) {
+                const auto* const model = runner.find(name);
+                return model != nullptr && model->state_ == load_state::ready;
+            });
+    }
+
+    service_engine engine_;
+    std::vector<fleet_runner> runners_;
+    std::vector<time_point> changes_at_;
+    std::vector<time_point> store_loads_;
+    demand_tracker tracker_;
+};
+
+// Four evictions at a time for any number of runners: the last model waited for
+// nine others. An eviction and a load take 11 s, the loads may start within 4
+// s.
+TEST(plan_fleet, models_wait_for_evictions_of_a_large_fleet) {
+    const auto wait = shift_replay{}.longest_wait();
+    EXPECT_LE(wait, seconds{18}) << wait.count();
+}
+
 // Two loads of a model: one in progress as the adapter is first asked for, and
 // one of a copy with a slot for it.
 TEST(plan_fleet, adapters_starve_while_models_are_loaded) {
