Log why a model in demand gets no copy

Change: find_unplaced_models names the limit that binds; the owner of placement logs it every two seconds. Test: plan_fleet.names_why_a_model_gets_no_copy.

--- a/basilstream/coordination/demand_placement/demand_placement.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement.cpp
@@ -79,6 +79,9 @@
         place_copies_for_adapters();
         return std::move(steps_);
     }
+    [[nodiscard]] auto unplaced() const -> const std::vector<unplaced_model>& {
+        return unplaced_;
+    }
 
 private:
     // Which adapters place_adapters() places: only those without a copy, in
@@ -206,6 +209,9 @@
             }
         }
         if (!best) {
+            if (reason == fleet_reason::unserved) {
+                unplaced_.push_back({model.name_, reason_without_option()});
+            }
             return;
         }
         const auto& runner = input_.runners_[best->runner_];
@@ -237,6 +243,15 @@
         ++models_loading_;
     }
 
+    [[nodiscard]] auto reason_without_option() const -> unplaced_reason {
+        if (store_loads_ <= 0) {
+            return unplaced_reason::load_rate;
+        }
+        return models_unloading_ >= max_models_unloading_
+                   ? unplaced_reason::evictions
+                   : unplaced_reason::no_room;
+    }
+
     auto find_option(std::size_t index, const service_model& model,
                      fleet_reason reason) -> std::optional<placement_option> {
         const auto& runner = input_.runners_[index];
@@ -533,6 +548,7 @@
     // another one in demand.
     std::set<std::string> models_without_slots_;
     std::vector<fleet_step> steps_;
+    std::vector<unplaced_model> unplaced_;
 };
 
 } // namespace
@@ -566,4 +582,12 @@
     return fleet_planner{input, settings}.run();
 }
 
+auto find_unplaced_models(const fleet_input& input,
+                          const fleet_settings& settings)
+    -> std::vector<unplaced_model> {
+    auto planner = fleet_planner{input, settings};
+    (void)planner.run();
+    return planner.unplaced();
+}
+
 } // namespace basilstream::coordination
--- a/basilstream/coordination/demand_placement/demand_placement.hpp
+++ b/basilstream/coordination/demand_placement/demand_placement.hpp
@@ -225,6 +225,27 @@
                               const fleet_settings& settings = {})
     -> std::vector<fleet_step>;
 
+/// Why a model in demand gets no copy now: the rate of loads from the weight
+/// store is used up, too many models are unloading, or no runner has room or a
+/// copy that may be evicted.
+enum class unplaced_reason { load_rate, evictions, no_room };
+
+inline constexpr auto unplaced_reason_names =
+    name_table<unplaced_reason, 3>{{{{unplaced_reason::load_rate, "load_rate"},
+                                     {unplaced_reason::evictions, "evictions"},
+                                     {unplaced_reason::no_room, "no_room"}}}};
+
+struct unplaced_model {
+    std::string model_;
+    unplaced_reason reason_ = unplaced_reason::no_room;
+};
+
+/// Returns the models in demand that have no copy and get none by the plan for
+/// the same input. Takes as long as plan_fleet().
+[[nodiscard]] auto find_unplaced_models(const fleet_input& input,
+                                        const fleet_settings& settings = {})
+    -> std::vector<unplaced_model>;
+
 /// Memory and adapter slots in use on a runner. Models and adapters that are
 /// loading or unloading count in full.
 struct fleet_usage {
--- a/basilstream/coordination/demand_placement/demand_placement_test.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement_test.cpp
@@ -392,6 +392,36 @@
     demand_tracker tracker_;
 };
 
+// Nothing told why a model in demand got no copy.
+TEST(plan_fleet, names_why_a_model_gets_no_copy) {
+    const auto engine = engine_of(6);
+    const auto runners = std::vector<fleet_runner>{
+        runner_of("a", {"m0", "m1"}), runner_of("b", {"m0", "m1"})};
+    auto tracker = demand_tracker{};
+    for (const auto* const model : {"m0", "m1", "m2"}) {
+        add_demand(tracker, model, "", 1, start);
+    }
+    const auto reason = [&](int store_loads, std::size_t evictions) {
+        const auto unplaced = find_unplaced_models(
+            {.service_ = "chat",
+             .engine_ = engine,
+             .runners_ = runners,
+             .demand_ = tracker,
+             .store_loads_ = store_loads,
+             .now_ = start},
+            {.max_unloading_share_ = 0, .min_models_unloading_ = evictions});
+        return unplaced.empty()
+                   ? std::string_view{"placed"}
+                   : unplaced_reason_names.name_of(unplaced.front().reason_);
+    };
+    EXPECT_EQ(reason(0, 4), "load_rate");
+    EXPECT_EQ(reason(5, 0), "evictions");
+    EXPECT_EQ(reason(5, 4), "placed");
+    add_demand(tracker, "m3", "", 1, start);
+    add_demand(tracker, "m4", "", 1, start);
+    EXPECT_EQ(reason(5, 4), "no_room");
+}
+
 // Replays the load of a deployment of 78 runners, all of them full with copies
 // of 26 busy models, as 39 further models are asked for at once. Unloading
 // takes as long as the requests on the copy, a load 9 s.
--- a/basilstream/daemon/model_control/model_control.cpp
+++ b/basilstream/daemon/model_control/model_control.cpp
@@ -28,6 +28,8 @@
 // Expected wait for an adapter whose model is resident: one demand message, one
 // order and the load of the adapter.
 constexpr auto adapter_wait = milliseconds{200};
+// Shortest time between log lines on the same model that gets no copy.
+constexpr auto unplaced_log_interval = seconds{2};
 // Longest wait for a permit to fetch a report from a rate limited runner.
 constexpr auto max_report_wait = seconds{1};
 // Added to the expected load time from the weight store to cover the plan, the
@@ -510,23 +512,42 @@
             continue;
         }
         const auto runners = ledger_.runners_of(service.name_, now);
-        const auto steps = coordination::plan_fleet(
-            {.service_ = service.name_,
-             .engine_ = *service.engine_,
-             .runners_ = runners,
-             .demand_ = demand_,
-             .store_loads_ = remaining_store_loads(*service.engine_),
-             .now_ = now},
-            settings_.fleet_);
+        const auto input = coordination::fleet_input{
+            .service_ = service.name_,
+            .engine_ = *service.engine_,
+            .runners_ = runners,
+            .demand_ = demand_,
+            .store_loads_ = remaining_store_loads(*service.engine_),
+            .now_ = now};
+        const auto steps = coordination::plan_fleet(input, settings_.fleet_);
+        if (now >= next_unplaced_log_) {
+            log_unplaced_models(input);
+        }
         for (const auto& step : steps) {
             send_order(step);
         }
     }
+    if (now >= next_unplaced_log_) {
+        next_unplaced_log_ = now + unplaced_log_interval;
+    }
     const auto planning_time = context_.clock_.now() - now;
     plan_allowed_at_ = now + plan_pause_factor * planning_time;
     publish_changes();
 }
 
+auto model_control::log_unplaced_models(const coordination::fleet_input& input)
+    -> void {
+    for (const auto& unplaced :
+         coordination::find_unplaced_models(input, settings_.fleet_)) {
+        context_.log_.info(
+            "model in demand gets no copy",
+            {{"service", input.service_},
+             {"model", unplaced.model_},
+             {"reason",
+              coordination::unplaced_reason_names.name_of(unplaced.reason_)}});
+    }
+}
+
 auto model_control::send_order(const coordination::fleet_step& step) -> void {
     const auto now = context_.clock_.now();
     const auto expected = ledger_.begin_order(step, now);
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -146,6 +146,8 @@
     // Plans now, or as soon as the limit on planning time allows.
     auto request_plan() -> void;
     auto plan() -> void;
+    // Logs why models in demand get no copy.
+    auto log_unplaced_models(const coordination::fleet_input& input) -> void;
     auto fetch_report(const std::string& id) -> void;
     auto send_order(const coordination::fleet_step& step) -> void;
     // Sends an order that ledger_ has recorded, under the lease of
@@ -197,6 +199,7 @@
     bool flush_scheduled_ = false;
     bool plan_scheduled_ = false;
     time_point plan_allowed_at_{};
+    time_point next_unplaced_log_{};
     time_point next_plan_{};
     time_point next_flush_{};
     duration flush_interval_;
