Let servers of the fault soak answer status checks

Cause: since daemons send status checks to servers of a service that they do not reach. The stand-in, whose service names /health, counted them as requests that no client had sent. All other requests without a known id are unasked.

--- a/testing/fault_soak/soak.cpp
+++ b/testing/fault_soak/soak.cpp
@@ -48,7 +48,7 @@
                   route("/resume/", "streaming", 2, true)}},
                 {"services",
                  {{{"name", "app"},
-                   {"healthPath", "/health"},
+                   {"healthPath", health_path},
                    {"connectionLimit", 400}}}},
                 {"limits",
                  {{"headerBytes", 16384},
--- a/testing/fault_soak/stand_in_server.cpp
+++ b/testing/fault_soak/stand_in_server.cpp
@@ -127,6 +127,13 @@
         session.respond(421, headers, "");
         return;
     }
+    const auto is_status_check = request.method_ == "GET" &&
+                                 request.target_ == health_path && id.empty() &&
+                                 request.body_.empty();
+    if (is_status_check) {
+        session.respond(200, headers, "");
+        return;
+    }
     const auto process = server_process{name_, starts_};
     context_.promises_.on_run(id, process, request.target_, request.body_,
                               settled, context_.clock_.now());
--- a/testing/fault_soak/stand_in_server.hpp
+++ b/testing/fault_soak/stand_in_server.hpp
@@ -21,6 +21,9 @@
 
 namespace basilstream::testing {
 
+/// Path of the status checks that servers answer.
+inline constexpr auto health_path = "/health";
+
 /// What the servers share; all must outlive them.
 struct server_context {
     transport::reactor_thread& thread_;
