Evict more at a time only for models that no runner holds

Cause: let evictions and loads for further copies of busy models grow with the fleet as well; they displaced each other. Change: the share of the runners holds for models without a copy, the former counts for all else.

--- a/basilstream/coordination/demand_placement/demand_placement.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement.cpp
@@ -59,14 +59,10 @@
             active_runners += runner.draining_ ? 0 : 1;
         }
         mean_load_ = total_rate / std::max(active_runners, 1);
-        const auto limit = [&](double share, std::size_t minimum) {
-            return std::max(minimum, static_cast<std::size_t>(
-                                         std::lround(share * active_runners)));
-        };
-        max_models_loading_ =
-            limit(settings_.max_loading_share_, settings_.min_models_loading_);
-        max_models_unloading_ = limit(settings_.max_unloading_share_,
-                                      settings_.min_models_unloading_);
+        max_unloading_for_unserved_ = std::max(
+            settings_.max_models_unloading_,
+            static_cast<std::size_t>(std::lround(
+                settings_.unserved_unloading_share_ * active_runners)));
     }
 
     auto run() -> std::vector<fleet_step> {
@@ -176,7 +172,7 @@
                   });
         for (const auto* const model : models_by_rate) {
             const auto& stats = models_[model->name_];
-            if (models_loading_ >= max_models_loading_ ||
+            if (models_loading_ >= settings_.max_models_loading_ ||
                 stats.rate_per_copy() <
                     settings_.model_copy_share_ * mean_load_ ||
                 stats.rate_ < min_tokens_per_second) {
@@ -247,7 +243,7 @@
         if (store_loads_ <= 0) {
             return unplaced_reason::load_rate;
         }
-        return models_unloading_ >= max_models_unloading_
+        return models_unloading_ >= max_unloading_for_unserved_
                    ? unplaced_reason::evictions
                    : unplaced_reason::no_room;
     }
@@ -295,7 +291,10 @@
                      double free_mb, fleet_reason reason) -> const held_model* {
         const held_model* best = nullptr;
         auto lowest_rate = std::numeric_limits<double>::infinity();
-        if (models_unloading_ >= max_models_unloading_) {
+        const auto max_unloading = reason == fleet_reason::unserved
+                                       ? max_unloading_for_unserved_
+                                       : settings_.max_models_unloading_;
+        if (models_unloading_ >= max_unloading) {
             return nullptr;
         }
         for (const auto& held : runner.models_) {
@@ -330,7 +329,7 @@
     auto place_copies_for_adapters() -> void {
         for (const auto& model : input_.engine_.models_) {
             if (models_without_slots_.contains(model.name_) &&
-                models_loading_ < max_models_loading_ &&
+                models_loading_ < settings_.max_models_loading_ &&
                 !is_loading(model.name_)) {
                 place_copy(model, fleet_reason::demand);
             }
@@ -539,8 +538,7 @@
     double mean_load_ = 0;
     std::size_t models_loading_ = 0;
     std::size_t models_unloading_ = 0;
-    std::size_t max_models_loading_ = 0;
-    std::size_t max_models_unloading_ = 0;
+    std::size_t max_unloading_for_unserved_ = 0;
     // Runners that already get an order in this plan.
     std::set<std::string> runners_with_model_step_;
     std::set<std::string> runners_with_adapter_step_;
--- a/basilstream/coordination/demand_placement/demand_placement.hpp
+++ b/basilstream/coordination/demand_placement/demand_placement.hpp
@@ -194,15 +194,15 @@
     /// outnumber the slots are served in turn.
     duration adapter_aging_time_ = seconds{1};
     /// No additional copy of a served model is placed while this many model
-    /// loads for each runner, or the minimum below, are in progress.
-    double max_loading_share_ = 0.67;
-    std::size_t min_models_loading_ = 12;
-    /// Maximum number of models for each runner that are unloading at the same
-    /// time; the minimum below is always allowed. A model that is unloading
-    /// serves no requests, so a shift in demand must not replace all copies at
-    /// once.
-    double max_unloading_share_ = 0.22;
-    std::size_t min_models_unloading_ = 4;
+    /// loads are in progress.
+    std::size_t max_models_loading_ = 12;
+    /// Maximum number of models that are unloading at the same time. A model
+    /// that is unloading serves no requests, so a shift in demand must not
+    /// replace all copies at once.
+    std::size_t max_models_unloading_ = 4;
+    /// The same, for each runner, for the sake of models without a copy, if
+    /// that is more: in a large fleet more models are asked for at once.
+    double unserved_unloading_share_ = 0.22;
     /// Expected time to load an adapter.
     duration adapter_load_time_ = milliseconds{40};
 };
--- a/basilstream/coordination/demand_placement/demand_placement_test.cpp
+++ b/basilstream/coordination/demand_placement/demand_placement_test.cpp
@@ -402,14 +402,15 @@
         add_demand(tracker, model, "", 1, start);
     }
     const auto reason = [&](int store_loads, std::size_t evictions) {
-        const auto unplaced = find_unplaced_models(
-            {.service_ = "chat",
-             .engine_ = engine,
-             .runners_ = runners,
-             .demand_ = tracker,
-             .store_loads_ = store_loads,
-             .now_ = start},
-            {.max_unloading_share_ = 0, .min_models_unloading_ = evictions});
+        const auto unplaced =
+            find_unplaced_models({.service_ = "chat",
+                                  .engine_ = engine,
+                                  .runners_ = runners,
+                                  .demand_ = tracker,
+                                  .store_loads_ = store_loads,
+                                  .now_ = start},
+                                 {.max_models_unloading_ = evictions,
+                                  .unserved_unloading_share_ = 0});
         return unplaced.empty()
                    ? std::string_view{"placed"}
                    : unplaced_reason_names.name_of(unplaced.front().reason_);
