--- a/testing/partitioned_daemons/partitioned_daemons_test.cpp
+++ b/testing/partitioned_daemons/partitioned_daemons_test.cpp
@@ -234,11 +234,13 @@
                               "\r\nTransfer-Encoding: chunked\r\n\r\n"
                               "f\r\nid: 1\ndata: a\n\n\r\n");
             for (auto event = 2; event <= options_.stream_events_; ++event) {
-                after_silence(number, milliseconds{50} * (event - 1), [=] {
-                    connection->write(
-                        event_chunk(event) +
-                        (event == options_.stream_events_ ? "0\r\n\r\n" : ""));
-                });
+                after_silence(
+                    number, milliseconds{50} * (event - 1), [=, this] {
+                        connection->write(event_chunk(event) +
+                                          (event == options_.stream_events_
+                                               ? "0\r\n\r\n"
+                                               : ""));
+                    });
             }
         });
     }
