--- a/review/stand_ins/world.h
+++ b/review/world.h
@@ -502,6 +502,8 @@
 struct client_options {
     // Bytes a second that the client reads; 0 for no bound.
     double read_rate_ = 0;
+    // Bytes a second that the client sends; 0 for no bound.
+    double write_rate_ = 0;
     // Called with each piece of the body.
     std::function<void(const std::string&)> on_piece_ = nullptr;
 };
@@ -529,7 +531,11 @@
         made->peer_->on_closed_ = [raw](const std::string& reason) {
             raw->on_closed(reason);
         };
-        made->peer_->write(bytes);
+        if (made->options_.write_rate_ > 0) {
+            made->send_paced(bytes);
+        } else {
+            made->peer_->write(bytes);
+        }
         if (made->options_.read_rate_ > 0) {
             made->peer_->set_read_size(
                 static_cast<std::size_t>(made->options_.read_rate_ / 100));
@@ -542,6 +548,23 @@
     }
 
 private:
+    void send_paced(const std::string& bytes) {
+        const auto left = std::make_shared<std::string>(bytes);
+        const auto weak = weak_from_this();
+        constexpr auto step_s = 0.02;
+        loop::get().every(step_s, [left, weak] {
+            const auto alive = weak.lock();
+            if (!alive || !alive->peer_->open()) {
+                return false;
+            }
+            const auto size = std::min(
+                left->size(),
+                static_cast<std::size_t>(alive->options_.write_rate_ * step_s));
+            alive->peer_->write(left->substr(0, size));
+            left->erase(0, size);
+            return !left->empty();
+        });
+    }
     void on_data(const std::string& piece) {
         const auto alive = self_;
         buffer_ += piece;
@@ -625,6 +648,57 @@
     std::optional<std::size_t> left_;
 };
 
+// Passes bytes between clients and a daemon, and resets connections.
+class proxy {
+public:
+    explicit proxy(std::string target) : target_{std::move(target)} {
+        listener_ = std::make_unique<listener>(
+            "127.0.0.1", [this](const connection_pointer& client) {
+                const auto server = connect_to(target_);
+                pairs_.emplace_back(client, server);
+                pass(client, server);
+                pass(server, client);
+            });
+    }
+    const std::string& address() const { return listener_->address(); }
+    // Resets this share of the connections that are open.
+    int reset(double share) {
+        auto count = 0;
+        for (const auto& [client, server] : pairs_) {
+            if (client->open() && std::rand() < share * RAND_MAX) {
+                client->reset();
+                server->reset();
+                ++count;
+            }
+        }
+        return count;
+    }
+
+private:
+    static void pass(const connection_pointer& from,
+                     const connection_pointer& to) {
+        const auto other = std::weak_ptr<connection>{to};
+        from->on_data_ = [other](const std::string& bytes) {
+            if (const auto alive = other.lock()) {
+                alive->write(bytes);
+            }
+        };
+        from->on_closed_ = [other](const std::string& reason) {
+            if (const auto alive = other.lock()) {
+                if (reason == "closed") {
+                    alive->close_when_sent();
+                } else {
+                    alive->reset();
+                }
+            }
+        };
+    }
+
+    const std::string target_;
+    std::unique_ptr<listener> listener_;
+    std::vector<std::pair<connection_pointer, connection_pointer>> pairs_;
+};
+
 // ---- the platform's store ---------------------------------------------------
 
 inline std::string big_endian(std::uint64_t value, int bytes) {
@@ -870,6 +944,7 @@
         born_ = unix_ms();
         ++process_;
         orders_ = 0;
+        busy_ = false;
         models_ = held_at_start_;
         const auto port =
             address_.empty()
@@ -930,6 +1005,8 @@
     std::vector<std::string> held_at_start_;
     int slots_ = 32;
     double heartbeat_ = 1.2;
+    // Time that a load takes.
+    double load_s_ = 2;
     // Called with each order that arrives; returns the status to answer.
     std::function<int(const json&)> on_order_;
 
@@ -953,7 +1030,7 @@
             }
             peer->write(answer_text(200, json{{"stage", "both"},
                                               {"models", models},
-                                              {"busy", false},
+                                              {"busy", busy_},
                                               {"sequence", orders_},
                                               {"waiting", 0},
                                               {"running", 0},
@@ -964,30 +1041,43 @@
         } else if (request.path() == "/basilstream/order") {
             const auto order = json::parse(request.body_);
             auto status = on_order_ ? on_order_(order) : 202;
-            if (order.contains("expect") &&
-                order["expect"].get<int>() != orders_) {
+            if (busy_ || (order.contains("expect") &&
+                          order["expect"].get<int>() != orders_)) {
                 status = 409;
             }
             if (status == 202) {
                 ++orders_;
-                apply(order);
+                begin(order);
             }
             peer->write(answer_text(status, ""));
+        } else if (const auto model = request.header("Basilstream-Model");
+                   !model.empty() && std::find(models_.begin(), models_.end(),
+                                               model) == models_.end()) {
+            peer->write(answer_text(
+                421, "",
+                echo + std::string{"Basilstream-Not-Executed: 1\r\n"}));
         } else {
             on_request_(request, peer);
         }
     }
-    // Orders are carried out at once.
-    void apply(const json& order) {
+    // An order for a model is under way for the time that a load takes.
+    void begin(const json& order) {
         if (order.contains("adapter")) {
             return;
         }
-        const auto name = order["model"].get<std::string>();
-        std::erase(models_, name);
-        if (order["operation"] == "loading") {
-            models_.push_back(name);
-        }
-        announce();
+        busy_ = true;
+        loop::get().after(load_s_, [this, order, process = process_] {
+            if (process != process_) {
+                return;
+            }
+            busy_ = false;
+            const auto name = order["model"].get<std::string>();
+            std::erase(models_, name);
+            if (order["operation"] == "loading") {
+                models_.push_back(name);
+            }
+            announce();
+        });
     }
 
     store& store_;
@@ -1002,6 +1092,7 @@
     int process_ = 0;
     int beats_ = 0;
     int orders_ = 0;
+    bool busy_ = false;
     std::vector<std::string> models_;
 };
 
