Log why connections end; let the fault soak notice ends of daemons

The soak started daemons anew without a look at how they had ended, and the daemon's log did not tell a reset from a silence time-out, nor a client's connection that was cut from one that the client closed. close_reason tells timed_out from reset; relays log connections of clients that end during an answer or with bytes unsent, and name what ended the connection of an attempt. The soak's promise 'ended' is broken by a daemon that ends by itself, or not with status 0 after a SIGTERM.

--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -287,6 +287,10 @@
          {"backend", backend_},
          {"backend_start", std::to_string(state_.start_time(backend_))},
          {"failure", transport::call_failure_names.name_of(failure)},
+         {"connection",
+          call_ && call_->closed_by()
+              ? transport::close_reason_names.name_of(*call_->closed_by())
+              : std::string_view{"closed_here"}},
          {"framing",
           mode_ == answer_mode::none
               ? std::string_view{"no_head"}
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -94,6 +94,7 @@
     auto end_on_shutdown(bool include_running) -> void;
     /// Notifies exchanges whose backend server exceeded a silence time-out and
     /// whose request may be sent again.
+    auto log_cut(const transport::cut_connection& cut) -> void;
     auto handle_silent_calls() -> void;
     /// Routes a request that another daemon has forwarded, and starts its
     /// exchange, or refuses it.
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -238,6 +238,17 @@
     session.respond(status, dialect_.local_reply_headers(request_id, hint), "");
 }
 
+auto relay_state::log_cut(const transport::cut_connection& cut) -> void {
+    context_.log_.info(
+        "client connection ended before its answer",
+        {{"reason", transport::close_reason_names.name_of(cut.reason_)},
+         {"answering", cut.answering_ ? "yes" : "no"},
+         {"unsent_bytes", std::to_string(cut.unsent_bytes_)},
+         {"waited_ms",
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(cut.waited_).count())}});
+}
+
 auto relay_state::handle_silent_calls() -> void {
     for (const auto& action : call_monitor_.tick(context_.clock_.now())) {
         const auto* const silent_request =
@@ -307,7 +318,11 @@
     auto& state = *state_;
     auto opened = transport::http_session_server::open(
         state.context_.thread_, state.context_.clock_,
-        {.address_ = state.settings_.address_},
+        {.address_ = state.settings_.address_,
+         .on_cut_ =
+             [&state](const auto& cut) {
+                 state.log_cut(cut);
+             }},
         [&state](transport::request_message request,
                  transport::http_session& session) {
             state.on_request(std::move(request), session);
@@ -322,7 +337,12 @@
 auto relay::open_forwarding(const std::string& address) -> result<void> {
     auto& state = *state_;
     auto opened = transport::http_session_server::open(
-        state.context_.thread_, state.context_.clock_, {.address_ = address},
+        state.context_.thread_, state.context_.clock_,
+        {.address_ = address,
+         .on_cut_ =
+             [&state](const auto& cut) {
+                 state.log_cut(cut);
+             }},
         [&state](transport::request_message request,
                  transport::http_session& session) {
             state.on_forwarded_request(std::move(request), session);
--- a/basilstream/transport/http_pool/http_pool.cpp
+++ b/basilstream/transport/http_pool/http_pool.cpp
@@ -163,6 +163,7 @@
 
 auto http_call_connection::on_closed(close_reason reason) -> void {
     const auto self = shared_from_this();
+    closed_by_ = reason;
     if (observer_ == nullptr) {
         stream_.reset();
         pool_.remove(self);
--- a/basilstream/transport/http_pool/http_pool.hpp
+++ b/basilstream/transport/http_pool/http_pool.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -82,6 +83,11 @@
     /// Returns whether the connection has been made; until then, nothing of the
     /// request has left.
     [[nodiscard]] auto established() const -> bool;
+    /// Returns why the connection ended; nothing while it is open or after it
+    /// was closed here.
+    [[nodiscard]] auto closed_by() const -> std::optional<close_reason> {
+        return closed_by_;
+    }
 
     auto on_data(std::string_view bytes) -> void override;
     auto on_closed(close_reason reason) -> void override;
@@ -110,6 +116,7 @@
     bool keep_alive_ = true;
     bool foreign_ = false;
     bool seen_foreign_ = false;
+    std::optional<close_reason> closed_by_;
 };
 
 /// Settings of a pool.
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -40,8 +40,12 @@
     server_.sessions_.erase(self);
 }
 
-auto http_session::on_closed(close_reason /*reason*/) -> void {
+auto http_session::on_closed(close_reason reason) -> void {
     const auto self = shared_from_this();
+    if ((busy_ || buffered() > 0) && server_.options_.on_cut_) {
+        server_.options_.on_cut_(
+            {reason, busy_, buffered(), server_.clock_.now() - since_});
+    }
     auto* const observer = std::exchange(observer_, nullptr);
     close();
     if (observer != nullptr) {
@@ -73,6 +77,7 @@
         break;
     case read_state::complete:
         busy_ = true;
+        since_ = server_.clock_.now();
         keep_alive_ = !reader_.has_surplus();
         auto request = reader_.take();
         keep_alive_ = keep_alive_ && request.keep_alive_;
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -35,12 +35,23 @@
     auto operator=(const client_observer&) -> client_observer& = delete;
     virtual ~client_observer() = default;
 
-    /// The client has closed its connection; the session is gone.
+    /// The client's connection has ended; the session is gone.
     virtual auto on_client_left() -> void = 0;
     /// All buffered output has left.
     virtual auto on_client_drained() -> void = 0;
 };
 
+/// A connection that ended before its client had the whole answer.
+struct cut_connection {
+    close_reason reason_ = close_reason::reset;
+    /// Whether the answer was still being made.
+    bool answering_ = false;
+    /// Bytes of the answer that wait for the kernel.
+    std::size_t unsent_bytes_ = 0;
+    /// Time since the request was read, or since its answer was complete.
+    duration waited_{};
+};
+
 class http_session_server;
 
 /// A client's connection. Handlers answer each request exactly once: by
@@ -103,6 +114,9 @@
     request_limits limits_ = {};
     milliseconds header_timeout_{3000};
     milliseconds idle_timeout_{15'000};
+    /// Called when a connection ends during an answer or with bytes unsent, for
+    /// logs; none if empty.
+    std::function<void(const cut_connection&)> on_cut_ = {};
 };
 
 /// Accepts connections and owns their sessions.
--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -52,6 +52,10 @@
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
 }
 
+auto reason_of(int failure) -> close_reason {
+    return failure == ETIMEDOUT ? close_reason::timed_out : close_reason::reset;
+}
+
 auto would_block() -> bool {
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
@@ -94,7 +98,7 @@
         } else if (count == 0) {
             fail(close_reason::end_of_stream);
         } else if (!would_block()) {
-            fail(close_reason::reset);
+            fail(reason_of(errno));
         }
         return 0;
     }
@@ -115,6 +119,7 @@
     auto handle_close(ACE_HANDLE /*handle*/, ACE_Reactor_Mask /*mask*/)
         -> int override {
         if (!closed_) {
+            failure_ = reason_of(pending_error());
             fail_later();
         }
         return 0;
@@ -127,6 +132,7 @@
         if (!connecting_ && output_.empty()) {
             const auto sent = send_some(bytes);
             if (sent < 0) {
+                failure_ = reason_of(errno);
                 fail_later();
                 return;
             }
@@ -160,8 +166,7 @@
         auto alive = alive_;
         thread_.after(milliseconds{0}, [this, alive] {
             if (*alive && !closed_) {
-                fail(connecting_ ? close_reason::not_connected
-                                 : close_reason::reset);
+                fail(connecting_ ? close_reason::not_connected : failure_);
             }
         });
     }
@@ -174,11 +179,15 @@
     }
 
 private:
-    auto finish_connecting() -> bool {
+    [[nodiscard]] auto pending_error() const -> int {
         auto failure = 0;
         auto size = static_cast<socklen_t>(sizeof failure);
         ::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &failure, &size);
-        if (failure != 0) {
+        return failure;
+    }
+
+    auto finish_connecting() -> bool {
+        if (pending_error() != 0) {
             fail(close_reason::not_connected);
             return false;
         }
@@ -194,7 +203,7 @@
         }
         const auto sent = send_some(output_);
         if (sent < 0) {
-            fail(close_reason::reset);
+            fail(reason_of(errno));
             return false;
         }
         output_.erase(0, static_cast<std::size_t>(sent));
@@ -270,6 +279,8 @@
     bool finishing_ = false;
     bool reading_ = true;
     ACE_Reactor_Mask mask_ = 0;
+    // Why the connection ends, if it is reported later.
+    close_reason failure_ = close_reason::reset;
     std::string output_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/basilstream/transport/tcp_stream/tcp_stream.hpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.hpp
@@ -25,15 +25,18 @@
 enum class close_reason {
     /// The peer has closed its side in order.
     end_of_stream,
-    /// The connection was reset, or the peer stopped acknowledging bytes.
+    /// The connection was reset.
     reset,
+    /// The peer acknowledged nothing within the silence time-out.
+    timed_out,
     /// The connection was never established.
     not_connected,
 };
 
-inline constexpr auto close_reason_names = name_table<close_reason, 3>{
+inline constexpr auto close_reason_names = name_table<close_reason, 4>{
     {{{close_reason::end_of_stream, "end_of_stream"},
       {close_reason::reset, "reset"},
+      {close_reason::timed_out, "timed_out"},
       {close_reason::not_connected, "not_connected"}}}};
 
 /// Receives what happens on a connection. A call may destroy the stream.
--- a/testing/fault_soak/daemon_process.cpp
+++ b/testing/fault_soak/daemon_process.cpp
@@ -123,17 +123,32 @@
 
 auto daemon_process::signal(int number) -> void {
     if (!ended_ && pid_ > 0) {
+        killed_ = killed_ || number == SIGKILL;
+        stop_requested_ = stop_requested_ || number == SIGTERM;
         ::kill(pid_, number);
     }
 }
 
 auto daemon_process::ended() -> bool {
-    if (!ended_ && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
+    if (!ended_ && ::waitpid(pid_, &status_, WNOHANG) == pid_) {
         ended_ = true;
     }
     return ended_;
 }
 
+auto daemon_process::unexpected_end() -> std::string {
+    if (!ended() ||
+        (killed_ && WIFSIGNALED(status_) && WTERMSIG(status_) == SIGKILL)) {
+        return {};
+    }
+    if (WIFSIGNALED(status_)) {
+        return "signal " + std::to_string(WTERMSIG(status_));
+    }
+    const auto status = WEXITSTATUS(status_);
+    return stop_requested_ && status == 0 ? std::string{}
+                                          : "status " + std::to_string(status);
+}
+
 auto daemon_process::peak_memory() const -> std::size_t {
     constexpr auto field = std::string_view{"VmHWM:"};
     auto status = std::ifstream{"/proc/" + std::to_string(pid_) + "/status"};
--- a/testing/fault_soak/daemon_process.hpp
+++ b/testing/fault_soak/daemon_process.hpp
@@ -39,6 +39,9 @@
     auto signal(int number) -> void;
     /// Returns whether the process has ended.
     [[nodiscard]] auto ended() -> bool;
+    /// Returns how the process ended if that was not what its signals ask for:
+    /// by itself, or not with status 0 after a SIGTERM. Empty otherwise.
+    [[nodiscard]] auto unexpected_end() -> std::string;
     /// Returns the largest resident size of the process so far, in bytes; 0 if
     /// it is not known.
     [[nodiscard]] auto peak_memory() const -> std::size_t;
@@ -65,6 +68,10 @@
     int peer_port_ = 0;
     pid_t pid_ = -1;
     bool ended_ = false;
+    // As waitpid() reports it, once the process has ended.
+    int status_ = 0;
+    bool killed_ = false;
+    bool stop_requested_ = false;
 };
 
 } // namespace basilstream::testing
--- a/testing/fault_soak/promises.hpp
+++ b/testing/fault_soak/promises.hpp
@@ -48,10 +48,12 @@
     stream_version,
     /// Too few of the streams that clients resume go on.
     resumption,
+    /// A daemon ended by itself, or not in order after a SIGTERM.
+    ended,
 };
 
 inline constexpr auto promise_names =
-    name_table<promise, 12>{{{{promise::twice, "twice"},
+    name_table<promise, 13>{{{{promise::twice, "twice"},
                               {promise::refused_but_run, "refused_but_run"},
                               {promise::mixed, "mixed"},
                               {promise::unasked, "unasked"},
@@ -62,7 +64,8 @@
                               {promise::recovery, "recovery"},
                               {promise::server_limit, "server_limit"},
                               {promise::stream_version, "stream_version"},
-                              {promise::resumption, "resumption"}}}};
+                              {promise::resumption, "resumption"},
+                              {promise::ended, "ended"}}}};
 
 struct violation {
     promise promise_;
--- a/testing/fault_soak/soak.cpp
+++ b/testing/fault_soak/soak.cpp
@@ -299,6 +299,10 @@
 auto fault_soak::restart_ended() -> void {
     for (const auto& target : nodes_) {
         if (target->process_->ended()) {
+            if (const auto end = target->process_->unexpected_end();
+                !end.empty()) {
+                promises_.report(promise::ended, target->name_ + ": " + end);
+            }
             start_daemon(*target);
         }
     }
