Wait for five bytes of a last chunk before the parser sees more of it

Callers saw a daemon end (FAULT) and with it all requests in it (LOST). Cause: Boost.Beast 1.74 asserts that a last chunk whose size line it has seen has five bytes. The reader handed it any bytes that arrived, so that a chunked body whose last chunk came as "0 CR LF" and then one byte ended the process by SIGABRT, whether a client, a server, the store or another daemon sent it. Class: a precondition of a library that a peer can violate.

The reader passes on less than five bytes only if no chunk has begun, which any complete rest of a chunked body has.

--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -26,6 +26,18 @@
     "transfer-encoding",  "upgrade",    "content-length",
     "proxy-authorization"};
 
+// Length of the shortest last chunk, "0" and two line ends. Boost.Beast 1.74
+// asserts that it has as many bytes once it has seen the size line.
+constexpr auto min_last_chunk_bytes = std::size_t{5};
+
+// Returns whether the parser waits for more of a chunk's size line or of the
+// trailer than `buffered` bytes.
+template <class Parser>
+auto needs_more_of_chunk(Parser& parser, std::size_t buffered) -> bool {
+    return buffered < min_last_chunk_bytes && parser.is_header_done() &&
+           !parser.is_done() && parser.chunked();
+}
+
 auto lower(char letter) -> char {
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
                                           : letter;
@@ -166,7 +178,11 @@
     if (fault_ != request_fault::none) {
         return read_state::malformed;
     }
+    const auto began_chunk = !buffer_.empty();
     buffer_.append(bytes);
+    if (began_chunk && needs_more_of_chunk(*parser_, buffer_.size())) {
+        return read_state::incomplete;
+    }
     auto used = std::size_t{0};
     while (!parser_->is_done() && used < buffer_.size()) {
         auto failure = error_code{};
@@ -259,7 +275,11 @@
     -> read_state {
     static thread_local auto scratch = std::array<char, scratch_size>{};
     started_ = started_ || !bytes.empty();
+    const auto began_chunk = !buffer_.empty();
     buffer_.append(bytes);
+    if (began_chunk && needs_more_of_chunk(*parser_, buffer_.size())) {
+        return read_state::incomplete;
+    }
     auto used = std::size_t{0};
     while (!parser_->is_done()) {
         auto& body = parser_->get().body();
--- a/basilstream/transport/http_message/http_message_test.cpp
+++ b/basilstream/transport/http_message/http_message_test.cpp
@@ -149,6 +149,57 @@
     }
 }
 
+// Feeds a message in every pair and every triple of pieces, and byte by byte.
+template <class Feed>
+auto feed_in_pieces(const std::string& message, Feed feed) -> void {
+    for (auto first = std::size_t{1}; first < message.size(); ++first) {
+        for (auto second = first; second < message.size(); ++second) {
+            feed(std::vector{message.substr(0, first),
+                             message.substr(first, second - first),
+                             message.substr(second)});
+        }
+    }
+    auto bytes = std::vector<std::string>{};
+    for (const auto byte : message) {
+        bytes.emplace_back(1, byte);
+    }
+    feed(bytes);
+}
+
+// A last chunk of which four bytes had arrived ended the process.
+TEST(request_reader, last_chunk_in_pieces_ends_the_process) {
+    const auto head = std::string{"POST / HTTP/1.1\r\nHost: x\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n"};
+    for (const auto* const body :
+         {"0\r\n\r\n", "1\r\na\r\n0\r\n\r\n", "0;a=b\r\nX-A: b\r\n\r\n"}) {
+        feed_in_pieces(body, [&](const auto& pieces) {
+            auto reader = request_reader{{}};
+            auto state = reader.feed(head);
+            for (const auto& piece : pieces) {
+                state = piece.empty() ? state : reader.feed(piece);
+            }
+            EXPECT_EQ(state, read_state::complete) << body;
+        });
+    }
+}
+
+TEST(response_reader, last_chunk_in_pieces_ends_the_process) {
+    const auto head = std::string{"HTTP/1.1 200 OK\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n"};
+    for (const auto* const body :
+         {"0\r\n\r\n", "1\r\na\r\n0\r\n\r\n", "0;a=b\r\nX-A: b\r\n\r\n"}) {
+        feed_in_pieces(body, [&](const auto& pieces) {
+            auto reader = response_reader{};
+            auto sink = recording_sink{};
+            auto state = reader.feed(head, sink);
+            for (const auto& piece : pieces) {
+                state = piece.empty() ? state : reader.feed(piece, sink);
+            }
+            EXPECT_EQ(state, read_state::complete) << body;
+        });
+    }
+}
+
 TEST(response_reader, skips_interim_answers) {
     auto reader = response_reader{};
     auto sink = recording_sink{};
