Bound size lines of chunks and trailers that the parser has not taken

Cause: the parser takes a size line and a trailer only as a whole, and the readers kept what it had not taken without a bound of their own. Class: a library's bound taken for ours.

Bound now as heads are: header_bytes of the config for requests (431), 64 KiB for answers, which are malformed beyond it: the attempt fails, others go on.

The two unit tests fail on the former reader.

--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -16,7 +16,8 @@
 namespace http = boost::beast::http;
 using boost::beast::error_code;
 
-// Longest chunk header with its extensions, and the largest answer head.
+// Largest head of an answer, size line of a chunk with its extensions, and
+// trailer.
 constexpr auto response_header_limit = std::uint32_t{64} * 1024;
 constexpr auto scratch_size = std::size_t{16} * 1024;
 
@@ -220,7 +221,13 @@
         }
     }
     buffer_.erase(0, used);
-    return parser_->is_done() ? read_state::complete : read_state::incomplete;
+    if (parser_->is_done()) {
+        return read_state::complete;
+    }
+    // Size lines of chunks and trailers, which the parser takes whole.
+    return buffer_.size() > limits_.header_bytes_
+               ? fail(request_fault::header_too_large)
+               : read_state::incomplete;
 }
 
 auto request_reader::take() -> request_message {
@@ -313,7 +320,8 @@
     }
     buffer_.erase(0, used);
     if (!parser_->is_done()) {
-        return read_state::incomplete;
+        return buffer_.size() > response_header_limit ? read_state::malformed
+                                                      : read_state::incomplete;
     }
     surplus_ = buffer_.size();
     return read_state::complete;
--- a/basilstream/transport/http_message/http_message.hpp
+++ b/basilstream/transport/http_message/http_message.hpp
@@ -83,6 +83,7 @@
 
 /// Bounds of a request.
 struct request_limits {
+    /// Also bounds the size line of a chunk and the trailer.
     std::size_t header_bytes_ = std::size_t{16} * 1024;
     std::size_t body_bytes_ = std::size_t{4} << 20U;
 };
--- a/basilstream/transport/http_message/http_message_test.cpp
+++ b/basilstream/transport/http_message/http_message_test.cpp
@@ -200,6 +200,39 @@
     }
 }
 
+// Beginnings of what a chunked body can go on with for ever.
+constexpr auto endless_chunk_parts =
+    std::array{"5;x", "0000000", "0;x", "0\r\nX-A: "};
+
+TEST(request_reader, endless_size_line_or_trailer_is_kept) {
+    for (const auto* const part : endless_chunk_parts) {
+        auto reader = request_reader{{.header_bytes_ = 1000}};
+        auto state = reader.feed("POST / HTTP/1.1\r\nHost: x\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n" +
+                                 std::string{part});
+        for (auto piece = 0; piece < 3; ++piece) {
+            state = reader.feed(std::string(500, '0'));
+        }
+        EXPECT_EQ(state, read_state::malformed) << part;
+        EXPECT_EQ(reader.fault(), request_fault::header_too_large) << part;
+    }
+}
+
+TEST(response_reader, endless_size_line_or_trailer_is_kept) {
+    for (const auto* const part : endless_chunk_parts) {
+        auto reader = response_reader{};
+        auto sink = recording_sink{};
+        auto state = reader.feed("HTTP/1.1 200 OK\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n" +
+                                     std::string{part},
+                                 sink);
+        for (auto piece = 0; piece < 3; ++piece) {
+            state = reader.feed(std::string(30'000, '0'), sink);
+        }
+        EXPECT_EQ(state, read_state::malformed) << part;
+    }
+}
+
 TEST(response_reader, skips_interim_answers) {
     auto reader = response_reader{};
     auto sink = recording_sink{};
--- a/testing/endless_answers/endless_answers_test.cpp
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -28,7 +28,17 @@
 constexpr auto max_unsent = std::size_t{4} * block_size;
 
 // What the servers send without end.
-enum class endless { event, comment, body, chunks, head, interim };
+enum class endless {
+    event,
+    comment,
+    body,
+    chunks,
+    head,
+    interim,
+    chunk_extension,
+    chunk_size,
+    trailer
+};
 
 struct scenario {
     const char* name_ = "";
@@ -73,6 +83,12 @@
         return "Transfer-Encoding: chunked\r\n\r\n";
     case endless::head:
         return "X-Endless: ";
+    case endless::chunk_extension:
+        return "Transfer-Encoding: chunked\r\n\r\n5;";
+    case endless::chunk_size:
+        return "Transfer-Encoding: chunked\r\n\r\n";
+    case endless::trailer:
+        return "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Endless: ";
     default:
         return "\r\n";
     }
@@ -97,6 +113,8 @@
         }
         return interim;
     }
+    case endless::chunk_size:
+        return std::string(block_size, '0');
     default:
         return text;
     }
@@ -223,7 +241,11 @@
         scenario{.name_ = "chunks_2_daemons", .kind_ = endless::chunks},
         scenario{.name_ = "head_2_daemons", .kind_ = endless::head},
         scenario{.name_ = "interim_answers_2_daemons",
-                 .kind_ = endless::interim}),
+                 .kind_ = endless::interim},
+        scenario{.name_ = "chunk_extension_2_daemons",
+                 .kind_ = endless::chunk_extension},
+        scenario{.name_ = "chunk_size_2_daemons", .kind_ = endless::chunk_size},
+        scenario{.name_ = "trailer_2_daemons", .kind_ = endless::trailer}),
     [](const auto& info) { return std::string{info.param.name_}; });
 
 } // namespace
