Destroy the work of timers while their reactor is open

Cause: the reactor was closed before the closures of timers were destroyed; one that owns the last reference to a connection then unregistered its handler at a closed reactor. In the daemon, whose timers hold requests and calls, the same closures also outlived what they refer to. Class: order of destruction left to members.

stop() now destroys the work of timers and what is left in the ring, after the thread has been joined and while its users exist; the destructor calls it. tcp_stream.timer_that_owns_a_stream_outlives_its_reactor fails on the former code.

--- a/basilstream/transport/reactor/reactor.cpp
+++ b/basilstream/transport/reactor/reactor.cpp
@@ -110,9 +110,7 @@
         reactor_.remove_handler(wake_.descriptor_,
                                 ACE_Event_Handler::READ_MASK |
                                     ACE_Event_Handler::DONT_CALL);
-        for (const auto& timer : timers_) {
-            reactor_.cancel_timer(timer.get());
-        }
+        drop_pending();
         // Tells handlers that are still registered, while all members exist.
         reactor_.close();
         ::close(wake_.descriptor_);
@@ -150,6 +148,15 @@
                                 repeats ? value : ACE_Time_Value::zero);
     }
 
+    // Destroys pending work, which may own registered handlers.
+    auto drop_pending() -> void {
+        const auto timers = std::exchange(timers_, {});
+        for (const auto& timer : timers) {
+            reactor_.cancel_timer(timer.get());
+        }
+        ring_.drain([](work_item&& /*work*/) {});
+    }
+
     auto wake() -> void {
         if (!signalled_.exchange(true)) {
             const auto one = std::uint64_t{1};
@@ -209,6 +216,7 @@
     if (std::exchange(implementation_->started_, false)) {
         implementation_->wait();
     }
+    implementation_->drop_pending();
 }
 
 auto reactor_thread::post(work_item work) -> bool {
--- a/basilstream/transport/reactor/reactor.hpp
+++ b/basilstream/transport/reactor/reactor.hpp
@@ -34,8 +34,9 @@
     /// Starts the thread. Call once.
     auto start() -> void;
 
-    /// Ends the loop after the work at hand and joins. Idempotent. Work posted
-    /// later is refused. Not from the thread itself.
+    /// Ends the loop after the work at hand, joins, and destroys the work of
+    /// timers. Idempotent. Work posted later is refused. Not from the thread
+    /// itself.
     auto stop() -> void;
 
     /// Runs `work` on the thread, in order of posting. Returns false when the
--- a/basilstream/transport/tcp_stream/tcp_stream_test.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream_test.cpp
@@ -121,6 +121,30 @@
         << begun << " connections";
 }
 
+// The reactor was closed before the timers whose work owns a stream.
+TEST(tcp_stream, timer_that_owns_a_stream_outlives_its_reactor) {
+    struct owner final : tcp_observer {
+        auto on_data(std::string_view /*bytes*/) -> void override {}
+        auto on_closed(close_reason /*reason*/) -> void override {}
+        std::unique_ptr<tcp_stream> stream_;
+    };
+    for (const auto started : {true, false}) {
+        auto thread = reactor_thread{"ended", 16};
+        auto listener =
+            tcp_listener::open(thread, "127.0.0.1:0", [](int /*socket*/) {});
+        auto owning = std::make_shared<owner>();
+        owning->stream_ =
+            tcp_stream::connect(thread, (*listener)->address(), *owning);
+        const auto destroyed = std::weak_ptr<owner>{owning};
+        thread.after(seconds{60}, [owning = std::move(owning)] {});
+        if (started) {
+            thread.start();
+        }
+        thread.stop();
+        EXPECT_TRUE(destroyed.expired()) << started;
+    }
+}
+
 // A stream that was still registered when its thread ended used the thread.
 TEST(tcp_stream, stream_uses_its_thread_after_its_end) {
     struct observer final : tcp_observer {
