Let no signal but SIGKILL end a daemon by its default action

Signals are blocked first of all, the ones without a meaning ignored, and SIGUSR1 only wakes the main thread, which looks at a flag. What remains: the time in which the dynamic linker runs, before the program does.

--- a/basilstream/daemon/program/basilstreamd_main.cpp
+++ b/basilstream/daemon/program/basilstreamd_main.cpp
@@ -2,6 +2,7 @@
 // line, handles signals and starts the daemon.
 
 #include <array>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
@@ -93,7 +94,8 @@
 }
 
 // Blocks the signals in this thread and all threads it starts, so that only
-// wait_for_shutdown() sees them.
+// wait_for_shutdown() sees them. Writes to a closed pipe or beyond the limit on
+// the size of files fail instead of ending the process.
 auto block_signals() -> ACE_Sig_Set {
     auto signals = ACE_Sig_Set{};
     signals.sig_add(SIGTERM);
@@ -101,10 +103,26 @@
     signals.sig_add(SIGUSR1);
     signals.sig_add(SIGHUP);
     ACE_OS::thr_sigsetmask(SIG_BLOCK, signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    for (const auto unused : {SIGPIPE, SIGXFSZ, SIGUSR2, SIGALRM}) {
+        std::signal(unused, SIG_IGN);
+    }
     return signals;
 }
 
+// Tells the main thread that the daemon has shut down.
+class end_notice {
+public:
+    auto raise() -> void {
+        raised_.store(true);
+        ::pthread_kill(main_thread_, SIGUSR1);
+    }
+    [[nodiscard]] auto raised() const -> bool { return raised_.load(); }
+
+private:
+    const pthread_t main_thread_ = ::pthread_self();
+    std::atomic<bool> raised_{false};
+};
+
 auto print_error(const error& failure) -> void {
     std::cerr << "basilstreamd: " << failure.peer_ << ": " << failure.detail_
               << "\n";
@@ -121,49 +139,38 @@
     return failure ? std::filesystem::file_time_type{} : time;
 }
 
-// Dispatches stop and reload signals until the daemon has shut down, which it
-// signals by sending SIGUSR1 to this thread. Also calls `reload(false)` at
-// each `poll_interval`.
+// Dispatches stop and reload signals until the daemon has shut down. Also calls
+// `reload(false)` at each `poll_interval`.
 template <class Stop, class Reload>
-auto wait_for_shutdown(ACE_Sig_Set& signals, Stop request_stop, Reload reload)
-    -> void {
-    while (true) {
+auto wait_for_shutdown(ACE_Sig_Set& signals, const end_notice& ended,
+                       Stop request_stop, Reload reload) -> void {
+    while (!ended.raised()) {
         const auto number = ::sigtimedwait(signals, nullptr, &poll_interval);
-        if (number == SIGUSR1) {
-            return;
-        }
         if (number < 0 || number == SIGHUP) {
             reload(number == SIGHUP);
-        } else {
+        } else if (number != SIGUSR1) {
             request_stop();
         }
     }
 }
 
-auto run_relay(const command_line& line) -> int {
+// Each of these runs a daemon until it has shut down. Fails if it could not
+// start.
+auto run_relay(const command_line& line, ACE_Sig_Set& signals) -> result<void> {
     const auto settings = daemon::load_relay_settings(line.config_);
-    if (!settings) {
-        print_error(settings.error());
-        return exit_settings;
+    if (!settings || line.check_) {
+        return settings ? result<void>{} : tl::unexpected(settings.error());
     }
-    if (line.check_) {
-        std::cout << line.config_ << ": settings are valid\n";
-        return exit_ok;
-    }
-    auto signals = block_signals();
-    const auto main_thread = ::pthread_self();
+    auto ended = end_notice{};
     const auto installation = platform::make_installation();
-    auto daemon_instance =
-        daemon::relay_program::start(*settings, *installation, [main_thread] {
-            ::pthread_kill(main_thread, SIGUSR1);
-        });
+    auto daemon_instance = daemon::relay_program::start(
+        *settings, *installation, [&ended] { ended.raise(); });
     if (!daemon_instance) {
-        print_error(daemon_instance.error());
-        return exit_settings;
+        return tl::unexpected(daemon_instance.error());
     }
     auto modified = modification_time(line.config_);
     wait_for_shutdown(
-        signals, [&] { (*daemon_instance)->request_stop(); },
+        signals, ended, [&] { (*daemon_instance)->request_stop(); },
         [&](bool reload_requested) {
             // Also reload when the file has changed without a SIGHUP.
             const auto now_modified = modification_time(line.config_);
@@ -178,43 +185,59 @@
                 print_error(changed.error());
             }
         });
-    return exit_ok;
+    return {};
+}
+
+auto run_product(const command_line& line, ACE_Sig_Set& signals)
+    -> result<void> {
+    const auto settings = daemon::load_settings(line.config_);
+    if (!settings || line.check_) {
+        return settings ? result<void>{} : tl::unexpected(settings.error());
+    }
+    auto ended = end_notice{};
+    auto daemon_instance =
+        daemon::program::start(*settings, [&ended] { ended.raise(); });
+    if (!daemon_instance) {
+        return tl::unexpected(daemon_instance.error());
+    }
+    std::cout << "listening callers=" << (*daemon_instance)->caller_address()
+              << " admin=" << (*daemon_instance)->admin_address()
+              << " peers=" << (*daemon_instance)->peer_address() << std::endl;
+    wait_for_shutdown(
+        signals, ended, [&] { (*daemon_instance)->request_stop(); },
+        // Reload is not supported: these settings are read at startup only.
+        [](bool) {});
+    return {};
+}
+
+auto run(const command_line& line, ACE_Sig_Set& signals) -> result<void> {
+    switch (daemon::settings_kind_of(line.config_)) {
+    case daemon::settings_kind::relay:
+        return run_relay(line, signals);
+    case daemon::settings_kind::product:
+        return run_product(line, signals);
+    case daemon::settings_kind::unreadable:
+        break;
+    }
+    return tl::unexpected(error{error_code::not_found, step::settings,
+                                line.config_, "no readable JSON document"});
 }
 
 } // namespace
 
 auto main(int argc, char** argv) -> int {
+    auto signals = block_signals();
     const auto line = parse(argc, argv);
     if (line.exit_ >= 0) {
         return line.exit_;
     }
-    if (daemon::has_relay_settings(line.config_)) {
-        return run_relay(line);
-    }
-    const auto settings = daemon::load_settings(line.config_);
-    if (!settings) {
-        print_error(settings.error());
+    const auto ran = run(line, signals);
+    if (!ran) {
+        print_error(ran.error());
         return exit_settings;
     }
     if (line.check_) {
         std::cout << line.config_ << ": settings are valid\n";
-        return exit_ok;
-    }
-    auto signals = block_signals();
-    const auto main_thread = ::pthread_self();
-    auto daemon_instance = daemon::program::start(
-        *settings, [main_thread] { ::pthread_kill(main_thread, SIGUSR1); });
-    if (!daemon_instance) {
-        std::cerr << "basilstreamd: " << line.config_ << ": "
-                  << daemon_instance.error().detail_ << "\n";
-        return exit_settings;
     }
-    std::cout << "listening callers=" << (*daemon_instance)->caller_address()
-              << " admin=" << (*daemon_instance)->admin_address()
-              << " peers=" << (*daemon_instance)->peer_address() << std::endl;
-    wait_for_shutdown(
-        signals, [&] { (*daemon_instance)->request_stop(); },
-        // Reload is not supported: these settings are read at startup only.
-        [](bool) {});
     return exit_ok;
 }
--- a/basilstream/daemon/relay_settings/relay_settings.cpp
+++ b/basilstream/daemon/relay_settings/relay_settings.cpp
@@ -170,13 +170,18 @@
     return parse_relay_settings(*text, path);
 }
 
-auto has_relay_settings(const std::string& path) -> bool {
+auto settings_kind_of(const std::string& path) -> settings_kind {
     const auto text = read_file(path);
     if (!text) {
-        return false;
+        return settings_kind::unreadable;
     }
     const auto document = protocol::parse_json(*text, path, step::settings);
-    return document && document->is_object() && document->contains("relay");
+    if (!document) {
+        return settings_kind::unreadable;
+    }
+    return document->is_object() && document->contains("relay")
+               ? settings_kind::relay
+               : settings_kind::product;
 }
 
 auto relay_settings_schema() -> std::string_view {
--- a/basilstream/daemon/relay_settings/relay_settings.hpp
+++ b/basilstream/daemon/relay_settings/relay_settings.hpp
@@ -77,10 +77,17 @@
                                         std::string_view source)
     -> result<relay_daemon_settings>;
 
-/// Returns whether the file holds settings of a relaying daemon rather than of
-/// one that serves the product's own interface. False if the file cannot be
-/// read or parsed.
-[[nodiscard]] auto has_relay_settings(const std::string& path) -> bool;
+/// What a settings file holds.
+enum class settings_kind {
+    /// Settings of a relaying daemon.
+    relay,
+    /// Settings of a daemon that serves the product's own interface.
+    product,
+    /// No JSON document: the file is not there or still being written.
+    unreadable,
+};
+
+[[nodiscard]] auto settings_kind_of(const std::string& path) -> settings_kind;
 
 [[nodiscard]] auto relay_settings_schema() -> std::string_view;
 
--- /dev/null
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -0,0 +1,172 @@
+// Starts daemons as processes in surroundings that a host may have: signals in
+// the first moments, files and addresses that others still use, limits.
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "basilstream/protocol/json/json.hpp"
+
+namespace basilstream::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Longer than a daemon takes to start or to stop without requests.
+constexpr auto max_wait = 20s;
+constexpr auto check_interval = 5ms;
+
+// A daemon with a directory of its own, whose store is not there.
+class started_daemon {
+public:
+    started_daemon() {
+        auto pattern =
+            (std::filesystem::temp_directory_path() / "daemon_starts_XXXXXX")
+                .string();
+        directory_ = ::mkdtemp(pattern.data());
+    }
+    started_daemon(const started_daemon&) = delete;
+    auto operator=(const started_daemon&) -> started_daemon& = delete;
+    ~started_daemon() {
+        if (pid_ > 0 && !status_) {
+            ::kill(pid_, SIGKILL);
+            ::waitpid(pid_, nullptr, 0);
+        }
+        std::filesystem::remove_all(directory_);
+    }
+
+    [[nodiscard]] auto settings_path() const -> std::string {
+        return directory_ + "/settings.json";
+    }
+    [[nodiscard]] auto settings(const std::string& readiness) const
+        -> std::string {
+        const auto any = std::string{"127.0.0.1:0"};
+        return protocol::json{
+            {"name", "d0"},
+            {"zone", "a"},
+            {"relay",
+             {{"callers", any}, {"readiness", readiness}, {"directory", any}}},
+            {"peer", {{"ip", "127.0.0.1"}, {"ports", {0, 0}}}},
+            {"store", {{"address", "127.0.0.1:1"}}},
+            {"stop", {{"grace_s", 4}}},
+            {"logging", {{"level", "info"}, {"format", "json"}}}}
+            .dump();
+    }
+    auto write_settings(const std::string& text) const -> void {
+        std::ofstream{settings_path()} << text;
+    }
+    // The child ends by SIGXFSZ or with an error if its log reaches
+    // `max_log_bytes`.
+    auto start(std::optional<rlim_t> max_log_bytes = std::nullopt) -> void {
+        auto arguments = std::array<std::string, 3>{
+            BASILSTREAMD_PATH, "--config", settings_path()};
+        auto pointers =
+            std::array<char*, 4>{arguments[0].data(), arguments[1].data(),
+                                 arguments[2].data(), nullptr};
+        const auto log = log_path();
+        pid_ = ::fork();
+        if (pid_ == 0) {
+            const auto output =
+                ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            ::dup2(output, STDOUT_FILENO);
+            ::dup2(output, STDERR_FILENO);
+            if (max_log_bytes) {
+                const auto limit = rlimit{*max_log_bytes, *max_log_bytes};
+                ::setrlimit(RLIMIT_FSIZE, &limit);
+            }
+            ::execv(pointers[0], pointers.data());
+            ::_exit(127);
+        }
+    }
+    auto signal(int number) const -> void { ::kill(pid_, number); }
+    // Returns the status as waitpid() gives it, or nothing while it runs.
+    auto ended() -> std::optional<int> {
+        auto status = 0;
+        if (!status_ && ::waitpid(pid_, &status, WNOHANG) == pid_) {
+            status_ = status;
+        }
+        return status_;
+    }
+    auto wait_for_end() -> std::optional<int> {
+        return wait_until([this] { return ended().has_value(); }), ended();
+    }
+    // Returns whether the daemon listens, as its log says.
+    auto wait_for_start() -> bool {
+        return wait_until([this] {
+                   return has_logged("started") || ended().has_value();
+               }) &&
+               !ended();
+    }
+
+private:
+    template <class Condition>
+    static auto wait_until(Condition condition) -> bool {
+        const auto limit = std::chrono::steady_clock::now() + max_wait;
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > limit) {
+                return false;
+            }
+            std::this_thread::sleep_for(check_interval);
+        }
+        return true;
+    }
+    [[nodiscard]] auto log_path() const -> std::string {
+        return directory_ + "/log";
+    }
+    [[nodiscard]] auto has_logged(const std::string& event) const -> bool {
+        auto log = std::ifstream{log_path()};
+        for (auto line = std::string{}; std::getline(log, line);) {
+            if (line.find("\"event\":\"" + event + "\"") != std::string::npos) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    std::string directory_;
+    pid_t pid_ = -1;
+    std::optional<int> status_;
+};
+
+auto stops_in_order(started_daemon& daemon) -> bool {
+    daemon.signal(SIGTERM);
+    const auto status = daemon.wait_for_end();
+    return status && WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+}
+
+TEST(daemon_starts, signals_without_a_meaning_end_the_daemon) {
+    for (const auto number : {SIGUSR1, SIGUSR2, SIGPIPE, SIGALRM}) {
+        auto daemon = started_daemon{};
+        daemon.write_settings(daemon.settings("127.0.0.1:0"));
+        daemon.start();
+        ASSERT_TRUE(daemon.wait_for_start());
+        daemon.signal(number);
+        std::this_thread::sleep_for(200ms);
+        EXPECT_FALSE(daemon.ended()) << number;
+        EXPECT_TRUE(stops_in_order(daemon)) << number;
+    }
+}
+
+TEST(daemon_starts, log_at_its_size_limit_ends_the_daemon) {
+    auto daemon = started_daemon{};
+    constexpr auto max_log_bytes = rlim_t{100};
+    daemon.write_settings(daemon.settings("127.0.0.1:0"));
+    daemon.start(max_log_bytes);
+    std::this_thread::sleep_for(1s);
+    EXPECT_FALSE(daemon.ended());
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
+} // namespace
+} // namespace basilstream::testing
