Try a start again while its settings or an address are not there yet

A daemon that was started while its settings were being written or replaced, or while the process before still held one of its addresses, ended at once with status 2 (FAULT: the system did not start). Class: a state of the surroundings that passes taken for a final one.

Ten seconds of attempts, 100 ms apart; a stop ends them with status 0. Settings that do not match the schema and a bad command line still end the start at once.

--- a/basilstream/daemon/program/basilstreamd_main.cpp
+++ b/basilstream/daemon/program/basilstreamd_main.cpp
@@ -41,7 +41,7 @@
     "cut off, also not by a second signal.\n"
     "\n"
     "exit status: 0 graceful shutdown or check passed, 2 bad settings, bad\n"
-    "command line or an address that is taken\n";
+    "command line, or a file or an address that is not there within 10 s\n";
 
 struct command_line {
     std::string config_;
@@ -139,6 +139,16 @@
     return failure ? std::filesystem::file_time_type{} : time;
 }
 
+// A start that fails because of its surroundings is tried again: the settings
+// may be being written, and the process before may still hold an address.
+constexpr auto start_retry_interval = timespec{0, 100'000'000};
+constexpr auto max_start_attempts = 100;
+
+auto may_start_later(const error& failure) -> bool {
+    return failure.code_ == error_code::unavailable ||
+           failure.code_ == error_code::not_found;
+}
+
 // Dispatches stop and reload signals until the daemon has shut down. Also calls
 // `reload(false)` at each `poll_interval`.
 template <class Stop, class Reload>
@@ -223,6 +233,12 @@
                                 line.config_, "no readable JSON document"});
 }
 
+// Waits before the next attempt to start. Returns whether a stop was requested.
+auto stop_requested_meanwhile(ACE_Sig_Set& signals) -> bool {
+    const auto number = ::sigtimedwait(signals, nullptr, &start_retry_interval);
+    return number == SIGTERM || number == SIGINT;
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int {
@@ -231,13 +247,24 @@
     if (line.exit_ >= 0) {
         return line.exit_;
     }
-    const auto ran = run(line, signals);
-    if (!ran) {
-        print_error(ran.error());
-        return exit_settings;
-    }
-    if (line.check_) {
-        std::cout << line.config_ << ": settings are valid\n";
+    for (auto attempt = 1;; ++attempt) {
+        const auto ran = run(line, signals);
+        if (ran) {
+            if (line.check_) {
+                std::cout << line.config_ << ": settings are valid\n";
+            }
+            return exit_ok;
+        }
+        const auto is_final = line.check_ || !may_start_later(ran.error()) ||
+                              attempt == max_start_attempts;
+        if (is_final || attempt == 1) {
+            print_error(ran.error());
+        }
+        if (is_final) {
+            return exit_settings;
+        }
+        if (stop_requested_meanwhile(signals)) {
+            return exit_ok;
+        }
     }
-    return exit_ok;
 }
--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -10,9 +10,13 @@
 #include <string>
 #include <thread>
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -27,6 +31,38 @@
 constexpr auto max_wait = 20s;
 constexpr auto check_interval = 5ms;
 
+// A socket that is bound to a loopback port of its own.
+class bound_socket {
+public:
+    bound_socket()
+        : descriptor_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)} {
+        const auto on = 1;
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        address_.sin_family = AF_INET;
+        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto size = socklen_t{sizeof address_};
+        ::bind(descriptor_, generic(), size);
+        ::getsockname(descriptor_, generic(), &size);
+    }
+    bound_socket(const bound_socket&) = delete;
+    auto operator=(const bound_socket&) -> bound_socket& = delete;
+    ~bound_socket() { ::close(descriptor_); }
+
+    auto listen() const -> void { ::listen(descriptor_, 1); }
+    [[nodiscard]] auto port() const -> int { return ntohs(address_.sin_port); }
+    [[nodiscard]] auto address() const -> std::string {
+        return "127.0.0.1:" + std::to_string(port());
+    }
+
+private:
+    auto generic() -> sockaddr* {
+        return reinterpret_cast<sockaddr*>(&address_);
+    }
+
+    int descriptor_;
+    sockaddr_in address_{};
+};
+
 // A daemon with a directory of its own, whose store is not there.
 class started_daemon {
 public:
@@ -90,6 +126,16 @@
         }
     }
     auto signal(int number) const -> void { ::kill(pid_, number); }
+    // Opens the settings, a pipe, for writing once the daemon reads them.
+    // Returns a descriptor, or -1 if it does not.
+    auto open_when_read() -> int {
+        auto descriptor = -1;
+        wait_until([&] {
+            descriptor = ::open(settings_path().c_str(), O_WRONLY | O_NONBLOCK);
+            return descriptor >= 0 || ended().has_value();
+        });
+        return descriptor;
+    }
     // Returns the status as waitpid() gives it, or nothing while it runs.
     auto ended() -> std::optional<int> {
         auto status = 0;
@@ -145,6 +191,23 @@
     return status && WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
 }
 
+// The daemon waits for a writer of its settings when the signal comes.
+TEST(daemon_starts, reload_signal_during_the_start_ends_the_daemon) {
+    auto daemon = started_daemon{};
+    const auto text = daemon.settings("127.0.0.1:0");
+    const auto path = daemon.settings_path();
+    ASSERT_EQ(::mkfifo(path.c_str(), 0600), 0);
+    daemon.start();
+    const auto writer = daemon.open_when_read();
+    ASSERT_GE(writer, 0);
+    daemon.signal(SIGHUP);
+    std::filesystem::remove(path);
+    daemon.write_settings(text);
+    ::close(writer);
+    EXPECT_TRUE(daemon.wait_for_start());
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
 TEST(daemon_starts, signals_without_a_meaning_end_the_daemon) {
     for (const auto number : {SIGUSR1, SIGUSR2, SIGPIPE, SIGALRM}) {
         auto daemon = started_daemon{};
@@ -158,6 +221,42 @@
     }
 }
 
+TEST(daemon_starts, settings_that_are_being_written_end_the_start) {
+    auto daemon = started_daemon{};
+    const auto text = daemon.settings("127.0.0.1:0");
+    daemon.start();
+    std::this_thread::sleep_for(300ms);
+    daemon.write_settings(text.substr(0, text.size() / 2));
+    std::this_thread::sleep_for(300ms);
+    EXPECT_FALSE(daemon.ended());
+    daemon.write_settings(text);
+    EXPECT_TRUE(daemon.wait_for_start());
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
+TEST(daemon_starts, address_that_is_still_taken_ends_the_start) {
+    auto daemon = started_daemon{};
+    auto former = std::optional<bound_socket>{std::in_place};
+    former->listen();
+    daemon.write_settings(daemon.settings(former->address()));
+    daemon.start();
+    std::this_thread::sleep_for(1s);
+    EXPECT_FALSE(daemon.ended());
+    former.reset();
+    EXPECT_TRUE(daemon.wait_for_start());
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
+TEST(daemon_starts, stop_is_not_heeded_while_an_address_is_taken) {
+    auto daemon = started_daemon{};
+    const auto former = bound_socket{};
+    former.listen();
+    daemon.write_settings(daemon.settings(former.address()));
+    daemon.start();
+    std::this_thread::sleep_for(300ms);
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
 TEST(daemon_starts, log_at_its_size_limit_ends_the_daemon) {
     auto daemon = started_daemon{};
     constexpr auto max_log_bytes = rlim_t{100};
