Tell a peer that reads nothing for a while from one that is gone

Cause: TCP_USER_TIMEOUT also counts the time in which the peer's window is closed, although its kernel acknowledges each probe. Class: a time-out for silence that measures something else.

While output is outstanding, a check asks the kernel whether the peer has acknowledged all that was sent. If it has, its window is closed: the kernel's time-out is off until data flows again, and deadlines bound the wait. Where the kernel does not tell, nothing changes.

tcp_stream.peer_that_reads_nothing_for_a_while_is_reset (a pause of five time-outs, 1 and 8 MiB): reset before, whole now.

--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -2,14 +2,18 @@
 
 #include <array>
 #include <cerrno>
+#include <cstddef>
 #include <cstring>
+#include <optional>
 #include <utility>
 
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,6 +25,8 @@
 // Connections that wait to be accepted.
 constexpr auto listen_backlog = 1024;
 constexpr auto keep_alive_probes = 2;
+// Checks of a connection with outstanding output in each silence time-out.
+constexpr auto checks_per_timeout = 3;
 
 auto parse_address(const std::string& address, sockaddr_in& parsed) -> bool {
     const auto colon = address.rfind(':');
@@ -41,6 +47,26 @@
     (void)::setsockopt(descriptor, level, name, &value, sizeof value);
 }
 
+// Bytes of output that the kernel holds.
+struct kernel_output {
+    int outstanding_bytes_ = 0;
+    // Segments that the peer has not acknowledged.
+    std::uint32_t unacknowledged_ = 0;
+};
+
+auto inspect_output(int descriptor) -> std::optional<kernel_output> {
+    auto info = tcp_info{};
+    auto size = static_cast<socklen_t>(sizeof info);
+    auto output = kernel_output{};
+    if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        size <= offsetof(tcp_info, tcpi_unacked) ||
+        ::ioctl(descriptor, SIOCOUTQ, &output.outstanding_bytes_) != 0) {
+        return std::nullopt;
+    }
+    output.unacknowledged_ = info.tcpi_unacked;
+    return output;
+}
+
 auto set_options(int descriptor, const tcp_options& options) -> void {
     const auto silence = static_cast<int>(options.silence_timeout_.count());
     const auto probe_interval = std::max(1, silence / 1000 / keep_alive_probes);
@@ -67,9 +93,9 @@
 class tcp_stream::handler final : public ACE_Event_Handler {
 public:
     handler(reactor_thread& thread, int descriptor, tcp_observer& observer,
-            bool connecting)
+            const tcp_options& options, bool connecting)
         : thread_{thread}, descriptor_{descriptor}, observer_{observer},
-          connecting_{connecting} {
+          silence_timeout_{options.silence_timeout_}, connecting_{connecting} {
         const auto mask = connecting_ ? ACE_Event_Handler::CONNECT_MASK
                                       : ACE_Event_Handler::READ_MASK;
         mask_ = mask;
@@ -140,6 +166,7 @@
         }
         output_.append(bytes);
         update_mask();
+        schedule_check();
     }
 
     auto set_reading(bool wanted) -> void {
@@ -212,6 +239,41 @@
         return true;
     }
 
+    auto schedule_check() -> void {
+        if (std::exchange(check_scheduled_, true)) {
+            return;
+        }
+        thread_.after(silence_timeout_ / checks_per_timeout,
+                      [this, alive = alive_] {
+                          if (*alive && !closed_) {
+                              check_scheduled_ = false;
+                              check_output();
+                          }
+                      });
+    }
+
+    // The kernel's time-out also counts the time in which the peer's window is
+    // closed. A peer that has acknowledged all that was sent is slow, not gone.
+    auto check_output() -> void {
+        const auto output = inspect_output(descriptor_);
+        if (!output) {
+            // The kernel's time-out stays in force; not checked again.
+            check_scheduled_ = true;
+            return;
+        }
+        const auto window_closed =
+            output->outstanding_bytes_ > 0 && output->unacknowledged_ == 0;
+        if (window_closed != window_closed_) {
+            window_closed_ = window_closed;
+            set_option(
+                descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                window_closed ? 0 : static_cast<int>(silence_timeout_.count()));
+        }
+        if (output->outstanding_bytes_ > 0) {
+            schedule_check();
+        }
+    }
+
     // Returns the bytes taken by the kernel, or -1 when the connection broke.
     auto send_some(std::string_view bytes) const -> ssize_t {
         const auto sent =
@@ -274,8 +336,11 @@
     reactor_thread& thread_;
     int descriptor_;
     tcp_observer& observer_;
+    const milliseconds silence_timeout_;
     bool connecting_;
     bool closed_ = false;
+    bool check_scheduled_ = false;
+    bool window_closed_ = false;
     bool finishing_ = false;
     bool reading_ = true;
     ACE_Reactor_Mask mask_ = 0;
@@ -304,7 +369,8 @@
                             sizeof target) != 0 &&
                   errno != EINPROGRESS;
     }
-    auto made = std::make_unique<handler>(thread, descriptor, observer, true);
+    auto made =
+        std::make_unique<handler>(thread, descriptor, observer, options, true);
     if (refused) {
         made->fail_later();
     }
@@ -315,8 +381,8 @@
                        tcp_observer& observer, const tcp_options& options)
     -> std::unique_ptr<tcp_stream> {
     set_options(descriptor, options);
-    return std::unique_ptr<tcp_stream>{new tcp_stream{
-        std::make_unique<handler>(thread, descriptor, observer, false)}};
+    return std::unique_ptr<tcp_stream>{new tcp_stream{std::make_unique<handler>(
+        thread, descriptor, observer, options, false)}};
 }
 
 auto tcp_stream::write(std::string_view bytes) -> void {
--- a/basilstream/transport/tcp_stream/tcp_stream.hpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.hpp
@@ -59,7 +59,8 @@
 struct tcp_options {
     /// A connection whose peer acknowledges nothing for this long is reset
     /// (TCP_USER_TIMEOUT, and keep-alive probes while it is idle). Silent
-    /// connections show themselves in no other way.
+    /// connections show themselves in no other way. A peer that acknowledges
+    /// all but reads nothing may take any time: callers bound it.
     milliseconds silence_timeout_{3000};
 };
 
--- a/basilstream/transport/tcp_stream/tcp_stream_test.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream_test.cpp
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -121,6 +122,76 @@
         << begun << " connections";
 }
 
+// A peer that accepts a connection, reads nothing for a while, then all.
+class pausing_peer {
+public:
+    explicit pausing_peer(reactor_thread& thread, milliseconds pause)
+        : thread_{thread}, listener_{std::move(*tcp_listener::open(
+                               thread, "127.0.0.1:0", [this](int descriptor) {
+                                   accepted_.stream_ = tcp_stream::adopt(
+                                       thread_, descriptor, accepted_);
+                                   accepted_.stream_->set_reading(false);
+                               }))} {
+        thread_.after(pause, [this] { accepted_.stream_->set_reading(true); });
+    }
+    [[nodiscard]] auto address() const -> std::string {
+        return listener_->address();
+    }
+    [[nodiscard]] auto received() const -> std::size_t {
+        return accepted_.received_;
+    }
+
+private:
+    struct reader final : tcp_observer {
+        auto on_data(std::string_view bytes) -> void override {
+            received_ += bytes.size();
+        }
+        auto on_closed(close_reason /*reason*/) -> void override {}
+        std::unique_ptr<tcp_stream> stream_;
+        std::size_t received_ = 0;
+    };
+    reactor_thread& thread_;
+    reader accepted_;
+    std::unique_ptr<tcp_listener> listener_;
+};
+
+// The kernel's time-out counts the time in which the peer's window is closed,
+// although the peer acknowledges each probe.
+TEST(tcp_stream, peer_that_reads_nothing_for_a_while_is_reset) {
+    struct observer final : tcp_observer {
+        auto on_data(std::string_view /*bytes*/) -> void override {}
+        auto on_closed(close_reason reason) -> void override {
+            ended_ = reason;
+        }
+        std::optional<close_reason> ended_;
+    };
+    constexpr auto silence_timeout = milliseconds{600};
+    constexpr auto pause = 5 * silence_timeout;
+    constexpr auto longest_wait = seconds{30};
+    for (const auto size : {std::size_t{1} << 20U, std::size_t{8} << 20U}) {
+        auto thread = reactor_thread{"sender", 1024};
+        auto watching = observer{};
+        auto peer = pausing_peer{thread, pause};
+        auto stream =
+            tcp_stream::connect(thread, peer.address(), watching,
+                                {.silence_timeout_ = silence_timeout});
+        stream->write(std::string(size, 'a'));
+        auto over = std::promise<void>{};
+        auto told = false;
+        thread.every(milliseconds{10}, [&] {
+            if (!told && (watching.ended_ || peer.received() == size)) {
+                told = true;
+                over.set_value();
+            }
+        });
+        thread.start();
+        over.get_future().wait_for(longest_wait);
+        thread.stop();
+        EXPECT_FALSE(watching.ended_) << size;
+        EXPECT_EQ(peer.received(), size);
+    }
+}
+
 // The reactor was closed before the timers whose work owns a stream.
 TEST(tcp_stream, timer_that_owns_a_stream_outlives_its_reactor) {
     struct owner final : tcp_observer {
