Bound the time in which a client may take its answer

An answer that was complete here and that its client did not take was kept, with its connection, as long as the client's kernel answered. Until now the silence time-out ended it by accident; connections of slow readers live now.

The connection is cut one second after the later of the client's deadline and the route's time-out, and the cut is logged. Test: http_session_test.client_that_takes_nothing_keeps_its_answer_for_good.

--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -23,6 +23,8 @@
 constexpr auto max_servers_without_room = 3;
 // How long after its deadline a request may still be on a server.
 constexpr auto slot_margin = seconds{1};
+// Time that the last bytes of an answer may take beyond the deadline.
+constexpr auto delivery_margin = seconds{1};
 // Time over which requests return to a server after its pause.
 constexpr auto pause_end_spread = milliseconds{200};
 
@@ -94,6 +96,10 @@
 
 auto exchange::start() -> void {
     client_->observe(this);
+    client_->set_delivery_deadline(
+        arrived_ + delivery_margin +
+        std::max(route_.timeout_,
+                 request_.client_timeout_.value_or(route_.timeout_)));
     state_.counters_.requests_.add();
     if (!forwarded_) {
         state_.retry_policy_of(service_).on_request(arrived_);
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -40,12 +40,16 @@
     server_.sessions_.erase(self);
 }
 
-auto http_session::on_closed(close_reason reason) -> void {
-    const auto self = shared_from_this();
+auto http_session::report_cut(close_reason reason) const -> void {
     if ((busy_ || buffered() > 0) && server_.options_.on_cut_) {
         server_.options_.on_cut_(
             {reason, busy_, buffered(), server_.clock_.now() - since_});
     }
+}
+
+auto http_session::on_closed(close_reason reason) -> void {
+    const auto self = shared_from_this();
+    report_cut(reason);
     auto* const observer = std::exchange(observer_, nullptr);
     close();
     if (observer != nullptr) {
@@ -78,6 +82,7 @@
     case read_state::complete:
         busy_ = true;
         since_ = server_.clock_.now();
+        delivery_deadline_ = since_ + server_.options_.idle_timeout_;
         keep_alive_ = !reader_.has_surplus();
         auto request = reader_.take();
         keep_alive_ = keep_alive_ && request.keep_alive_;
@@ -178,6 +183,11 @@
 
 auto http_session::check(time_point now) -> void {
     const auto waited = now - since_;
+    if (!busy_ && buffered() > 0 && now > delivery_deadline_) {
+        report_cut(close_reason::timed_out);
+        abort();
+        return;
+    }
     if (lingering_) {
         if (waited > linger_time && buffered() == 0) {
             close();
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -74,6 +74,11 @@
     auto end_stream() -> void;
     /// Breaks the answer off so that it cannot be taken for a whole one.
     auto abort() -> void;
+    /// Until when the client may take the answer to the current request; the
+    /// idle time-out after its arrival if nothing is said.
+    auto set_delivery_deadline(time_point deadline) -> void {
+        delivery_deadline_ = deadline;
+    }
     /// Bytes that the client has not taken yet.
     [[nodiscard]] auto buffered() const -> std::size_t;
 
@@ -90,6 +95,7 @@
 
 private:
     auto refuse_malformed() -> void;
+    auto report_cut(close_reason reason) const -> void;
     auto finish_answer() -> void;
     auto begin_linger() -> void;
     auto close() -> void;
@@ -99,6 +105,7 @@
     request_reader reader_;
     client_observer* observer_ = nullptr;
     time_point since_;
+    time_point delivery_deadline_{};
     bool busy_ = false;
     bool keep_alive_ = true;
     body_framing stream_framing_ = body_framing::chunked;
--- a/basilstream/transport/http_session/http_session_test.cpp
+++ b/basilstream/transport/http_session/http_session_test.cpp
@@ -120,6 +120,37 @@
     EXPECT_EQ(undelivered.get_future().get(), 0U);
 }
 
+TEST_F(http_session_test, client_that_takes_nothing_keeps_its_answer_for_good) {
+    answer_ = [&](http_session& session) {
+        session.set_delivery_deadline(clock_.now() + milliseconds{200});
+        session.respond(200, {}, std::string(std::size_t{32} << 20U, 'x'));
+    };
+    struct idle_client final : tcp_observer {
+        auto on_data(std::string_view /*bytes*/) -> void override {}
+        auto on_closed(close_reason /*reason*/) -> void override {}
+    };
+    auto client = idle_client{};
+    auto stream = std::unique_ptr<tcp_stream>{};
+    auto ended = std::promise<void>{};
+    auto had_answer = false;
+    thread_.post_wait([&] {
+        stream = tcp_stream::connect(thread_, server_->address(), client);
+        stream->write(old_request);
+        stream->set_reading(false);
+        thread_.every(milliseconds{20}, [&] {
+            server_->sweep();
+            had_answer = had_answer || server_->undelivered() == 1;
+            if (had_answer && server_->connections() == 0) {
+                had_answer = false;
+                ended.set_value();
+            }
+        });
+    });
+    EXPECT_EQ(ended.get_future().wait_for(seconds{20}),
+              std::future_status::ready);
+    thread_.stop();
+}
+
 // A client that speaks HTTP/1.0 took the sizes of chunks for the answer.
 TEST_F(http_session_test, client_of_http_1_0_receives_chunks) {
     answer_ = [](http_session& session) {
