Bound the bodies of all requests that a daemon holds together

Class: a bound for each, none for all.

A session takes its share of 64 MiB (twice the body, as a copy may wait for the server) once it has read the header, and stops reading until there is one, in order of arrival, for half of the client's deadline at most; then it gets 503 with Retry-After. A body beyond the budget is read alone. Blocks from 1 MiB on return to the system when they are freed: glibc keeps them by default once it has freed some. Readiness, directory and metrics take bodies of 16 KiB.

--- a/basilstream/coordination/byte_budget/byte_budget.hpp
+++ b/basilstream/coordination/byte_budget/byte_budget.hpp
@@ -20,6 +20,7 @@
 public:
     explicit byte_budget(std::size_t limit) : limit_{limit} {}
     [[nodiscard]] auto used() const -> std::size_t { return used_; }
+    [[nodiscard]] auto limit() const -> std::size_t { return limit_; }
 
 private:
     friend class byte_lease;
--- a/basilstream/daemon/program/basilstreamd_main.cpp
+++ b/basilstream/daemon/program/basilstreamd_main.cpp
@@ -13,6 +13,7 @@
 #include <ace/OS_NS_signal.h>
 #include <ace/Signal.h>
 #include <getopt.h>
+#include <malloc.h>
 #include <pthread.h>
 
 #include "basilstream/daemon/program/program.hpp"
@@ -43,6 +44,10 @@
     "exit status: 0 graceful shutdown or check passed, 2 bad settings, bad\n"
     "command line, or a file or an address that is not there within 10 s\n";
 
+// Larger blocks, such as bodies of requests, return to the system when they are
+// freed. By default the C library keeps them once it has seen some.
+constexpr auto min_mapped_block_bytes = 1 << 20;
+
 struct command_line {
     std::string config_;
     bool check_ = false;
@@ -242,6 +247,7 @@
 } // namespace
 
 auto main(int argc, char** argv) -> int {
+    ::mallopt(M_MMAP_THRESHOLD, min_mapped_block_bytes);
     auto signals = block_signals();
     const auto line = parse(argc, argv);
     if (line.exit_ >= 0) {
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -109,6 +109,9 @@
     /// servers now and then.
     auto check_reachability() -> void;
     /// Answers with `status`; adds a retry hint to status 503.
+    /// Options of a server for requests at `address`.
+    [[nodiscard]] auto make_server_options(const std::string& address)
+        -> transport::http_session_options;
     auto refuse(transport::http_session& session, int status,
                 const std::string& request_id, const char* reason) -> void;
 
@@ -119,6 +122,8 @@
     relay_counters counters_;
     // Makes the ids of runs unique among those of all daemons and processes.
     const std::string run_id_prefix_;
+    // Outlives all that keeps a request.
+    coordination::byte_budget request_bodies_;
     coordination::route_table routes_;
     coordination::router router_;
     transport::http_pool pool_;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -35,6 +35,10 @@
 constexpr auto max_suspected_requests = std::size_t{16'384};
 // Takes a quarter of the memory that a daemon may use in all.
 constexpr auto max_buffered_answer_bytes = std::size_t{32} << 20U;
+// How long a request without a deadline waits for memory for its body.
+constexpr auto max_body_wait = seconds{2};
+// Bodies of requests, with a copy for the backend server each: half of it.
+constexpr auto max_request_body_bytes = std::size_t{64} << 20U;
 // Bound of the random number that distinguishes the runs of a restarted daemon.
 constexpr auto max_run_id_nonce = std::uint64_t{1} << 32U;
 // Size of the header fields that a daemon adds to a forwarded request, at most.
@@ -153,6 +157,7 @@
       run_id_prefix_{settings_.name_ + "/" +
                      std::to_string(context.random_.below(max_run_id_nonce)) +
                      "/"},
+      request_bodies_{max_request_body_bytes},
       router_{make_router_settings(), context.random_}, pool_{context.thread_,
                                                               context.clock_},
       retry_allowance_from_{context.clock_.now() +
@@ -238,6 +243,28 @@
     session.respond(status, dialect_.local_reply_headers(request_id, hint), "");
 }
 
+auto relay_state::make_server_options(const std::string& address)
+    -> transport::http_session_options {
+    auto options = transport::http_session_options{.address_ = address};
+    options.on_cut_ = [this](const auto& cut) {
+        log_cut(cut);
+    };
+    options.body_budget_ = &request_bodies_;
+    options.max_body_wait_ = [this](const auto& head) {
+        const auto request = dialect_.read(head);
+        return request && request->client_timeout_
+                   ? *request->client_timeout_ / 2
+                   : max_body_wait;
+    };
+    options.refuse_body_ = [this](transport::request_message message,
+                                  transport::http_session& session) {
+        const auto request = dialect_.read(std::move(message));
+        refuse(session, 503, request ? request->id_ : std::string{},
+               "no memory for the body of the request");
+    };
+    return options;
+}
+
 auto relay_state::log_cut(const transport::cut_connection& cut) -> void {
     context_.log_.info(
         "client connection ended before its answer",
@@ -318,11 +345,7 @@
     auto& state = *state_;
     auto opened = transport::http_session_server::open(
         state.context_.thread_, state.context_.clock_,
-        {.address_ = state.settings_.address_,
-         .on_cut_ =
-             [&state](const auto& cut) {
-                 state.log_cut(cut);
-             }},
+        state.make_server_options(state.settings_.address_),
         [&state](transport::request_message request,
                  transport::http_session& session) {
             state.on_request(std::move(request), session);
@@ -338,11 +361,7 @@
     auto& state = *state_;
     auto opened = transport::http_session_server::open(
         state.context_.thread_, state.context_.clock_,
-        {.address_ = address,
-         .on_cut_ =
-             [&state](const auto& cut) {
-                 state.log_cut(cut);
-             }},
+        state.make_server_options(address),
         [&state](transport::request_message request,
                  transport::http_session& session) {
             state.on_forwarded_request(std::move(request), session);
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -34,6 +34,8 @@
 // For this long after joining, a daemon answers endpoint requests with 503: it
 // knows few other daemons yet and would direct all clients to itself.
 constexpr auto join_settling_time = milliseconds{1500};
+// Requests for readiness, endpoints and metrics have no body of note.
+constexpr auto max_control_body_bytes = std::size_t{16} * 1024;
 constexpr auto join_retry_delay = milliseconds{1000};
 // Interval at which the list of daemons is read from the store again, to find
 // daemons that membership probes have lost.
@@ -138,7 +140,9 @@
         const auto listen = [this](const std::string& address, auto method)
             -> result<std::unique_ptr<transport::http_session_server>> {
             return transport::http_session_server::open(
-                thread_, clock_, {.address_ = address},
+                thread_, clock_,
+                {.address_ = address,
+                 .limits_ = {.body_bytes_ = max_control_body_bytes}},
                 [this, method](transport::request_message request,
                                transport::http_session& session) {
                     (this->*method)(request, session);
--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -19,6 +19,7 @@
 // Largest head of an answer, size line of a chunk with its extensions, and
 // trailer.
 constexpr auto response_header_limit = std::uint32_t{64} * 1024;
+constexpr auto http_1_1 = 11U;
 constexpr auto scratch_size = std::size_t{16} * 1024;
 
 constexpr auto hop_by_hop = std::array<std::string_view, 10>{
@@ -148,6 +149,25 @@
     return parser_->is_header_done();
 }
 
+auto request_reader::max_body_memory() const -> std::size_t {
+    // A string that grows by pieces takes up to twice its size.
+    return parser_->content_length()
+               ? static_cast<std::size_t>(*parser_->content_length())
+           : parser_->chunked() ? 2 * limits_.body_bytes_
+                                : 0;
+}
+
+auto request_reader::head() const -> request_message {
+    const auto& message = parser_->get();
+    auto request = request_message{};
+    request.method_ = view(message.method_string());
+    request.target_ = view(message.target());
+    request.headers_ = copy_fields(message);
+    request.takes_chunks_ = message.version() >= http_1_1;
+    request.keep_alive_ = message.keep_alive() && request.takes_chunks_;
+    return request;
+}
+
 auto request_reader::take_expectation() -> bool {
     if (expectation_said_ || !parser_->is_header_done() || parser_->is_done() ||
         parser_->get().find("expect") == parser_->get().end()) {
@@ -231,15 +251,8 @@
 }
 
 auto request_reader::take() -> request_message {
-    auto message = parser_->release();
-    auto request = request_message{};
-    request.method_ = view(message.method_string());
-    request.target_ = view(message.target());
-    request.headers_ = copy_fields(message);
-    constexpr auto http_1_1 = 11U;
-    request.takes_chunks_ = message.version() >= http_1_1;
-    request.keep_alive_ = message.keep_alive() && request.takes_chunks_;
-    request.body_ = std::move(message.body());
+    auto request = head();
+    request.body_ = std::move(parser_->get().body());
     parser_ = std::make_unique<parser>(limits_);
     checked_ = false;
     expectation_said_ = false;
--- a/basilstream/transport/http_message/http_message.hpp
+++ b/basilstream/transport/http_message/http_message.hpp
@@ -56,6 +56,8 @@
     bool keep_alive_ = true;
     /// Whether the client understands chunks: it speaks HTTP/1.1 or later.
     bool takes_chunks_ = true;
+    /// Keeps what accounts for the body, as long as the request is kept.
+    std::shared_ptr<void> body_lease_ = {};
 };
 
 /// What tells the end of an answer's body.
@@ -108,6 +110,10 @@
     /// Whether any byte of a request has arrived.
     [[nodiscard]] auto started() const -> bool { return !buffer_.empty(); }
     [[nodiscard]] auto header_complete() const -> bool;
+    /// Memory that the body takes at most, once the header is complete.
+    [[nodiscard]] auto max_body_memory() const -> std::size_t;
+    /// Returns the request without its body, once the header is complete.
+    [[nodiscard]] auto head() const -> request_message;
     /// Whether the client waits for leave to send the body, said once.
     [[nodiscard]] auto take_expectation() -> bool;
     /// Whether bytes wait that belong to a following request.
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -13,6 +13,10 @@
 // Idle connections are kept this much longer than clients are told, so that a
 // request under way does not meet a closed connection.
 constexpr auto idle_margin = milliseconds{1000};
+// Bodies up to this size are not counted; one read takes as much.
+constexpr auto small_body_bytes = std::size_t{16} * 1024;
+// A body that is forwarded is kept for further attempts beside the output.
+constexpr auto copies_of_body = 2;
 
 auto status_of(request_fault fault) -> int {
     switch (fault) {
@@ -72,7 +76,7 @@
     const auto self = shared_from_this();
     switch (reader_.feed(bytes)) {
     case read_state::incomplete:
-        if (reader_.take_expectation()) {
+        if (admit_body() && reader_.take_expectation()) {
             stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
         }
         break;
@@ -85,6 +89,7 @@
         delivery_deadline_ = since_ + server_.options_.idle_timeout_;
         keep_alive_ = !reader_.has_surplus();
         auto request = reader_.take();
+        request.body_lease_ = std::move(body_lease_);
         keep_alive_ = keep_alive_ && request.keep_alive_;
         stream_framing_ =
             request.takes_chunks_ ? body_framing::chunked : body_framing::none;
@@ -94,6 +99,40 @@
     }
 }
 
+auto http_session::admit_body() -> bool {
+    auto* const budget = server_.options_.body_budget_;
+    if (budget == nullptr || body_lease_ || !reader_.header_complete() ||
+        reader_.max_body_memory() <= small_body_bytes) {
+        return true;
+    }
+    auto lease = std::make_shared<coordination::byte_lease>(*budget);
+    const auto next = server_.waiting_.empty() || waiting_until_;
+    // A body beyond the budget is read alone.
+    const auto bytes =
+        std::min(copies_of_body * reader_.max_body_memory(), budget->limit());
+    if (next && lease->resize(bytes)) {
+        body_lease_ = std::move(lease);
+        waiting_until_.reset();
+        stream_->set_reading(true);
+        return true;
+    }
+    if (!waiting_until_) {
+        waiting_until_ = server_.clock_.now() +
+                         server_.options_.max_body_wait_(reader_.head());
+        server_.waiting_.push_back(weak_from_this());
+        stream_->set_reading(false);
+    }
+    return false;
+}
+
+auto http_session::refuse_body() -> void {
+    waiting_until_.reset();
+    busy_ = true;
+    keep_alive_ = false;
+    stream_->set_reading(true);
+    server_.options_.refuse_body_(reader_.head(), *this);
+}
+
 auto http_session::refuse_malformed() -> void {
     busy_ = true;
     keep_alive_ = false;
@@ -198,6 +237,12 @@
         return;
     }
     const auto& options = server_.options_;
+    if (waiting_until_) {
+        if (now > *waiting_until_) {
+            refuse_body();
+        }
+        return;
+    }
     if (reader_.started() && !reader_.header_complete()) {
         if (waited > options.header_timeout_) {
             busy_ = true;
@@ -252,7 +297,23 @@
     options_.idle_timeout_ = idle_timeout;
 }
 
+auto http_session_server::admit_waiting() -> void {
+    while (!waiting_.empty()) {
+        const auto session = waiting_.front().lock();
+        const auto waits =
+            session && session->stream_ && session->waiting_until_;
+        if (waits && !session->admit_body()) {
+            return;
+        }
+        waiting_.pop_front();
+        if (waits && session->reader_.take_expectation()) {
+            session->stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+    }
+}
+
 auto http_session_server::sweep() -> void {
+    admit_waiting();
     const auto now = clock_.now();
     const auto sessions = std::vector<std::shared_ptr<http_session>>{
         sessions_.begin(), sessions_.end()};
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -13,14 +13,17 @@
 #pragma once
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
 
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/error/error.hpp"
+#include "basilstream/coordination/byte_budget/byte_budget.hpp"
 #include "basilstream/transport/http_message/http_message.hpp"
 #include "basilstream/transport/reactor/reactor.hpp"
 #include "basilstream/transport/tcp_stream/tcp_stream.hpp"
@@ -94,6 +97,11 @@
     auto on_closed(close_reason reason) -> void override;
 
 private:
+    friend class http_session_server;
+    // Reads on if there is memory for the body, else waits for some. Returns
+    // whether the body may be read.
+    auto admit_body() -> bool;
+    auto refuse_body() -> void;
     auto refuse_malformed() -> void;
     auto report_cut(close_reason reason) const -> void;
     auto finish_answer() -> void;
@@ -112,8 +120,15 @@
     // Whether the answer has a head only: the request is a HEAD.
     bool without_body_ = false;
     bool lingering_ = false;
+    // For the body of the request that is being read; null if it is small.
+    std::shared_ptr<coordination::byte_lease> body_lease_;
+    // Until when the session waits for memory for a body.
+    std::optional<time_point> waiting_until_;
 };
 
+using request_handler =
+    std::function<void(request_message request, http_session& session)>;
+
 /// Settings of a server.
 struct http_session_options {
     /// "IP:PORT"; port 0 picks an ephemeral one.
@@ -124,14 +139,20 @@
     /// Called when a connection ends during an answer or with bytes unsent, for
     /// logs; none if empty.
     std::function<void(const cut_connection&)> on_cut_ = {};
+    /// Memory for bodies of more than some KiB, shared by all sessions; must
+    /// outlive the requests. No bound if null. Sessions wait for a share of it
+    /// in the order in which they came.
+    coordination::byte_budget* body_budget_ = nullptr;
+    /// Returns how long a request, which has no body yet, may wait for that.
+    std::function<milliseconds(const request_message&)> max_body_wait_ = {};
+    /// Refuses a request, which has no body yet, that has waited for longer.
+    /// Both are required with a budget.
+    request_handler refuse_body_ = {};
 };
 
 /// Accepts connections and owns their sessions.
 class http_session_server {
 public:
-    using request_handler =
-        std::function<void(request_message request, http_session& session)>;
-
     /// Starts to listen; `unavailable` at step settings when the address is
     /// taken. Call before the thread starts or on it.
     [[nodiscard]] static auto open(reactor_thread& thread, const clock& time,
@@ -174,7 +195,12 @@
     http_session_options options_;
     request_handler handler_;
     std::unique_ptr<tcp_listener> listener_;
+    // Lets sessions read on that wait for memory.
+    auto admit_waiting() -> void;
+
     std::unordered_set<std::shared_ptr<http_session>> sessions_;
+    // Sessions that wait for memory for a body, the first one first.
+    std::deque<std::weak_ptr<http_session>> waiting_;
     bool draining_ = false;
 };
 
--- a/basilstream/transport/http_session/http_session_test.cpp
+++ b/basilstream/transport/http_session/http_session_test.cpp
@@ -82,6 +82,101 @@
     std::unique_ptr<http_session_server> server_;
 };
 
+// A server with memory for two bodies of its clients, a copy of each included.
+class body_budget_test : public testing::Test {
+protected:
+    static constexpr auto body_bytes_ = std::size_t{100'000};
+    static constexpr auto clients_ = 8;
+
+    auto open(milliseconds max_wait) -> void {
+        auto options = http_session_options{.address_ = "127.0.0.1:0"};
+        options.body_budget_ = &budget_;
+        options.max_body_wait_ = [max_wait](const auto& /*head*/) {
+            return max_wait;
+        };
+        options.refuse_body_ = [](const request_message& request,
+                                  http_session& session) {
+            EXPECT_EQ(request.method_, "POST");
+            session.respond(503, {}, "");
+        };
+        server_ = std::move(
+            http_session_server::open(
+                thread_, clock_, options,
+                [this](request_message request, http_session& session) {
+                    answer(std::move(request), session);
+                })
+                .value());
+        thread_.every(milliseconds{10}, [this] {
+            server_->sweep();
+            max_used_ = std::max(max_used_, budget_.used());
+        });
+        thread_.start();
+    }
+    ~body_budget_test() override {
+        thread_.stop();
+        kept_.clear();
+    }
+    auto answer(request_message request, http_session& session) -> void {
+        EXPECT_EQ(request.body_.size(), body_bytes_);
+        kept_.push_back(std::move(request));
+        if (ends_requests_) {
+            thread_.after(milliseconds{30}, [this] { kept_.pop_back(); });
+        }
+        session.respond(200, {}, "");
+    }
+    // Returns the beginnings of the answers to all clients.
+    auto post_from_all() -> std::vector<std::string> {
+        const auto request = "POST / HTTP/1.1\r\nHost: x\r\n"
+                             "Connection: close\r\nContent-Length: " +
+                             std::to_string(body_bytes_) + "\r\n\r\n" +
+                             std::string(body_bytes_, 'x');
+        auto clients = std::vector<std::unique_ptr<raw_client>>{};
+        auto started = std::promise<void>{};
+        thread_.post_wait([&] {
+            for (auto client = 0; client < clients_; ++client) {
+                clients.push_back(std::make_unique<raw_client>(
+                    thread_, server_->address(), request, "\r\n\r\n"));
+            }
+            started.set_value();
+        });
+        started.get_future().get();
+        auto answers = std::vector<std::string>{};
+        for (const auto& client : clients) {
+            answers.push_back(client->wait().bytes_.substr(0, 12));
+        }
+        return answers;
+    }
+
+    steady_clock clock_;
+    coordination::byte_budget budget_{4 * body_bytes_};
+    std::vector<request_message> kept_;
+    bool ends_requests_ = true;
+    std::size_t max_used_ = 0;
+    reactor_thread thread_{"test", 1024};
+    std::unique_ptr<http_session_server> server_;
+};
+
+// Bodies that are within their bound each exceeded the memory together.
+TEST_F(body_budget_test, bodies_of_many_clients_exceed_the_memory) {
+    open(seconds{30});
+    for (const auto& answer : post_from_all()) {
+        EXPECT_EQ(answer, "HTTP/1.1 200");
+    }
+    thread_.stop();
+    EXPECT_LE(max_used_, budget_.limit());
+    EXPECT_GE(max_used_, 2 * body_bytes_);
+}
+
+TEST_F(body_budget_test, body_waits_for_memory_for_good) {
+    ends_requests_ = false;
+    open(milliseconds{300});
+    auto refused = 0;
+    for (const auto& answer : post_from_all()) {
+        refused += answer == "HTTP/1.1 503" ? 1 : 0;
+    }
+    EXPECT_EQ(refused, clients_ - 2);
+}
+
 constexpr auto old_request = "GET / HTTP/1.0\r\nHost: x\r\n\r\n";
 
 TEST_F(http_session_test, streams_in_chunks) {
