--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -90,13 +90,17 @@
 class raw_client final : public transport::tcp_observer,
                          public transport::response_sink {
 public:
-    raw_client(const clock& time, raw_deployment::answer_handler done)
-        : clock_{time}, done_{std::move(done)}, sent_at_{time.now()} {}
+    raw_client(transport::reactor_thread& thread, const clock& time,
+               raw_deployment::answer_handler done, milliseconds pause)
+        : thread_{thread}, clock_{time}, done_{std::move(done)},
+          sent_at_{time.now()}, pause_{pause} {}
 
     static auto send(transport::reactor_thread& thread, const clock& time,
                      const std::string& address, const std::string& bytes,
-                     raw_deployment::answer_handler done) -> void {
-        const auto client = std::make_shared<raw_client>(time, std::move(done));
+                     raw_deployment::answer_handler done, milliseconds pause)
+        -> void {
+        const auto client =
+            std::make_shared<raw_client>(thread, time, std::move(done), pause);
         client->self_ = client;
         client->stream_ =
             transport::tcp_stream::connect(thread, address, *client);
@@ -116,6 +120,14 @@
     auto on_head(transport::answer_head head) -> void override {
         answer_.status_ = head.status_;
         answer_.headers_ = std::move(head.headers_);
+        if (pause_ > milliseconds{0}) {
+            stream_->set_reading(false);
+            thread_.after(pause_, [self = self_] {
+                if (self->stream_) {
+                    self->stream_->set_reading(true);
+                }
+            });
+        }
     }
     auto on_body(std::string_view piece) -> void override {
         answer_.body_.append(piece);
@@ -130,9 +142,11 @@
         done_(answer_);
     }
 
+    transport::reactor_thread& thread_;
     const clock& clock_;
     raw_deployment::answer_handler done_;
     const time_point sent_at_;
+    const milliseconds pause_;
     raw_answer answer_;
     transport::response_reader reader_;
     std::unique_ptr<transport::tcp_stream> stream_;
@@ -143,7 +157,7 @@
 
 raw_connection::raw_connection(transport::reactor_thread& thread,
                                int descriptor, handler on_request)
-    : on_request_{std::move(on_request)}, reader_{{}},
+    : thread_{thread}, on_request_{std::move(on_request)}, reader_{{}},
       stream_{transport::tcp_stream::adopt(thread, descriptor, *this)} {}
 
 auto raw_connection::write(std::string_view bytes) -> void {
@@ -163,6 +177,15 @@
     }
 }
 
+auto raw_connection::pause_reading(milliseconds time) -> void {
+    stream_->set_reading(false);
+    thread_.after(time, [self = shared_from_this()] {
+        if (self->stream_) {
+            self->stream_->set_reading(true);
+        }
+    });
+}
+
 auto raw_connection::buffered() const -> std::size_t {
     return stream_ ? stream_->buffered() : 0;
 }
@@ -206,6 +229,9 @@
             });
             connections_.push_back(std::make_shared<raw_connection>(
                 thread_, descriptor, on_request_));
+            if (read_delay_ > milliseconds{0}) {
+                connections_.back()->pause_reading(read_delay_);
+            }
         });
     listener_ = std::move(*opened);
 }
@@ -312,9 +338,9 @@
 }
 
 auto raw_deployment::send(int daemon, const std::string& bytes,
-                          answer_handler done) -> void {
+                          answer_handler done, milliseconds pause) -> void {
     raw_client::send(thread_, clock_, daemons_[daemon]->caller_address(), bytes,
-                     std::move(done));
+                     std::move(done), pause);
 }
 
 auto raw_deployment::view_server(int daemon, std::string value) -> std::string {
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -49,6 +49,8 @@
     /// Ends the connection in order, or resets it.
     auto close() -> void;
     auto reset() -> void;
+    /// Reads nothing for this time.
+    auto pause_reading(milliseconds time) -> void;
     [[nodiscard]] auto open() const -> bool { return stream_ != nullptr; }
     /// Bytes that the peer has not taken yet.
     [[nodiscard]] auto buffered() const -> std::size_t;
@@ -57,6 +59,7 @@
     auto on_closed(transport::close_reason reason) -> void override;
 
 private:
+    transport::reactor_thread& thread_;
     handler on_request_;
     transport::request_reader reader_;
     std::unique_ptr<transport::tcp_stream> stream_;
@@ -79,6 +82,8 @@
     [[nodiscard]] auto address() const -> std::string {
         return listener_->address();
     }
+    /// Connections accepted from now on are not read for this time.
+    auto set_read_delay(milliseconds delay) -> void { read_delay_ = delay; }
     /// Removes the announcement.
     auto withdraw() -> void;
     /// Refuses connections from now on and gives up those it has: resets them,
@@ -98,6 +103,7 @@
     stand_in_store& store_;
     const bool holds_model_;
     const int slots_;
+    milliseconds read_delay_{0};
     std::vector<std::shared_ptr<raw_connection>> connections_;
     std::unique_ptr<transport::tcp_listener> listener_;
     // Sockets that keep the ports of ended processes, so that their callers do
@@ -170,9 +176,9 @@
     auto play(duration length, std::function<void()> begin) -> void;
 
     /// Sends a request to a daemon on a connection of its own and hands its
-    /// answer over.
-    auto send(int daemon, const std::string& bytes, answer_handler done)
-        -> void;
+    /// answer over. Reads nothing for `pause` once the answer has begun.
+    auto send(int daemon, const std::string& bytes, answer_handler done,
+              milliseconds pause = milliseconds{0}) -> void;
     /// Makes the links between a daemon and all servers fail, or work again.
     /// Call for the first `daemons_with_faults_` only.
     auto cut_links(int daemon, link_fault fault) -> void;
