Start without the ports for metrics and peers if they are taken

Metrics are tried again each second with a warning; the link to peers falls back to any port, which the store announces anyway, as forwarding does. testing_daemon_starts.taken_port_of_metrics_or_peers_ends_the_start fails with the daemon before.

--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -36,6 +36,7 @@
 constexpr auto join_settling_time = milliseconds{1500};
 // Requests for readiness, endpoints and metrics have no body of note.
 constexpr auto max_control_body_bytes = std::size_t{16} * 1024;
+constexpr auto metrics_retry_delay = milliseconds{1000};
 constexpr auto join_retry_delay = milliseconds{1000};
 // Interval at which the list of daemons is read from the store again, to find
 // daemons that membership probes have lost.
@@ -137,17 +138,6 @@
         if (auto opened = open_forwarding(); !opened) {
             return opened;
         }
-        const auto listen = [this](const std::string& address, auto method)
-            -> result<std::unique_ptr<transport::http_session_server>> {
-            return transport::http_session_server::open(
-                thread_, clock_,
-                {.address_ = address,
-                 .limits_ = {.body_bytes_ = max_control_body_bytes}},
-                [this, method](transport::request_message request,
-                               transport::http_session& session) {
-                    (this->*method)(request, session);
-                });
-        };
         auto readiness = listen(settings_.readiness_address_,
                                 &running_relay::answer_readiness);
         auto directory = listen(settings_.directory_address_,
@@ -160,13 +150,7 @@
         servers_.push_back(std::move(*readiness));
         servers_.push_back(std::move(*directory));
         if (!settings_.metrics_address_.empty()) {
-            auto metrics = listen(settings_.metrics_address_,
-                                  &running_relay::answer_operator);
-            if (!metrics) {
-                return tl::unexpected(metrics.error());
-            }
-            operator_address_ = (*metrics)->address();
-            servers_.push_back(std::move(*metrics));
+            open_metrics();
         }
         status_.add_gauges(metrics_);
         thread_.every(sweep_interval, [this] { sweep(); });
@@ -285,32 +269,68 @@
         return control_settings;
     }
 
-    // Opens the link to the other daemons on the first free port.
+    using request_method = void (running_relay::*)(
+        const transport::request_message&, transport::http_session&);
+
+    auto listen(const std::string& address, request_method method)
+        -> result<std::unique_ptr<transport::http_session_server>> {
+        return transport::http_session_server::open(
+            thread_, clock_,
+            {.address_ = address,
+             .limits_ = {.body_bytes_ = max_control_body_bytes}},
+            [this, method](transport::request_message request,
+                           transport::http_session& session) {
+                (this->*method)(request, session);
+            });
+    }
+
+    // Serves without metrics while their address is taken.
+    auto open_metrics() -> void {
+        auto metrics =
+            listen(settings_.metrics_address_, &running_relay::answer_operator);
+        if (!metrics) {
+            log_.failure(transport::log_level::warning,
+                         "no metrics: their address is not available",
+                         metrics.error());
+            thread_.after(metrics_retry_delay, [this] { open_metrics(); });
+            return;
+        }
+        operator_address_ = (*metrics)->address();
+        servers_.push_back(std::move(*metrics));
+    }
+
+    // Opens the link to the other daemons on the first free port, or on any if
+    // none is free.
     auto open_link() -> result<void> {
-        auto failure = error{};
         for (auto port = int{settings_.first_peer_port_};
              port <= settings_.last_peer_port_; ++port) {
-            auto link = transport::peer_link::open(
-                {.address_ = settings_.peer_ip_,
-                 .port_ = static_cast<std::uint16_t>(port)},
-                [this](std::string from, std::string bytes) {
-                    // Messages are dropped if the thread's queue is full: the
-                    // modules that need delivery send them again.
-                    (void)thread_.post([this, from = std::move(from),
-                                        bytes = std::move(bytes)] {
+            if (open_link_on(port)) {
+                return {};
+            }
+        }
+        return open_link_on(0);
+    }
+
+    auto open_link_on(int port) -> result<void> {
+        auto link = transport::peer_link::open(
+            {.address_ = settings_.peer_ip_,
+             .port_ = static_cast<std::uint16_t>(port)},
+            [this](std::string from, std::string bytes) {
+                // Messages are dropped if the thread's queue is full: the
+                // modules that need delivery send them again.
+                (void)thread_.post(
+                    [this, from = std::move(from), bytes = std::move(bytes)] {
                         if (cluster_) {
                             cluster_->on_message(from, bytes);
                         }
                     });
-                });
-            if (link) {
-                link_address_ = (*link)->address();
-                link_ = std::move(*link);
-                return {};
-            }
-            failure = link.error();
+            });
+        if (!link) {
+            return tl::unexpected(link.error());
         }
-        return tl::unexpected(failure);
+        link_address_ = (*link)->address();
+        link_ = std::move(*link);
+        return {};
     }
 
     // Listens for forwarded requests on the last free port for other daemons,
--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -85,15 +85,19 @@
     [[nodiscard]] auto settings_path() const -> std::string {
         return directory_ + "/settings.json";
     }
-    [[nodiscard]] auto settings(const std::string& readiness) const
-        -> std::string {
+    [[nodiscard]] auto settings(const std::string& readiness,
+                                const std::string& metrics = {},
+                                int peer_port = 0) const -> std::string {
         const auto any = std::string{"127.0.0.1:0"};
         return protocol::json{
             {"name", "d0"},
             {"zone", "a"},
             {"relay",
-             {{"callers", any}, {"readiness", readiness}, {"directory", any}}},
-            {"peer", {{"ip", "127.0.0.1"}, {"ports", {0, 0}}}},
+             {{"callers", any},
+              {"readiness", readiness},
+              {"directory", any},
+              {"metrics", metrics.empty() ? any : metrics}}},
+            {"peer", {{"ip", "127.0.0.1"}, {"ports", {peer_port, peer_port}}}},
             {"store", {{"address", "127.0.0.1:1"}}},
             {"stop", {{"grace_s", 4}}},
             {"logging", {{"level", "info"}, {"format", "json"}}}}
@@ -247,6 +251,20 @@
     EXPECT_TRUE(stops_in_order(daemon));
 }
 
+// Daemons that share an address, and a port for metrics, did not start.
+TEST(daemon_starts, taken_port_of_metrics_or_peers_ends_the_start) {
+    auto daemon = started_daemon{};
+    const auto other = bound_socket{};
+    other.listen();
+    const auto other_peer = bound_socket{};
+    other_peer.listen();
+    daemon.write_settings(
+        daemon.settings("127.0.0.1:0", other.address(), other_peer.port()));
+    daemon.start();
+    EXPECT_TRUE(daemon.wait_for_start());
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
 TEST(daemon_starts, stop_is_not_heeded_while_an_address_is_taken) {
     auto daemon = started_daemon{};
     const auto former = bound_socket{};
