Keep fencing numbers apart when the store comes back from an older copy

Cause: the epoch of the lease was the offset of its claim, and offsets are given out again after a drill; the known end of the log only rose; a renewal was taken for the owner's by its epoch alone. Class: positions in the store taken for unique and monotonic, although the store may go back.

Fix: answers of the store hand over their era. A claim names its epoch: above the last known one, and 2^20 further for each era since that claim, more than a drill can remove. Entries name the era in which they were written, so that a daemon that starts after the drill knows that claims may be lost. A daemon that learns of a new era forgets the log's end and its append under way and reads the newest entry; the owner claims anew at once if its lease was valid then, others wait a term and the pause. Renewals count if holder and epoch match.

--- a/basilstream/coordination/placement_lease/placement_lease.cpp
+++ b/basilstream/coordination/placement_lease/placement_lease.cpp
@@ -12,39 +12,95 @@
           random.fraction() *
           static_cast<double>(settings.claim_jitter_.count()))} {}
 
+auto placement_lease::on_answer(std::optional<std::uint64_t> era_when_sent,
+                                std::optional<std::uint64_t> era,
+                                time_point now) -> bool {
+    if (era && !era_) {
+        era_ = era;
+        epoch_era_ = epoch_era_ ? epoch_era_ : era;
+        return true;
+    }
+    const auto sent_in_this_era = era_when_sent == era_;
+    const auto same_era = !era || era == era_;
+    if (same_era && sent_in_this_era) {
+        return true;
+    }
+    // A lower era in the answer to an earlier call is that of a late answer.
+    if (!same_era && (sent_in_this_era || *era > *era_)) {
+        begin_era(*era, now);
+    }
+    require_newest_entry();
+    return false;
+}
+
+auto placement_lease::begin_era(std::uint64_t era, time_point now) -> void {
+    may_reclaim_ = valid_epoch(now).has_value();
+    claimed_by_this_process_ = false;
+    owner_released_ = false;
+    owner_valid_until_ = std::max(owner_valid_until_, now + settings_.term_);
+    stale_before_ = 0;
+    era_ = era;
+}
+
+auto placement_lease::require_newest_entry() -> void {
+    pending_.reset();
+    log_end_.reset();
+    read_needed_ = true;
+}
+
+auto placement_lease::next_epoch(std::uint64_t offset) const -> std::uint64_t {
+    constexpr auto max_eras = std::uint64_t{1} << 32U;
+    const auto current = era_.value_or(0);
+    // Without a known claim all eras before may have had some.
+    const auto claimed = owner_ ? epoch_era_.value_or(current) : 0;
+    const auto eras = std::max(current, claimed) - std::min(current, claimed);
+    const auto skipped = std::min(eras, max_eras) * epochs_per_era;
+    const auto unread = unread_epoch_ > epoch_ ? unread_epoch_ + 1 : 0;
+    const auto after_claim = owner_ ? epoch_ + 1 : offset;
+    return std::max({offset, after_claim + skipped, unread});
+}
+
 auto placement_lease::on_entry(std::uint64_t offset, const lease_entry& entry,
                                time_point now) -> void {
     log_end_ = std::max(log_end_.value_or(0), offset + 1);
-    if (entry.kind_ == lease_entry_kind::claim) {
-        if (owner_ && offset <= epoch_) {
-            return;
-        }
-        claimed_by_this_process_ = claimed_by_this_process_ && offset == epoch_;
-        owner_ = entry.holder_;
-        epoch_ = offset;
-        owner_released_ = false;
+    const auto is_claim = entry.kind_ == lease_entry_kind::claim;
+    const auto epoch = is_claim ? std::max(entry.epoch_, offset) : entry.epoch_;
+    if (!owner_ || epoch > epoch_) {
+        adopt_claim(entry, epoch, now);
+    }
+    // Entries of a former era do not tell what their owner did afterwards.
+    if (!is_claim && entry.epoch_ == epoch_ && entry.holder_ == *owner_ &&
+        !claim_is_of_former_era() && offset >= stale_before_) {
+        apply_to_owner(entry, now);
+    }
+}
+
+auto placement_lease::adopt_claim(const lease_entry& entry, std::uint64_t epoch,
+                                  time_point now) -> void {
+    owner_ = entry.holder_;
+    epoch_ = epoch;
+    epoch_era_ = entry.era_ ? entry.era_ : era_;
+    claimed_by_this_process_ = false;
+    may_reclaim_ = false;
+    owner_released_ = false;
+    stale_before_ = 0;
+    if (entry.kind_ == lease_entry_kind::claim || claim_is_of_former_era()) {
         owner_valid_until_ = now + settings_.term_;
-        return;
     }
-    if (!owner_ || entry.epoch_ > epoch_) {
-        // The log no longer contains the claim itself.
-        owner_ = entry.holder_;
-        epoch_ = entry.epoch_;
-        claimed_by_this_process_ = false;
-        owner_released_ = false;
-    }
-    if (entry.epoch_ == epoch_ && offset >= stale_before_) {
-        const auto released = entry.kind_ == lease_entry_kind::release;
-        if (!released) {
-            owner_valid_until_ =
-                std::max(owner_valid_until_, now + settings_.term_);
-        } else if (!owner_released_) {
-            // The owner may have sent orders until it wrote the release. When
-            // it did so is unknown; the present time is the upper bound.
-            owner_valid_until_ = now;
-        }
-        owner_released_ = released;
+}
+
+auto placement_lease::apply_to_owner(const lease_entry& entry, time_point now)
+    -> void {
+    const auto released = entry.kind_ == lease_entry_kind::release;
+    if (!released) {
+        owner_valid_until_ =
+            std::max(owner_valid_until_, now + settings_.term_);
+    } else if (!owner_released_) {
+        // The owner may have sent orders until it wrote the release. When it
+        // did so is unknown; the present time is the upper bound.
+        owner_valid_until_ = now;
     }
+    owner_released_ = released;
 }
 
 auto placement_lease::on_read(std::uint64_t end, time_point now) -> void {
@@ -62,6 +118,10 @@
         stale_before_ = std::max(stale_before_, end);
     } else if (!owner_ || epoch > epoch_) {
         read_needed_ = true;
+        unread_epoch_ = std::max(unread_epoch_, epoch);
+        unread_owner_valid_until_ =
+            std::max(unread_owner_valid_until_,
+                     now + std::min(remaining, settings_.term_));
     }
 }
 
@@ -75,17 +135,20 @@
 }
 
 auto placement_lease::claimable_at() const -> time_point {
-    if (!owner_) {
-        return time_point::min();
-    }
     const auto handover_delay =
-        settings_.pause_between_owners_ + settings_.clock_margin_;
-    if (owner_is_this_vm()) {
-        // The owner is an earlier process on this VM, with the same holder
-        // name; this process may claim at once.
-        return time_point::min();
+        settings_.pause_between_owners_ + settings_.clock_margin_ + jitter_;
+    auto claimable = time_point::min();
+    if (unread_epoch_ > epoch_) {
+        claimable = unread_owner_valid_until_ + handover_delay;
+    }
+    // If the owner is an earlier process on this VM, with the same holder name,
+    // this process may claim at once.
+    const auto was_owner =
+        may_reclaim_ || (owner_is_this_vm() && !claim_is_of_former_era());
+    if (!owner_ || was_owner) {
+        return claimable;
     }
-    return owner_valid_until_ + handover_delay + jitter_;
+    return std::max(claimable, owner_valid_until_ + handover_delay);
 }
 
 auto placement_lease::needs_read(time_point now) const -> bool {
@@ -104,7 +167,8 @@
     if (pending_ || now < retry_at_ || !log_end_ || read_needed_) {
         return std::nullopt;
     }
-    auto entry = lease_entry{lease_entry_kind::claim, holder_, 0};
+    auto entry = lease_entry{lease_entry_kind::claim, holder_,
+                             next_epoch(*log_end_), era_};
     if (claimed_by_this_process_ && owner_is_this_vm()) {
         if (owner_released_) {
             return std::nullopt;
@@ -133,6 +197,7 @@
         return;
     }
     const auto kind = pending_->entry_.kind_;
+    const auto epoch = pending_->entry_.epoch_;
     pending_.reset();
     log_end_ = offset + 1;
     if (kind == lease_entry_kind::claim) {
@@ -143,7 +208,10 @@
                                    : std::min(owner_valid_until_, sent_at);
         }
         owner_ = holder_;
-        epoch_ = offset;
+        epoch_ = epoch;
+        epoch_era_ = era_;
+        stale_before_ = 0;
+        may_reclaim_ = false;
         claimed_by_this_process_ = true;
     }
     owner_released_ = kind == lease_entry_kind::release;
--- a/basilstream/coordination/placement_lease/placement_lease.hpp
+++ b/basilstream/coordination/placement_lease/placement_lease.hpp
@@ -1,9 +1,12 @@
 /// Elects the daemon that sends orders to runners, by a lease (Gray and
 /// Cheriton, "Leases", SOSP 1989) in a log that all daemons share. The daemon
 /// with the latest claim in the log owns the lease while it renews it in time.
-/// The offset of the claim is the epoch of the lease and the fencing number.
+/// Each claim has a higher epoch than the one before; the epoch is also the
+/// fencing number. The store may come back from an older copy, in a new era:
+/// claims may be lost then, and epochs rise by at least `epochs_per_era`.
 ///
 ///     auto lease = placement_lease{settings, "entry-1", random};
+///     if (!lease.on_answer(era_when_sent, era, now)) { /* read again */ }
 ///     lease.on_entry(offset, entry, now);           // read from the log
 ///     if (const auto due = lease.poll(now)) { /* append at its offset */ }
 ///     lease.on_appended(offset, sent_at);           // append succeeded
@@ -34,13 +37,22 @@
                                       {lease_entry_kind::renewal, "renewal"},
                                       {lease_entry_kind::release, "release"}}}};
 
+/// Added to the epoch for each era of the store. More than the number of claims
+/// that a return to an older copy can remove; small, so that fencing numbers
+/// stay below 2^53, up to which all readers of JSON keep integers exactly.
+inline constexpr auto epochs_per_era = std::uint64_t{1} << 20U;
+
 /// An entry of the lease log.
 struct lease_entry {
     lease_entry_kind kind_ = lease_entry_kind::claim;
     /// The VM that wrote it.
     std::string holder_;
-    /// Offset of the claim that this entry renews or releases; 0 in a claim.
+    /// Epoch of the claim. In a claim, the offset of the entry if that is
+    /// higher: claims of earlier builds name no epoch.
     std::uint64_t epoch_ = 0;
+    /// Era of the store in which the entry was written. Absent if the store
+    /// names none, and in entries of earlier builds.
+    std::optional<std::uint64_t> era_ = std::nullopt;
 };
 
 /// An entry to be appended at an offset. The append must fail if the log does
@@ -76,6 +88,19 @@
     placement_lease(placement_lease_settings settings, std::string holder,
                     random_source& random);
 
+    /// Applies the era of the store that an answer names, if it names one. Call
+    /// first for each answer to a read or append, with the value of era() when
+    /// the call was sent. Returns whether the answer counts: if not, it is of a
+    /// former era, or the era changed while the call was under way. An append
+    /// in progress is then given up, and the newest entry must be read, not
+    /// those from a known offset on.
+    [[nodiscard]] auto on_answer(std::optional<std::uint64_t> era_when_sent,
+                                 std::optional<std::uint64_t> era,
+                                 time_point now) -> bool;
+    /// Returns the latest known era of the store.
+    [[nodiscard]] auto era() const -> std::optional<std::uint64_t> {
+        return era_;
+    }
     /// Applies an entry read from the log; call in log order.
     auto on_entry(std::uint64_t offset, const lease_entry& entry,
                   time_point now) -> void;
@@ -137,7 +162,23 @@
     [[nodiscard]] auto owner_is_this_vm() const -> bool {
         return owner_ && *owner_ == holder_;
     }
+    // Returns whether the known claim was made before the store's last return
+    // to an older copy, so that a later one may have been lost.
+    [[nodiscard]] auto claim_is_of_former_era() const -> bool {
+        return epoch_era_ != era_;
+    }
     [[nodiscard]] auto claimable_at() const -> time_point;
+    // Returns the epoch of a claim at this offset: higher than that of any
+    // claim before, also of those that the store has lost.
+    [[nodiscard]] auto next_epoch(std::uint64_t offset) const -> std::uint64_t;
+    auto begin_era(std::uint64_t era, time_point now) -> void;
+    // Forgets the log's end and the append in progress.
+    auto require_newest_entry() -> void;
+    // Takes over the claim that an entry tells.
+    auto adopt_claim(const lease_entry& entry, std::uint64_t epoch,
+                     time_point now) -> void;
+    // Applies a renewal or the release of the known claim.
+    auto apply_to_owner(const lease_entry& entry, time_point now) -> void;
 
     placement_lease_settings settings_;
     std::string holder_;
@@ -146,19 +187,28 @@
     // may still send orders.
     std::optional<std::string> owner_;
     std::uint64_t epoch_ = 0;
+    std::optional<std::uint64_t> epoch_era_;
     bool owner_released_ = false;
     time_point owner_valid_until_{};
     // Entries before this offset do not extend the lease: the owner had written
     // them before its last message to this daemon.
     std::uint64_t stale_before_ = 0;
     std::optional<time_point> previous_owner_valid_until_;
+    // A later claim than the log tells of, known from its owner's messages, and
+    // the latest time at which that owner may still send orders.
+    std::uint64_t unread_epoch_ = 0;
+    time_point unread_owner_valid_until_{};
+    // True if this process held the lease when the era changed, so that nobody
+    // else may have sent orders since.
+    bool may_reclaim_ = false;
     // False if the claim was made by an earlier process on this VM.
     bool claimed_by_this_process_ = false;
     // End of this process's own lease.
     time_point valid_until_{};
     time_point renewed_at_{};
-    // Empty until the log has been read.
+    // Empty until the log has been read in this era.
     std::optional<std::uint64_t> log_end_;
+    std::optional<std::uint64_t> era_;
     time_point read_at_{};
     bool read_needed_ = true;
     // The append in progress.
--- a/basilstream/coordination/record_store/record_store.hpp
+++ b/basilstream/coordination/record_store/record_store.hpp
@@ -62,6 +62,10 @@
     std::uint64_t end_ = 0;
     /// True if the requested records are no longer retained.
     bool expired_ = false;
+    /// Era of the store in the answer, if it named one. The era changes each
+    /// time that the store comes back from an older copy of its topics: records
+    /// are lost then, and their offsets are given out again.
+    std::optional<std::uint64_t> era_ = std::nullopt;
 };
 
 /// Result of an append.
@@ -69,6 +73,8 @@
     bool appended_ = false;
     /// The record's offset if it was appended, else the topic's end offset.
     std::uint64_t offset_ = 0;
+    /// Era of the store in the answer, if it named one.
+    std::optional<std::uint64_t> era_ = std::nullopt;
 };
 
 /// Reads and appends records of the shared store.
--- a/basilstream/daemon/model_control/lease.cpp
+++ b/basilstream/daemon/model_control/lease.cpp
@@ -58,9 +58,24 @@
     store_loads_.on_takeover(capacity, now - age, std::move(runners));
 }
 
+auto model_control::lease_answer_counts(
+    std::optional<std::uint64_t> era_when_sent,
+    std::optional<std::uint64_t> era) -> bool {
+    const auto known = lease_.era();
+    const auto counts =
+        lease_.on_answer(era_when_sent, era, context_.boot_clock_.now());
+    if (known && lease_.era() != known) {
+        context_.log_.warning("the store came back from an older copy",
+                              {{"era", std::to_string(*lease_.era())},
+                               {"former_era", std::to_string(*known)}});
+    }
+    return counts;
+}
+
 auto model_control::read_lease() -> void {
     lease_read_in_flight_ = true;
-    auto done = [this](const result<coordination::record_page>& page) {
+    auto done = [this, era = lease_.era()](
+                    const result<coordination::record_page>& page) {
         lease_read_in_flight_ = false;
         const auto now = context_.boot_clock_.now();
         if (!page) {
@@ -70,7 +85,7 @@
             lease_.on_append_failed(now);
             return;
         }
-        if (page->expired_) {
+        if (!lease_answer_counts(era, page->era_) || page->expired_) {
             next_lease_offset_.reset();
             return;
         }
@@ -105,8 +120,12 @@
     const auto sent_at = context_.boot_clock_.now();
     store_.append(coordination::shared_topic::placement_lease, due.offset_,
                   {lease_key, protocol::encode(due.entry_)},
-                  [this, sent_at, kind = due.entry_.kind_](
+                  [this, sent_at, era = lease_.era()](
                       const result<coordination::append_outcome>& outcome) {
+                      if (outcome && !lease_answer_counts(era, outcome->era_)) {
+                          next_lease_offset_.reset();
+                          return;
+                      }
                       if (outcome && outcome->appended_) {
                           lease_.on_appended(outcome->offset_, sent_at);
                           next_lease_offset_ = outcome->offset_ + 1;
--- a/basilstream/daemon/model_control/model_control.hpp
+++ b/basilstream/daemon/model_control/model_control.hpp
@@ -142,6 +142,10 @@
     auto update_ledger(const coordination::backend_server& server) -> void;
     auto advance_lease() -> void;
     auto read_lease() -> void;
+    // Tells the lease the era in an answer; returns whether the answer counts.
+    [[nodiscard]] auto
+    lease_answer_counts(std::optional<std::uint64_t> era_when_sent,
+                        std::optional<std::uint64_t> era) -> bool;
     auto append_lease(const coordination::lease_append& due) -> void;
     auto on_lease_gained() -> void;
     auto flush_demand() -> void;
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -414,11 +414,35 @@
     return update;
 }
 
+namespace {
+
+// Number of the era's field in a lease entry; see relay.proto.
+constexpr auto lease_era_field = 4;
+
+auto era_of(const wire::lease_entry& message) -> std::optional<std::uint64_t> {
+    const auto& fields = message.GetReflection()->GetUnknownFields(message);
+    for (auto index = 0; index < fields.field_count(); ++index) {
+        const auto& field = fields.field(index);
+        if (field.number() == lease_era_field &&
+            field.type() == google::protobuf::UnknownField::TYPE_VARINT &&
+            field.varint() > 0) {
+            return field.varint() - 1;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
 auto encode(const coordination::lease_entry& entry) -> std::string {
     auto message = wire::lease_entry{};
     message.set_kind(static_cast<std::uint32_t>(entry.kind_));
     message.set_holder(entry.holder_);
     message.set_epoch(entry.epoch_);
+    if (entry.era_) {
+        message.GetReflection()->MutableUnknownFields(&message)->AddVarint(
+            lease_era_field, *entry.era_ + 1);
+    }
     return message.SerializeAsString();
 }
 
@@ -433,7 +457,7 @@
     }
     return coordination::lease_entry{
         static_cast<coordination::lease_entry_kind>(message.kind()),
-        message.holder(), message.epoch()};
+        message.holder(), message.epoch(), era_of(message)};
 }
 
 } // namespace basilstream::protocol
--- a/basilstream/protocol/relay_codec/relay_codec_test.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -111,11 +111,17 @@
 
 TEST(relay_codec, keeps_lease_entries) {
     const auto read = decode_lease_entry(encode(coordination::lease_entry{
-        coordination::lease_entry_kind::renewal, "entry-1", 9}));
+        coordination::lease_entry_kind::renewal, "entry-1", 9, 0}));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->kind_, coordination::lease_entry_kind::renewal);
     EXPECT_EQ(read->holder_, "entry-1");
     EXPECT_EQ(read->epoch_, 9U);
+    EXPECT_EQ(read->era_, 0U);
+    const auto without_era =
+        decode_lease_entry(encode(coordination::lease_entry{
+            coordination::lease_entry_kind::renewal, "entry-1", 9}));
+    ASSERT_TRUE(without_era);
+    EXPECT_FALSE(without_era->era_.has_value());
     EXPECT_FALSE(decode_lease_entry(""));
 }
 
