Bound the replies to small calls, each and together

Each reply might take 16 MiB, and nothing bounded them together. Class: a bound for each that is no bound for all.

Beyond, the call fails at once with payload_too_large and its connection closes.

--- a/basilstream/transport/http_pool/http_pool.cpp
+++ b/basilstream/transport/http_pool/http_pool.cpp
@@ -185,7 +185,9 @@
 
 http_pool::http_pool(reactor_thread& thread, const clock& time,
                      http_pool_options options)
-    : thread_{thread}, clock_{time}, options_{options} {}
+    : thread_{thread}, clock_{time}, options_{options},
+      replies_{std::make_shared<coordination::byte_budget>(
+          options.max_replies_bytes_)} {}
 
 http_pool::~http_pool() = default;
 
@@ -302,16 +304,15 @@
 
 namespace {
 
-// Largest answer to a small call.
-constexpr auto largest_small_reply = std::size_t{16} << 20U;
-
 class small_exchange final
     : public answer_observer,
       public std::enable_shared_from_this<small_exchange> {
 public:
     small_exchange(small_call call,
+                   std::shared_ptr<coordination::byte_budget> replies,
                    std::function<void(result<small_reply>)> done)
-        : call_{std::move(call)}, done_{std::move(done)} {}
+        : call_{std::move(call)}, done_{std::move(done)},
+          replies_{std::move(replies)}, lease_{*replies_} {}
 
     auto start(http_pool& pool, reactor_thread& thread) -> void {
         if (!call_.headers_.contains("Host")) {
@@ -344,13 +345,17 @@
     }
 
     auto on_answer_body(std::string_view piece) -> void override {
-        if (reply_.body_.size() + piece.size() <= largest_small_reply) {
+        const auto size = reply_.body_.size() + piece.size();
+        if (size <= call_.max_reply_bytes_ && lease_.resize(size)) {
             reply_.body_.append(piece);
-        } else {
-            connection_->cancel();
-            end(error_code::payload_too_large, "the answer is too large",
-                run_status::unknown);
+            return;
         }
+        connection_->cancel();
+        end(error_code::payload_too_large,
+            "a reply of " + std::to_string(size) + " bytes exceeds a bound (" +
+                std::to_string(call_.max_reply_bytes_) + " each, " +
+                std::to_string(replies_->limit()) + " for all)",
+            run_status::unknown);
     }
 
     auto on_answer_end() -> void override { finish(std::move(reply_)); }
@@ -372,6 +377,8 @@
         const auto self = std::exchange(holder_, nullptr);
         connection_.reset();
         if (self) {
+            reply_ = {};
+            (void)lease_.resize(0);
             done_(std::move(reply));
         }
     }
@@ -379,6 +386,8 @@
     small_call call_;
     std::function<void(result<small_reply>)> done_;
     small_reply reply_;
+    std::shared_ptr<coordination::byte_budget> replies_;
+    coordination::byte_lease lease_;
     std::shared_ptr<http_call_connection> connection_;
     // Keeps this object while the call is open.
     std::shared_ptr<small_exchange> holder_;
@@ -388,7 +397,8 @@
 
 auto fetch(http_pool& pool, reactor_thread& thread, small_call call,
            std::function<void(result<small_reply>)> done) -> void {
-    std::make_shared<small_exchange>(std::move(call), std::move(done))
+    std::make_shared<small_exchange>(std::move(call), pool.replies(),
+                                     std::move(done))
         ->start(pool, thread);
 }
 
--- a/basilstream/transport/http_pool/http_pool.hpp
+++ b/basilstream/transport/http_pool/http_pool.hpp
@@ -23,6 +23,7 @@
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/error/error.hpp"
 #include "basilstream/base/name_table/name_table.hpp"
+#include "basilstream/coordination/byte_budget/byte_budget.hpp"
 #include "basilstream/transport/http_message/http_message.hpp"
 #include "basilstream/transport/reactor/reactor.hpp"
 #include "basilstream/transport/tcp_stream/tcp_stream.hpp"
@@ -128,6 +129,8 @@
     /// server has announced, because the two may cross.
     milliseconds idle_margin_{700};
     tcp_options tcp_ = {};
+    /// Bodies of all replies to small calls together.
+    std::size_t max_replies_bytes_ = std::size_t{16} << 20U;
 };
 
 /// Counters of a pool.
@@ -166,6 +169,11 @@
     [[nodiscard]] auto statistics() const -> const http_pool_statistics& {
         return statistics_;
     }
+    /// Shared by the replies to all small calls in progress.
+    [[nodiscard]] auto replies() const
+        -> std::shared_ptr<coordination::byte_budget> {
+        return replies_;
+    }
 
 private:
     friend class http_call_connection;
@@ -186,6 +194,8 @@
     http_pool_options options_;
     std::unordered_map<std::string, address_entry> addresses_;
     http_pool_statistics statistics_;
+    // Calls, which hold shares of it, may outlive the pool.
+    std::shared_ptr<coordination::byte_budget> replies_;
 };
 
 /// A small request whose answer is collected.
@@ -199,6 +209,8 @@
     milliseconds timeout_{1000};
     /// Connections to the address at most.
     int connections_ = 64;
+    /// Body of the reply at most.
+    std::size_t max_reply_bytes_ = std::size_t{1} << 20U;
     /// Step named in errors.
     step step_ = step::runner;
 };
@@ -211,7 +223,8 @@
 };
 
 /// Makes a small call and hands its answer over. Errors: `unavailable` and
-/// not_run if nothing was sent, `timeout` or `incomplete_answer` otherwise.
+/// not_run if nothing was sent, `payload_too_large` at once beyond the bound of
+/// the reply or of all replies, `timeout` or `incomplete_answer` otherwise.
 auto fetch(http_pool& pool, reactor_thread& thread, small_call call,
            std::function<void(result<small_reply>)> done) -> void;
 
--- a/testing/endless_answers/endless_answers_test.cpp
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -5,7 +5,9 @@
 
 #include <array>
 #include <iostream>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -37,7 +39,8 @@
     interim,
     chunk_extension,
     chunk_size,
-    trailer
+    trailer,
+    no_http
 };
 
 struct scenario {
@@ -47,6 +50,8 @@
     int servers_ = 4;
     int endless_servers_ = 1;
     milliseconds request_interval_{10};
+    // The store answers each call without end, in place of servers.
+    bool store_is_endless_ = false;
 };
 
 // Sends a block again and again until its peer closes the connection.
@@ -123,10 +128,14 @@
 class endless_answers_world {
 public:
     explicit endless_answers_world(const scenario& options)
-        : options_{options}, deployment_{{.daemons_ = options.daemons_,
-                                          .routes_ = {{"/safe/", "idempotent"},
-                                                      {"/stream/", "streaming",
-                                                       true}}}} {
+        : options_{options},
+          deployment_{{.daemons_ = options.daemons_,
+                       .routes_ = {{"/safe/", "idempotent"},
+                                   {"/stream/", "streaming", true}},
+                       .has_store_link_ = options.store_is_endless_}} {
+        if (options_.store_is_endless_) {
+            open_endless_store();
+        }
         for (auto number = 0; number < options_.servers_; ++number) {
             deployment_.add_server(
                 [this, number](const auto& request, const auto& connection) {
@@ -138,6 +147,10 @@
     auto run() -> void {
         deployment_.play(sending_time + time_to_end, [this] {
             begun_at_ = deployment_.time().now();
+            if (options_.store_is_endless_) {
+                deployment_.store_link().set_target(store_->address());
+                deployment_.store_link().reset_all();
+            }
             deployment_.thread().every(options_.request_interval_,
                                        [this] { send(); });
         });
@@ -167,8 +180,15 @@
                               std::to_string(body.size()) + "\r\n\r\n" + body);
             return;
         }
+        answer_without_end(head, connection);
+    }
+
+    auto answer_without_end(const std::string& head,
+                            const std::shared_ptr<raw_connection>& connection)
+        -> void {
         ++drawn_;
-        if (options_.kind_ != endless::interim) {
+        if (options_.kind_ != endless::interim &&
+            options_.kind_ != endless::no_http) {
             connection->write(head + beginning(options_.kind_));
         }
         std::make_shared<endless_sender>(deployment_.thread(), connection,
@@ -176,6 +196,21 @@
             ->send();
     }
 
+    auto open_endless_store() -> void {
+        auto listener = transport::tcp_listener::open(
+            deployment_.thread(), "127.0.0.1:0", [this](int descriptor) {
+                std::erase_if(store_connections_, [](const auto& connection) {
+                    return !connection->open();
+                });
+                store_connections_.push_back(std::make_shared<raw_connection>(
+                    deployment_.thread(), descriptor,
+                    [this](const auto& /*request*/, const auto& connection) {
+                        answer_without_end("HTTP/1.1 200 OK\r\n", connection);
+                    }));
+            });
+        store_ = std::move(listener.value());
+    }
+
     auto send() -> void {
         if (deployment_.time().now() > begun_at_ + sending_time) {
             return;
@@ -205,9 +240,18 @@
 
     const scenario options_;
     raw_deployment deployment_;
+    std::vector<std::shared_ptr<raw_connection>> store_connections_;
+    std::unique_ptr<transport::tcp_listener> store_;
     time_point begun_at_{};
 };
 
+auto endless_store(const char* name, endless kind) -> scenario {
+    return {.name_ = name,
+            .kind_ = kind,
+            .endless_servers_ = 0,
+            .store_is_endless_ = true};
+}
+
 class endless_answers : public ::testing::TestWithParam<scenario> {};
 
 // Servers that send without end exhausted the memory of daemons, and their
@@ -220,7 +264,7 @@
     std::cout << options.name_ << ": " << (world.peak_memory_ >> 20U) << " MB, "
               << served << " served, " << world.slow_ << " slow, "
               << world.completed_ << " completed, " << world.drawn_
-              << " requests at the endless servers\n";
+              << " requests at endless servers or stores\n";
     EXPECT_LE(world.peak_memory_, max_memory);
     EXPECT_GE(served, 0.97);
     EXPECT_EQ(world.slow_, 0);
@@ -245,7 +289,15 @@
         scenario{.name_ = "chunk_extension_2_daemons",
                  .kind_ = endless::chunk_extension},
         scenario{.name_ = "chunk_size_2_daemons", .kind_ = endless::chunk_size},
-        scenario{.name_ = "trailer_2_daemons", .kind_ = endless::trailer}),
+        scenario{.name_ = "trailer_2_daemons", .kind_ = endless::trailer},
+        scenario{.name_ = "no_http_2_daemons", .kind_ = endless::no_http},
+        endless_store("store_body", endless::body),
+        endless_store("store_chunks", endless::chunks),
+        endless_store("store_head", endless::head),
+        endless_store("store_chunk_extension", endless::chunk_extension),
+        endless_store("store_chunk_size", endless::chunk_size),
+        endless_store("store_trailer", endless::trailer),
+        endless_store("store_no_http", endless::no_http)),
     [](const auto& info) { return std::string{info.param.name_}; });
 
 } // namespace
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -259,6 +259,9 @@
                  ("raw_deployment." + std::to_string(::getpid()))} {
     std::filesystem::create_directories(directory_);
     store_.put("keyed.op", "config", config_text(options_));
+    if (options_.has_store_link_) {
+        store_link_ = std::make_unique<fault_proxy>(thread_, store_.address());
+    }
     daemons_.resize(options_.daemons_);
     links_.resize(options_.daemons_with_faults_);
     for (auto index = 0; index < options_.daemons_with_faults_; ++index) {
@@ -380,13 +383,18 @@
     return largest;
 }
 
+auto raw_deployment::store_address(int index) const -> std::string {
+    if (index < options_.daemons_with_faults_) {
+        return store_views_[index];
+    }
+    return store_link_ ? store_link_->address() : store_.address();
+}
+
 auto raw_deployment::start_daemon(int index) -> void {
     daemons_[index] = std::make_unique<daemon_process>(
         daemon_options{.name_ = "d" + std::to_string(index),
                        .directory_ = directory_,
-                       .store_address_ = index < options_.daemons_with_faults_
-                                             ? store_views_[index]
-                                             : store_.address(),
+                       .store_address_ = store_address(index),
                        .retry_ratio_ = options_.retry_ratio_,
                        .retry_allowance_ = options_.retry_allowance_,
                        .picks_ports_ = true});
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -152,6 +152,8 @@
     int announced_slots_ = 32;
     /// The first daemons, whose links to servers pass proxies and can fail.
     int daemons_with_faults_ = 0;
+    /// Whether daemons reach the store over a proxy, see store_link().
+    bool has_store_link_ = false;
 };
 
 class raw_deployment {
@@ -185,6 +187,9 @@
     /// Returns the largest resident size of any daemon so far, in bytes.
     [[nodiscard]] auto peak_memory() const -> std::size_t;
     [[nodiscard]] auto store() -> stand_in_store& { return store_; }
+    /// The proxy between daemons without faults and the store; only with
+    /// `has_store_link_`.
+    [[nodiscard]] auto store_link() -> fault_proxy& { return *store_link_; }
     [[nodiscard]] auto thread() -> transport::reactor_thread& {
         return thread_;
     }
@@ -193,6 +198,7 @@
 
 private:
     auto start_daemon(int index) -> void;
+    [[nodiscard]] auto store_address(int index) const -> std::string;
     // Returns an announcement with the address of the daemon's proxy.
     auto view_server(int daemon, std::string value) -> std::string;
 
@@ -205,6 +211,7 @@
     std::vector<std::map<std::string, std::unique_ptr<fault_proxy>>> links_;
     // Addresses of the store as these daemons see it.
     std::vector<std::string> store_views_;
+    std::unique_ptr<fault_proxy> store_link_;
     // Settings and logs of the daemons.
     std::string directory_;
     std::vector<std::unique_ptr<daemon_process>> daemons_;
