Bound the answers that clients have not taken

Answers that were complete here and that clients did not take were counted by no bound: clients that read nothing took a daemon over its memory until their deadlines, and the requests of all others ended with it. Class: a bound for each, none for all; and the budget of answers ended when they were handed to a session.

Sessions count what clients have not taken, and it shares the 32 MiB of unfinished answers. When those are used up, answers and events of more than 16 KiB are not read on until there is room, the first one first, as long as their deadlines allow; their servers are not blamed, and smaller ones never wait. As unfinished answers could otherwise wait for each other, one at a time goes on beyond the bound unless clients hold half of it.

testing_endless_answers, idle_clients: 100 clients that read nothing of 4 MB each, over segments of 1,448 bytes (on loopback's own segments the kernel took 3.8 MB of each).

--- a/basilstream/coordination/byte_budget/byte_budget.hpp
+++ b/basilstream/coordination/byte_budget/byte_budget.hpp
@@ -44,10 +44,15 @@
             (others > budget_.limit_ || bytes > budget_.limit_ - others)) {
             return false;
         }
-        budget_.used_ = others + bytes;
-        held_ = bytes;
+        hold(bytes);
         return true;
     }
+    /// Sets the number of bytes held, also beyond the limit, for those that
+    /// are in memory already.
+    auto hold(std::size_t bytes) -> void {
+        budget_.used_ = budget_.used_ - held_ + bytes;
+        held_ = bytes;
+    }
 
 private:
     byte_budget& budget_;
--- a/basilstream/coordination/byte_budget/byte_budget_test.cpp
+++ b/basilstream/coordination/byte_budget/byte_budget_test.cpp
@@ -54,5 +54,20 @@
     EXPECT_GT(budget.used(), limit / 2);
 }
 
+// Bytes that were in memory and beyond the limit were not counted.
+TEST(byte_budget, bytes_beyond_the_limit_are_not_counted) {
+    auto budget = byte_budget{100};
+    auto other = byte_lease{budget};
+    {
+        auto lease = byte_lease{budget};
+        lease.hold(150);
+        EXPECT_EQ(budget.used(), 150U);
+        EXPECT_FALSE(other.resize(1));
+        lease.hold(40);
+        EXPECT_TRUE(other.resize(60));
+    }
+    EXPECT_EQ(budget.used(), 60U);
+}
+
 } // namespace
 } // namespace basilstream::coordination
--- a/basilstream/daemon/relay/internal/exchange.hpp
+++ b/basilstream/daemon/relay/internal/exchange.hpp
@@ -49,6 +49,14 @@
         return wait_until_.has_value();
     }
 
+    /// Whether reading the answer is paused until there is memory for it.
+    [[nodiscard]] auto awaits_memory() const -> bool { return awaits_memory_; }
+    /// Whether it never waits for that, as it goes first.
+    [[nodiscard]] auto preferred() const -> bool { return preferred_; }
+    /// What the answer may still take at most.
+    [[nodiscard]] auto missing_bytes() const -> std::size_t;
+    auto resume_reading(bool preferred) -> void;
+
     auto on_answer_head(const transport::answer_head& head) -> bool override;
     auto on_answer_body(std::string_view piece) -> void override;
     auto on_answer_end() -> void override;
@@ -60,8 +68,12 @@
 
 private:
     // Ends the current attempt if what is buffered of its answer exceeds a
-    // bound. Returns whether it has ended.
+    // bound. Returns whether it has ended. Pauses it if all answers together
+    // exceed theirs.
     auto end_if_oversized() -> bool;
+    auto await_memory() -> void;
+    // Reads from the backend server unless that is paused for any reason.
+    auto update_reading() -> void;
 
     // How the answer of the current attempt is handled: passed on as a stream,
     // buffered until complete, or ignored because the backend server did not
@@ -287,6 +299,8 @@
     duration longest_gap_{0};
     // Whether reading from the backend server is paused for flow control.
     bool paused_ = false;
+    bool awaits_memory_ = false;
+    bool preferred_ = false;
     bool done_ = false;
 };
 
--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -16,6 +16,8 @@
 // event of a stream.
 constexpr auto max_buffered_bytes = std::size_t{4} << 20U;
 constexpr auto max_event_bytes = std::size_t{256} << 10U;
+// Up to this size answers and events never wait for memory.
+constexpr auto small_answer_bytes = std::size_t{16} * 1024;
 constexpr auto min_server_error_status = 500;
 constexpr auto unavailable_status = 503;
 
@@ -84,7 +86,7 @@
 auto exchange::begin_answer(const transport::answer_head& head) -> void {
     head_ = head;
     body_.clear();
-    (void)buffered_.resize(events_.partial_bytes());
+    buffered_.hold(events_.partial_bytes());
     received_stream_ = false;
     has_fallback_ = false;
     const auto type = media_type(head.headers_);
@@ -177,12 +179,47 @@
     }
     if (!paused_ && client_->buffered() > pause_reading_bytes) {
         paused_ = true;
-        call_->set_reading(false);
-        state_.call_monitor_.on_back_pressure(call_number_, request_.id_, true,
-                                              state_.context_.clock_.now());
+        update_reading();
     }
 }
 
+auto exchange::update_reading() -> void {
+    const auto wanted = !paused_ && !awaits_memory_;
+    call_->set_reading(wanted);
+    state_.call_monitor_.on_back_pressure(call_number_, request_.id_, !wanted,
+                                          state_.context_.clock_.now());
+}
+
+auto exchange::await_memory() -> void {
+    if (awaits_memory_ || preferred_) {
+        return;
+    }
+    awaits_memory_ = true;
+    update_reading();
+    state_.awaiting_memory_.push_back(weak_from_this());
+    state_.context_.log_.info(
+        "answer waits for memory",
+        {{"request_id", request_.id_},
+         {"backend", backend_},
+         {"bytes", std::to_string(body_.size() + events_.partial_bytes())},
+         {"all_bytes", std::to_string(state_.buffered_answers_.used())},
+         {"undelivered_bytes",
+          std::to_string(state_.undelivered_answers_.used())}});
+}
+
+auto exchange::missing_bytes() const -> std::size_t {
+    const auto size = body_.size() + events_.partial_bytes();
+    const auto bound =
+        mode_ == answer_mode::buffered ? max_buffered_bytes : max_event_bytes;
+    return bound - std::min(bound, size);
+}
+
+auto exchange::resume_reading(bool preferred) -> void {
+    awaits_memory_ = false;
+    preferred_ = preferred;
+    update_reading();
+}
+
 auto exchange::record_event_times(time_point now) -> void {
     if (first_event_at_) {
         longest_gap_ = std::max(longest_gap_, now - last_event_at_);
@@ -196,7 +233,11 @@
     const auto size = body_.size() + events_.partial_bytes();
     const auto bound =
         mode_ == answer_mode::buffered ? max_buffered_bytes : max_event_bytes;
-    if (size <= bound && buffered_.resize(size)) {
+    buffered_.hold(size);
+    if (size <= bound) {
+        if (size > small_answer_bytes && !state_.has_answer_memory()) {
+            await_memory();
+        }
         return false;
     }
     state_.counters_.oversized_answers_.add();
@@ -211,7 +252,7 @@
     end_attempt();
     body_ = {};
     (void)events_.take_partial();
-    (void)buffered_.resize(0);
+    buffered_.hold(0);
     possible_runs_ += helper_.empty() ? 1 : forwarded_runs_;
     state_.router_.on_failure(backend_, state_.context_.clock_.now());
     on_attempt_failed(error{error_code::backend_error, step::attempt, backend_,
@@ -222,9 +263,7 @@
 auto exchange::on_client_drained() -> void {
     if (paused_ && call_ && client_->buffered() < resume_reading_bytes) {
         paused_ = false;
-        call_->set_reading(true);
-        state_.call_monitor_.on_back_pressure(call_number_, request_.id_, false,
-                                              state_.context_.clock_.now());
+        update_reading();
     }
 }
 
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -178,7 +178,7 @@
 auto exchange::cancel_attempt() -> void {
     const auto now = state_.context_.clock_.now();
     std::exchange(call_, nullptr)->cancel();
-    if (!backend_active(now)) {
+    if (!awaits_memory_ && !backend_active(now)) {
         state_.quarantine_.on_cancelled(quarantine_run_id(), now);
         state_.prompts_.on_uncertain_end(quarantine_run_id(), now);
     }
@@ -226,6 +226,8 @@
     state_.reachability_of(service_).on_ended(call_number_, now);
     call_.reset();
     paused_ = false;
+    awaits_memory_ = false;
+    preferred_ = false;
     state_.call_monitor_.close(call_number_);
     state_.monitored_calls_.erase(call_number_);
     slot_.give_back(slot_outcome_);
--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -108,6 +109,13 @@
     /// Notices services that cannot be reached any more, and probes their
     /// servers now and then.
     auto check_reachability() -> void;
+    /// Whether the bytes of all answers are below their bound.
+    [[nodiscard]] auto has_answer_memory() const -> bool;
+    /// Lets answers go on that wait for memory.
+    auto resume_answers() -> void;
+    /// Whether one more answer may go on beyond the bound: if unfinished
+    /// answers fill it, none of them would end otherwise.
+    [[nodiscard]] auto may_exceed_answer_memory() const -> bool;
     /// Answers with `status`; adds a retry hint to status 503.
     /// Options of a server for requests at `address`.
     [[nodiscard]] auto make_server_options(const std::string& address)
@@ -122,8 +130,12 @@
     relay_counters counters_;
     // Makes the ids of runs unique among those of all daemons and processes.
     const std::string run_id_prefix_;
-    // Outlives all that keeps a request.
+    // Outlive all that keeps a request or an answer.
     coordination::byte_budget request_bodies_;
+    // Bytes of answers that wait for the rest of an event or of an answer, and
+    // of answers that their clients have not taken.
+    coordination::byte_budget buffered_answers_;
+    coordination::byte_budget undelivered_answers_;
     coordination::route_table routes_;
     coordination::router router_;
     transport::http_pool pool_;
@@ -183,8 +195,11 @@
     std::uint64_t last_call_number_ = 0;
     std::uint64_t peer_load_reports_ = 0;
     std::size_t daemons_ = 1;
-    // Bytes of answers that wait for the rest of an event or of an answer.
-    coordination::byte_budget buffered_answers_;
+    // Exchanges that wait for memory for the rest of an answer, the first one
+    // first.
+    std::deque<std::weak_ptr<exchange>> awaiting_memory_;
+    // The one whose answer may go beyond the bound of all.
+    std::weak_ptr<exchange> preferred_answer_;
     bool accepting_ = true;
 };
 
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -34,7 +34,7 @@
 // Takes less than 10 MB at about 400 bytes each.
 constexpr auto max_suspected_requests = std::size_t{16'384};
 // Takes a quarter of the memory that a daemon may use in all.
-constexpr auto max_buffered_answer_bytes = std::size_t{32} << 20U;
+constexpr auto max_answer_bytes = std::size_t{32} << 20U;
 // How long a request without a deadline waits for memory for its body.
 constexpr auto max_body_wait = seconds{2};
 // Bodies of requests, with a copy for the backend server each: half of it.
@@ -158,17 +158,22 @@
                      std::to_string(context.random_.below(max_run_id_nonce)) +
                      "/"},
       request_bodies_{max_request_body_bytes},
+      buffered_answers_{max_answer_bytes},
+      undelivered_answers_{max_answer_bytes},
       router_{make_router_settings(), context.random_}, pool_{context.thread_,
                                                               context.clock_},
       retry_allowance_from_{context.clock_.now() +
                             settings_.retry_allowance_delay_},
       quarantine_{make_quarantine_settings(), settings_.name_},
-      prompts_{{}, settings_.name_}, call_monitor_{silence_timeouts},
-      buffered_answers_{max_buffered_answer_bytes} {
+      prompts_{{}, settings_.name_}, call_monitor_{silence_timeouts} {
     context_.metrics_.add_gauge(
         "basilstream_relay_buffered_answer_bytes",
         "Bytes of answers that wait for the rest of an event or an answer.",
         [this] { return static_cast<double>(buffered_answers_.used()); });
+    context_.metrics_.add_gauge(
+        "basilstream_relay_undelivered_answer_bytes",
+        "Bytes of answers that clients have not taken.",
+        [this] { return static_cast<double>(undelivered_answers_.used()); });
     context_.notices_.on_leaving([this](const std::string& backend) {
         router_.mark_leaving(backend);
         if (const auto found = backends_.find(backend);
@@ -249,6 +254,7 @@
     options.on_cut_ = [this](const auto& cut) {
         log_cut(cut);
     };
+    options.output_budget_ = &undelivered_answers_;
     options.body_budget_ = &request_bodies_;
     options.max_body_wait_ = [this](const auto& head) {
         const auto request = dialect_.read(head);
@@ -265,6 +271,35 @@
     return options;
 }
 
+auto relay_state::has_answer_memory() const -> bool {
+    return buffered_answers_.used() + undelivered_answers_.used() <=
+           max_answer_bytes;
+}
+
+auto relay_state::resume_answers() -> void {
+    auto used = buffered_answers_.used() + undelivered_answers_.used();
+    while (!awaiting_memory_.empty()) {
+        const auto first = awaiting_memory_.front().lock();
+        if (first && first->awaits_memory()) {
+            const auto missing = first->missing_bytes();
+            const auto fits = used + missing <= max_answer_bytes;
+            if (!fits && !may_exceed_answer_memory()) {
+                return;
+            }
+            first->resume_reading(!fits);
+            preferred_answer_ = fits ? preferred_answer_ : first;
+            used += missing;
+        }
+        awaiting_memory_.pop_front();
+    }
+}
+
+auto relay_state::may_exceed_answer_memory() const -> bool {
+    const auto preferred = preferred_answer_.lock();
+    return undelivered_answers_.used() <= max_answer_bytes / 2 &&
+           (!preferred || !preferred->preferred());
+}
+
 auto relay_state::log_cut(const transport::cut_connection& cut) -> void {
     context_.log_.info(
         "client connection ended before its answer",
@@ -595,6 +630,7 @@
     if (state.forwarding_server_) {
         state.forwarding_server_->sweep();
     }
+    state.resume_answers();
 }
 
 auto relay::address() const -> std::string {
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -34,13 +34,18 @@
 http_session::http_session(http_session_server& server, int descriptor)
     : server_{server}, stream_{tcp_stream::adopt(server.thread_, descriptor,
                                                  *this)},
-      reader_{server.options_.limits_}, since_{server.clock_.now()} {}
+      reader_{server.options_.limits_}, since_{server.clock_.now()} {
+    if (server.options_.output_budget_ != nullptr) {
+        output_lease_.emplace(*server.options_.output_budget_);
+    }
+}
 
 http_session::~http_session() = default;
 
 auto http_session::close() -> void {
     const auto self = shared_from_this();
     stream_.reset();
+    count_output();
     server_.sessions_.erase(self);
 }
 
@@ -170,12 +175,14 @@
     }
     if (stream_framing_ != body_framing::chunked) {
         stream_->write(piece);
+        count_output();
         return;
     }
     static thread_local auto chunk = std::string{};
     chunk.clear();
     append_chunk(chunk, piece);
     stream_->write(chunk);
+    count_output();
 }
 
 auto http_session::end_stream() -> void {
@@ -195,7 +202,14 @@
     }
 }
 
+auto http_session::count_output() -> void {
+    if (output_lease_) {
+        output_lease_->hold(buffered());
+    }
+}
+
 auto http_session::finish_answer() -> void {
+    count_output();
     observer_ = nullptr;
     busy_ = false;
     since_ = server_.clock_.now();
@@ -215,12 +229,14 @@
 }
 
 auto http_session::on_drained() -> void {
+    count_output();
     if (observer_ != nullptr) {
         observer_->on_client_drained();
     }
 }
 
 auto http_session::check(time_point now) -> void {
+    count_output();
     const auto waited = now - since_;
     if (!busy_ && buffered() > 0 && now > delivery_deadline_) {
         report_cut(close_reason::timed_out);
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -104,6 +104,8 @@
     auto refuse_body() -> void;
     auto refuse_malformed() -> void;
     auto report_cut(close_reason reason) const -> void;
+    // Counts what the client has not taken.
+    auto count_output() -> void;
     auto finish_answer() -> void;
     auto begin_linger() -> void;
     auto close() -> void;
@@ -122,6 +124,7 @@
     bool lingering_ = false;
     // For the body of the request that is being read; null if it is small.
     std::shared_ptr<coordination::byte_lease> body_lease_;
+    std::optional<coordination::byte_lease> output_lease_;
     // Until when the session waits for memory for a body.
     std::optional<time_point> waiting_until_;
 };
@@ -148,6 +151,9 @@
     /// Refuses a request, which has no body yet, that has waited for longer.
     /// Both are required with a budget.
     request_handler refuse_body_ = {};
+    /// Counts the bytes of answers that clients have not taken; not counted if
+    /// null. Must outlive the server.
+    coordination::byte_budget* output_budget_ = nullptr;
 };
 
 /// Accepts connections and owns their sessions.
--- a/testing/endless_answers/endless_answers_test.cpp
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -252,6 +252,106 @@
             .store_is_endless_ = true};
 }
 
+// Clients that take nothing of large answers, beside others that take small and
+// large ones.
+class idle_clients_world {
+public:
+    idle_clients_world() {
+        for (auto number = 0; number < servers_; ++number) {
+            deployment_.add_server(
+                [](const auto& request, const auto& connection) {
+                    const auto large = request.target_.ends_with("large");
+                    const auto body =
+                        std::string(large ? large_bytes_ : small_bytes_, 'a');
+                    connection->write(
+                        "HTTP/1.1 200 OK\r\n" + std::string{request_id_field} +
+                        ": " +
+                        std::string{request.headers_.find(request_id_field)} +
+                        "\r\nContent-Length: " + std::to_string(body.size()) +
+                        "\r\n\r\n" + body);
+                });
+        }
+    }
+
+    auto run() -> void {
+        deployment_.play(sending_time + time_to_end, [this] {
+            begun_at_ = deployment_.time().now();
+            deployment_.thread().every(idle_interval_, [this] {
+                if (idle_sent_ < idle_clients_) {
+                    deployment_.send_and_read_nothing(
+                        0, make_request("/safe/large",
+                                        "i" + std::to_string(idle_sent_++)));
+                }
+            });
+            deployment_.thread().every(small_interval_,
+                                       [this] { send(small_, "/safe/small"); });
+            deployment_.thread().every(large_interval_,
+                                       [this] { send(large_, "/safe/large"); });
+        });
+    }
+
+    struct tally {
+        int sent_ = 0;
+        int served_ = 0;
+    };
+    tally small_;
+    tally large_;
+    [[nodiscard]] auto peak_memory() const -> std::size_t {
+        return deployment_.peak_memory();
+    }
+
+private:
+    static constexpr auto servers_ = 4;
+    static constexpr auto idle_clients_ = 100;
+    static constexpr auto idle_interval_ = milliseconds{20};
+    static constexpr auto small_interval_ = milliseconds{10};
+    static constexpr auto large_interval_ = milliseconds{100};
+    static constexpr auto large_bytes_ = std::size_t{4'000'000};
+    static constexpr auto small_bytes_ = std::size_t{1000};
+
+    static auto make_request(const std::string& target, const std::string& id)
+        -> std::string {
+        auto headers = transport::header_list{};
+        headers.add("Host", "x");
+        headers.add(request_id_field, id);
+        headers.add("Basilstream-Deadline-Milliseconds", "4000");
+        return transport::write_request("POST", target, headers, "body");
+    }
+
+    auto send(tally& counts, const std::string& target) -> void {
+        if (deployment_.time().now() > begun_at_ + sending_time) {
+            return;
+        }
+        const auto size =
+            target.ends_with("large") ? large_bytes_ : small_bytes_;
+        deployment_.send(
+            0, make_request(target, target + std::to_string(counts.sent_++)),
+            [&counts, size](const raw_answer& answer) {
+                counts.served_ += answer.status_ == 200 && answer.complete_ &&
+                                          answer.body_.size() == size
+                                      ? 1
+                                      : 0;
+            });
+    }
+
+    raw_deployment deployment_{
+        {.daemons_ = 1, .routes_ = {{"/safe/", "idempotent"}}}};
+    time_point begun_at_{};
+    int idle_sent_ = 0;
+};
+
+// Complete answers that their clients did not take were counted by no bound.
+TEST(idle_clients, answers_that_nobody_takes_exhaust_a_daemon) {
+    auto world = idle_clients_world{};
+    world.run();
+    std::cout << (world.peak_memory() >> 20U) << " MB, small answers "
+              << world.small_.served_ << " of " << world.small_.sent_
+              << ", large " << world.large_.served_ << " of "
+              << world.large_.sent_ << '\n';
+    EXPECT_LE(world.peak_memory(), max_memory);
+    EXPECT_GE(world.small_.served_, 0.97 * world.small_.sent_);
+}
+
 class endless_answers : public ::testing::TestWithParam<scenario> {};
 
 // Servers that send without end exhausted the memory of daemons, and their
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -86,6 +87,20 @@
     return descriptor;
 }
 
+auto connect_with_small_segments(std::uint16_t port) -> int {
+    constexpr auto segment_bytes = 1448;
+    const auto descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+                       sizeof segment_bytes);
+    auto target = sockaddr_in{};
+    target.sin_family = AF_INET;
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    target.sin_port = htons(port);
+    (void)::connect(descriptor, reinterpret_cast<const sockaddr*>(&target),
+                    sizeof target);
+    return descriptor;
+}
+
 // A client's connection, which keeps itself until its answer has ended.
 class raw_client final : public transport::tcp_observer,
                          public transport::response_sink {
@@ -279,6 +294,9 @@
 
 raw_deployment::~raw_deployment() {
     thread_.stop();
+    for (const auto descriptor : idle_clients_) {
+        ::close(descriptor);
+    }
     daemons_.clear();
     auto ignored = std::error_code{};
     std::filesystem::remove_all(directory_, ignored);
@@ -320,6 +338,14 @@
                      std::move(done));
 }
 
+auto raw_deployment::send_and_read_nothing(int daemon, const std::string& bytes)
+    -> void {
+    const auto descriptor = connect_with_small_segments(
+        port_of(daemons_[daemon]->caller_address()));
+    idle_clients_.push_back(descriptor);
+    (void)::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
 auto raw_deployment::view_server(int daemon, std::string value) -> std::string {
     auto entry = protocol::json::parse(value);
     const auto target = entry.at("address").get<std::string>();
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -175,6 +175,10 @@
     /// answer over.
     auto send(int daemon, const std::string& bytes, answer_handler done)
         -> void;
+    /// Sends a request to a daemon on a connection that takes nothing of its
+    /// answer, until the world ends. Its segments are as small as those of a
+    /// network, so that the kernel of the daemon takes no more than there.
+    auto send_and_read_nothing(int daemon, const std::string& bytes) -> void;
     /// Makes the links between a daemon and all servers fail, or work again.
     /// Call for the first `daemons_with_faults_` only.
     auto cut_links(int daemon, link_fault fault) -> void;
@@ -212,6 +216,8 @@
     // Addresses of the store as these daemons see it.
     std::vector<std::string> store_views_;
     std::unique_ptr<fault_proxy> store_link_;
+    // Sockets of clients that read nothing.
+    std::vector<int> idle_clients_;
     // Settings and logs of the daemons.
     std::string directory_;
     std::vector<std::unique_ptr<daemon_process>> daemons_;
