Test that unfinished answers wait for each other's memory

Answers that did not fit into the memory together were ended as if each was beyond its bound, and their servers blamed (LOST).

--- a/testing/endless_answers/endless_answers_test.cpp
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -352,6 +352,73 @@
     EXPECT_GE(world.small_.served_, 0.97 * world.small_.sent_);
 }
 
+// Servers pause in the middle of large answers, all of which are unfinished at
+// once.
+class unfinished_answers_world {
+public:
+    unfinished_answers_world() {
+        for (auto number = 0; number < servers_; ++number) {
+            deployment_.add_server([this](const auto& request,
+                                          const auto& connection) {
+                connection->write(
+                    "HTTP/1.1 200 OK\r\n" + std::string{request_id_field} +
+                    ": " +
+                    std::string{request.headers_.find(request_id_field)} +
+                    "\r\nContent-Length: " + std::to_string(2 * half_bytes_) +
+                    "\r\n\r\n" + std::string(half_bytes_, 'a'));
+                deployment_.thread().after(pause_, [connection = connection] {
+                    connection->write(std::string(half_bytes_, 'a'));
+                });
+            });
+        }
+    }
+
+    auto run() -> void {
+        deployment_.play(sending_time + time_to_end, [this] {
+            for (auto number = 0; number < clients_; ++number) {
+                auto headers = transport::header_list{};
+                headers.add("Host", "x");
+                headers.add(request_id_field, "u" + std::to_string(number));
+                headers.add("Basilstream-Deadline-Milliseconds", "7000");
+                deployment_.send(0,
+                                 transport::write_request("POST", "/safe/large",
+                                                          headers, "body"),
+                                 [this](const raw_answer& answer) {
+                                     served_ += answer.status_ == 200 &&
+                                                        answer.complete_
+                                                    ? 1
+                                                    : 0;
+                                 });
+            }
+        });
+    }
+
+    static constexpr auto clients_ = 40;
+    int served_ = 0;
+    [[nodiscard]] auto peak_memory() const -> std::size_t {
+        return deployment_.peak_memory();
+    }
+
+private:
+    static constexpr auto servers_ = 8;
+    static constexpr auto half_bytes_ = std::size_t{2'000'000};
+    static constexpr auto pause_ = milliseconds{1000};
+
+    raw_deployment deployment_{
+        {.daemons_ = 1, .routes_ = {{"/safe/", "idempotent"}}}};
+};
+
+// Answers that did not fit into the memory together were lost, and their
+// servers blamed, or none of them would end.
+TEST(unfinished_answers, answers_wait_for_each_others_memory) {
+    auto world = unfinished_answers_world{};
+    world.run();
+    std::cout << (world.peak_memory() >> 20U) << " MB, " << world.served_
+              << " of " << unfinished_answers_world::clients_ << '\n';
+    EXPECT_LE(world.peak_memory(), max_memory);
+    EXPECT_EQ(world.served_, unfinished_answers_world::clients_);
+}
+
 class endless_answers : public ::testing::TestWithParam<scenario> {};
 
 // Servers that send without end exhausted the memory of daemons, and their
