--- a/testing/endless_answers/endless_answers_test.cpp
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -419,6 +419,30 @@
     EXPECT_EQ(world.served_, unfinished_answers_world::clients_);
 }
 
+// Heads of many clients that never end, each within its bound, exceeded the
+// memory together.
+TEST(unfinished_heads, heads_of_many_clients_exhaust_a_daemon) {
+    constexpr auto clients = 4000;
+    constexpr auto at_once = 50;
+    constexpr auto interval = milliseconds{20};
+    const auto head = "POST /safe/large HTTP/1.1\r\nHost: x\r\nX-Endless: " +
+                      std::string(std::size_t{16'000}, 'a');
+    auto world =
+        raw_deployment{{.daemons_ = 1, .routes_ = {{"/safe/", "idempotent"}}}};
+    auto sent = 0;
+    world.play(sending_time, [&] {
+        world.thread().every(interval, [&] {
+            for (auto count = 0; count < at_once && sent < clients; ++count) {
+                world.send_and_read_nothing(0, head);
+                ++sent;
+            }
+        });
+    });
+    std::cout << (world.peak_memory() >> 20U) << " MB, " << sent
+              << " clients\n";
+    EXPECT_LE(world.peak_memory(), max_memory);
+}
+
 class endless_answers : public ::testing::TestWithParam<scenario> {};
 
 // Servers that send without end exhausted the memory of daemons, and their
