--- a/testing/endless_answers/endless_answers_test.cpp
+++ b/testing/endless_answers/endless_answers_test.cpp
@@ -5,7 +5,9 @@
 
 #include <array>
 #include <iostream>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -37,7 +39,8 @@
     interim,
     chunk_extension,
     chunk_size,
-    trailer
+    trailer,
+    no_http
 };
 
 struct scenario {
@@ -47,6 +50,8 @@
     int servers_ = 4;
     int endless_servers_ = 1;
     milliseconds request_interval_{10};
+    // The store answers each call without end, in place of servers.
+    bool store_is_endless_ = false;
 };
 
 // Sends a block again and again until its peer closes the connection.
@@ -123,10 +128,14 @@
 class endless_answers_world {
 public:
     explicit endless_answers_world(const scenario& options)
-        : options_{options}, deployment_{{.daemons_ = options.daemons_,
-                                          .routes_ = {{"/safe/", "idempotent"},
-                                                      {"/stream/", "streaming",
-                                                       true}}}} {
+        : options_{options},
+          deployment_{{.daemons_ = options.daemons_,
+                       .routes_ = {{"/safe/", "idempotent"},
+                                   {"/stream/", "streaming", true}},
+                       .has_store_link_ = options.store_is_endless_}} {
+        if (options_.store_is_endless_) {
+            open_endless_store();
+        }
         for (auto number = 0; number < options_.servers_; ++number) {
             deployment_.add_server(
                 [this, number](const auto& request, const auto& connection) {
@@ -138,6 +147,10 @@
     auto run() -> void {
         deployment_.play(sending_time + time_to_end, [this] {
             begun_at_ = deployment_.time().now();
+            if (options_.store_is_endless_) {
+                deployment_.store_link().set_target(store_->address());
+                deployment_.store_link().reset_all();
+            }
             deployment_.thread().every(options_.request_interval_,
                                        [this] { send(); });
         });
@@ -167,8 +180,15 @@
                               std::to_string(body.size()) + "\r\n\r\n" + body);
             return;
         }
+        answer_without_end(head, connection);
+    }
+
+    auto answer_without_end(const std::string& head,
+                            const std::shared_ptr<raw_connection>& connection)
+        -> void {
         ++drawn_;
-        if (options_.kind_ != endless::interim) {
+        if (options_.kind_ != endless::interim &&
+            options_.kind_ != endless::no_http) {
             connection->write(head + beginning(options_.kind_));
         }
         std::make_shared<endless_sender>(deployment_.thread(), connection,
@@ -176,6 +196,21 @@
             ->send();
     }
 
+    auto open_endless_store() -> void {
+        auto listener = transport::tcp_listener::open(
+            deployment_.thread(), "127.0.0.1:0", [this](int descriptor) {
+                std::erase_if(store_connections_, [](const auto& connection) {
+                    return !connection->open();
+                });
+                store_connections_.push_back(std::make_shared<raw_connection>(
+                    deployment_.thread(), descriptor,
+                    [this](const auto& /*request*/, const auto& connection) {
+                        answer_without_end("HTTP/1.1 200 OK\r\n", connection);
+                    }));
+            });
+        store_ = std::move(listener.value());
+    }
+
     auto send() -> void {
         if (deployment_.time().now() > begun_at_ + sending_time) {
             return;
@@ -205,9 +240,209 @@
 
     const scenario options_;
     raw_deployment deployment_;
+    std::vector<std::shared_ptr<raw_connection>> store_connections_;
+    std::unique_ptr<transport::tcp_listener> store_;
+    time_point begun_at_{};
+};
+
+auto endless_store(const char* name, endless kind) -> scenario {
+    return {.name_ = name,
+            .kind_ = kind,
+            .endless_servers_ = 0,
+            .store_is_endless_ = true};
+}
+
+// Clients that take nothing of large answers, beside others that take small and
+// large ones.
+class idle_clients_world {
+public:
+    idle_clients_world() {
+        for (auto number = 0; number < servers_; ++number) {
+            deployment_.add_server(
+                [](const auto& request, const auto& connection) {
+                    const auto large = request.target_.ends_with("large");
+                    const auto body =
+                        std::string(large ? large_bytes_ : small_bytes_, 'a');
+                    connection->write(
+                        "HTTP/1.1 200 OK\r\n" + std::string{request_id_field} +
+                        ": " +
+                        std::string{request.headers_.find(request_id_field)} +
+                        "\r\nContent-Length: " + std::to_string(body.size()) +
+                        "\r\n\r\n" + body);
+                });
+        }
+    }
+
+    auto run() -> void {
+        deployment_.play(sending_time + time_to_end, [this] {
+            begun_at_ = deployment_.time().now();
+            deployment_.thread().every(idle_interval_, [this] {
+                if (idle_sent_ < idle_clients_) {
+                    deployment_.send_and_read_nothing(
+                        0, make_request("/safe/large",
+                                        "i" + std::to_string(idle_sent_++)));
+                }
+            });
+            deployment_.thread().every(small_interval_,
+                                       [this] { send(small_, "/safe/small"); });
+            deployment_.thread().every(large_interval_,
+                                       [this] { send(large_, "/safe/large"); });
+        });
+    }
+
+    struct tally {
+        int sent_ = 0;
+        int served_ = 0;
+    };
+    tally small_;
+    tally large_;
+    [[nodiscard]] auto peak_memory() const -> std::size_t {
+        return deployment_.peak_memory();
+    }
+
+private:
+    static constexpr auto servers_ = 4;
+    static constexpr auto idle_clients_ = 100;
+    static constexpr auto idle_interval_ = milliseconds{20};
+    static constexpr auto small_interval_ = milliseconds{10};
+    static constexpr auto large_interval_ = milliseconds{100};
+    static constexpr auto large_bytes_ = std::size_t{4'000'000};
+    static constexpr auto small_bytes_ = std::size_t{1000};
+
+    static auto make_request(const std::string& target, const std::string& id)
+        -> std::string {
+        auto headers = transport::header_list{};
+        headers.add("Host", "x");
+        headers.add(request_id_field, id);
+        headers.add("Basilstream-Deadline-Milliseconds", "4000");
+        return transport::write_request("POST", target, headers, "body");
+    }
+
+    auto send(tally& counts, const std::string& target) -> void {
+        if (deployment_.time().now() > begun_at_ + sending_time) {
+            return;
+        }
+        const auto size =
+            target.ends_with("large") ? large_bytes_ : small_bytes_;
+        deployment_.send(
+            0, make_request(target, target + std::to_string(counts.sent_++)),
+            [&counts, size](const raw_answer& answer) {
+                counts.served_ += answer.status_ == 200 && answer.complete_ &&
+                                          answer.body_.size() == size
+                                      ? 1
+                                      : 0;
+            });
+    }
+
+    raw_deployment deployment_{
+        {.daemons_ = 1, .routes_ = {{"/safe/", "idempotent"}}}};
     time_point begun_at_{};
+    int idle_sent_ = 0;
+};
+
+// Complete answers that their clients did not take were counted by no bound.
+TEST(idle_clients, answers_that_nobody_takes_exhaust_a_daemon) {
+    auto world = idle_clients_world{};
+    world.run();
+    std::cout << (world.peak_memory() >> 20U) << " MB, small answers "
+              << world.small_.served_ << " of " << world.small_.sent_
+              << ", large " << world.large_.served_ << " of "
+              << world.large_.sent_ << '\n';
+    EXPECT_LE(world.peak_memory(), max_memory);
+    EXPECT_GE(world.small_.served_, 0.97 * world.small_.sent_);
+}
+
+// Servers pause in the middle of large answers, all of which are unfinished at
+// once.
+class unfinished_answers_world {
+public:
+    unfinished_answers_world() {
+        for (auto number = 0; number < servers_; ++number) {
+            deployment_.add_server([this](const auto& request,
+                                          const auto& connection) {
+                connection->write(
+                    "HTTP/1.1 200 OK\r\n" + std::string{request_id_field} +
+                    ": " +
+                    std::string{request.headers_.find(request_id_field)} +
+                    "\r\nContent-Length: " + std::to_string(2 * half_bytes_) +
+                    "\r\n\r\n" + std::string(half_bytes_, 'a'));
+                deployment_.thread().after(pause_, [connection = connection] {
+                    connection->write(std::string(half_bytes_, 'a'));
+                });
+            });
+        }
+    }
+
+    auto run() -> void {
+        deployment_.play(sending_time + time_to_end, [this] {
+            for (auto number = 0; number < clients_; ++number) {
+                auto headers = transport::header_list{};
+                headers.add("Host", "x");
+                headers.add(request_id_field, "u" + std::to_string(number));
+                headers.add("Basilstream-Deadline-Milliseconds", "7000");
+                deployment_.send(0,
+                                 transport::write_request("POST", "/safe/large",
+                                                          headers, "body"),
+                                 [this](const raw_answer& answer) {
+                                     served_ += answer.status_ == 200 &&
+                                                        answer.complete_
+                                                    ? 1
+                                                    : 0;
+                                 });
+            }
+        });
+    }
+
+    static constexpr auto clients_ = 40;
+    int served_ = 0;
+    [[nodiscard]] auto peak_memory() const -> std::size_t {
+        return deployment_.peak_memory();
+    }
+
+private:
+    static constexpr auto servers_ = 8;
+    static constexpr auto half_bytes_ = std::size_t{2'000'000};
+    static constexpr auto pause_ = milliseconds{1000};
+
+    raw_deployment deployment_{
+        {.daemons_ = 1, .routes_ = {{"/safe/", "idempotent"}}}};
 };
 
+// Answers that did not fit into the memory together were lost, and their
+// servers blamed, or none of them would end.
+TEST(unfinished_answers, answers_wait_for_each_others_memory) {
+    auto world = unfinished_answers_world{};
+    world.run();
+    std::cout << (world.peak_memory() >> 20U) << " MB, " << world.served_
+              << " of " << unfinished_answers_world::clients_ << '\n';
+    EXPECT_LE(world.peak_memory(), max_memory);
+    EXPECT_EQ(world.served_, unfinished_answers_world::clients_);
+}
+
+// Heads of many clients that never end, each within its bound, exceeded the
+// memory together.
+TEST(unfinished_heads, heads_of_many_clients_exhaust_a_daemon) {
+    constexpr auto clients = 4000;
+    constexpr auto at_once = 50;
+    constexpr auto interval = milliseconds{20};
+    const auto head = "POST /safe/large HTTP/1.1\r\nHost: x\r\nX-Endless: " +
+                      std::string(std::size_t{16'000}, 'a');
+    auto world =
+        raw_deployment{{.daemons_ = 1, .routes_ = {{"/safe/", "idempotent"}}}};
+    auto sent = 0;
+    world.play(sending_time, [&] {
+        world.thread().every(interval, [&] {
+            for (auto count = 0; count < at_once && sent < clients; ++count) {
+                world.send_and_read_nothing(0, head);
+                ++sent;
+            }
+        });
+    });
+    std::cout << (world.peak_memory() >> 20U) << " MB, " << sent
+              << " clients\n";
+    EXPECT_LE(world.peak_memory(), max_memory);
+}
+
 class endless_answers : public ::testing::TestWithParam<scenario> {};
 
 // Servers that send without end exhausted the memory of daemons, and their
@@ -220,7 +455,7 @@
     std::cout << options.name_ << ": " << (world.peak_memory_ >> 20U) << " MB, "
               << served << " served, " << world.slow_ << " slow, "
               << world.completed_ << " completed, " << world.drawn_
-              << " requests at the endless servers\n";
+              << " requests at endless servers or stores\n";
     EXPECT_LE(world.peak_memory_, max_memory);
     EXPECT_GE(served, 0.97);
     EXPECT_EQ(world.slow_, 0);
@@ -245,7 +480,15 @@
         scenario{.name_ = "chunk_extension_2_daemons",
                  .kind_ = endless::chunk_extension},
         scenario{.name_ = "chunk_size_2_daemons", .kind_ = endless::chunk_size},
-        scenario{.name_ = "trailer_2_daemons", .kind_ = endless::trailer}),
+        scenario{.name_ = "trailer_2_daemons", .kind_ = endless::trailer},
+        scenario{.name_ = "no_http_2_daemons", .kind_ = endless::no_http},
+        endless_store("store_body", endless::body),
+        endless_store("store_chunks", endless::chunks),
+        endless_store("store_head", endless::head),
+        endless_store("store_chunk_extension", endless::chunk_extension),
+        endless_store("store_chunk_size", endless::chunk_size),
+        endless_store("store_trailer", endless::trailer),
+        endless_store("store_no_http", endless::no_http)),
     [](const auto& info) { return std::string{info.param.name_}; });
 
 } // namespace
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -86,6 +87,20 @@
     return descriptor;
 }
 
+auto connect_with_small_segments(std::uint16_t port) -> int {
+    constexpr auto segment_bytes = 1448;
+    const auto descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+                       sizeof segment_bytes);
+    auto target = sockaddr_in{};
+    target.sin_family = AF_INET;
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    target.sin_port = htons(port);
+    (void)::connect(descriptor, reinterpret_cast<const sockaddr*>(&target),
+                    sizeof target);
+    return descriptor;
+}
+
 // A client's connection, which keeps itself until its answer has ended.
 class raw_client final : public transport::tcp_observer,
                          public transport::response_sink {
@@ -285,6 +300,9 @@
                  ("raw_deployment." + std::to_string(::getpid()))} {
     std::filesystem::create_directories(directory_);
     store_.put("keyed.op", "config", config_text(options_));
+    if (options_.has_store_link_) {
+        store_link_ = std::make_unique<fault_proxy>(thread_, store_.address());
+    }
     daemons_.resize(options_.daemons_);
     links_.resize(options_.daemons_with_faults_);
     for (auto index = 0; index < options_.daemons_with_faults_; ++index) {
@@ -302,6 +320,9 @@
 
 raw_deployment::~raw_deployment() {
     thread_.stop();
+    for (const auto descriptor : idle_clients_) {
+        ::close(descriptor);
+    }
     daemons_.clear();
     auto ignored = std::error_code{};
     std::filesystem::remove_all(directory_, ignored);
@@ -343,6 +364,14 @@
                      std::move(done), pause);
 }
 
+auto raw_deployment::send_and_read_nothing(int daemon, const std::string& bytes)
+    -> void {
+    const auto descriptor = connect_with_small_segments(
+        port_of(daemons_[daemon]->caller_address()));
+    idle_clients_.push_back(descriptor);
+    (void)::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
 auto raw_deployment::view_server(int daemon, std::string value) -> std::string {
     auto entry = protocol::json::parse(value);
     const auto target = entry.at("address").get<std::string>();
@@ -406,13 +435,18 @@
     return largest;
 }
 
+auto raw_deployment::store_address(int index) const -> std::string {
+    if (index < options_.daemons_with_faults_) {
+        return store_views_[index];
+    }
+    return store_link_ ? store_link_->address() : store_.address();
+}
+
 auto raw_deployment::start_daemon(int index) -> void {
     daemons_[index] = std::make_unique<daemon_process>(
         daemon_options{.name_ = "d" + std::to_string(index),
                        .directory_ = directory_,
-                       .store_address_ = index < options_.daemons_with_faults_
-                                             ? store_views_[index]
-                                             : store_.address(),
+                       .store_address_ = store_address(index),
                        .retry_ratio_ = options_.retry_ratio_,
                        .retry_allowance_ = options_.retry_allowance_,
                        .picks_ports_ = true});
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -158,6 +158,8 @@
     int announced_slots_ = 32;
     /// The first daemons, whose links to servers pass proxies and can fail.
     int daemons_with_faults_ = 0;
+    /// Whether daemons reach the store over a proxy, see store_link().
+    bool has_store_link_ = false;
 };
 
 class raw_deployment {
@@ -179,6 +181,10 @@
     /// answer over. Reads nothing for `pause` once the answer has begun.
     auto send(int daemon, const std::string& bytes, answer_handler done,
               milliseconds pause = milliseconds{0}) -> void;
+    /// Sends a request to a daemon on a connection that takes nothing of its
+    /// answer, until the world ends. Its segments are as small as those of a
+    /// network, so that the kernel of the daemon takes no more than there.
+    auto send_and_read_nothing(int daemon, const std::string& bytes) -> void;
     /// Makes the links between a daemon and all servers fail, or work again.
     /// Call for the first `daemons_with_faults_` only.
     auto cut_links(int daemon, link_fault fault) -> void;
@@ -191,6 +197,9 @@
     /// Returns the largest resident size of any daemon so far, in bytes.
     [[nodiscard]] auto peak_memory() const -> std::size_t;
     [[nodiscard]] auto store() -> stand_in_store& { return store_; }
+    /// The proxy between daemons without faults and the store; only with
+    /// `has_store_link_`.
+    [[nodiscard]] auto store_link() -> fault_proxy& { return *store_link_; }
     [[nodiscard]] auto thread() -> transport::reactor_thread& {
         return thread_;
     }
@@ -199,6 +208,7 @@
 
 private:
     auto start_daemon(int index) -> void;
+    [[nodiscard]] auto store_address(int index) const -> std::string;
     // Returns an announcement with the address of the daemon's proxy.
     auto view_server(int daemon, std::string value) -> std::string;
 
@@ -211,6 +221,9 @@
     std::vector<std::map<std::string, std::unique_ptr<fault_proxy>>> links_;
     // Addresses of the store as these daemons see it.
     std::vector<std::string> store_views_;
+    std::unique_ptr<fault_proxy> store_link_;
+    // Sockets of clients that read nothing.
+    std::vector<int> idle_clients_;
     // Settings and logs of the daemons.
     std::string directory_;
     std::vector<std::unique_ptr<daemon_process>> daemons_;
