Drop messages to peers that cannot be reached for want of descriptors

A process that had used all its descriptors ended with SIGABRT (terminate called after throwing zmq::error_t, Too many open files) as soon as it had a message for a peer that it was not connected to; requests that it held were lost with it. Cause: nothing in the link's thread catches the errors that the ZeroMQ binding throws, of which a socket for a new peer is one. The class is exceptions that leave a thread.

Before: new_peer_without_descriptors_ends_the_process aborted (status 134); opening_without_descriptors_ends_the_process met the exception in the caller of open(), which ends a start instead of having it tried again.

Now a message that cannot be sent is dropped and counted, and the next one tries to connect again; a wait or a read that fails is repeated, after 10 ms for a wait; a link that cannot be opened is a typed error, as is one whose address is taken.

--- a/basilstream/transport/peer_link/peer_link.cpp
+++ b/basilstream/transport/peer_link/peer_link.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <map>
 #include <optional>
+#include <system_error>
 #include <thread>
 
 #include <sys/eventfd.h>
@@ -18,6 +19,8 @@
 // Messages received in one turn before the outgoing ring is served again.
 constexpr auto receive_batch = 256;
 constexpr auto poll_timeout = milliseconds{500};
+// After a wait that failed.
+constexpr auto retry_pause = milliseconds{10};
 
 struct outgoing {
     std::string address_;
@@ -113,7 +116,7 @@
             auto items =
                 std::array{zmq::pollitem_t{router_.handle(), 0, ZMQ_POLLIN, 0},
                            zmq::pollitem_t{nullptr, wake_, ZMQ_POLLIN, 0}};
-            zmq::poll(items, poll_timeout);
+            wait_for(items);
             clear_wake();
             send_waiting();
             receive();
@@ -122,6 +125,16 @@
         connections_.clear();
     }
 
+    // An interrupted or refused wait is only shorter; nothing catches errors of
+    // this thread.
+    static auto wait_for(std::array<zmq::pollitem_t, 2>& items) -> void {
+        try {
+            zmq::poll(items, poll_timeout);
+        } catch (const zmq::error_t&) {
+            std::this_thread::sleep_for(retry_pause);
+        }
+    }
+
     auto clear_wake() -> void {
         auto count = std::uint64_t{0};
         [[maybe_unused]] const auto bytes = ::read(wake_, &count, sizeof count);
@@ -129,7 +142,15 @@
     }
 
     auto send_waiting() -> void {
-        ring_.drain([this](outgoing&& message) { transmit(message); });
+        ring_.drain([this](outgoing&& message) {
+            try {
+                transmit(message);
+            } catch (const zmq::error_t&) {
+                // Without descriptors for a new peer, for example; the next
+                // message to it tries again.
+                dropped_.fetch_add(1);
+            }
+        });
     }
 
     auto transmit(const outgoing& message) -> void {
@@ -171,6 +192,14 @@
     }
 
     auto receive() -> void {
+        try {
+            receive_waiting();
+        } catch (const zmq::error_t&) {
+            // What waits is read in the next turn.
+        }
+    }
+
+    auto receive_waiting() -> void {
         for (auto count = 0; count < receive_batch; ++count) {
             auto frames = std::array<zmq::message_t, 3>{};
             auto used = std::size_t{0};
@@ -225,15 +254,28 @@
     std::thread thread_;
 };
 
+auto cannot_open(const peer_link_options& options,
+                 const std::exception& failure) -> tl::unexpected<error> {
+    return tl::unexpected(error{error_code::unavailable, step::peer,
+                                options.address_,
+                                std::string{"cannot open: "} + failure.what()});
+}
+
 } // namespace
 
 auto peer_link::open(const peer_link_options& options, peer_handler handler)
     -> result<std::unique_ptr<peer_link>> {
-    auto link = std::make_unique<zeromq_link>(options, std::move(handler));
-    if (auto bound = link->bind(); !bound) {
-        return tl::unexpected(bound.error());
+    try {
+        auto link = std::make_unique<zeromq_link>(options, std::move(handler));
+        if (auto bound = link->bind(); !bound) {
+            return tl::unexpected(bound.error());
+        }
+        return link;
+    } catch (const std::system_error& failure) {
+        return cannot_open(options, failure);
+    } catch (const zmq::error_t& failure) {
+        return cannot_open(options, failure);
     }
-    return link;
 }
 
 } // namespace basilstream::transport
--- a/basilstream/transport/peer_link/peer_link_test.cpp
+++ b/basilstream/transport/peer_link/peer_link_test.cpp
@@ -1,8 +1,12 @@
 #include "basilstream/transport/peer_link/peer_link.hpp"
 
+#include <chrono>
 #include <future>
+#include <thread>
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace basilstream::transport {
 namespace {
@@ -38,6 +42,52 @@
     EXPECT_GT((*sender)->statistics().dropped_, 0U);
 }
 
+// The process may open no more descriptors while one of these exists.
+class no_more_descriptors {
+public:
+    no_more_descriptors() {
+        ::getrlimit(RLIMIT_NOFILE, &former_);
+        const auto lowest_free = ::dup(STDOUT_FILENO);
+        ::close(lowest_free);
+        const auto none =
+            rlimit{static_cast<rlim_t>(lowest_free), former_.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &none);
+    }
+    no_more_descriptors(const no_more_descriptors&) = delete;
+    auto operator=(const no_more_descriptors&) -> no_more_descriptors& = delete;
+    ~no_more_descriptors() { ::setrlimit(RLIMIT_NOFILE, &former_); }
+
+private:
+    rlimit former_{};
+};
+
+// The error of a socket that cannot be made ended the process.
+TEST(peer_link, new_peer_without_descriptors_ends_the_process) {
+    auto arrived = std::promise<std::string>{};
+    const auto receiver = peer_link::open({}, [&](auto, std::string bytes) {
+        arrived.set_value(std::move(bytes));
+    });
+    const auto sender = peer_link::open({}, [](auto, auto) {});
+    ASSERT_TRUE(receiver && sender);
+    {
+        const auto limit = no_more_descriptors{};
+        (*sender)->send((*receiver)->address(), "lost");
+        while ((*sender)->statistics().dropped_ == 0) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+    }
+    (*sender)->send((*receiver)->address(), "found");
+    EXPECT_EQ(arrived.get_future().get(), "found");
+}
+
+// A daemon tries a start again after a typed error only.
+TEST(peer_link, opening_without_descriptors_ends_the_process) {
+    const auto limit = no_more_descriptors{};
+    const auto link = peer_link::open({}, [](auto, auto) {});
+    ASSERT_FALSE(link);
+    EXPECT_EQ(link.error().step_, step::peer);
+}
+
 TEST(peer_link, taken_port_is_a_typed_error) {
     const auto first = peer_link::open({}, [](auto, auto) {});
     const auto& address = (*first)->address();
