Bound the connections of clients by the descriptors of the process

With 256 descriptors and 500 callers that connected and said nothing, a daemon took all of the processor time that it got (1.3 s in 2 s on a busy machine) and answered neither readiness nor a new caller until they left. Causes: nothing bounded the connections, so that clients took every descriptor; and accepting failed with EMFILE again at once, as the connections that wait stay readable. The class is resources of the process that clients hold without a bound.

Each server now has a share of the descriptors: callers a half (128 of 256), daemons that forward an eighth, the servers for control a 32nd each. The rest is for servers, store, peers and files. At its share a new connection takes the place of the one that has waited longest for a request: a new caller most likely has one, and a client must bear the end of an idle connection in any case. Requests being answered, answers not taken yet and bodies that wait for memory are left alone; without any other the new connection waits. Accepting pauses for 50 ms without room, descriptors or memory. A connection that the reactor cannot watch ends instead of staying silent.

--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -359,9 +359,11 @@
 
 auto relay::open_forwarding(const std::string& address) -> result<void> {
     auto& state = *state_;
+    auto options = state.make_server_options(address);
+    options.max_sessions_ =
+        transport::max_sessions_of(transport::client_kind::forwarding_daemons);
     auto opened = transport::http_session_server::open(
-        state.context_.thread_, state.context_.clock_,
-        state.make_server_options(address),
+        state.context_.thread_, state.context_.clock_, std::move(options),
         [&state](transport::request_message request,
                  transport::http_session& session) {
             state.on_forwarded_request(std::move(request), session);
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -142,7 +142,9 @@
             return transport::http_session_server::open(
                 thread_, clock_,
                 {.address_ = address,
-                 .limits_ = {.body_bytes_ = max_control_body_bytes}},
+                 .limits_ = {.body_bytes_ = max_control_body_bytes},
+                 .max_sessions_ = transport::max_sessions_of(
+                     transport::client_kind::control)},
                 [this, method](transport::request_message request,
                                transport::http_session& session) {
                     (this->*method)(request, session);
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -18,6 +18,20 @@
 // A body that is forwarded is kept for further attempts beside the output.
 constexpr auto copies_of_body = 2;
 
+// Shares of the descriptors, in 32nds. There are three servers for control.
+constexpr auto whole_share = std::size_t{32};
+
+auto share_of(client_kind kind) -> std::size_t {
+    switch (kind) {
+    case client_kind::callers:
+        return 16;
+    case client_kind::forwarding_daemons:
+        return 4;
+    default:
+        return 1;
+    }
+}
+
 auto status_of(request_fault fault) -> int {
     switch (fault) {
     case request_fault::header_too_large:
@@ -31,6 +45,11 @@
 
 } // namespace
 
+auto max_sessions_of(client_kind kind) -> std::size_t {
+    return std::max(std::size_t{1},
+                    handle_limit() * share_of(kind) / whole_share);
+}
+
 http_session::http_session(http_session_server& server, int descriptor)
     : server_{server}, stream_{tcp_stream::adopt(server.thread_, descriptor,
                                                  *this)},
@@ -261,6 +280,13 @@
     }
 }
 
+auto http_session::waiting_since() const -> std::optional<time_point> {
+    if (busy_ || waiting_until_ || buffered() > 0) {
+        return std::nullopt;
+    }
+    return since_;
+}
+
 http_session_server::http_session_server(reactor_thread& thread,
                                          const clock& time,
                                          http_session_options options,
@@ -277,11 +303,13 @@
     const auto address = options.address_;
     auto server = std::unique_ptr<http_session_server>{new http_session_server{
         thread, time, std::move(options), std::move(handler)}};
-    auto listener =
-        tcp_listener::open(thread, address, [&made = *server](int descriptor) {
+    auto listener = tcp_listener::open(
+        thread, address,
+        [&made = *server](int descriptor) {
             made.sessions_.insert(
                 std::make_shared<http_session>(made, descriptor));
-        });
+        },
+        [&made = *server] { return made.make_room(); });
     if (!listener) {
         return tl::unexpected(listener.error());
     }
@@ -297,6 +325,25 @@
     options_.idle_timeout_ = idle_timeout;
 }
 
+auto http_session_server::make_room() -> bool {
+    if (sessions_.size() < options_.max_sessions_) {
+        return true;
+    }
+    auto longest = std::shared_ptr<http_session>{};
+    auto longest_since = time_point::max();
+    for (const auto& session : sessions_) {
+        const auto since = session->waiting_since();
+        if (since && *since < longest_since) {
+            longest = session;
+            longest_since = *since;
+        }
+    }
+    if (longest) {
+        longest->close();
+    }
+    return longest != nullptr;
+}
+
 auto http_session_server::admit_waiting() -> void {
     while (!waiting_.empty()) {
         const auto session = waiting_.front().lock();
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -89,6 +89,9 @@
     auto check(time_point now) -> void;
     /// Whether a request is being answered.
     [[nodiscard]] auto busy() const -> bool { return busy_; }
+    /// Since when the connection waits for a request that is not whole;
+    /// nothing while it is needed for something else.
+    [[nodiscard]] auto waiting_since() const -> std::optional<time_point>;
     /// Closes the connection if no request has begun.
     auto close_if_idle() -> void;
 
@@ -129,6 +132,13 @@
 using request_handler =
     std::function<void(request_message request, http_session& session)>;
 
+/// What a server's clients are.
+enum class client_kind { callers, forwarding_daemons, control };
+
+/// The connections of clients that a process can bear, by the descriptors that
+/// it may open. The rest is for its own connections and files.
+[[nodiscard]] auto max_sessions_of(client_kind kind) -> std::size_t;
+
 /// Settings of a server.
 struct http_session_options {
     /// "IP:PORT"; port 0 picks an ephemeral one.
@@ -136,6 +146,9 @@
     request_limits limits_ = {};
     milliseconds header_timeout_{3000};
     milliseconds idle_timeout_{15'000};
+    /// At this number of connections, a further one takes the place of the one
+    /// that has waited longest for a request; it waits if there is none.
+    std::size_t max_sessions_ = max_sessions_of(client_kind::callers);
     /// Called when a connection ends during an answer or with bytes unsent, for
     /// logs; none if empty.
     std::function<void(const cut_connection&)> on_cut_ = {};
@@ -195,6 +208,8 @@
     http_session_options options_;
     request_handler handler_;
     std::unique_ptr<tcp_listener> listener_;
+    // Makes room for one more session.
+    auto make_room() -> bool;
     // Lets sessions read on that wait for memory.
     auto admit_waiting() -> void;
 
--- a/basilstream/transport/http_session/http_session_test.cpp
+++ b/basilstream/transport/http_session/http_session_test.cpp
@@ -271,6 +271,49 @@
     EXPECT_EQ(exchange(old_request).ended_, close_reason::reset);
 }
 
+// Silent clients took the places of all others.
+TEST_F(http_session_test, silent_clients_take_the_places_of_others) {
+    auto options = http_session_options{.address_ = "127.0.0.1:0"};
+    options.max_sessions_ = 2;
+    auto held = std::promise<http_session*>{};
+    const auto post = [this](work_item work) {
+        auto finished = std::promise<void>{};
+        thread_.post_wait([&] {
+            work();
+            finished.set_value();
+        });
+        finished.get_future().get();
+    };
+    post([&] {
+        server_ = std::move(
+            http_session_server::open(
+                thread_, clock_, options,
+                [&](const request_message& request, http_session& session) {
+                    if (request.target_ == "/held") {
+                        held.set_value(&session);
+                    } else {
+                        session.respond(200, {}, "");
+                    }
+                })
+                .value());
+    });
+    auto clients = std::vector<std::unique_ptr<raw_client>>{};
+    const auto connect = [&](std::string_view request) {
+        post([&] {
+            clients.push_back(std::make_unique<raw_client>(
+                thread_, server_->address(), request, "\r\n\r\n"));
+        });
+    };
+    connect("GET /held HTTP/1.1\r\nHost: x\r\n\r\n");
+    auto* const waiting = held.get_future().get();
+    connect("");
+    connect("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(clients.at(1)->wait().ended_);
+    EXPECT_FALSE(clients.at(2)->wait().ended_);
+    post([&] { waiting->respond(200, {}, ""); });
+    EXPECT_FALSE(clients.at(0)->wait().ended_);
+}
+
 // The end of a chunked body after an answer to HEAD was taken for the next
 // answer.
 TEST_F(http_session_test, answer_to_head_has_a_body) {
--- a/basilstream/transport/reactor/reactor.cpp
+++ b/basilstream/transport/reactor/reactor.cpp
@@ -25,12 +25,6 @@
 // ACE refuses to open a reactor for more than those.
 constexpr auto max_handles = rlim_t{8192};
 
-auto handle_limit() -> std::size_t {
-    auto limit = rlimit{};
-    const auto known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
-    return known ? std::min(limit.rlim_cur, max_handles) : max_handles;
-}
-
 // Rounds the wait for the next timer up to whole milliseconds. The reactor
 // hands its wait to epoll in whole milliseconds and would round it down, so
 // that it polls without a pause for the last part of each wait.
@@ -94,6 +88,12 @@
 
 } // namespace
 
+auto handle_limit() -> std::size_t {
+    auto limit = rlimit{};
+    const auto known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
+    return known ? std::min(limit.rlim_cur, max_handles) : max_handles;
+}
+
 class reactor_thread::implementation final : public ACE_Task_Base {
 public:
     implementation(std::string name, std::size_t ring_capacity)
--- a/basilstream/transport/reactor/reactor.hpp
+++ b/basilstream/transport/reactor/reactor.hpp
@@ -21,6 +21,10 @@
 
 using work_item = std::function<void()>;
 
+/// The number of file descriptors that a reactor can watch: those that the
+/// process may open, or fewer.
+[[nodiscard]] auto handle_limit() -> std::size_t;
+
 /// A named thread that runs an ACE reactor until it is stopped.
 class reactor_thread {
 public:
--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -24,6 +24,9 @@
 constexpr auto read_size = std::size_t{16} * 1024;
 // Connections that wait to be accepted.
 constexpr auto listen_backlog = 1024;
+// Pause while no further connection can be accepted. The reactor would report
+// those that wait without an end.
+constexpr auto accept_pause = milliseconds{50};
 constexpr auto keep_alive_probes = 2;
 // Checks of a connection with outstanding output in each silence time-out.
 constexpr auto checks_per_timeout = 3;
@@ -99,8 +102,10 @@
         const auto mask = connecting_ ? ACE_Event_Handler::CONNECT_MASK
                                       : ACE_Event_Handler::READ_MASK;
         mask_ = mask;
-        if (descriptor_ >= 0) {
-            thread_.reactor().register_handler(descriptor_, this, mask_);
+        if (descriptor_ >= 0 &&
+            thread_.reactor().register_handler(descriptor_, this, mask_) != 0) {
+            // Beyond the reactor's handles: nothing would ever be reported.
+            fail_later();
         }
     }
 
@@ -411,14 +416,15 @@
 
 class tcp_listener::handler final : public ACE_Event_Handler {
 public:
-    handler(reactor_thread& thread, int descriptor, accept_handler accepted)
-        : thread_{thread}, descriptor_{descriptor}, accepted_{
-                                                        std::move(accepted)} {
-        thread_.reactor().register_handler(descriptor_, this,
-                                           ACE_Event_Handler::ACCEPT_MASK);
+    handler(reactor_thread& thread, int descriptor, accept_handler accepted,
+            room_check has_room)
+        : thread_{thread}, descriptor_{descriptor},
+          accepted_{std::move(accepted)}, has_room_{std::move(has_room)} {
+        accept_from_now_on();
     }
 
     ~handler() override {
+        *alive_ = false;
         thread_.reactor().remove_handler(descriptor_,
                                          ACE_Event_Handler::ALL_EVENTS_MASK |
                                              ACE_Event_Handler::DONT_CALL);
@@ -426,10 +432,16 @@
     }
 
     auto handle_input(ACE_HANDLE /*handle*/) -> int override {
+        if (has_room_ && !has_room_()) {
+            pause();
+            return 0;
+        }
         const auto descriptor = ::accept4(descriptor_, nullptr, nullptr,
                                           SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor >= 0) {
             accepted_(descriptor);
+        } else if (lacks_resources()) {
+            pause();
         }
         return 0;
     }
@@ -445,9 +457,40 @@
     }
 
 private:
+    static auto lacks_resources() -> bool {
+        return errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+               errno == ENOMEM;
+    }
+
+    auto accept_from_now_on() -> void {
+        const auto refused =
+            thread_.reactor().register_handler(
+                descriptor_, this, ACE_Event_Handler::ACCEPT_MASK) != 0;
+        if (refused) {
+            accept_later();
+        }
+    }
+
+    auto pause() -> void {
+        thread_.reactor().remove_handler(descriptor_,
+                                         ACE_Event_Handler::ALL_EVENTS_MASK |
+                                             ACE_Event_Handler::DONT_CALL);
+        accept_later();
+    }
+
+    auto accept_later() -> void {
+        thread_.after(accept_pause, [this, alive = alive_] {
+            if (*alive) {
+                accept_from_now_on();
+            }
+        });
+    }
+
     reactor_thread& thread_;
     int descriptor_;
     accept_handler accepted_;
+    room_check has_room_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 tcp_listener::tcp_listener(std::unique_ptr<handler> made)
@@ -456,7 +499,7 @@
 tcp_listener::~tcp_listener() = default;
 
 auto tcp_listener::open(reactor_thread& thread, const std::string& address,
-                        accept_handler accepted)
+                        accept_handler accepted, room_check has_room)
     -> result<std::unique_ptr<tcp_listener>> {
     const auto failed = [&](const char* what) {
         return tl::unexpected(
@@ -481,8 +524,9 @@
         ::close(descriptor);
         return refusal;
     }
-    return std::unique_ptr<tcp_listener>{new tcp_listener{
-        std::make_unique<handler>(thread, descriptor, std::move(accepted))}};
+    return std::unique_ptr<tcp_listener>{
+        new tcp_listener{std::make_unique<handler>(
+            thread, descriptor, std::move(accepted), std::move(has_room))}};
 }
 
 auto tcp_listener::address() const -> std::string {
--- a/basilstream/transport/tcp_stream/tcp_stream.hpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.hpp
@@ -108,13 +108,16 @@
 class tcp_listener {
 public:
     using accept_handler = std::function<void(int descriptor)>;
+    /// Returns whether a further connection may be accepted; it is asked again
+    /// a moment later if not.
+    using room_check = std::function<bool()>;
 
     /// Listens on `address`, "IP:PORT"; port 0 picks an ephemeral one.
     /// `unavailable` at step settings when the address is taken. Call before
     /// the thread starts or on it.
-    [[nodiscard]] static auto open(reactor_thread& thread,
-                                   const std::string& address,
-                                   accept_handler accepted)
+    [[nodiscard]] static auto
+    open(reactor_thread& thread, const std::string& address,
+         accept_handler accepted, room_check has_room = {})
         -> result<std::unique_ptr<tcp_listener>>;
 
     tcp_listener(const tcp_listener&) = delete;
--- a/basilstream/transport/tcp_stream/tcp_stream_test.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream_test.cpp
@@ -1,14 +1,19 @@
 #include "basilstream/transport/tcp_stream/tcp_stream.hpp"
 
+#include <chrono>
+#include <ctime>
 #include <future>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace basilstream::transport {
 namespace {
@@ -122,6 +127,74 @@
         << begun << " connections";
 }
 
+struct ignoring_observer final : tcp_observer {
+    auto on_data(std::string_view /*bytes*/) -> void override {}
+    auto on_closed(close_reason /*reason*/) -> void override {}
+};
+
+// Descriptors that are closed by the end of a test.
+class spare_descriptors {
+public:
+    // Takes all that the process may open, up to `limit`.
+    explicit spare_descriptors(rlim_t limit) {
+        ::getrlimit(RLIMIT_NOFILE, &former_);
+        const auto lowered = rlimit{limit, former_.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+        for (auto made = ::dup(STDOUT_FILENO); made >= 0;
+             made = ::dup(STDOUT_FILENO)) {
+            taken_.push_back(made);
+        }
+    }
+    spare_descriptors(const spare_descriptors&) = delete;
+    auto operator=(const spare_descriptors&) -> spare_descriptors& = delete;
+    ~spare_descriptors() {
+        release();
+        ::setrlimit(RLIMIT_NOFILE, &former_);
+    }
+    auto release() -> void {
+        for (const auto descriptor : std::exchange(taken_, {})) {
+            ::close(descriptor);
+        }
+    }
+
+private:
+    rlimit former_{};
+    std::vector<int> taken_;
+};
+
+auto processor_time() -> milliseconds {
+    auto used = timespec{};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::duration_cast<milliseconds>(
+        seconds{used.tv_sec} + std::chrono::nanoseconds{used.tv_nsec});
+}
+
+// Without descriptors the listener was told again and again of a connection
+// that it could not accept.
+TEST(tcp_stream, listener_without_descriptors_takes_a_core) {
+    constexpr auto watched = milliseconds{500};
+    auto thread = reactor_thread{"server", 64};
+    auto accepted = std::promise<void>{};
+    const auto listener =
+        tcp_listener::open(thread, "127.0.0.1:0", [&](int descriptor) {
+            ::close(descriptor);
+            accepted.set_value();
+        });
+    ASSERT_TRUE(listener);
+    auto client_thread = reactor_thread{"client", 64};
+    auto observer = ignoring_observer{};
+    const auto caller =
+        tcp_stream::connect(client_thread, (*listener)->address(), observer);
+    auto taken = spare_descriptors{128};
+    thread.start();
+    const auto before = processor_time();
+    std::this_thread::sleep_for(watched);
+    EXPECT_LT(processor_time() - before, watched / 4);
+    taken.release();
+    accepted.get_future().get();
+    thread.stop();
+}
+
 // A peer that accepts a connection, reads nothing for a while, then all.
 class pausing_peer {
 public:
--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -4,8 +4,10 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
+#include <list>
 #include <optional>
 #include <string>
 #include <thread>
@@ -63,6 +65,48 @@
     sockaddr_in address_{};
 };
 
+struct resource_limit {
+    __rlimit_resource_t resource_;
+    rlim_t value_;
+};
+
+// A connection to a loopback port.
+class caller {
+public:
+    explicit caller(int port)
+        : descriptor_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)} {
+        auto address = sockaddr_in{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        connected_ =
+            ::connect(descriptor_, reinterpret_cast<sockaddr*>(&address),
+                      sizeof address) == 0;
+    }
+    caller(const caller&) = delete;
+    auto operator=(const caller&) -> caller& = delete;
+    ~caller() { ::close(descriptor_); }
+
+    [[nodiscard]] auto connected() const -> bool { return connected_; }
+    // Returns whether an answer to a GET begins in time.
+    [[nodiscard]] auto is_answered(const std::string& path) const -> bool {
+        const auto request = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+        auto limit = timeval{2, 0};
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &limit,
+                     sizeof limit);
+        ::send(descriptor_, request.data(), request.size(), MSG_NOSIGNAL);
+        auto answer = std::array<char, 9>{};
+        const auto count =
+            ::recv(descriptor_, answer.data(), answer.size(), MSG_WAITALL);
+        return count == answer.size() &&
+               std::string{answer.data(), answer.size()} == "HTTP/1.1 ";
+    }
+
+private:
+    int descriptor_;
+    bool connected_ = false;
+};
+
 // A daemon with a directory of its own, whose store is not there.
 class started_daemon {
 public:
@@ -102,9 +146,7 @@
     auto write_settings(const std::string& text) const -> void {
         std::ofstream{settings_path()} << text;
     }
-    // The child ends by SIGXFSZ or with an error if its log reaches
-    // `max_log_bytes`.
-    auto start(std::optional<rlim_t> max_log_bytes = std::nullopt) -> void {
+    auto start(std::optional<resource_limit> limit = std::nullopt) -> void {
         auto arguments = std::array<std::string, 3>{
             BASILSTREAMD_PATH, "--config", settings_path()};
         auto pointers =
@@ -117,14 +159,36 @@
                 ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(output, STDOUT_FILENO);
             ::dup2(output, STDERR_FILENO);
-            if (max_log_bytes) {
-                const auto limit = rlimit{*max_log_bytes, *max_log_bytes};
-                ::setrlimit(RLIMIT_FSIZE, &limit);
+            if (limit) {
+                const auto both = rlimit{limit->value_, limit->value_};
+                ::setrlimit(limit->resource_, &both);
             }
             ::execv(pointers[0], pointers.data());
             ::_exit(127);
         }
     }
+    // Returns the port under which it says that it listens.
+    [[nodiscard]] auto port_of(const std::string& name) const -> int {
+        auto log = std::ifstream{log_path()};
+        for (auto line = std::string{}; std::getline(log, line);) {
+            const auto event = protocol::json::parse(line, nullptr, false);
+            if (event.value("event", "") == "started") {
+                const auto address = event.value(name, "");
+                return std::stoi(address.substr(address.rfind(':') + 1));
+            }
+        }
+        return 0;
+    }
+    // Processor time that it has used so far.
+    [[nodiscard]] auto processor_time() const -> std::chrono::milliseconds {
+        auto clock = clockid_t{};
+        auto used = timespec{};
+        ::clock_getcpuclockid(pid_, &clock);
+        ::clock_gettime(clock, &used);
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::seconds{used.tv_sec} +
+            std::chrono::nanoseconds{used.tv_nsec});
+    }
     auto signal(int number) const -> void { ::kill(pid_, number); }
     // Opens the settings, a pipe, for writing once the daemon reads them.
     // Returns a descriptor, or -1 if it does not.
@@ -185,6 +249,10 @@
     std::optional<int> status_;
 };
 
+auto free_port() -> int {
+    return bound_socket{}.port();
+}
+
 auto stops_in_order(started_daemon& daemon) -> bool {
     daemon.signal(SIGTERM);
     const auto status = daemon.wait_for_end();
@@ -261,11 +329,34 @@
     auto daemon = started_daemon{};
     constexpr auto max_log_bytes = rlim_t{100};
     daemon.write_settings(daemon.settings("127.0.0.1:0"));
-    daemon.start(max_log_bytes);
+    daemon.start(resource_limit{RLIMIT_FSIZE, max_log_bytes});
     std::this_thread::sleep_for(1s);
     EXPECT_FALSE(daemon.ended());
     EXPECT_TRUE(stops_in_order(daemon));
 }
 
+// Callers that said nothing took all descriptors, and the daemon a whole core.
+TEST(daemon_starts, silent_callers_take_the_place_of_others) {
+    constexpr auto silent_callers = 500;
+    constexpr auto max_processor_time = 500ms;
+    auto daemon = started_daemon{};
+    const auto readiness = free_port();
+    daemon.write_settings(
+        daemon.settings("127.0.0.1:" + std::to_string(readiness)));
+    daemon.start(resource_limit{RLIMIT_NOFILE, 256});
+    ASSERT_TRUE(daemon.wait_for_start());
+    const auto callers = daemon.port_of("callers");
+    auto silent = std::list<caller>{};
+    for (auto count = 0; count < silent_callers; ++count) {
+        ASSERT_TRUE(silent.emplace_back(callers).connected());
+    }
+    const auto before = daemon.processor_time();
+    std::this_thread::sleep_for(2s);
+    EXPECT_LT(daemon.processor_time() - before, max_processor_time);
+    EXPECT_TRUE(caller{readiness}.is_answered("/readyz"));
+    EXPECT_TRUE(caller{callers}.is_answered("/"));
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
 } // namespace
 } // namespace basilstream::testing
