Take memory for a body only as it arrives

Under an address space of 260 MB, 20 callers that sent the head of a request with 4 MB and a first part of its body ended the daemon with SIGABRT (terminate called after throwing std::bad_alloc). Cause: the parser's body reserved its whole declared length with its first byte, before the budget for bodies had admitted it; the class is memory that a client's words take. Its pages were not touched: without a limit the peak was 833 MB of address space, 47 MB resident.

Before: daemon_starts.heads_of_large_requests_take_all_address_space failed, as the daemon had ended. Now the length is reserved once more than 32 KiB have arrived, which a connection without leave does not read.

With 100 MB the daemon still ends. A bind() whose result the linter missed says so.

--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -126,7 +127,52 @@
         }));
 }
 
-class request_reader::parser : public http::request_parser<http::string_body> {
+namespace {
+
+// As http::string_body, which takes memory for the whole body as soon as its
+// length is known. Beginnings of bodies come before there is leave for more.
+struct late_string_body : http::string_body {
+    static constexpr auto beginning_bytes_ = std::size_t{32} * 1024;
+
+    class reader {
+    public:
+        template <bool IsRequest, class Fields>
+        reader(http::header<IsRequest, Fields>& /*head*/, value_type& body)
+            : body_{body} {}
+
+        auto init(const boost::optional<std::uint64_t>& length,
+                  boost::beast::error_code& failure) -> void {
+            length_ = length.value_or(0);
+            failure = {};
+        }
+
+        template <class Buffers>
+        auto put(const Buffers& pieces, boost::beast::error_code& failure)
+            -> std::size_t {
+            const auto bytes = boost::beast::buffer_bytes(pieces);
+            if (body_.size() + bytes > beginning_bytes_ &&
+                body_.capacity() < length_) {
+                body_.reserve(length_);
+            }
+            for (const auto piece : boost::beast::buffers_range_ref(pieces)) {
+                body_.append(static_cast<const char*>(piece.data()),
+                             piece.size());
+            }
+            failure = {};
+            return bytes;
+        }
+
+        auto finish(boost::beast::error_code& failure) -> void { failure = {}; }
+
+    private:
+        value_type& body_;
+        std::size_t length_ = 0;
+    };
+};
+
+} // namespace
+
+class request_reader::parser : public http::request_parser<late_string_body> {
 public:
     explicit parser(const request_limits& limits) {
         eager(true);
--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -43,7 +43,7 @@
         address_.sin_family = AF_INET;
         address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         auto size = socklen_t{sizeof address_};
-        ::bind(descriptor_, generic(), size);
+        static_cast<void>(::bind(descriptor_, generic(), size));
         ::getsockname(descriptor_, generic(), &size);
     }
     bound_socket(const bound_socket&) = delete;
@@ -88,13 +88,16 @@
     ~caller() { ::close(descriptor_); }
 
     [[nodiscard]] auto connected() const -> bool { return connected_; }
+    auto send(const std::string& bytes) const -> void {
+        ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
     // Returns whether an answer to a GET begins in time.
     [[nodiscard]] auto is_answered(const std::string& path) const -> bool {
         const auto request = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
         auto limit = timeval{2, 0};
         ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &limit,
                      sizeof limit);
-        ::send(descriptor_, request.data(), request.size(), MSG_NOSIGNAL);
+        send(request);
         auto answer = std::array<char, 9>{};
         const auto count =
             ::recv(descriptor_, answer.data(), answer.size(), MSG_WAITALL);
@@ -358,5 +361,26 @@
     EXPECT_TRUE(stops_in_order(daemon));
 }
 
+// Bodies took address space before there was memory for them.
+TEST(daemon_starts, heads_of_large_requests_take_all_address_space) {
+    constexpr auto callers_count = 60;
+    constexpr auto address_space = rlim_t{260} << 20U;
+    auto daemon = started_daemon{};
+    daemon.write_settings(daemon.settings("127.0.0.1:0"));
+    daemon.start(resource_limit{RLIMIT_AS, address_space});
+    ASSERT_TRUE(daemon.wait_for_start());
+    const auto port = daemon.port_of("callers");
+    auto callers = std::list<caller>{};
+    for (auto count = 0; count < callers_count; ++count) {
+        callers.emplace_back(port).send(
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            "Content-Length: 4000000\r\n\r\nbegin");
+    }
+    std::this_thread::sleep_for(1s);
+    EXPECT_FALSE(daemon.ended());
+    callers.clear();
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
 } // namespace
 } // namespace basilstream::testing
