--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -201,6 +202,8 @@
     // The one whose answer may go beyond the bound of all.
     std::weak_ptr<exchange> preferred_answer_;
     bool accepting_ = true;
+    // When the daemon stopped to accept requests.
+    std::optional<time_point> refuses_from_;
 };
 
 /// Returns the settings of a relay's quarantine.
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -278,8 +278,8 @@
             thread_, clock_,
             {.address_ = address,
              .limits_ = {.body_bytes_ = max_control_body_bytes},
-             .max_sessions_ = transport::max_sessions_of(
-                 transport::client_kind::control)},
+             .max_sessions_ =
+                 transport::max_sessions_of(transport::client_kind::control)},
             [this, method](transport::request_message request,
                            transport::http_session& session) {
                 (this->*method)(request, session);
@@ -603,7 +603,8 @@
             return;
         }
         const auto load = coordination::drain_load{
-            relay_.in_progress() + relay_.undelivered(), false};
+            relay_.in_progress() + relay_.undelivered() + relay_.receiving(),
+            false};
         for (const auto action : drain_.tick(load, now)) {
             log_.info(
                 "draining",
