Bound heads of short fields, and catch what the parser throws

A trailer with a field of 64 KiB ended the process (Boost.Beast throws std::length_error, nobody caught it), and a head whose pieces end within the names of fields grew without a bound, as the parser bounds only what it has not taken yet. Class: a library's bound, and its way to report errors, taken for ours.

What the parser throws is a head beyond its bound; the bytes of a head that it has taken are counted. Three tests, which fail on the reader before: long_trailer_field_ends_the_process, head_of_short_fields_has_no_bound (two).

--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <exception>
 #include <limits>
 
 #include <boost/asio/buffer.hpp>
@@ -41,6 +42,20 @@
            !parser.is_done() && parser.chunked();
 }
 
+// Hands bytes to the parser. It throws on fields of 64 KiB, for example; nobody
+// above would catch that.
+template <class Parser>
+auto put_bytes(Parser& parser, std::string_view bytes, error_code& failure)
+    -> std::size_t {
+    try {
+        return parser.put(boost::asio::const_buffer{bytes.data(), bytes.size()},
+                          failure);
+    } catch (const std::exception&) {
+        failure = http::error::header_limit;
+        return 0;
+    }
+}
+
 auto lower(char letter) -> char {
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
                                           : letter;
@@ -261,9 +276,13 @@
                 return fail(request_fault::malformed);
             }
         }
-        const auto taken = parser_->put(
-            boost::asio::const_buffer{rest.data(), rest.size()}, failure);
+        const auto taken = put_bytes(*parser_, rest, failure);
         used += taken;
+        header_bytes_ += was_header_done ? 0 : taken;
+        if (!parser_->is_header_done() &&
+            header_bytes_ > limits_.header_bytes_) {
+            return fail(request_fault::header_too_large);
+        }
         if (failure == http::error::need_more) {
             break;
         }
@@ -300,6 +319,7 @@
     auto request = head();
     request.body_ = std::move(parser_->get().body());
     parser_ = std::make_unique<parser>(limits_);
+    header_bytes_ = 0;
     checked_ = false;
     expectation_said_ = false;
     return request;
@@ -352,11 +372,15 @@
         body.data = scratch.data();
         body.size = scratch.size();
         auto failure = error_code{};
-        const auto taken =
-            parser_->put(boost::asio::const_buffer{buffer_.data() + used,
-                                                   buffer_.size() - used},
-                         failure);
+        const auto was_header_done = parser_->is_header_done();
+        const auto taken = put_bytes(
+            *parser_, std::string_view{buffer_}.substr(used), failure);
         used += taken;
+        header_bytes_ += was_header_done ? 0 : taken;
+        if (!parser_->is_header_done() &&
+            header_bytes_ > response_header_limit) {
+            return read_state::malformed;
+        }
         const auto fine = !failure || failure == http::error::need_more ||
                           failure == http::error::need_buffer;
         if (!fine) {
@@ -365,6 +389,7 @@
         if (parser_->is_header_done() && !head_reported_) {
             if (parser_->get().result_int() / 100 == 1) {
                 parser_ = std::make_unique<parser>(answer_to_head_);
+                header_bytes_ = 0;
                 continue;
             }
             report_head(sink);
@@ -388,6 +413,7 @@
 
 auto response_reader::restart() -> std::string {
     parser_ = std::make_unique<parser>(answer_to_head_);
+    header_bytes_ = 0;
     started_ = false;
     head_reported_ = false;
     surplus_ = 0;
--- a/basilstream/transport/http_message/http_message.hpp
+++ b/basilstream/transport/http_message/http_message.hpp
@@ -127,6 +127,8 @@
     request_limits limits_;
     std::unique_ptr<parser> parser_;
     std::string buffer_;
+    // Bytes of the head that the parser has taken.
+    std::size_t header_bytes_ = 0;
     request_fault fault_ = request_fault::none;
     bool checked_ = false;
     bool expectation_said_ = false;
@@ -171,6 +173,8 @@
     bool answer_to_head_;
     std::unique_ptr<parser> parser_;
     std::string buffer_;
+    // Bytes of the head that the parser has taken.
+    std::size_t header_bytes_ = 0;
     bool started_ = false;
     bool head_reported_ = false;
     std::size_t surplus_ = 0;
--- a/basilstream/transport/http_message/http_message_test.cpp
+++ b/basilstream/transport/http_message/http_message_test.cpp
@@ -233,6 +233,42 @@
     }
 }
 
+// The parser throws on a field value of 64 KiB.
+TEST(response_reader, long_trailer_field_ends_the_process) {
+    auto reader = response_reader{};
+    auto sink = recording_sink{};
+    ASSERT_EQ(reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                          "\r\n0\r\nX: " +
+                              std::string(60'000, 'a'),
+                          sink),
+              read_state::incomplete);
+    EXPECT_EQ(reader.feed(std::string(6'000, 'a') + "\r\n\r\n", sink),
+              read_state::malformed);
+}
+
+// The parser bounds only what it has not taken of a head.
+TEST(response_reader, head_of_short_fields_has_no_bound) {
+    auto reader = response_reader{};
+    auto sink = recording_sink{};
+    auto state = reader.feed("HTTP/1.1 200 OK\r\nx", sink);
+    for (auto field = 0; field < 20'000 && state == read_state::incomplete;
+         ++field) {
+        state = reader.feed(": b\r\nx", sink);
+    }
+    EXPECT_EQ(state, read_state::malformed);
+}
+
+TEST(request_reader, head_of_short_fields_has_no_bound) {
+    auto reader = request_reader{{.header_bytes_ = 1000}};
+    auto state = reader.feed("GET / HTTP/1.1\r\nHost: x\r\nx");
+    for (auto field = 0; field < 500 && state == read_state::incomplete;
+         ++field) {
+        state = reader.feed(": b\r\nx");
+    }
+    EXPECT_EQ(state, read_state::malformed);
+    EXPECT_EQ(reader.fault(), request_fault::header_too_large);
+}
+
 TEST(response_reader, skips_interim_answers) {
     auto reader = response_reader{};
     auto sink = recording_sink{};
