Drop pending permits and queries before the relay they refer to

Found by the reviewer, read only: closures of pending permits and stream queries own requests, and were destroyed after the relay whose budgets and router these refer to (a use after free at a planned stop). Class: order of destruction left to members, as with timers.

--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -126,7 +126,12 @@
         streams_.set_view_check([this] { return knows_newest_servers(); });
     }
 
-    ~running_relay() override { thread_.stop(); }
+    ~running_relay() override {
+        thread_.stop();
+        // Their closures own requests, which refer to the relay.
+        permits_.drop_pending();
+        streams_.drop_pending();
+    }
 
     auto open() -> result<void> {
         if (auto opened = relay_.open(); !opened) {
--- a/basilstream/daemon/server_permits/server_permits.hpp
+++ b/basilstream/daemon/server_permits/server_permits.hpp
@@ -86,6 +86,8 @@
 
     /// Sets how updates are sent; until then, this daemon owns all servers.
     auto connect(update_sender send) -> void { send_ = std::move(send); }
+    /// Forgets all pending requests without a call, before their owners end.
+    auto drop_pending() -> void { pending_.clear(); }
     /// Sets the daemons considered alive, this one included.
     auto set_daemons(const std::vector<std::string>& daemons) -> void;
     /// Handles limits, permit requests and permits sent by another daemon.
--- a/basilstream/daemon/stream_directory/stream_directory.hpp
+++ b/basilstream/daemon/stream_directory/stream_directory.hpp
@@ -49,6 +49,8 @@
 
     /// Sets how updates are sent; until then, only this daemon is asked.
     auto connect(update_sender send) -> void { send_ = std::move(send); }
+    /// Forgets all pending queries without a call, before their owners end.
+    auto drop_pending() -> void { pending_.clear(); }
     /// Sets the daemons considered alive, this one included.
     auto set_daemons(std::vector<std::string> daemons) -> void {
         daemons_ = std::move(daemons);
