Find a timer that has expired without a search

Each expired timer searched the set of all for itself. With a check per second and connection that is quadratic in the connections. No behaviour changes; not measured.

--- a/basilstream/transport/reactor/reactor.cpp
+++ b/basilstream/transport/reactor/reactor.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdint>
-#include <set>
 #include <thread>
+#include <unordered_map>
 #include <utility>
 
 #include <ace/Dev_Poll_Reactor.h>
@@ -58,7 +58,8 @@
 class timer_handler final : public ACE_Event_Handler {
 public:
     timer_handler(work_item work, bool repeats,
-                  std::set<std::shared_ptr<timer_handler>>& owner)
+                  std::unordered_map<const timer_handler*,
+                                     std::shared_ptr<timer_handler>>& owner)
         : work_{std::move(work)}, repeats_{repeats}, owner_{owner} {}
 
     auto handle_timeout(const ACE_Time_Value& /*now*/, const void* /*argument*/)
@@ -71,19 +72,13 @@
     }
 
 private:
-    auto release() -> void {
-        for (auto entry = owner_.begin(); entry != owner_.end(); ++entry) {
-            if (entry->get() == this) {
-                // Destroys this object: nothing may follow.
-                owner_.erase(entry);
-                return;
-            }
-        }
-    }
+    // Destroys this object: nothing may follow.
+    auto release() -> void { const auto self = owner_.extract(this); }
 
     work_item work_;
     bool repeats_;
-    std::set<std::shared_ptr<timer_handler>>& owner_;
+    std::unordered_map<const timer_handler*, std::shared_ptr<timer_handler>>&
+        owner_;
 };
 
 } // namespace
@@ -143,7 +138,7 @@
             std::make_shared<timer_handler>(std::move(work), repeats, timers_);
         auto value = ACE_Time_Value{};
         value.msec(static_cast<long>(delay.count()));
-        timers_.insert(handler);
+        timers_.emplace(handler.get(), handler);
         reactor_.schedule_timer(handler.get(), nullptr, value,
                                 repeats ? value : ACE_Time_Value::zero);
     }
@@ -151,7 +146,7 @@
     // Destroys pending work, which may own registered handlers.
     auto drop_pending() -> void {
         const auto timers = std::exchange(timers_, {});
-        for (const auto& timer : timers) {
+        for (const auto& [key, timer] : timers) {
             reactor_.cancel_timer(timer.get());
         }
         ring_.drain([](work_item&& /*work*/) {});
@@ -189,7 +184,8 @@
     ACE_Dev_Poll_Reactor poll_;
     ACE_Reactor reactor_;
     wake_handler wake_;
-    std::set<std::shared_ptr<timer_handler>> timers_;
+    std::unordered_map<const timer_handler*, std::shared_ptr<timer_handler>>
+        timers_;
     std::atomic<bool> signalled_{false};
     std::atomic<bool> stopping_{false};
     std::atomic<std::thread::id> thread_id_{};
