Give back memory that a body does not take; bound delivery by the route

A chunked body kept a share for its largest size while its request ran: four small ones on long streams would keep all others out. The share shrinks to the body once it is there. A session that had waited for memory for longer than the idle time-out was closed as soon as it was admitted: its time counts from then. A client's deadline of hours kept an answer that it did not take: the route's time-out bounds it.

--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -96,10 +96,8 @@
 
 auto exchange::start() -> void {
     client_->observe(this);
-    client_->set_delivery_deadline(
-        arrived_ + delivery_margin +
-        std::max(route_.timeout_,
-                 request_.client_timeout_.value_or(route_.timeout_)));
+    client_->set_delivery_deadline(arrived_ + route_.timeout_ +
+                                   delivery_margin);
     state_.counters_.requests_.add();
     if (!forwarded_) {
         state_.retry_policy_of(service_).on_request(arrived_);
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -116,6 +116,11 @@
         delivery_deadline_ = since_ + server_.options_.idle_timeout_;
         keep_alive_ = !reader_.has_surplus();
         auto request = reader_.take();
+        if (body_lease_) {
+            // Holding less is always possible.
+            (void)body_lease_->resize(copies_of_body *
+                                      request.body_.capacity());
+        }
         request.body_lease_ = std::move(body_lease_);
         keep_alive_ = keep_alive_ && request.keep_alive_;
         stream_framing_ =
@@ -139,6 +144,7 @@
         std::min(copies_of_body * reader_.max_body_memory(), budget->limit());
     if (next && lease->resize(bytes)) {
         body_lease_ = std::move(lease);
+        since_ = waiting_until_ ? server_.clock_.now() : since_;
         waiting_until_.reset();
         stream_->set_reading(true);
         return true;
