Let a client that still sends read its refusal

A connection that was refused while its client sent on was closed a second after the answer: the unread bytes reset it, and the reset destroys an answer that the client has not read, such as a 503 that says that nothing has run (LOST). The linger goes on while bytes arrive, 10 s at most; an answer has at least the linger's time to be taken, whatever its deadline.

http_session_test.refusal_is_lost_as_its_client_still_sends fails before.

--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -10,6 +10,8 @@
 // How long a closed connection waits for the client's last bytes. Closing
 // with unread bytes would reset it and might destroy the answer.
 constexpr auto linger_time = milliseconds{1000};
+// At most, while the client still sends.
+constexpr auto max_linger_time = milliseconds{10'000};
 // Idle connections are kept this much longer than clients are told, so that a
 // request under way does not meet a closed connection.
 constexpr auto idle_margin = milliseconds{1000};
@@ -87,6 +89,7 @@
 
 auto http_session::on_data(std::string_view bytes) -> void {
     if (lingering_) {
+        since_ = std::min(server_.clock_.now(), linger_limit_);
         return;
     }
     if (busy_) {
@@ -241,6 +244,7 @@
     observer_ = nullptr;
     busy_ = false;
     since_ = server_.clock_.now();
+    delivery_deadline_ = std::max(delivery_deadline_, since_ + linger_time);
     if (!keep_alive_) {
         begin_linger();
     }
@@ -249,6 +253,7 @@
 auto http_session::begin_linger() -> void {
     lingering_ = true;
     since_ = server_.clock_.now();
+    linger_limit_ = since_ + max_linger_time;
     stream_->finish_writing();
 }
 
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -130,6 +130,7 @@
     // Whether the answer has a head only: the request is a HEAD.
     bool without_body_ = false;
     bool lingering_ = false;
+    time_point linger_limit_{};
     // For the body of the request that is being read; null if it is small.
     std::shared_ptr<coordination::byte_lease> body_lease_;
     std::optional<coordination::byte_lease> output_lease_;
--- a/basilstream/transport/http_session/http_session_test.cpp
+++ b/basilstream/transport/http_session/http_session_test.cpp
@@ -193,6 +193,42 @@
     EXPECT_NE(answer.bytes_.find("3\r\nabc\r\n"), std::string::npos);
 }
 
+// The reset of a connection with unread bytes destroys an answer that the
+// client has not read.
+TEST_F(http_session_test, refusal_is_lost_as_its_client_still_sends) {
+    struct late_reader final : tcp_observer {
+        auto on_data(std::string_view bytes) -> void override {
+            received_.append(bytes);
+        }
+        auto on_closed(close_reason reason) -> void override {
+            ended_.set_value(reason);
+        }
+        std::string received_;
+        std::promise<close_reason> ended_;
+    };
+    constexpr auto pieces = 15;
+    auto client = late_reader{};
+    auto stream = std::unique_ptr<tcp_stream>{};
+    auto sent = 0;
+    thread_.post_wait([&] {
+        stream = tcp_stream::connect(thread_, server_->address(), client);
+        stream->write("POST / HTTP/1.1\r\nHost: x\r\n"
+                      "Content-Length: 100000000\r\n\r\n");
+        stream->set_reading(false);
+        thread_.every(milliseconds{200}, [&] {
+            server_->sweep();
+            if (sent < pieces) {
+                ++sent;
+                stream->write("more");
+                stream->set_reading(sent == pieces);
+            }
+        });
+    });
+    EXPECT_EQ(client.ended_.get_future().get(), close_reason::end_of_stream);
+    thread_.stop();
+    EXPECT_TRUE(client.received_.starts_with("HTTP/1.1 413"));
+}
+
 // A daemon that was stopping ended while the body of a request arrived.
 TEST_F(http_session_test, request_whose_body_is_arriving_is_not_counted) {
     answer_ = [](http_session& session) {
