--- a/testing/planned_stops/planned_stops_test.cpp
+++ b/testing/planned_stops/planned_stops_test.cpp
@@ -175,7 +175,7 @@
                            std::chrono::duration_cast<seconds>(grace).count(),
                        .route_timeout_ = milliseconds{12'000}}},
           stopped_at_(options.daemons_) {
-        for (auto number = 0; number < servers; ++number) {
+        for (auto number = 0; number < servers_; ++number) {
             deployment_.add_server(
                 [this](const auto& request, const auto& connection) {
                     answer(request, connection);
@@ -184,7 +184,7 @@
     }
 
     auto run() -> void {
-        deployment_.play(options_.length_ + time_to_end, [this] {
+        deployment_.play(options_.length_ + time_to_end_, [this] {
             begun_at_ = deployment_.time().now();
             for (auto cut = 0;
                  options_.forwarding_ && cut < options_.daemons_ / 2; ++cut) {
@@ -286,8 +286,8 @@
     int cut_bodies_ = 0;
 
 private:
-    static constexpr auto servers = 3;
-    static constexpr auto time_to_end = milliseconds{11'000};
+    static constexpr auto servers_ = 3;
+    static constexpr auto time_to_end_ = milliseconds{11'000};
 
     auto carry_out(const planned_step& entry) -> void {
         auto& process = deployment_.process(entry.daemon_);
