--- a/testing/fault_soak/soak.cpp
+++ b/testing/fault_soak/soak.cpp
@@ -207,7 +207,8 @@
         daemon_options{.name_ = target.name_,
                        .directory_ = options_.directory_,
                        .store_address_ = target.store_proxy_->address(),
-                       .grace_seconds_ = static_cast<int>(grace.count())};
+                       .grace_seconds_ = static_cast<int>(grace.count()),
+                       .picks_ports_ = true};
     if (!options_.program_.empty()) {
         process_options.program_ = options_.program_;
     }
