--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,5 +1,6 @@
 // Streams that began while their service had one software version, and whose
 // daemon dies after a second version has appeared.
+#include "../engine-2.h"
 #include "../streams-2.h"
 
 using namespace review;
@@ -25,16 +26,14 @@
                            {"bodyBytes", 1048576},
                            {"headerTimeoutMs", 3000},
                            {"idleTimeoutMs", 15000}}},
-                         {"services",
-                          {{{"name", "textwerk"},
-                            {"healthPath", "/health"},
-                            {"connectionLimit", 230}}}},
+                         {"services", {textwerk_service(0)}},
                          {"routes",
                           {{{"name", "draft"},
                             {"host", "app.example"},
                             {"pathPrefix", "/gen/"},
                             {"service", "textwerk"},
                             {"kind", "streaming"},
+                            {"sticky", true},
                             {"resumable", true},
                             {"timeoutMs", 15000},
                             {"targetLatencyMs", 500},
@@ -54,17 +53,19 @@
     auto place = store{options.network_ + "2"};
     place.put("keyed.op", "config", config());
     auto log = stream_log{};
-    auto runners = std::vector<std::unique_ptr<runner>>{};
+    auto orders = order_log{};
+    auto runners = std::vector<std::unique_ptr<engine_runner>>{};
+    // A runner that joins later holds no model yet.
     const auto add_runner = [&](const std::string& id,
-                                const std::string& version) {
+                                const std::string& version, bool holds_model) {
         const auto description = runner_description{
             .id_ = id, .service_ = "textwerk", .version_ = version};
-        runners.push_back(
-            std::make_unique<runner>(place, options.network_ + "3", description,
-                                     stream_handler(description, {}, log)));
+        runners.push_back(std::make_unique<engine_runner>(
+            place, options.network_ + "3", id, orders,
+            stream_handler(description, {}, log), version, holds_model));
     };
     for (auto index = 0; index < old_runners; ++index) {
-        add_runner("i-old-" + std::to_string(index), "1.0");
+        add_runner("i-old-" + std::to_string(index), "1.0", true);
     }
     auto machines = std::vector<std::unique_ptr<daemon_process>>{};
     for (auto index = 0; index < daemons; ++index) {
@@ -135,7 +136,7 @@
     sleep_until_s(start + until_release_s);
     if (release) {
         record->line("a runner of version 2.0 starts beside the others");
-        add_runner("i-new-0", "2.0");
+        add_runner("i-new-0", "2.0", false);
     }
     sleep_until_s(start + until_kill_s);
     if (options.trouble_) {
@@ -175,5 +176,8 @@
                 taken_up, went_on, began_new.load(), complete, mixed,
                 broken ? "broken" : "kept");
     machines.clear();
+    if (begun_share < 0.9 || (options.trouble_ && taken_up < 12)) {
+        return 2;
+    }
     return broken ? 1 : 0;
 }
--- a/review/engine-2.h
+++ b/review/engine-2.h
@@ -20,20 +20,22 @@
 };
 
 // A runner of the service "textwerk" with room for the model "m0" and eight
-// adapters. It holds the model when it is new, and nothing after a restart,
-// until it is ordered to load it from its disk.
+// adapters. It holds the model from the start unless it is added later, and
+// nothing after a restart, until it is ordered to load it from its disk.
 class engine_runner {
 public:
     // Runs a request whose model is there.
     using handler = std::function<void(const message&, connection&)>;
 
     engine_runner(store& place, const std::string& ip, std::string id,
-                  order_log& log, handler run)
+                  order_log& log, handler run, std::string version = "1.0",
+                  bool holds_model = true)
         : store_{place}, id_{std::move(id)}, log_{log}, run_{std::move(run)},
-          born_{unix_ms()}, server_{ip,
-                                    [this](connection& link) {
-                                        serve(link);
-                                    }},
+          version_{std::move(version)}, born_{unix_ms()},
+          holds_model_{holds_model}, server_{ip,
+                                             [this](connection& link) {
+                                                 serve(link);
+                                             }},
           beat_{[this] {
               announce_regularly();
           }} {}
@@ -59,7 +61,7 @@
                    json{{"service", "textwerk"},
                         {"address", server_.address()},
                         {"zone", "a"},
-                        {"version", "1.0"},
+                        {"version", version_},
                         {"slots", 32},
                         {"state", "ready"},
                         {"stage", "both"},
@@ -255,10 +257,11 @@
     const std::string id_;
     order_log& log_;
     const handler run_;
+    const std::string version_;
     std::int64_t born_;
+    bool holds_model_;
     std::mutex mutex_;
     bool down_ = false;
-    bool holds_model_ = true;
     bool busy_ = false;
     std::set<std::string> adapters_;
     std::uint64_t sequence_ = 0;
--- a/review/streams-2.h
+++ b/review/streams-2.h
@@ -72,6 +72,13 @@
     std::vector<int> resume_statuses_;
 };
 
+// The part of a prompt that belongs to the request itself.
+inline std::string own_part(const std::string& name) {
+    char text[24];
+    std::snprintf(text, sizeof text, "%016zx", std::hash<std::string>{}(name));
+    return text;
+}
+
 struct try_result {
     bool connected_ = false;
     int status_ = 0; // 0: no answer
@@ -104,8 +111,11 @@
         "POST /gen/text HTTP/1.1\r\nHost: app.example\r\n"
         "Basilstream-Request-Id: " +
         id + "\r\nBasilstream-Deadline-Milliseconds: " + std::to_string(left) +
-        "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
-        "\r\n\r\n" + body);
+        "\r\nBasilstream-Model: m0\r\n"
+        "Basilstream-Token-Counts: 1460,80\r\n"
+        "Basilstream-Prompt-Prefix: 5c1e07a2:1210," +
+        own_part(stream.name_) + ":250\r\n" + headers +
+        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     auto answer = message{};
     if (!link.read_head(answer, deadline_at)) {
         record->line("client %s: no answer", id.c_str());
