Record the version of streams also while a service has one version

Cause: a stream was recorded only while its service had several versions. Before, "it is the only version" stood in for a record, and that ends with the second version's first server. On the way to the records, two more gaps: a daemon that relayed a stream and was one of its two holders told one other only, and daemons that had just started were asked in the place of those that had been told.

Change: each resumable stream is recorded at two daemons beside the one that relays it; four are asked. old_views_of_both_holders_join_versions also cuts the beginner off now, as it is asked too; one_version_needs_no_question is named one_version_needs_no_answer.

--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -106,7 +106,7 @@
     if (streamed && route_.resumable_ && helper_.empty()) {
         state_.context_.streams_.on_stream_begun(
             request_.last_event_ ? request_.resumed_request_ : request_.id_,
-            service_, attempt_version_);
+            attempt_version_);
     }
     if (!streamed || std::exchange(stream_started_, true)) {
         return;
--- a/basilstream/daemon/stream_directory/stream_directory.cpp
+++ b/basilstream/daemon/stream_directory/stream_directory.cpp
@@ -1,5 +1,6 @@
 #include "basilstream/daemon/stream_directory/stream_directory.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "basilstream/coordination/rendezvous/rendezvous.hpp"
@@ -7,9 +8,12 @@
 namespace basilstream::daemon {
 namespace {
 
-// Two, so that a stream is known after the daemon that relayed it and one more
-// have failed.
+// Two beside the daemon that relays the stream, so that it is known after that
+// daemon and one more have failed.
 constexpr auto holders_per_stream = std::size_t{2};
+// The daemon that relayed the stream and one that has just started may have
+// higher weights than the holders.
+constexpr auto asked_per_stream = holders_per_stream + 2;
 // Answers that are missing after this time count as "not known".
 constexpr auto answer_timeout = milliseconds{250};
 
@@ -39,30 +43,27 @@
     versions_.remove_server(server, context_.clock_.now());
 }
 
-auto stream_directory::holders_of(const std::string& request) const
+auto stream_directory::other_daemons(const std::string& request,
+                                     std::size_t count) const
     -> std::vector<std::string> {
-    auto holders =
-        coordination::select_by_weight(request, daemons_, holders_per_stream);
-    std::erase(holders, self_);
-    return holders;
+    auto others = coordination::select_by_weight(request, daemons_, count + 1);
+    std::erase(others, self_);
+    others.resize(std::min(others.size(), count));
+    return others;
 }
 
 auto stream_directory::on_stream_begun(const std::string& request,
-                                       const std::string& service,
                                        const std::string& version) -> void {
-    const auto now = context_.clock_.now();
-    const auto is_sole =
-        view_is_current_() && versions_.sole_version(service, now) == version;
-    if (request.empty() || version.empty() || is_sole) {
+    if (request.empty() || version.empty()) {
         return;
     }
-    origins_.record(request, version, now);
+    origins_.record(request, version, context_.clock_.now());
     if (!send_) {
         return;
     }
     auto update = protocol::relay_update{};
     update.stream_origins_ = {{request, version}};
-    for (const auto& holder : holders_of(request)) {
+    for (const auto& holder : other_daemons(request, holders_per_stream)) {
         (void)send_(holder, update);
     }
     told_.add();
@@ -102,8 +103,8 @@
     update.origin_queries_ = {{id, request, service}};
     auto asked = std::size_t{0};
     if (send_) {
-        for (const auto& holder : holders_of(request)) {
-            asked += send_(holder, update) ? 1U : 0U;
+        for (const auto& other : other_daemons(request, asked_per_stream)) {
+            asked += send_(other, update) ? 1U : 0U;
         }
     }
     if (asked == 0) {
--- a/basilstream/daemon/stream_directory/stream_directory.hpp
+++ b/basilstream/daemon/stream_directory/stream_directory.hpp
@@ -4,16 +4,19 @@
 ///     auto streams = stream_directory{{clock, metrics}, "entry-1"};
 ///     streams.connect(send);
 ///     streams.set_daemons({"entry-1", "entry-2"});
-///     streams.on_stream_begun("9c41d07b", "chat", "v1.2");
+///     streams.on_stream_begun("9c41d07b", "v1.2");
 ///     streams.find_version("9c41d07b", "chat", [](auto version) {...});
 ///
-/// The daemon that relays a stream tells two daemons, which the id selects, and
+/// The daemon that relays a stream tells two others, which the id selects, and
 /// they are asked when the stream is resumed. That costs two small messages a
-/// stream, and nothing while the service has had one version for a minute: a
-/// daemon that has seen it throughout knows the version of any stream. That
-/// holds only while the daemon knows the newest servers. One that may have
-/// missed some asks, and resumes a stream only if the other daemons have seen
-/// the same version.
+/// stream, also while the service has one version: a second one may appear, and
+/// the daemon that relays the stream may end, at any moment after its
+/// beginning.
+///
+/// A stream without a record goes on only at the version that the service has
+/// had for a minute, if there was no other one. That holds only while the
+/// daemon knows the newest servers. One that may have missed some resumes such
+/// a stream only if the other daemons have seen the same version.
 ///
 /// Not thread-safe: use on the traffic thread only.
 #pragma once
@@ -68,10 +71,11 @@
         return versions_;
     }
 
-    /// Records that the stream of a request has begun, or goes on, at a version
-    /// of the service. Call again if it begins anew at another version.
-    auto on_stream_begun(const std::string& request, const std::string& service,
-                         const std::string& version) -> void;
+    /// Records that the stream of a request has begun, or goes on, at a
+    /// version, and tells other daemons. Call again if it begins anew at
+    /// another version.
+    auto on_stream_begun(const std::string& request, const std::string& version)
+        -> void;
     /// Finds the version at which the stream of `request` began. If `request`
     /// is empty, that is the only version that this daemon has seen, if it has
     /// seen one only. Calls `done` exactly once, possibly before it returns.
@@ -113,8 +117,10 @@
     // Returns the version that the answers allow to resume at.
     [[nodiscard]] static auto result_of(const pending_query& query)
         -> std::optional<std::string>;
-    // Returns the other daemons that are told of the stream.
-    [[nodiscard]] auto holders_of(const std::string& request) const
+    // Returns up to `count` daemons with the highest weights for the stream,
+    // without this one.
+    [[nodiscard]] auto other_daemons(const std::string& request,
+                                     std::size_t count) const
         -> std::vector<std::string>;
     auto settle(const version_handler& done,
                 const std::optional<std::string>& version) -> void;
--- a/basilstream/daemon/stream_directory/stream_directory_test.cpp
+++ b/basilstream/daemon/stream_directory/stream_directory_test.cpp
@@ -18,27 +18,13 @@
 constexpr auto service = "chat";
 constexpr auto request = "9c41d07b";
 
-// Four daemons that have known one version of a service for more than a minute.
+// Six daemons that have known one version of a service for more than a minute.
 // Messages arrive unless the sender or the receiver is cut off.
 class stream_directories : public ::testing::Test {
 protected:
     stream_directories() {
-        for (const auto* name : {"d1", "d2", "d3", "d4"}) {
-            names_.push_back(name);
-        }
-        for (const auto& name : names_) {
-            auto& made = daemons_[name];
-            made = std::make_unique<stream_directory>(
-                stream_directory_context{clock_, metrics_[name]}, name);
-            made->connect([this, name](const std::string& to,
-                                       const protocol::relay_update& update) {
-                messages_.push_back({name, to, update});
-                return true;
-            });
-            made->set_view_check(
-                [this, name] { return !behind_.contains(name); });
-            made->set_daemons(names_);
-            made->set_server("i-1", service, "v1");
+        for (const auto* name : {"d1", "d2", "d3", "d4", "d5", "d6"}) {
+            start_daemon(name);
         }
         clock_.advance(seconds{70});
         const auto holders = coordination::select_by_weight(request, names_, 2);
@@ -50,6 +36,26 @@
         }
     }
 
+    // Starts a daemon that finds the servers of v1, or starts it anew.
+    auto start_daemon(const std::string& name) -> void {
+        if (!daemons_.contains(name)) {
+            names_.push_back(name);
+        }
+        auto& made = daemons_[name];
+        made = std::make_unique<stream_directory>(
+            stream_directory_context{clock_, metrics_[name]}, name);
+        made->connect([this, name](const std::string& to,
+                                   const protocol::relay_update& update) {
+            messages_.push_back({name, to, update});
+            return true;
+        });
+        made->set_view_check([this, name] { return !behind_.contains(name); });
+        made->set_server("i-1", service, "v1");
+        for (const auto& [other, daemon] : daemons_) {
+            daemon->set_daemons(names_);
+        }
+    }
+
     // A server of another version joins; daemons that are behind do not see it.
     auto add_version() -> void {
         for (const auto& [name, daemon] : daemons_) {
@@ -59,18 +65,19 @@
         }
         clock_.advance(milliseconds{200});
     }
-    auto begin_stream(const std::string& name, const std::string& version)
-        -> void {
-        daemons_[name]->on_stream_begun(request, service, version);
+    auto begin_stream(const std::string& name, const std::string& version,
+                      const std::string& id = request) -> void {
+        daemons_[name]->on_stream_begun(id, version);
         deliver();
     }
     // Returns the version at which the daemon resumes the stream; "none" if it
     // does not.
-    auto resume_at(const std::string& name) -> std::string {
+    auto resume_at(const std::string& name, const std::string& id = request)
+        -> std::string {
         auto result = std::optional<std::string>{};
-        daemons_[name]->find_version(
-            request, service,
-            [&](const auto& version) { result = version.value_or("none"); });
+        daemons_[name]->find_version(id, service, [&](const auto& version) {
+            result = version.value_or("none");
+        });
         deliver();
         if (!result) {
             clock_.advance(milliseconds{300});
@@ -108,7 +115,7 @@
     std::string beginner_;
 };
 
-TEST_F(stream_directories, one_version_needs_no_question) {
+TEST_F(stream_directories, one_version_needs_no_answer) {
     cut_off_ = {names_.begin(), names_.end()};
     EXPECT_EQ(resume_at(other_), "v1");
 }
@@ -127,7 +134,7 @@
     add_version();
     cut_off_ = behind_;
     begin_stream(beginner_, "v2");
-    cut_off_.clear();
+    cut_off_ = {beginner_};
     EXPECT_EQ(resume_at(other_), "none");
 }
 
@@ -147,5 +154,98 @@
     EXPECT_EQ(resume_at(other_), "none");
 }
 
+// A stream that began while the service had one version was recorded nowhere,
+// and could not be resumed once a second version had been seen.
+TEST_F(stream_directories, stream_from_before_a_second_version_is_unknown) {
+    begin_stream(beginner_, "v1");
+    add_version();
+    cut_off_ = {beginner_};
+    EXPECT_EQ(resume_at(other_), "v1");
+    EXPECT_EQ(resume_at(*holders_.begin()), "v1");
+}
+
+// As above, for a version whose servers leave again, or that replaces the first
+// one altogether.
+TEST_F(stream_directories, stream_is_unknown_after_a_release_or_its_rollback) {
+    begin_stream(beginner_, "v1");
+    add_version();
+    cut_off_ = {beginner_};
+    for (const auto& [name, daemon] : daemons_) {
+        daemon->remove_server("i-2");
+    }
+    clock_.advance(seconds{20});
+    EXPECT_EQ(resume_at(other_), "v1");
+    add_version();
+    for (const auto& [name, daemon] : daemons_) {
+        daemon->remove_server("i-1");
+    }
+    clock_.advance(seconds{20});
+    EXPECT_EQ(resume_at(other_), "v1");
+}
+
+// A daemon that relayed a stream of which it was a holder told one other only,
+// so that the loss of two daemons could take the record.
+TEST_F(stream_directories, stream_is_lost_with_two_daemons) {
+    auto ids = std::vector<std::string>{};
+    for (auto number = 0; number < 100; ++number) {
+        ids.push_back("q" + std::to_string(number));
+        begin_stream("d1", "v1", ids.back());
+    }
+    add_version();
+    for (const auto* const second : {"d2", "d3", "d4", "d5", "d6"}) {
+        cut_off_ = {"d1", second};
+        for (const auto& survivor : names_) {
+            for (const auto& id : ids) {
+                if (!cut_off_.contains(survivor)) {
+                    ASSERT_EQ(resume_at(survivor, id), "v1")
+                        << survivor << " without " << second << ", " << id;
+                }
+            }
+        }
+    }
+}
+
+// Daemons that had just started were asked in the place of those that had been
+// told.
+TEST_F(stream_directories, stream_is_unknown_after_daemons_have_started) {
+    auto ids = std::vector<std::string>{};
+    for (auto number = 0; number < 100; ++number) {
+        ids.push_back("q" + std::to_string(number));
+        begin_stream("d1", "v1", ids.back());
+    }
+    start_daemon("d1");
+    start_daemon("d7");
+    add_version();
+    for (const auto& name : names_) {
+        for (const auto& id : ids) {
+            EXPECT_EQ(resume_at(name, id), "v1") << name << ", " << id;
+        }
+    }
+}
+
+// Daemons of the build before do not record streams of the time with one
+// version, and infer it: as good a ground as this daemon's own view.
+TEST_F(stream_directories,
+       unrecorded_stream_resumes_while_one_version_is_seen) {
+    EXPECT_EQ(resume_at(other_), "v1");
+    start_daemon("d7");
+    EXPECT_EQ(resume_at("d7"), "v1");
+    add_version();
+    EXPECT_EQ(resume_at(other_), "none");
+    EXPECT_EQ(resume_at("d7"), "none");
+}
+
+// The record of a stream that is taken up twice stays known under the request
+// that received the first event.
+TEST_F(stream_directories, stream_that_is_taken_up_twice_is_unknown) {
+    begin_stream(beginner_, "v1");
+    add_version();
+    cut_off_ = {beginner_};
+    ASSERT_EQ(resume_at(other_), "v1");
+    begin_stream(other_, "v1");
+    cut_off_ = {beginner_, other_};
+    EXPECT_EQ(resume_at(*holders_.rbegin()), "v1");
+}
+
 } // namespace
 } // namespace basilstream::daemon
--- a/testing/stream_versions/stream_versions_test.cpp
+++ b/testing/stream_versions/stream_versions_test.cpp
@@ -23,7 +23,6 @@
 using daemon::memory_log;
 using daemon::shared_topic;
 
-constexpr auto stream_events = 12;
 constexpr auto event_interval = milliseconds{40};
 constexpr auto settling_time = seconds{5};
 // A daemon must resume streams once it has run for this long.
@@ -31,6 +30,8 @@
 constexpr auto max_mixed_streams = 2;
 constexpr auto min_resumed_share = 0.5;
 constexpr auto max_client_tries = 3;
+// As the clients of a daemon that is killed.
+constexpr auto max_tries_after_kill = 4;
 // Clients that outlast a kill of all daemons: 4 s.
 constexpr auto max_patient_tries = 40;
 constexpr auto patient_retry_delay = milliseconds{100};
@@ -54,8 +55,17 @@
     // Whether all servers are replaced by those of the next version just before
     // all daemons are killed.
     bool release_before_kill_ = false;
+    // Whether earlier daemons have recorded the first version as the only one.
+    bool first_version_recorded_ = false;
+    // How many servers of further versions, each of another one, join at a
+    // time, and how many daemons are killed at once at another.
+    int joining_servers_ = 0;
+    milliseconds joined_at_{0};
+    int killed_daemons_ = 0;
+    milliseconds killed_at_{0};
     // Whether clients that resume a stream name the try that began it.
     bool clients_name_try_ = true;
+    int stream_events_ = 12;
     milliseconds length_{10'000};
 };
 
@@ -63,9 +73,11 @@
 // events name its version. All servers share one thread.
 class streaming_server {
 public:
-    streaming_server(int number, int version, transport::reactor_thread& thread,
-                     const clock& time, memory_log& log)
-        : number_{number}, thread_{thread}, clock_{time}, log_{log} {
+    streaming_server(int number, int version, int stream_events,
+                     transport::reactor_thread& thread, const clock& time,
+                     memory_log& log)
+        : number_{number}, stream_events_{stream_events}, thread_{thread},
+          clock_{time}, log_{log} {
         start(version);
     }
 
@@ -128,7 +140,7 @@
             streams_.erase(open);
             return;
         }
-        if (number > stream_events) {
+        if (number > stream_events_) {
             open->session_->observe(nullptr);
             std::exchange(open->session_, nullptr)->end_stream();
             streams_.erase(open);
@@ -142,6 +154,7 @@
     }
 
     const int number_;
+    const int stream_events_;
     transport::reactor_thread& thread_;
     const clock& clock_;
     memory_log& log_;
@@ -173,10 +186,11 @@
                                                                 clock_} {
         set_config();
         for (auto number = 0; number < options_.servers_; ++number) {
-            const auto version =
-                options_.one_version_first_ ? 1 : 1 + number % 2;
-            servers_.push_back(std::make_unique<streaming_server>(
-                number, version, thread_, clock_, installation_.log_));
+            add_server(options_.one_version_first_ ? 1 : 1 + number % 2);
+        }
+        if (options_.first_version_recorded_) {
+            installation_.log_.append(shared_topic::software_versions,
+                                      std::nullopt, {"app\nv1", "d0"});
         }
         daemons_.resize(options_.daemons_);
         for (auto index = 0; index < options_.daemons_; ++index) {
@@ -338,6 +352,12 @@
                                   {"routes", "1"});
     }
 
+    auto add_server(int version) -> void {
+        servers_.push_back(std::make_unique<streaming_server>(
+            static_cast<int>(servers_.size()), version, options_.stream_events_,
+            thread_, clock_, installation_.log_));
+    }
+
     auto start_daemon(int index) -> void {
         auto settings = daemon::relay_daemon_settings{};
         settings.name_ = "d" + std::to_string(index);
@@ -383,6 +403,18 @@
         if (options_.kill_all_interval_.count() > 0) {
             thread_.every(options_.kill_all_interval_, [this] { kill_all(); });
         }
+        if (options_.joining_servers_ > 0) {
+            thread_.after(options_.joined_at_, [this] {
+                for (auto number = 0; number < options_.joining_servers_;
+                     ++number) {
+                    add_server(2 + number);
+                }
+            });
+        }
+        if (options_.killed_daemons_ > 0) {
+            thread_.after(options_.killed_at_,
+                          [this] { kill(options_.killed_daemons_); });
+        }
         if (options_.daemon_restart_interval_.count() > 0) {
             thread_.every(options_.daemon_restart_interval_, [this] {
                 next_restart_ = (next_restart_ + 1) % options_.daemons_;
@@ -400,14 +432,25 @@
                 server->break_streams();
             }
         }
-        for (auto& running : daemons_) {
-            running.reset();
+        kill(options_.daemons_);
+    }
+
+    // Kills the first `count` daemons at once and starts them again.
+    auto kill(int count) -> void {
+        for (auto index = 0; index < count; ++index) {
+            daemons_[index].reset();
         }
-        for (auto index = 0; index < options_.daemons_; ++index) {
+        for (auto index = 0; index < count; ++index) {
             start_daemon(index);
         }
     }
 
+    [[nodiscard]] auto max_tries() const -> int {
+        return options_.kill_all_interval_.count() > 0 ? max_patient_tries
+               : options_.killed_daemons_ > 0          ? max_tries_after_kill
+                                                       : max_client_tries;
+    }
+
     auto send(const std::shared_ptr<client_stream>& stream) -> void {
         const auto index = static_cast<int>(random_.below(daemons_.size()));
         const auto id = "q" + std::to_string(++requests_);
@@ -453,10 +496,10 @@
             slowest_refusal_ =
                 std::max(slowest_refusal_, clock_.now() - outcome.sent_at_);
         }
-        const auto patient = options_.kill_all_interval_.count() > 0;
         if (!outcome.complete_ && stream->last_event_ > 0 &&
-            stream->tries_ < (patient ? max_patient_tries : max_client_tries)) {
-            thread_.after(patient ? patient_retry_delay : milliseconds{20},
+            stream->tries_ < max_tries()) {
+            const auto kills = max_tries() != max_client_tries;
+            thread_.after(kills ? patient_retry_delay : milliseconds{20},
                           [this, stream] { send(stream); });
         }
     }
@@ -575,5 +618,55 @@
                                .kill_all_interval_ = kill_interval}),
     [](const auto& info) { return std::string{info.param.name_}; });
 
+class killed_relays : public ::testing::TestWithParam<scenario> {};
+
+// Streams that had begun while their service had one version were not resumed
+// if the daemon that relayed them ended once a second version had appeared.
+TEST_P(killed_relays, streams_of_the_only_version_are_lost_with_their_daemon) {
+    auto world = deployment{GetParam()};
+    world.run();
+    const auto [tried, went_on] = world.taken_up();
+    std::cout << GetParam().name_ << ": " << world.mixed_streams()
+              << " streams of several versions; of " << tried
+              << " that clients took up, " << went_on << " went on; "
+              << world.begun_share() << " of new streams began\n";
+    EXPECT_LE(world.mixed_streams(), max_mixed_streams);
+    EXPECT_GE(tried, 12);
+    EXPECT_GE(world.begun_share(), 0.9);
+    EXPECT_GE(went_on, min_resumed_share * world.begun_share() * tried);
+}
+
+constexpr auto steady_scenario = scenario{.break_interval_ = seconds{60},
+                                          .one_version_first_ = true,
+                                          .first_version_recorded_ = true,
+                                          .joining_servers_ = 1,
+                                          .joined_at_ = seconds{3},
+                                          .killed_daemons_ = 1,
+                                          .killed_at_ = seconds{5},
+                                          .stream_events_ = 100,
+                                          .length_ = milliseconds{6'000}};
+
+constexpr auto with_daemons(const char* name, int daemons, int killed,
+                            milliseconds killed_at, int joining = 1)
+    -> scenario {
+    auto made = steady_scenario;
+    made.name_ = name;
+    made.daemons_ = daemons;
+    made.killed_daemons_ = killed;
+    made.killed_at_ = killed_at;
+    made.joining_servers_ = joining;
+    return made;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    scenarios, killed_relays,
+    ::testing::Values(
+        with_daemons("one_of_three", 3, 1, milliseconds{5000}),
+        with_daemons("as_the_second_version_appears", 3, 1, milliseconds{3150}),
+        with_daemons("two_of_five", 5, 2, milliseconds{4000}),
+        with_daemons("two_of_three", 3, 2, milliseconds{4000}),
+        with_daemons("three_versions", 3, 1, milliseconds{5000}, 2)),
+    [](const auto& info) { return std::string{info.param.name_}; });
+
 } // namespace
 } // namespace basilstream::testing
