Weigh what other daemons have seen before a stream's version is inferred

Cause: a daemon whose service had had one version for a minute resumed any stream at it without a question, also while others held a record of another version; and one that had seen two versions believed what another inferred that had seen the first only.

Change: the holders are always asked and a record decides. Without one, a daemon that has seen several versions rules out any inference; answers say so in the new field several_seen, which builds before this one neither send nor read.

--- a/basilstream/coordination/stream_origins/stream_origins.cpp
+++ b/basilstream/coordination/stream_origins/stream_origins.cpp
@@ -116,22 +116,30 @@
 auto version_history::sole_version_seen(const std::string& service,
                                         time_point now) const
     -> std::optional<std::string> {
-    const auto found = services_.find(service);
-    if (awaits_records_ || found == services_.end()) {
+    if (awaits_records_) {
         return std::nullopt;
     }
-    auto sole = std::optional<std::string>{};
+    const auto recent = recent_versions(service, now);
+    return recent.size() == 1 && !recent.front().empty()
+               ? std::optional{recent.front()}
+               : std::nullopt;
+}
+
+auto version_history::recent_versions(const std::string& service,
+                                      time_point now) const
+    -> std::vector<std::string> {
+    auto recent = std::vector<std::string>{};
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return recent;
+    }
     for (const auto& [version, state] : found->second.versions_) {
-        const auto recent =
-            state.servers_ > 0 || now - state.last_server_at_ <= stream_memory;
-        if (recent && (sole || version.empty())) {
-            return std::nullopt;
-        }
-        if (recent) {
-            sole = version;
+        if (state.servers_ > 0 ||
+            now - state.last_server_at_ <= stream_memory) {
+            recent.push_back(version);
         }
     }
-    return sole;
+    return recent;
 }
 
 } // namespace basilstream::coordination
--- a/basilstream/coordination/stream_origins/stream_origins.hpp
+++ b/basilstream/coordination/stream_origins/stream_origins.hpp
@@ -105,8 +105,19 @@
     [[nodiscard]] auto sole_version_seen(const std::string& service,
                                          time_point now) const
         -> std::optional<std::string>;
+    /// Returns whether the service has had servers of several versions, or of
+    /// one and of an unknown one, since `stream_memory` ago.
+    [[nodiscard]] auto has_seen_several(const std::string& service,
+                                        time_point now) const -> bool {
+        return recent_versions(service, now).size() > 1;
+    }
 
 private:
+    // Returns the versions that the service has had since `stream_memory` ago.
+    [[nodiscard]] auto recent_versions(const std::string& service,
+                                       time_point now) const
+        -> std::vector<std::string>;
+
     struct version_state {
         int servers_ = 0;
         time_point last_server_at_{};
--- a/basilstream/daemon/stream_directory/stream_directory.cpp
+++ b/basilstream/daemon/stream_directory/stream_directory.cpp
@@ -93,30 +93,28 @@
         settle(done, recorded);
         return;
     }
-    const auto sole_version = versions_.sole_version(service, now);
-    if (sole_version && view_is_current_()) {
-        settle(done, sole_version);
-        return;
-    }
+    auto query =
+        pending_query{.done_ = std::move(done),
+                      .expires_at_ = now + answer_timeout,
+                      .sole_version_ = versions_.sole_version(service, now),
+                      .view_is_current_ = view_is_current_(),
+                      .several_seen_ = versions_.has_seen_several(service, now),
+                      .inferred_version_ = {}};
     const auto id = ++last_query_;
     auto update = protocol::relay_update{};
     update.origin_queries_ = {{id, request, service}};
-    auto asked = std::size_t{0};
     if (send_) {
         for (const auto& other : other_daemons(request, asked_per_stream)) {
-            asked += send_(other, update) ? 1U : 0U;
+            query.missing_answers_ += send_(other, update) ? 1U : 0U;
         }
     }
-    if (asked == 0) {
-        settle(done, std::nullopt);
+    if (query.missing_answers_ == 0) {
+        query.agreed_ = false;
+        settle(query.done_, result_of(query));
         return;
     }
     asked_.add();
-    pending_[id] = {.done_ = std::move(done),
-                    .missing_answers_ = asked,
-                    .expires_at_ = now + answer_timeout,
-                    .sole_version_ = sole_version,
-                    .inferred_version_ = {}};
+    pending_[id] = std::move(query);
 }
 
 auto stream_directory::add_answer(pending_query& query,
@@ -124,12 +122,16 @@
     -> bool {
     --query.missing_answers_;
     if (answer.version_ && !answer.inferred_) {
-        query.sole_version_.reset();
-        query.inferred_version_ = answer.version_;
+        query.recorded_version_ = answer.version_;
         return true;
     }
     query.agreed_ = query.agreed_ && answer.version_ == query.sole_version_;
+    query.several_seen_ = query.several_seen_ || answer.several_seen_;
     if (answer.version_ && !answer.outdated_) {
+        // Daemons that infer different versions have seen two between them.
+        query.several_seen_ =
+            query.several_seen_ || query.inferred_version_.value_or(
+                                       *answer.version_) != *answer.version_;
         query.inferred_version_ = answer.version_;
     }
     return query.missing_answers_ == 0;
@@ -137,13 +139,21 @@
 
 auto stream_directory::result_of(const pending_query& query)
     -> std::optional<std::string> {
+    if (query.recorded_version_) {
+        return query.recorded_version_;
+    }
+    if (query.several_seen_) {
+        return std::nullopt;
+    }
     if (!query.sole_version_) {
         return query.inferred_version_;
     }
-    // Any other version that this daemon has missed is known to one of those
-    // that were asked.
-    return query.agreed_ && query.missing_answers_ == 0 ? query.sole_version_
-                                                        : std::nullopt;
+    // Any other version that a daemon with an old view has missed is known to
+    // one of those that were asked.
+    return query.view_is_current_ ||
+                   (query.agreed_ && query.missing_answers_ == 0)
+               ? query.sole_version_
+               : std::nullopt;
 }
 
 auto stream_directory::on_update(const std::string& sender,
@@ -160,6 +170,8 @@
             answer.version_ = versions_.sole_version(query.service_, now);
             answer.inferred_ = true;
             answer.outdated_ = !view_is_current_();
+            answer.several_seen_ =
+                versions_.has_seen_several(query.service_, now);
         }
         reply.origin_answers_.push_back(std::move(answer));
     }
--- a/basilstream/daemon/stream_directory/stream_directory.hpp
+++ b/basilstream/daemon/stream_directory/stream_directory.hpp
@@ -14,9 +14,10 @@
 /// beginning.
 ///
 /// A stream without a record goes on only at the version that the service has
-/// had for a minute, if there was no other one. That holds only while the
-/// daemon knows the newest servers. One that may have missed some resumes such
-/// a stream only if the other daemons have seen the same version.
+/// had for a minute, if neither this daemon nor one of those that it asks has
+/// seen another one: announcements of servers reach some daemons later than
+/// others. A daemon that may have missed servers for longer resumes such a
+/// stream only if all that it asks have seen the same version.
 ///
 /// Not thread-safe: use on the traffic thread only.
 #pragma once
@@ -102,10 +103,16 @@
         version_handler done_;
         std::size_t missing_answers_ = 0;
         time_point expires_at_{};
-        // The version that all servers have as far as this daemon knows; empty
-        // if there are several.
+        // The version that a daemon was told.
+        std::optional<std::string> recorded_version_;
+        // The version that all servers have as far as this daemon knows, and
+        // whether it knows the newest servers.
         std::optional<std::string> sole_version_;
-        // Versions that the answers infer, and whether each answer infers
+        bool view_is_current_ = true;
+        // Whether this daemon or one that answered knows a reason against any
+        // inference.
+        bool several_seen_ = false;
+        // The version that the answers infer, and whether each answer infers
         // sole_version_.
         std::optional<std::string> inferred_version_;
         bool agreed_ = true;
--- a/basilstream/daemon/stream_directory/stream_directory_test.cpp
+++ b/basilstream/daemon/stream_directory/stream_directory_test.cpp
@@ -56,10 +56,11 @@
         }
     }
 
-    // A server of another version joins; daemons that are behind do not see it.
+    // A server of another version joins. Daemons that are behind do not see it,
+    // nor do those to which its announcement has not come yet.
     auto add_version() -> void {
         for (const auto& [name, daemon] : daemons_) {
-            if (!behind_.contains(name)) {
+            if (!behind_.contains(name) && !late_.contains(name)) {
                 daemon->set_server("i-2", service, "v2");
             }
         }
@@ -109,6 +110,7 @@
     std::map<std::string, std::unique_ptr<stream_directory>> daemons_;
     std::set<std::string> cut_off_;
     std::set<std::string> behind_;
+    std::set<std::string> late_;
     std::set<std::string> holders_;
     // Two daemons that are not told of the stream by others.
     std::string other_;
@@ -223,6 +225,32 @@
     }
 }
 
+// A daemon to which the announcement of a second version had not come yet took
+// the first one for that of any stream, without a question.
+TEST_F(stream_directories, late_announcement_joins_versions) {
+    late_ = {other_};
+    add_version();
+    begin_stream(beginner_, "v2");
+    EXPECT_EQ(resume_at(other_), "v2");
+    // The record is lost; daemons that have seen both versions object.
+    cut_off_ = {holders_.begin(), holders_.end()};
+    cut_off_.insert(beginner_);
+    EXPECT_EQ(resume_at(other_), "none");
+}
+
+// What a daemon infers that has not seen the second version yet was believed by
+// one that had.
+TEST_F(stream_directories, late_answer_joins_versions) {
+    late_ = {names_.begin(), names_.end()};
+    late_.erase(beginner_);
+    late_.erase(other_);
+    add_version();
+    cut_off_ = holders_;
+    begin_stream(beginner_, "v2");
+    cut_off_ = {beginner_};
+    EXPECT_EQ(resume_at(other_), "none");
+}
+
 // Daemons of the build before do not record streams of the time with one
 // version, and infer it: as good a ground as this daemon's own view.
 TEST_F(stream_directories,
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -234,6 +234,7 @@
         copy.set_version(answer.version_.value_or(""));
         copy.set_inferred(answer.inferred_);
         copy.set_outdated(answer.outdated_);
+        copy.set_several_seen(answer.several_seen_);
     }
 }
 
@@ -250,7 +251,7 @@
         update.origin_answers_.push_back(
             {answer.id(),
              answer.known() ? std::optional{answer.version()} : std::nullopt,
-             answer.inferred(), answer.outdated()});
+             answer.inferred(), answer.outdated(), answer.several_seen()});
     }
 }
 
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -147,6 +147,9 @@
     bool inferred_ = false;
     /// Set if the sender may not know the newest servers.
     bool outdated_ = false;
+    /// Set if the sender was not told of the stream and has seen several
+    /// versions. Daemons of earlier builds never set it.
+    bool several_seen_ = false;
 };
 
 /// Offer of a daemon to take requests that another one cannot deliver.
--- a/basilstream/protocol/relay_codec/relay_codec_test.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec_test.cpp
@@ -41,7 +41,10 @@
     update.stream_origins_ = {{"q1", "v1.2"}};
     update.origin_queries_ = {{9, "q2", "chat"}};
     update.origin_answers_ = {
-        {10, "v1"}, {11, std::nullopt}, {12, "v1", true, true}};
+        {10, "v1"},
+        {11, std::nullopt},
+        {12, "v1", true, true},
+        {.id_ = 13, .inferred_ = true, .several_seen_ = true}};
     const auto read = decode_relay_update(encode(update));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->stream_origins_.at(0).request_, "q1");
@@ -54,6 +57,8 @@
     EXPECT_FALSE(read->origin_answers_.at(1).inferred_);
     EXPECT_TRUE(read->origin_answers_.at(2).inferred_);
     EXPECT_TRUE(read->origin_answers_.at(2).outdated_);
+    EXPECT_FALSE(read->origin_answers_.at(2).several_seen_);
+    EXPECT_TRUE(read->origin_answers_.at(3).several_seen_);
     ASSERT_EQ(read->limits_.size(), 2U);
     EXPECT_EQ(read->limits_[0].server_, "i-3");
     EXPECT_EQ(read->limits_[0].started_at_, 1000);
