Reject heads that no answer has, wherever answers are read

Cause: the readers took what Boost.Beast and libcurl accept for an answer. Beast accepts any three digits, codings that nobody undoes, folded lines and repeated lengths; libcurl names with blanks and control bytes, two lengths, control bytes in values and more.

All daemons' calls (relay, between daemons, orders, status checks, reports, the store) pass the first reader; basilctl, tracing, the log service and the older interface the second one. Fields of interim heads and trailers no longer count as an answer's own in the second one.

--- a/basilstream/transport/http_client/http_client.cpp
+++ b/basilstream/transport/http_client/http_client.cpp
@@ -10,6 +10,7 @@
 #include <ace/Reactor.h>
 #include <curl/curl.h>
 
+#include "basilstream/transport/head_syntax/head_syntax.hpp"
 #include "basilstream/transport/reactor/reactor.hpp"
 
 namespace basilstream::transport {
@@ -53,6 +54,8 @@
     CURL* easy_ = nullptr;
     curl_slist* header_list_ = nullptr;
     int status_ = 0;
+    answer_head_checker head_checker_;
+    bool head_malformed_ = false;
     bool response_reported_ = false;
     std::map<std::string, std::string> headers_;
 
@@ -78,16 +81,23 @@
     }
 };
 
+// Called with each line of the heads, with its line end, and of the trailer.
 auto on_header(char* data, std::size_t size, std::size_t count, void* context)
     -> std::size_t {
+    constexpr auto end_call = std::size_t{0};
     auto& open = *static_cast<transfer*>(context);
     const auto line = std::string_view{data, size * count};
+    const auto is_own_field = open.head_checker_.reads_own_fields();
+    if (!open.head_checker_.accept(line)) {
+        open.head_malformed_ = true;
+        return end_call;
+    }
     const auto colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        open.headers_[lower(trim(line.substr(0, colon)))] =
+    if (colon != std::string_view::npos && is_own_field) {
+        open.headers_[lower(line.substr(0, colon))] =
             trim(line.substr(colon + 1));
     }
-    return size * count;
+    return line.size();
 }
 
 auto on_body(char* data, std::size_t size, std::size_t count, void* context)
@@ -364,8 +374,10 @@
                 open->report_response();
                 end(open->id_, std::nullopt);
             } else {
-                end(open->id_,
-                    make_error(*open, code_of(code), curl_easy_strerror(code)));
+                end(open->id_, make_error(*open, code_of(code),
+                                          open->head_malformed_
+                                              ? "malformed head of an answer"
+                                              : curl_easy_strerror(code)));
             }
         }
     }
--- a/basilstream/transport/http_client/http_client_test.cpp
+++ b/basilstream/transport/http_client/http_client_test.cpp
@@ -1,11 +1,16 @@
 #include "basilstream/transport/http_client/http_client.hpp"
 
+#include <array>
 #include <atomic>
 #include <future>
 #include <thread>
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "basilstream/transport/head_syntax/head_syntax_samples.hpp"
 #include "basilstream/transport/http_server/http_server.hpp"
 
 namespace basilstream::transport {
@@ -115,6 +120,104 @@
     EXPECT_EQ(reply->body_.size(), pieces * 10U);
 }
 
+// Answers the request of one connection with bytes as they are.
+class raw_server {
+public:
+    explicit raw_server(std::string answer) : answer_{std::move(answer)} {
+        auto address = sockaddr_in{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto size = socklen_t{sizeof address};
+        auto* const generic = reinterpret_cast<sockaddr*>(&address);
+        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        EXPECT_EQ(bind(listener_, generic, size), 0);
+        EXPECT_EQ(listen(listener_, 1), 0);
+        EXPECT_EQ(getsockname(listener_, generic, &size), 0);
+        port_ = ntohs(address.sin_port);
+        thread_ = std::thread{[this] {
+            serve();
+        }};
+    }
+    raw_server(const raw_server&) = delete;
+    auto operator=(const raw_server&) -> raw_server& = delete;
+    ~raw_server() {
+        thread_.join();
+        close(listener_);
+    }
+
+    [[nodiscard]] auto url() const -> std::string {
+        return "http://127.0.0.1:" + std::to_string(port_) + "/";
+    }
+
+private:
+    auto serve() const -> void {
+        const auto connection = accept(listener_, nullptr, nullptr);
+        auto request = std::string{};
+        auto piece = std::array<char, 4096>{};
+        while (request.find("\r\n\r\n") == std::string::npos) {
+            const auto got = recv(connection, piece.data(), piece.size(), 0);
+            if (got <= 0) {
+                break;
+            }
+            request.append(piece.data(), static_cast<std::size_t>(got));
+        }
+        (void)send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+        close(connection);
+    }
+
+    const std::string answer_;
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+class answer_heads : public ::testing::TestWithParam<head_sample> {};
+class sound_answer_heads : public ::testing::TestWithParam<head_sample> {};
+
+constexpr auto name_of_sample = [](const auto& info) {
+    return std::string{info.param.name_};
+};
+
+// libcurl accepts names with blanks and control bytes, statuses from 600 on and
+// two lengths, for example.
+TEST_P(answer_heads, head_that_is_no_answer_is_taken_for_one) {
+    const auto server = raw_server{GetParam().bytes_};
+    auto client = http_client{"test"};
+    const auto reply =
+        client.fetch_wait({.method_ = "POST", .url_ = server.url()});
+    ASSERT_FALSE(reply) << reply->status_ << " " << reply->body_;
+    EXPECT_EQ(reply.error().run_, run_status::unknown);
+}
+
+INSTANTIATE_TEST_SUITE_P(http_client, answer_heads,
+                         ::testing::ValuesIn(heads_of_no_answer()),
+                         name_of_sample);
+
+TEST_P(sound_answer_heads, unusual_head_is_rejected) {
+    const auto server = raw_server{GetParam().bytes_};
+    auto client = http_client{"test"};
+    const auto reply = client.fetch_wait({.url_ = server.url()});
+    ASSERT_TRUE(reply) << reply.error().to_string();
+    EXPECT_EQ(reply->body_, "whole");
+}
+
+INSTANTIATE_TEST_SUITE_P(http_client, sound_answer_heads,
+                         ::testing::ValuesIn(sound_heads()), name_of_sample);
+
+// Fields of an interim head or of a trailer could stand in for one of the head.
+TEST(http_client, field_from_elsewhere_counts_as_one_of_the_head) {
+    const auto server = raw_server{"HTTP/1.1 103 Early: Hints\r\n"
+                                   "Retry-After: 500\r\n\r\n"
+                                   "HTTP/1.1 503 Service: Unavailable\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n"
+                                   "0\r\nRetry-After: 600\r\n\r\n"};
+    auto client = http_client{"test"};
+    const auto reply = client.fetch_wait({.url_ = server.url()});
+    ASSERT_TRUE(reply) << reply.error().to_string();
+    EXPECT_EQ(reply->headers_.size(), 1U);
+    EXPECT_EQ(reply->headers_.count("transfer-encoding"), 1U);
+}
+
 // Pauses after the first piece and counts what arrives.
 class pausing_sink final : public http_sink {
 public:
--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -21,6 +21,7 @@
 // Largest head of an answer, size line of a chunk with its extensions, and
 // trailer.
 constexpr auto response_header_limit = std::uint32_t{64} * 1024;
+constexpr auto line_end = std::string_view{"\r\n"};
 constexpr auto http_1_1 = 11U;
 constexpr auto scratch_size = std::size_t{16} * 1024;
 
@@ -362,6 +363,21 @@
 
 response_reader::~response_reader() = default;
 
+auto response_reader::check_head() -> bool {
+    auto rest = std::string_view{head_};
+    for (auto end = rest.find(line_end);
+         end != std::string_view::npos && !rest.starts_with(line_end);
+         end = rest.find(line_end)) {
+        if (!head_checker_.accept(rest.substr(0, end + line_end.size()))) {
+            return false;
+        }
+        rest.remove_prefix(end + line_end.size());
+    }
+    const auto ended = head_checker_.accept(rest.substr(0, line_end.size()));
+    head_ = {};
+    return ended;
+}
+
 auto response_reader::report_head(response_sink& sink) -> void {
     const auto& message = parser_->get();
     auto head = answer_head{};
@@ -391,10 +407,13 @@
         body.size = scratch.size();
         auto failure = error_code{};
         const auto was_header_done = parser_->is_header_done();
-        const auto taken = put_bytes(
-            *parser_, std::string_view{buffer_}.substr(used), failure);
+        const auto rest = std::string_view{buffer_}.substr(used);
+        const auto taken = put_bytes(*parser_, rest, failure);
         used += taken;
-        header_bytes_ += was_header_done ? 0 : taken;
+        if (!was_header_done) {
+            header_bytes_ += taken;
+            head_.append(rest.substr(0, taken));
+        }
         if (!parser_->is_header_done() &&
             header_bytes_ > response_header_limit) {
             return read_state::malformed;
@@ -405,6 +424,9 @@
             return read_state::malformed;
         }
         if (parser_->is_header_done() && !head_reported_) {
+            if (!check_head()) {
+                return read_state::malformed;
+            }
             if (parser_->get().result_int() / 100 == 1) {
                 parser_ = std::make_unique<parser>(answer_to_head_);
                 header_bytes_ = 0;
@@ -431,6 +453,8 @@
 
 auto response_reader::restart() -> std::string {
     parser_ = std::make_unique<parser>(answer_to_head_);
+    head_.clear();
+    head_checker_ = {};
     header_bytes_ = 0;
     started_ = false;
     head_reported_ = false;
--- a/basilstream/transport/http_message/http_message.hpp
+++ b/basilstream/transport/http_message/http_message.hpp
@@ -9,7 +9,8 @@
 ///
 /// The parsers are Boost.Beast's. Messages whose framing two parsers could
 /// read differently (both a length and chunks, repeated lengths, folded header
-/// lines, other transfer codings) are malformed. Not safe for concurrent use.
+/// lines, other transfer codings) are malformed, and so are answers whose heads
+/// are none by transport/head_syntax. Not safe for concurrent use.
 #pragma once
 
 #include <cstddef>
@@ -23,6 +24,7 @@
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/error/error.hpp"
 #include "basilstream/base/name_table/name_table.hpp"
+#include "basilstream/transport/head_syntax/head_syntax.hpp"
 
 namespace basilstream::transport {
 
@@ -176,11 +178,16 @@
 
 private:
     class parser;
+    // Returns whether the lines of the head are those of an answer.
+    auto check_head() -> bool;
     auto report_head(response_sink& sink) -> void;
 
     bool answer_to_head_;
     std::unique_ptr<parser> parser_;
     std::string buffer_;
+    // The head as it arrived, until it has been checked; body bytes may follow.
+    std::string head_;
+    answer_head_checker head_checker_;
     // Bytes of the head that the parser has taken.
     std::size_t header_bytes_ = 0;
     bool started_ = false;
--- a/basilstream/transport/http_message/http_message_test.cpp
+++ b/basilstream/transport/http_message/http_message_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "basilstream/transport/head_syntax/head_syntax_samples.hpp"
+
 namespace basilstream::transport {
 namespace {
 
@@ -101,7 +103,22 @@
         "GET / HTTP/1.1\r\nHost: x\nX-A: b\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
         "GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n",
-        "GET /a b HTTP/1.1\r\nHost: x\r\n\r\n"));
+        "GET /a b HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET / HTTP/1.1\r\n X-A: b\r\nHost: x\r\n\r\n",
+        "GET / HTTP/1.1\r\n\tX-A: b\r\nHost: x\r\n\r\n"));
+
+// The checks of a head must not depend on where its segments end.
+TEST_P(ambiguous_request, is_accepted_in_pieces) {
+    const auto bytes = std::string{GetParam()};
+    for (auto size = std::size_t{1}; size < bytes.size(); ++size) {
+        auto reader = request_reader{{}};
+        auto state = reader.feed(bytes.substr(0, size));
+        if (state == read_state::incomplete) {
+            state = reader.feed(bytes.substr(size));
+        }
+        EXPECT_NE(state, read_state::complete) << "after " << size << " bytes";
+    }
+}
 
 TEST(request_reader, keeps_its_bounds) {
     const auto long_header =
@@ -269,6 +286,66 @@
     EXPECT_EQ(reader.fault(), request_fault::header_too_large);
 }
 
+// Feeds an answer whole, in every pair of pieces, and byte by byte, each time
+// to a reader and a sink of its own.
+template <class Check>
+auto feed_answer_in_pieces(const std::string& bytes, Check check) -> void {
+    const auto feed = [&](const std::vector<std::string>& pieces) {
+        auto reader = response_reader{};
+        auto sink = recording_sink{};
+        auto state = read_state::incomplete;
+        for (const auto& piece : pieces) {
+            if (state == read_state::incomplete) {
+                state = reader.feed(piece, sink);
+            }
+        }
+        if (state == read_state::incomplete) {
+            state = reader.finish();
+        }
+        check(state, sink);
+    };
+    feed({bytes});
+    auto each = std::vector<std::string>{};
+    for (auto size = std::size_t{1}; size < bytes.size(); ++size) {
+        feed({bytes.substr(0, size), bytes.substr(size)});
+        each.push_back(bytes.substr(size - 1, 1));
+    }
+    each.push_back(bytes.substr(bytes.size() - 1));
+    feed(each);
+}
+
+class answer_heads : public testing::TestWithParam<head_sample> {};
+class sound_answer_heads : public testing::TestWithParam<head_sample> {};
+
+constexpr auto name_of_sample = [](const auto& info) {
+    return std::string{info.param.name_};
+};
+
+// Answers with a status of 000, for example, or with a coding of the body that
+// nobody undid were passed on.
+TEST_P(answer_heads, head_that_is_no_answer_is_passed_on) {
+    feed_answer_in_pieces(GetParam().bytes_,
+                          [](read_state state, const recording_sink& sink) {
+                              EXPECT_EQ(state, read_state::malformed);
+                              EXPECT_EQ(sink.heads_, 0) << sink.head_.status_;
+                          });
+}
+
+INSTANTIATE_TEST_SUITE_P(response_reader, answer_heads,
+                         testing::ValuesIn(heads_of_no_answer()),
+                         name_of_sample);
+
+TEST_P(sound_answer_heads, unusual_head_is_rejected) {
+    feed_answer_in_pieces(GetParam().bytes_,
+                          [](read_state state, const recording_sink& sink) {
+                              EXPECT_EQ(state, read_state::complete);
+                              EXPECT_EQ(sink.body_, "whole");
+                          });
+}
+
+INSTANTIATE_TEST_SUITE_P(response_reader, sound_answer_heads,
+                         testing::ValuesIn(sound_heads()), name_of_sample);
+
 TEST(response_reader, skips_interim_answers) {
     auto reader = response_reader{};
     auto sink = recording_sink{};
--- a/basilstream/transport/http_pool/http_pool_test.cpp
+++ b/basilstream/transport/http_pool/http_pool_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include "basilstream/transport/head_syntax/head_syntax_samples.hpp"
+
 namespace basilstream::transport {
 namespace {
 
@@ -14,12 +16,11 @@
 // What is decided at once takes less, on a busy machine too.
 constexpr auto at_once = milliseconds{2000};
 
-// Writes a number of bytes of a larger body on each connection and falls
-// silent.
+// Writes bytes on each connection and falls silent.
 class stalling_server {
 public:
-    stalling_server(reactor_thread& thread, std::size_t bytes)
-        : thread_{thread}, bytes_{bytes} {
+    stalling_server(reactor_thread& thread, std::string answer)
+        : thread_{thread}, answer_{std::move(answer)} {
         listener_ = std::move(
             tcp_listener::open(thread, "127.0.0.1:0", [this](int descriptor) {
                 accept(descriptor);
@@ -42,13 +43,11 @@
         connections_.push_back(std::make_unique<connection>());
         auto& made = *connections_.back();
         made.stream_ = tcp_stream::adopt(thread_, descriptor, made);
-        made.stream_->write("HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n"
-                            "\r\n" +
-                            std::string(bytes_, 'a'));
+        made.stream_->write(answer_);
     }
 
     reactor_thread& thread_;
-    const std::size_t bytes_;
+    const std::string answer_;
     std::vector<std::unique_ptr<connection>> connections_;
     std::unique_ptr<tcp_listener> listener_;
 };
@@ -60,9 +59,14 @@
 
 class http_pool_test : public testing::Test {
 protected:
-    // Makes calls at once, each answered with so many bytes.
+    // Makes calls at once, each answered with so many bytes of a larger body.
     auto run(int calls, std::size_t bytes) -> std::vector<outcome> {
-        auto server = stalling_server{thread_, bytes};
+        return run(calls, "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n"
+                          "\r\n" +
+                              std::string(bytes, 'a'));
+    }
+    auto run(int calls, const std::string& answer) -> std::vector<outcome> {
+        auto server = stalling_server{thread_, answer};
         auto outcomes = std::vector<outcome>{};
         auto all = std::promise<void>{};
         thread_.after(milliseconds{0}, [&] {
@@ -99,6 +103,23 @@
     http_pool pool_{thread_, clock_};
 };
 
+class unsound_replies : public http_pool_test,
+                        public testing::WithParamInterface<head_sample> {};
+
+// Orders, status checks, reports and calls of the store took such heads for
+// replies.
+TEST_P(unsound_replies, head_that_is_no_answer_is_taken_for_a_reply) {
+    const auto outcomes = run(1, GetParam().bytes_);
+    EXPECT_EQ(outcomes.front().code_, error_code::incomplete_answer);
+    EXPECT_LT(outcomes.front().took_, at_once);
+}
+
+INSTANTIATE_TEST_SUITE_P(http_pool, unsound_replies,
+                         testing::ValuesIn(heads_of_no_answer()),
+                         [](const auto& info) {
+                             return std::string{info.param.name_};
+                         });
+
 // A reply of many times the size of any sound one was kept.
 TEST_F(http_pool_test, reply_beyond_its_bound_is_kept) {
     EXPECT_EQ(refused(run(1, std::size_t{3} << 20U)), 1);
--- a/testing/broken_answers/broken_answers_test.cpp
+++ b/testing/broken_answers/broken_answers_test.cpp
@@ -3,6 +3,7 @@
 // its client as complete is whole, with each event once, and an answer that the
 // first server sent whole reaches the client so.
 
+#include <algorithm>
 #include <array>
 #include <iostream>
 #include <map>
@@ -13,6 +14,7 @@
 
 #include "basilstream/base/name_table/name_table.hpp"
 #include "basilstream/base/random/random.hpp"
+#include "basilstream/transport/head_syntax/head_syntax_samples.hpp"
 #include "testing/raw_deployment/raw_deployment.hpp"
 
 namespace basilstream::testing {
@@ -405,5 +407,147 @@
                       scenario{.name_ = "80_daemons", .daemons_ = 80}),
     [](const auto& info) { return "with_" + std::string{info.param.name_}; });
 
+// Inserts the id of the request behind the last status line.
+auto with_request_id(std::string head, const std::string& id) -> std::string {
+    const auto last = head.rfind("HTTP/1.");
+    const auto line_end =
+        head.find("\r\n", last == std::string::npos ? 0 : last);
+    return head.insert(line_end + 2,
+                       std::string{request_id_field} + ": " + id + "\r\n");
+}
+
+// Daemons between clients and servers that answer one request in three with a
+// head that no answer has, and the others whole.
+class unsound_heads_world {
+public:
+    unsound_heads_world()
+        : deployment_{{.daemons_ = 2,
+                       .routes_ = {{"/resumable/", "streaming", true},
+                                   {"/stream/", "streaming"},
+                                   {"/once/", "non_idempotent"},
+                                   {"/again/", "idempotent"}}}} {
+        constexpr auto servers = 3;
+        for (auto number = 0; number < servers; ++number) {
+            deployment_.add_server(
+                [this](const auto& request, const auto& connection) {
+                    answer(request, connection);
+                });
+        }
+    }
+
+    auto run() -> void {
+        deployment_.play(sending_time + time_to_end, [this] {
+            deployment_.thread().every(request_interval, [this] { send(); });
+            deployment_.thread().after(sending_time,
+                                       [this] { sending_ = false; });
+        });
+    }
+
+    // Answers that clients got though no server had given them, by the head
+    // that the last server sent.
+    std::map<std::string, int> passed_on_;
+    std::map<std::string, int> sent_heads_;
+    int sent_ = 0;
+    int ended_ = 0;
+    int whole_ = 0;
+    int repeated_ = 0;
+
+private:
+    struct sent_request {
+        int arrivals_ = 0;
+        // Name of the last head sent; empty if it was sound.
+        std::string last_head_;
+    };
+
+    auto send() -> void {
+        static constexpr auto prefixes = std::array<const char*, 4>{
+            "/resumable/", "/stream/", "/once/", "/again/"};
+        if (!sending_) {
+            return;
+        }
+        const auto number = sent_++;
+        const auto path = std::string{prefixes.at(number % prefixes.size())} +
+                          std::to_string(number);
+        auto headers = transport::header_list{};
+        headers.add("Host", "x");
+        headers.add(request_id_field, "q" + std::to_string(number));
+        headers.add("Basilstream-Deadline-Milliseconds", "4000");
+        deployment_.send(
+            number / 4 % deployment_.daemons(),
+            transport::write_request("POST", path, headers, "body"),
+            [this, path](const raw_answer& answer) { check(path, answer); });
+    }
+
+    auto answer(const transport::request_message& request,
+                const std::shared_ptr<raw_connection>& connection) -> void {
+        constexpr auto unsound_interval = 3;
+        const auto& path = request.target_;
+        const auto id = std::string{request.headers_.find(request_id_field)};
+        auto& state = requests_[path];
+        ++state.arrivals_;
+        if (++arrivals_ % unsound_interval != 0) {
+            state.last_head_ = {};
+            const auto body = whole_stream(path);
+            connection->write(with_request_id(
+                "HTTP/1.1 200 OK\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n" + body,
+                id));
+            return;
+        }
+        const auto& sample = heads_[next_head_++ % heads_.size()];
+        state.last_head_ = sample.name_;
+        ++sent_heads_[state.last_head_];
+        connection->write(with_request_id(sample.bytes_, id));
+        connection->close();
+    }
+
+    auto check(const std::string& path, const raw_answer& answer) -> void {
+        constexpr auto own_answers = std::array{502, 503, 504};
+        ++ended_;
+        const auto& state = requests_[path];
+        const auto is_whole = answer.complete_ && answer.status_ == 200 &&
+                              answer.body_ == whole_stream(path) &&
+                              state.last_head_.empty();
+        const auto is_own = std::find(own_answers.begin(), own_answers.end(),
+                                      answer.status_) != own_answers.end() &&
+                            !answer.headers_.contains("X-A");
+        whole_ += is_whole ? 1 : 0;
+        if (!is_whole && !is_own) {
+            ++passed_on_[state.last_head_ + " as " +
+                         std::to_string(answer.status_)];
+        }
+        repeated_ += path.starts_with("/once/") && state.arrivals_ > 1 ? 1 : 0;
+    }
+
+    const std::vector<transport::head_sample> heads_ =
+        transport::heads_of_no_answer();
+    raw_deployment deployment_;
+    std::map<std::string, sent_request> requests_;
+    std::size_t next_head_ = 0;
+    int arrivals_ = 0;
+    bool sending_ = true;
+};
+
+// Bytes that are no answer in the protocol reached clients as one: with a
+// status of 000, with lines joined to others, or with the sizes of chunks in
+// the body.
+TEST(unsound_heads, head_that_is_no_answer_reaches_a_client) {
+    auto world = unsound_heads_world{};
+    world.run();
+    auto passed_on = 0;
+    for (const auto& [how, count] : world.passed_on_) {
+        std::cout << how << ": " << count << " passed on\n";
+        passed_on += count;
+    }
+    std::cout << world.sent_ << " sent, " << world.ended_ << " ended, "
+              << world.whole_ << " whole, " << passed_on << " passed on\n";
+    EXPECT_EQ(passed_on, 0);
+    EXPECT_EQ(world.repeated_, 0);
+    EXPECT_EQ(world.ended_, world.sent_);
+    // Two thirds of the first attempts are whole.
+    EXPECT_GE(world.whole_, world.sent_ / 2);
+    EXPECT_EQ(world.sent_heads_.size(), transport::heads_of_no_answer().size());
+}
+
 } // namespace
 } // namespace basilstream::testing
