Bound interim heads together with the head of their answer

What callers would see: a server that sends interim heads (1xx) without end holds its caller until the deadline, as each byte counts as progress.

Cause: the bound of 64 KiB was counted anew for each interim head.

Change: interim heads count to the bound of the answer's head. Found while the heads of interim answers were checked; not seen in a run of daemons.

Measured: interim_heads_without_end_are_read took 10,000 heads without an end before; now the answer is malformed. The 135 tests of http_message pass.

--- a/basilstream/transport/http_message/http_message.cpp
+++ b/basilstream/transport/http_message/http_message.cpp
@@ -18,8 +18,8 @@
 namespace http = boost::beast::http;
 using boost::beast::error_code;
 
-// Largest head of an answer, size line of a chunk with its extensions, and
-// trailer.
+// Largest head of an answer with the interim heads before it, size line of a
+// chunk with its extensions, and trailer.
 constexpr auto response_header_limit = std::uint32_t{64} * 1024;
 constexpr auto line_end = std::string_view{"\r\n"};
 constexpr auto http_1_1 = 11U;
@@ -429,7 +429,6 @@
             }
             if (parser_->get().result_int() / 100 == 1) {
                 parser_ = std::make_unique<parser>(answer_to_head_);
-                header_bytes_ = 0;
                 continue;
             }
             report_head(sink);
--- a/basilstream/transport/http_message/http_message.hpp
+++ b/basilstream/transport/http_message/http_message.hpp
@@ -188,7 +188,7 @@
     // The head as it arrived, until it has been checked; body bytes may follow.
     std::string head_;
     answer_head_checker head_checker_;
-    // Bytes of the head that the parser has taken.
+    // Bytes of the head, and of interim heads, that the parser has taken.
     std::size_t header_bytes_ = 0;
     bool started_ = false;
     bool head_reported_ = false;
--- a/basilstream/transport/http_message/http_message_test.cpp
+++ b/basilstream/transport/http_message/http_message_test.cpp
@@ -358,6 +358,18 @@
     EXPECT_EQ(sink.head_.status_, 201);
 }
 
+// A server that sends interim heads for ever held its caller.
+TEST(response_reader, interim_heads_without_end_are_read) {
+    auto reader = response_reader{};
+    auto sink = recording_sink{};
+    auto state = read_state::incomplete;
+    for (auto head = 0; head < 10'000 && state == read_state::incomplete;
+         ++head) {
+        state = reader.feed("HTTP/1.1 100 Continue\r\n\r\n", sink);
+    }
+    EXPECT_EQ(state, read_state::malformed);
+}
+
 TEST(response_reader, counts_bytes_that_belong_to_no_request) {
     auto reader = response_reader{};
     auto sink = recording_sink{};
