Let go of a session before it is aborted

Cause: exchange::give_up() aborts the session of a stream that cannot go on, which destroys it, and finish() then wrote to it.

Tests of relay and transport pass.

--- a/basilstream/daemon/relay/internal/exchange.cpp
+++ b/basilstream/daemon/relay/internal/exchange.cpp
@@ -462,7 +462,8 @@
         return_units();
     }
     if (client_ != nullptr && stream_started_) {
-        client_->abort();
+        // The session ends with the call.
+        std::exchange(client_, nullptr)->abort();
     } else if (client_ != nullptr) {
         const auto timed_out = cause.code_ == error_code::timeout;
         const auto status = not_run ? 503 : timed_out ? 504 : 502;
--- a/basilstream/daemon/relay/relay_test_world.hpp
+++ b/basilstream/daemon/relay/relay_test_world.hpp
@@ -354,7 +354,7 @@
     std::shared_ptr<transport::http_call_connection> call_;
 };
 
-class relay_test : public testing::Test {
+class relay_test : public ::testing::Test {
 protected:
     explicit relay_test(
         transport::log_level log_level = transport::log_level::off)
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -80,7 +80,8 @@
     auto begin_stream(int status, const header_list& headers) -> void;
     auto write_piece(std::string_view piece) -> void;
     auto end_stream() -> void;
-    /// Breaks the answer off so that it cannot be taken for a whole one.
+    /// Breaks the answer off so that it cannot be taken for a whole one. The
+    /// session does not exist afterwards.
     auto abort() -> void;
     /// Until when the client may take the answer to the current request; the
     /// idle time-out after its arrival if nothing is said.
