Take an answer that ends with its connection for complete once its server is seen to live

Cause: such an end may be a crash, so that it cleared no part. Nothing ever settled the doubt, also after no sign of a crash had come for 6 s.

Change: coordination/prompt_quarantine keeps such ends apart and clears their parts once another run shows that the same process has survived: an answer to a run that began after the end, within the shortest restart, or output of a run that began before it.

Tests of prompt quarantine, relay, broken answers and crashing parts pass.

--- a/basilstream/coordination/prompt_quarantine/crashes.cpp
+++ b/basilstream/coordination/prompt_quarantine/crashes.cpp
@@ -107,18 +107,16 @@
 auto prompt_quarantine::explain_uncertain_ends(std::string_view runner,
                                                std::string_view boot_id,
                                                time_point seen_at) -> void {
-    auto explained = std::vector<local_run>{};
-    for (const auto& [id, candidate] : runs_) {
-        if (candidate.ended_at_ && candidate.run_.runner_ == runner &&
-            candidate.run_.boot_id_ == boot_id &&
-            distance(*candidate.ended_at_, seen_at) < uncertain_end_distance) {
-            explained.push_back(candidate);
-        }
-    }
+    const auto explained =
+        take_uncertain_ends([&](const uncertain_end& candidate) {
+            return candidate.run_.run_.runner_ == runner &&
+                   candidate.run_.run_.boot_id_ == boot_id &&
+                   distance(candidate.ended_at_, seen_at) <
+                       uncertain_end_distance;
+        });
     for (const auto& lost : explained) {
-        runs_.erase(lost.run_.run_id_);
-        fail_trial(lost, seen_at);
-        blame_run(lost, *lost.ended_at_);
+        fail_trial(lost.run_, seen_at);
+        blame_run(lost.run_, lost.ended_at_);
     }
 }
 
--- a/basilstream/coordination/prompt_quarantine/marks.cpp
+++ b/basilstream/coordination/prompt_quarantine/marks.cpp
@@ -30,14 +30,18 @@
 
 auto prompt_quarantine::may_try(prompt_part_id part, time_point now) const
     -> bool {
+    const auto has_part = [part](const local_run& each) {
+        const auto& parts = each.run_.parts_;
+        return std::find(parts.begin(), parts.end(), part) != parts.end();
+    };
     // Runs that may still prove to have ended in a crash count too.
     return arbiter_since_ &&
            now >= *arbiter_since_ + settings_.takeover_delay_ &&
-           std::none_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
-               const auto& parts = entry.second.run_.parts_;
-               return std::find(parts.begin(), parts.end(), part) !=
-                      parts.end();
-           });
+           std::none_of(
+               runs_.begin(), runs_.end(),
+               [&](const auto& entry) { return has_part(entry.second); }) &&
+           std::none_of(uncertain_ends_.begin(), uncertain_ends_.end(),
+                        [&](const auto& each) { return has_part(each.run_); });
 }
 
 auto prompt_quarantine::find_held(const std::vector<prompt_part_id>& parts,
--- a/basilstream/coordination/prompt_quarantine/prompt_quarantine.cpp
+++ b/basilstream/coordination/prompt_quarantine/prompt_quarantine.cpp
@@ -87,21 +87,23 @@
 auto prompt_quarantine::on_output(std::string_view run_id, time_point now)
     -> void {
     const auto found = runs_.find(std::string{run_id});
-    if (found != runs_.end() && !found->second.output_since_) {
+    if (found == runs_.end()) {
+        return;
+    }
+    if (!found->second.output_since_) {
         found->second.output_since_ = now;
     }
+    settle_uncertain_ends(found->second, now);
 }
 
 auto prompt_quarantine::on_alive(std::string_view run_id, time_point now)
     -> void {
-    if (crashes_.empty()) {
-        return;
-    }
     const auto found = runs_.find(std::string{run_id});
     if (found == runs_.end()) {
         return;
     }
     const auto& active_run = found->second;
+    settle_uncertain_ends(active_run, now);
     for (auto& entry : crashes_) {
         const auto refutes =
             !entry.refuted_ && !entry.listed_ && entry.lost_here_at_ &&
@@ -120,16 +122,20 @@
 auto prompt_quarantine::on_finish(std::string_view run_id, bool complete,
                                   time_point now) -> void {
     const auto found = runs_.find(std::string{run_id});
-    if (found == runs_.end() || found->second.ended_at_) {
+    if (found == runs_.end()) {
         return;
     }
     const auto ended = std::move(found->second);
     runs_.erase(found);
-    if (!complete) {
-        return;
+    if (complete) {
+        clear_parts(ended.run_.parts_, now);
     }
+}
+
+auto prompt_quarantine::clear_parts(const std::vector<prompt_part_id>& parts,
+                                    time_point now) -> void {
     auto cleared = prompt_part_clearance{};
-    for (const auto part : ended.run_.parts_) {
+    for (const auto part : parts) {
         const auto news = !is_innocent(part) && suspects_.contains(part);
         remember_innocent(part);
         if (news || marks_.contains(part)) {
@@ -145,14 +151,49 @@
     }
 }
 
-auto prompt_quarantine::on_uncertain_end(std::string_view run_id,
+auto prompt_quarantine::take_uncertain_ends(
+    const std::function<bool(const uncertain_end&)>& fulfils)
+    -> std::vector<uncertain_end> {
+    auto taken = std::vector<uncertain_end>{};
+    std::erase_if(uncertain_ends_, [&](uncertain_end& candidate) {
+        const auto matches = fulfils(candidate);
+        if (matches) {
+            taken.push_back(std::move(candidate));
+        }
+        return matches;
+    });
+    return taken;
+}
+
+auto prompt_quarantine::settle_uncertain_ends(const local_run& alive,
+                                              time_point now) -> void {
+    const auto survived =
+        take_uncertain_ends([&](const uncertain_end& candidate) {
+            const auto& run = candidate.run_.run_;
+            const auto since = now - candidate.ended_at_;
+            // A run that began before the end has the same process; one that
+            // began afterwards has it if no other one can have started yet.
+            const auto same_process = alive.started_at_ <= candidate.ended_at_
+                                          ? since > settings_.longest_delivery_
+                                          : since < settings_.shortest_restart_;
+            return candidate.complete_ && same_process &&
+                   run.runner_ == alive.run_.runner_ &&
+                   run.boot_id_ == alive.run_.boot_id_;
+        });
+    for (const auto& ended : survived) {
+        clear_parts(ended.run_.run_.parts_, now);
+    }
+}
+
+auto prompt_quarantine::on_uncertain_end(std::string_view run_id, bool complete,
                                          time_point now) -> void {
     const auto found = runs_.find(std::string{run_id});
-    if (found == runs_.end() || found->second.ended_at_) {
+    if (found == runs_.end()) {
         return;
     }
-    found->second.ended_at_ = now;
-    const auto& run = found->second.run_;
+    uncertain_ends_.push_back({std::move(found->second), now, complete});
+    runs_.erase(found);
+    const auto run = uncertain_ends_.back().run_.run_;
     const auto known =
         std::any_of(crashes_.begin(), crashes_.end(), [&](const crash& entry) {
             return entry.runner_ == run.runner_ &&
@@ -168,7 +209,7 @@
 auto prompt_quarantine::on_connection_lost(std::string_view run_id,
                                            time_point now) -> void {
     const auto found = runs_.find(std::string{run_id});
-    if (found == runs_.end() || found->second.ended_at_) {
+    if (found == runs_.end()) {
         return;
     }
     const auto lost = std::move(found->second);
@@ -187,16 +228,12 @@
             entry.runner_ == runner && now < entry.seen_at_ + same_crash_window;
         entry.listed_ = entry.listed_ || same;
     }
-    auto ended = std::vector<local_run>{};
-    for (const auto& [id, candidate] : runs_) {
-        if (candidate.run_.runner_ == runner && candidate.ended_at_) {
-            ended.push_back(candidate);
-        }
-    }
+    const auto ended = take_uncertain_ends([&](const uncertain_end& candidate) {
+        return candidate.run_.run_.runner_ == runner;
+    });
     for (const auto& lost : ended) {
-        runs_.erase(lost.run_.run_id_);
-        fail_trial(lost, now);
-        if (auto* const seen = blame_run(lost, *lost.ended_at_)) {
+        fail_trial(lost.run_, now);
+        if (auto* const seen = blame_run(lost.run_, lost.ended_at_)) {
             seen->listed_ = true;
         }
     }
@@ -218,9 +255,8 @@
         innocent_since_ = now;
         innocent_before_ = std::exchange(innocent_, {});
     }
-    std::erase_if(runs_, [&](const auto& entry) {
-        const auto& ended_at = entry.second.ended_at_;
-        return ended_at && now >= *ended_at + settings_.crash_detection_window_;
+    (void)take_uncertain_ends([&](const uncertain_end& candidate) {
+        return now >= candidate.ended_at_ + settings_.crash_detection_window_;
     });
     while (!crashes_.empty() &&
            now >= crashes_.front().seen_at_ + settings_.crash_lifetime_) {
--- a/basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp
+++ b/basilstream/coordination/prompt_quarantine/prompt_quarantine.hpp
@@ -29,6 +29,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -123,6 +124,8 @@
     duration harmless_output_ = seconds{1};
     /// How long a run whose end may have been a crash waits for further signs.
     duration crash_detection_window_ = seconds{6};
+    /// What a runner sent before a crash has arrived this long after it.
+    duration longest_delivery_ = milliseconds{500};
     /// A runner is down for longer than this after a crash.
     duration shortest_restart_ = milliseconds{1500};
     /// How long a new arbiter waits before it tries a held part.
@@ -180,7 +183,8 @@
 
     /// Records a run of this daemon; call it before the first byte is sent.
     auto on_dispatch(prompt_run run, time_point now) -> void;
-    /// Records the first output of a run.
+    /// Records output of a run: the first one, and later ones while
+    /// has_uncertain_ends(), as they show that the runner has survived.
     auto on_output(std::string_view run_id, time_point now) -> void;
     /// Records that a run has got an answer from this process of a runner.
     auto on_alive(std::string_view run_id, time_point now) -> void;
@@ -190,7 +194,13 @@
         -> void;
     /// Records an end that may be a crash: an answer that ended with its
     /// connection, or a run that was cancelled while its runner was silent.
-    auto on_uncertain_end(std::string_view run_id, time_point now) -> void;
+    /// `complete` says whether the answer was complete if it was no crash; it
+    /// counts as such once another run shows that the runner has survived.
+    auto on_uncertain_end(std::string_view run_id, bool complete,
+                          time_point now) -> void;
+    [[nodiscard]] auto has_uncertain_ends() const -> bool {
+        return !uncertain_ends_.empty();
+    }
     /// Records that the connection of a run was lost before a complete answer.
     auto on_connection_lost(std::string_view run_id, time_point now) -> void;
     /// Records a crash of a runner that the list of runners shows.
@@ -218,11 +228,16 @@
         prompt_run run_;
         time_point started_at_;
         std::optional<time_point> output_since_ = {};
-        // When the run ended in a way that may be a crash.
-        std::optional<time_point> ended_at_ = {};
         // Whether the run is the trial of a held part.
         bool trial_ = false;
     };
+    // A run that ended in a way that may be a crash.
+    struct uncertain_end {
+        local_run run_;
+        time_point ended_at_;
+        // Whether the answer was complete if it was no crash.
+        bool complete_ = false;
+    };
     struct crash {
         std::string runner_;
         std::string boot_id_;
@@ -272,6 +287,16 @@
     // Counts a run of this daemon among those that a crash ended.
     auto blame_run(const local_run& ended, time_point seen_at) -> crash*;
     auto fail_trial(const local_run& ended, time_point now) -> void;
+    // Clears the parts of a complete answer.
+    auto clear_parts(const std::vector<prompt_part_id>& parts, time_point now)
+        -> void;
+    // Clears the parts of uncertain ends that were no crashes, as output of
+    // another run on the same process shows.
+    auto settle_uncertain_ends(const local_run& alive, time_point now) -> void;
+    // Removes and returns the uncertain ends that fulfil a condition.
+    auto take_uncertain_ends(
+        const std::function<bool(const uncertain_end&)>& fulfils)
+        -> std::vector<uncertain_end>;
     // Counts uncertain ends that a crash explains.
     auto explain_uncertain_ends(std::string_view runner,
                                 std::string_view boot_id, time_point seen_at)
@@ -301,6 +326,8 @@
     std::string arbiter_;
     std::optional<time_point> arbiter_since_;
     std::unordered_map<std::string, local_run> runs_;
+    // In the order of their ends.
+    std::vector<uncertain_end> uncertain_ends_;
     std::deque<crash> crashes_;
     // Parts of complete answers; the older set is dropped when the newer one is
     // full or old enough.
--- a/basilstream/coordination/prompt_quarantine/prompt_quarantine_test.cpp
+++ b/basilstream/coordination/prompt_quarantine/prompt_quarantine_test.cpp
@@ -239,7 +239,7 @@
         const auto runner = "s" + std::to_string(number);
         const auto ended = send(0, runner, {shared, guilty});
         advance(milliseconds{200});
-        nodes_[0].on_uncertain_end(ended, now_);
+        nodes_[0].on_uncertain_end(ended, true, now_);
         nodes_[0].on_finish(ended, false, now_);
         advance(seconds{4});
         EXPECT_FALSE(held(guilty));
@@ -251,6 +251,79 @@
     EXPECT_TRUE(held(guilty));
 }
 
+// Where answers end with their connections, none of them ever cleared a part,
+// so that the sound parts of all requests were held with the guilty one.
+TEST_F(prompt_quarantine_test, sound_part_is_held_if_connections_end_answers) {
+    for (auto number = prompt_part_id{0}; number < 4; ++number) {
+        const auto ended = send(0, "alive", {shared, 100 + number});
+        advance(milliseconds{200});
+        nodes_[0].on_uncertain_end(ended, true, now_);
+        nodes_[0].on_finish(ended, false, now_);
+        const auto next = send(0, "alive", {200 + number});
+        advance(milliseconds{200});
+        nodes_[0].on_alive(next, now_);
+    }
+    for (auto number = 0; number < 6; ++number) {
+        crash({{shared, guilty}, {shared, 300}});
+    }
+    EXPECT_TRUE(held(guilty));
+    EXPECT_FALSE(held_anywhere(shared));
+}
+
+// A stream that goes on shows that its server has survived the end of another.
+TEST_F(prompt_quarantine_test, part_is_held_though_its_server_goes_on) {
+    const auto stream = send(0, "alive", {1});
+    const auto ended = send(0, "alive", {shared, 2});
+    nodes_[0].on_output(stream, now_);
+    advance(milliseconds{200});
+    nodes_[0].on_uncertain_end(ended, true, now_);
+    advance(seconds{2});
+    nodes_[0].on_output(stream, now_);
+    for (auto number = 0; number < 6; ++number) {
+        crash({{shared, guilty}, {shared, 300}});
+    }
+    EXPECT_TRUE(held(guilty));
+    EXPECT_FALSE(held_anywhere(shared));
+}
+
+// What a server does after its restart, or had sent before its crash, does not
+// show that it survived.
+TEST_F(prompt_quarantine_test, restarted_server_clears_the_part_that_ended_it) {
+    for (auto number = 0; number < 3; ++number) {
+        const auto runner = "s" + std::to_string(number);
+        const auto other = send(0, runner, {1});
+        const auto ended = send(0, runner, {guilty});
+        advance(milliseconds{200});
+        nodes_[0].on_uncertain_end(ended, true, now_);
+        nodes_[0].on_finish(ended, false, now_);
+        nodes_[0].on_output(other, now_);
+        advance(seconds{2});
+        const auto next = send(0, runner, {2});
+        nodes_[0].on_alive(next, now_);
+        advance(seconds{1});
+        for (auto& node : nodes_) {
+            node.on_crash(runner, now_);
+        }
+        share();
+    }
+    EXPECT_TRUE(held(guilty));
+}
+
+// An answer that is none of a request does not clear its parts, however its
+// connection ends.
+TEST_F(prompt_quarantine_test, cancelled_run_clears_its_parts) {
+    const auto cancelled = send(0, "alive", {guilty});
+    advance(milliseconds{200});
+    nodes_[0].on_uncertain_end(cancelled, false, now_);
+    const auto next = send(0, "alive", {1});
+    advance(milliseconds{200});
+    nodes_[0].on_alive(next, now_);
+    for (auto number = 0; number < 3; ++number) {
+        crash({{guilty}});
+    }
+    EXPECT_TRUE(held(guilty));
+}
+
 TEST_F(prompt_quarantine_test, long_streams_are_not_to_blame) {
     for (auto number = 0; number < 8; ++number) {
         const auto runner = "s" + std::to_string(number);
--- a/basilstream/daemon/relay/internal/exchange_answers.cpp
+++ b/basilstream/daemon/relay/internal/exchange_answers.cpp
@@ -179,8 +179,11 @@
         record_event_times(now);
         sample_event_times(now);
     }
-    if (no_events_yet && events_.events() > 0) {
+    if (events_.events() > 0 &&
+        (no_events_yet || state_.prompts_.has_uncertain_ends())) {
         state_.prompts_.on_output(quarantine_run_id(), now);
+    }
+    if (no_events_yet && events_.events() > 0) {
         check_prediction(now);
         if (!stream_version_) {
             stream_version_ = attempt_version_;
@@ -321,7 +324,8 @@
     state_.quarantine_.on_finish(quarantine_run_id(), executed, now);
     if (head_.framing_ == transport::answer_framing::connection &&
         mode_ != answer_mode::not_run) {
-        state_.prompts_.on_uncertain_end(quarantine_run_id(), now);
+        state_.prompts_.on_uncertain_end(quarantine_run_id(),
+                                         head_.status_ / 100 == 2, now);
     }
     state_.prompts_.on_finish(quarantine_run_id(),
                               executed && head_.status_ / 100 == 2, now);
--- a/basilstream/daemon/relay/internal/exchange_attempts.cpp
+++ b/basilstream/daemon/relay/internal/exchange_attempts.cpp
@@ -180,7 +180,7 @@
     std::exchange(call_, nullptr)->cancel();
     if (!awaits_memory_ && !backend_active(now)) {
         state_.quarantine_.on_cancelled(quarantine_run_id(), now);
-        state_.prompts_.on_uncertain_end(quarantine_run_id(), now);
+        state_.prompts_.on_uncertain_end(quarantine_run_id(), false, now);
     }
     end_attempt();
 }
