Count crashes at nearly the same time as one for equal requests

Cause: a request is quarantined after three processes that ran it have ended. One that many callers send is in flight on each server, and no complete answer can come between crashes of one moment.

--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -147,22 +147,47 @@
     return result;
 }
 
-auto quarantine::has_crashed_enough(const record& entry, time_point now) const
-    -> bool {
-    auto processes = std::set<std::pair<std::string, std::string>>{};
-    auto runs = std::size_t{0};
-    auto certain = std::size_t{0};
+auto quarantine::group_active_crashes(const record& entry, time_point now) const
+    -> std::vector<std::vector<const crash*>> {
+    auto active = std::vector<const crash*>{};
     for (const auto& observed : entry.crashes_) {
         if (is_active(observed, now)) {
-            processes.emplace(observed.runner_, observed.boot_id_);
-            ++runs;
-            certain +=
-                observed.evidence_ == crash_evidence::runner_gone ? 1U : 0U;
+            active.push_back(&observed);
+        }
+    }
+    std::stable_sort(active.begin(), active.end(),
+                     [](const crash* left, const crash* right) {
+                         return left->seen_at_ < right->seen_at_;
+                     });
+    auto groups = std::vector<std::vector<const crash*>>{};
+    for (const auto* const observed : active) {
+        if (groups.empty() ||
+            observed->seen_at_ >=
+                groups.back().front()->seen_at_ + settings_.coincidence_) {
+            groups.emplace_back();
         }
+        groups.back().push_back(observed);
     }
+    return groups;
+}
+
+auto quarantine::has_crashed_enough(const record& entry, time_point now) const
+    -> bool {
+    const auto groups = group_active_crashes(entry, now);
+    auto processes = std::set<std::pair<std::string, std::string>>{};
+    for (const auto& group : groups) {
+        processes.emplace(group.front()->runner_, group.front()->boot_id_);
+    }
+    const auto certain = static_cast<std::size_t>(
+        std::count_if(groups.begin(), groups.end(), [](const auto& group) {
+            return std::any_of(
+                group.begin(), group.end(), [](const crash* observed) {
+                    return observed->evidence_ == crash_evidence::runner_gone;
+                });
+        }));
     return certain >= crashes_to_quarantine ||
            processes.size() >= processes_to_quarantine ||
-           runs >= lost_runs_to_quarantine;
+           groups.size() >= lost_runs_to_quarantine;
 }
 
 // Returns whether the crash is new, or more is known of it now: that the runner
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -40,6 +40,10 @@
 /// if the list of runners cannot be read. A request then is also quarantined
 /// when its connections to three runner processes were lost, or four
 /// connections at all, and no run was complete.
+///
+/// Crashes at nearly the same time count as one: a loss of power or network
+/// ends many runners at once, and a request that many callers send may be in
+/// flight on each of them.
 #pragma once
 
 #include <cstdint>
@@ -245,6 +249,8 @@
     bool isolate_suspects_ = true;
     /// Whether a lost connection counts as a possible crash of the runner.
     bool count_lost_connections_ = false;
+    /// Crashes at a smaller distance count as one; zero counts each.
+    duration coincidence_{0};
     /// How long a run still counts as in flight after its connection was lost.
     /// A crash of its runner is detected later than the loss: when the runner's
     /// announcement expires or the runner announces its next start.
@@ -441,6 +447,11 @@
     auto is_active(const crash& observed, time_point now) const -> bool;
     auto count_active_crashes(const record& entry, time_point now) const
         -> std::size_t;
+    // Returns the active crashes in the order of time, those at nearly the same
+    // time in one group.
+    [[nodiscard]] auto group_active_crashes(const record& entry,
+                                            time_point now) const
+        -> std::vector<std::vector<const crash*>>;
     // Returns whether the active crashes justify a mark.
     auto has_crashed_enough(const record& entry, time_point now) const -> bool;
     // Returns the crash that ended a run of this daemon.
--- a/basilstream/coordination/quarantine/quarantine_test.cpp
+++ b/basilstream/coordination/quarantine/quarantine_test.cpp
@@ -289,11 +289,64 @@
         return sent;
     }
 
-    quarantine quarantine_{
-        {.isolate_suspects_ = false, .count_lost_connections_ = true}, "d1"};
+    // Runs of the poison request on several runners that all crash within 90
+    // ms, or only lose their connections.
+    auto lose_at_once(const std::vector<std::string>& runners, bool crash)
+        -> void {
+        for (const auto& runner : runners) {
+            for (const auto* const id : {"/1", "/2"}) {
+                EXPECT_TRUE(quarantine_.on_dispatch(
+                    {poison, runner + id, runner, "b"}, now_));
+            }
+        }
+        now_ += milliseconds{50};
+        for (const auto& runner : runners) {
+            for (const auto* const id : {"/1", "/2"}) {
+                now_ += milliseconds{90} / static_cast<int>(2 * runners.size());
+                quarantine_.on_connection_lost(runner + id, now_);
+                quarantine_.on_finish(runner + id, false, now_);
+            }
+        }
+        now_ += seconds{2};
+        for (const auto& runner : runners) {
+            if (crash) {
+                quarantine_.on_crash(runner, now_);
+            }
+        }
+    }
+
+    quarantine quarantine_{{.isolate_suspects_ = false,
+                            .count_lost_connections_ = true,
+                            .coincidence_ = milliseconds{100}},
+                           "d1"};
     time_point now_{seconds{100}};
 };
 
+// Requests that are equal to many others were in flight on each runner of a
+// rack that lost power, and nobody's ran for two minutes.
+TEST_F(lost_connections_test, crashes_at_once_quarantine_equal_requests) {
+    lose_at_once({"r1", "r2", "r3", "r4"}, true);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+    EXPECT_TRUE(quarantine_.on_dispatch({poison, "9", "r9", "b"}, now_));
+    quarantine_.on_finish("9", true, now_);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::clear);
+}
+
+// As above, by a cut between the daemon and its runners.
+TEST_F(lost_connections_test, resets_at_once_quarantine_equal_requests) {
+    lose_at_once({"r1", "r2", "r3", "r4"}, false);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+}
+
+// A request that crashes the runners that run it is sent on for ever if its
+// runs come in groups.
+TEST_F(lost_connections_test, group_of_crashes_counts_once) {
+    lose_at_once({"r1", "r2"}, true);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
+    lose_at_once({"r3", "r4"}, true);
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::quarantined);
+}
+
 // The list of runners cannot be read, so that no crash is confirmed.
 TEST_F(lost_connections_test, request_is_sent_on_until_crashes_are_listed) {
     EXPECT_TRUE(lose("1", "r1"));
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -29,6 +29,8 @@
 // Covers the expiry of an announcement and an outage of the store, during which
 // removals are not listed.
 constexpr auto crash_detection_window = seconds{30};
+// Daemons notice the crashes of servers that end together within this time.
+constexpr auto crash_coincidence = milliseconds{100};
 // A request that crashes servers may come again after hours. A complete answer
 // clears a harmless one sooner.
 constexpr auto suspicion_lifetime = std::chrono::hours{24};
@@ -102,6 +104,7 @@
     auto policy_settings = coordination::quarantine_settings{};
     policy_settings.isolate_suspects_ = false;
     policy_settings.count_lost_connections_ = true;
+    policy_settings.coincidence_ = crash_coincidence;
     policy_settings.announcement_count_ = 1;
     policy_settings.crash_detection_window_ = crash_detection_window;
     policy_settings.suspicion_lifetime_ = suspicion_lifetime;
