List topics anew when the store's era changes

Cause: store_watch read on from the offset that it had reached. The new log had grown past it, so that the records before were never read, and pages that other daemons relay were cut off at the same offset. The era in the answers was ignored.

Change: a position belongs to the era in which it was read. A page of another era, read or relayed, makes a listing due at once; relayed pages name their era. Servers that the copy does not hold are kept as after an outage.

--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -233,7 +233,8 @@
             return;
         }
         auto update = protocol::relay_update{};
-        update.pages_ = {{topic, from, page.end_, page.records_, false}};
+        update.pages_ = {
+            {topic, from, page.end_, page.records_, false, page.era_}};
         // Followers read a large page from the store: sending it would occupy
         // the link of a small VM for too long.
         if (protocol::encode(update).size() * followers.size() >
@@ -491,7 +492,7 @@
                 watch_.on_update_notice(page.topic_);
             } else {
                 watch_.on_relayed(page.topic_, page.from_,
-                                  {page.records_, page.end_, false});
+                                  {page.records_, page.end_, false, page.era_});
             }
         }
         models_.on_update(*update);
--- a/basilstream/daemon/store_watch/store_watch.cpp
+++ b/basilstream/daemon/store_watch/store_watch.cpp
@@ -114,10 +114,11 @@
     if (topic_reader.topic_ == shared_topic::backends) {
         backends_.set_store_available(true, now);
     }
-    if (page->expired_) {
-        // The records after the last read have expired: list again at once.
-        topic_reader.next_offset_.reset();
-        topic_reader.next_read_at_ = now;
+    note_era(topic_reader, page->era_);
+    // The records after the last read have expired, or offsets have been given
+    // out again.
+    if (page->expired_ || (!is_listing && !topic_reader.next_offset_)) {
+        list_again(topic_reader);
         return;
     }
     const auto first_offset = topic_reader.next_offset_.value_or(page->end_);
@@ -142,16 +143,50 @@
     const auto in_time = now - topic_reader.read_started_at_ <=
                          topic_reader.wait_ + settings_.max_read_overrun_;
     if (!is_listing && in_time) {
-        observer_.on_read(
-            topic_reader.topic_, first_offset,
-            {std::move(changed_records), *topic_reader.next_offset_, false});
+        observer_.on_read(topic_reader.topic_, first_offset,
+                          {std::move(changed_records),
+                           *topic_reader.next_offset_, false,
+                           topic_reader.era_});
     }
 }
 
+auto store_watch::note_era(reader& topic_reader,
+                           std::optional<std::uint64_t> era) -> void {
+    const auto is_new = era && topic_reader.era_ && era != topic_reader.era_;
+    topic_reader.era_ = era ? era : topic_reader.era_;
+    if (!is_new) {
+        return;
+    }
+    context_.log_.info("shared store has begun a new era",
+                       {{"topic", coordination::shared_topic_names.name_of(
+                                      topic_reader.topic_)},
+                        {"era", std::to_string(*era)}});
+    list_again(topic_reader);
+    if (topic_reader.topic_ == shared_topic::backends) {
+        // Servers write again what the store has lost.
+        const auto now = context_.clock_.now();
+        backends_.set_store_available(false, now);
+        backends_.set_store_available(true, now);
+    }
+}
+
+auto store_watch::list_again(reader& topic_reader) -> void {
+    topic_reader.next_offset_.reset();
+    topic_reader.deferred_until_ = time_point{};
+    topic_reader.next_read_at_ = context_.clock_.now();
+}
+
 auto store_watch::on_relayed(shared_topic topic, std::uint64_t from,
                              const record_page& page) -> void {
     const auto now = context_.clock_.now();
     auto& topic_reader = reader_of(topic);
+    if (page.era_ && topic_reader.era_ && page.era_ != topic_reader.era_) {
+        // A page of a lower era was under way while the era changed.
+        if (*page.era_ > *topic_reader.era_) {
+            note_era(topic_reader, page.era_);
+        }
+        return;
+    }
     const auto is_contiguous =
         topic_reader.next_offset_ && from <= *topic_reader.next_offset_;
     if (!is_contiguous) {
--- a/basilstream/daemon/store_watch/store_watch.hpp
+++ b/basilstream/daemon/store_watch/store_watch.hpp
@@ -5,7 +5,8 @@
 ///     thread.every(milliseconds{50}, [&] { watch.tick(); });
 ///
 /// Failed reads are retried with exponential backoff and jitter; meanwhile the
-/// last known state stays in force. Use on one thread only.
+/// last known state stays in force. In a new era of the store offsets have been
+/// given out again: each topic is then listed anew. Use on one thread only.
 #pragma once
 
 #include <cstdint>
@@ -110,7 +111,7 @@
 
     /// Applies a page that another daemon has read from the offset `from`, and
     /// defers this daemon's next read. Ignored if records before `from` have
-    /// not been read here.
+    /// not been read here, or in another era of the store.
     auto on_relayed(coordination::shared_topic topic, std::uint64_t from,
                     const coordination::record_page& page) -> void;
 
@@ -144,6 +145,9 @@
             const coordination::record_page&, bool) = nullptr;
         // Offset of the next read; absent until a listing has been read.
         std::optional<std::uint64_t> next_offset_ = {};
+        // Era of the store to which next_offset_ belongs, if the store names
+        // eras.
+        std::optional<std::uint64_t> era_ = {};
         bool read_in_flight_ = false;
         time_point next_read_at_{};
         // Until when the last relayed page defers the next read.
@@ -161,6 +165,11 @@
     auto start_read(reader& topic_reader) -> void;
     auto on_page(reader& topic_reader, bool is_listing,
                  const result<coordination::record_page>& page) -> void;
+    // Makes a listing due if the era is another one than before.
+    auto note_era(reader& topic_reader, std::optional<std::uint64_t> era)
+        -> void;
+    // Makes a listing due now.
+    auto list_again(reader& topic_reader) -> void;
     auto on_failure(reader& topic_reader, const error& cause) -> void;
     auto apply_config(const coordination::record_page& page, bool is_listing)
         -> std::vector<coordination::store_record>;
--- a/basilstream/daemon/store_watch/store_watch_test.cpp
+++ b/basilstream/daemon/store_watch/store_watch_test.cpp
@@ -186,6 +186,75 @@
               (std::vector<std::string>{"a", "b", "a gone", "b draining"}));
 }
 
+// After the store's return to an older copy, its log had grown past the
+// position of the last read, and the records before were never read.
+TEST_F(store_watch_test, config_of_a_new_era_is_missed) {
+    advance({});
+    store_.answer(shared_topic::configuration,
+                  record_page{{{"config", "5", 8}}, 9, false, 1});
+    advance(seconds{1});
+    // Versions 6 and 7 lie before the position.
+    EXPECT_EQ(store_.answer(shared_topic::configuration,
+                            record_page{{{"other", "1", 9}}, 10, false, 2}),
+              9U);
+    advance({});
+    EXPECT_EQ(store_.answer(shared_topic::configuration,
+                            record_page{{{"config", "7", 6}}, 10, false, 2}),
+              std::nullopt);
+    EXPECT_EQ(versions_, (std::vector<std::uint64_t>{5, 7}));
+    advance(seconds{1});
+    EXPECT_EQ(store_.answer(shared_topic::configuration,
+                            record_page{{}, 10, false, 2}),
+              10U);
+}
+
+// A daemon that another one reads for did not read by itself, and dropped the
+// records before its position from what it was told.
+TEST_F(store_watch_test, relayed_page_of_a_new_era_is_taken_for_a_later_one) {
+    advance({});
+    store_.answer(shared_topic::backends,
+                  record_page{{{"i-1", "ready", 8}}, 9, false, 1});
+    store_.answer(shared_topic::configuration,
+                  record_page{{{"config", "5", 8}}, 9, false, 1});
+    advance(seconds{1});
+    ASSERT_TRUE(store_.reading(shared_topic::configuration));
+    events_.clear();
+    watch_.on_relayed(shared_topic::configuration, 6,
+                      {{{"config", "7", 6}}, 10, false, 2});
+    // The read that was under way is of the former era.
+    store_.answer(shared_topic::configuration, record_page{{}, 9, false, 1});
+    advance({});
+    EXPECT_EQ(store_.answer(shared_topic::configuration,
+                            record_page{{{"config", "7", 6}}, 10, false, 2}),
+              std::nullopt);
+    EXPECT_EQ(versions_, (std::vector<std::uint64_t>{5, 7}));
+    // A page that was read before the change is not applied any more.
+    watch_.on_relayed(shared_topic::configuration, 9,
+                      {{{"config", "8", 11}}, 12, false, 1});
+    EXPECT_EQ(versions_, (std::vector<std::uint64_t>{5, 7}));
+}
+
+// Servers that the copy does not hold are dropped, those that it holds return.
+TEST_F(store_watch_test, server_of_a_new_era_is_missed) {
+    advance({});
+    store_.answer(
+        shared_topic::backends,
+        record_page{{{"i-1", "ready", 7}, {"i-2", "ready", 8}}, 9, false, 1});
+    advance(seconds{1});
+    events_.clear();
+    store_.answer(shared_topic::backends,
+                  record_page{{{"i-9", "ready", 9}}, 10, false, 2});
+    advance({});
+    store_.answer(
+        shared_topic::backends,
+        record_page{
+            {{"i-1", "draining", 6}, {"i-9", "ready", 9}}, 10, false, 2});
+    EXPECT_EQ(events_, (std::vector<std::string>{"i-1 draining", "i-9"}));
+    advance(seconds{3});
+    EXPECT_EQ(events_,
+              (std::vector<std::string>{"i-1 draining", "i-9", "i-2 gone"}));
+}
+
 TEST_F(store_watch_test, keeps_backends_while_the_store_is_unavailable) {
     advance(milliseconds{0});
     store_.answer(shared_topic::backends,
--- a/basilstream/protocol/relay_codec/relay_codec.cpp
+++ b/basilstream/protocol/relay_codec/relay_codec.cpp
@@ -69,6 +69,9 @@
     out.set_from(page.from_);
     out.set_end(page.end_);
     out.set_read_now(page.read_now_);
+    if (page.era_) {
+        out.set_era(*page.era_);
+    }
     for (const auto& record : page.records_) {
         auto& copy = *out.add_records();
         copy.set_key(record.key_);
@@ -92,7 +95,8 @@
                      in.from(),
                      in.end(),
                      {},
-                     in.read_now()};
+                     in.read_now(),
+                     in.has_era() ? std::optional{in.era()} : std::nullopt};
     auto unpacked = wire::read_page{};
     if (!in.packed_records().empty()) {
         // The daemon reads for itself if they cannot be unpacked.
--- a/basilstream/protocol/relay_codec/relay_codec.hpp
+++ b/basilstream/protocol/relay_codec/relay_codec.hpp
@@ -71,6 +71,8 @@
     /// Set if there is news that is too large to be passed on, even though
     /// records are compressed: each daemon should read it for itself, now.
     bool read_now_ = false;
+    /// Era of the store in which the page was read, if the store names eras.
+    std::optional<std::uint64_t> era_ = std::nullopt;
 };
 
 /// Demand for a model of a service, with its adapters.
