Wait for a lease whose claim the store may have lost

Cause: a daemon that reads no claim claims at once, also in a store that has lost records.

Change: in an era above the first one, a log without claims is treated as one whose owner is not known: a full term and the pause pass first.

--- a/basilstream/coordination/placement_lease/placement_lease.cpp
+++ b/basilstream/coordination/placement_lease/placement_lease.cpp
@@ -105,6 +105,9 @@
 
 auto placement_lease::on_read(std::uint64_t end, time_point now) -> void {
     log_end_ = std::max(log_end_.value_or(0), end);
+    if (may_have_lost_all_claims() && owner_valid_until_ == time_point{}) {
+        owner_valid_until_ = now + settings_.term_;
+    }
     read_at_ = now;
     read_needed_ = false;
 }
@@ -145,7 +148,7 @@
     // this process may claim at once.
     const auto was_owner =
         may_reclaim_ || (owner_is_this_vm() && !claim_is_of_former_era());
-    if (!owner_ || was_owner) {
+    if (was_owner || (!owner_ && !may_have_lost_all_claims())) {
         return claimable;
     }
     return std::max(claimable, owner_valid_until_ + handover_delay);
@@ -206,6 +209,8 @@
             previous_owner_valid_until_ =
                 *owner_ == holder_ ? sent_at
                                    : std::min(owner_valid_until_, sent_at);
+        } else if (may_have_lost_all_claims()) {
+            previous_owner_valid_until_ = std::min(owner_valid_until_, sent_at);
         }
         owner_ = holder_;
         epoch_ = epoch;
--- a/basilstream/coordination/placement_lease/placement_lease.hpp
+++ b/basilstream/coordination/placement_lease/placement_lease.hpp
@@ -42,6 +42,10 @@
 /// stay below 2^53, up to which all readers of JSON keep integers exactly.
 inline constexpr auto epochs_per_era = std::uint64_t{1} << 20U;
 
+/// Era of a store that has never come back from a copy. In a higher one a log
+/// without claims may have lost them.
+inline constexpr auto first_era = std::uint64_t{1};
+
 /// An entry of the lease log.
 struct lease_entry {
     lease_entry_kind kind_ = lease_entry_kind::claim;
@@ -167,6 +171,10 @@
     [[nodiscard]] auto claim_is_of_former_era() const -> bool {
         return epoch_era_ != era_;
     }
+    // Returns whether the log holds no claim, but may have lost some.
+    [[nodiscard]] auto may_have_lost_all_claims() const -> bool {
+        return !owner_ && era_.value_or(first_era) > first_era;
+    }
     [[nodiscard]] auto claimable_at() const -> time_point;
     // Returns the epoch of a claim at this offset: higher than that of any
     // claim before, also of those that the store has lost.
@@ -183,8 +191,8 @@
     placement_lease_settings settings_;
     std::string holder_;
     random_source& random_;
-    // Owner according to the log, its epoch, and the latest time at which it
-    // may still send orders.
+    // Owner according to the log, its epoch, and the latest time at which it,
+    // or an owner whose claim the log has lost, may still send orders.
     std::optional<std::string> owner_;
     std::uint64_t epoch_ = 0;
     std::optional<std::uint64_t> epoch_era_;
--- a/basilstream/coordination/placement_lease/placement_lease_test.cpp
+++ b/basilstream/coordination/placement_lease/placement_lease_test.cpp
@@ -413,6 +413,32 @@
     EXPECT_GT(due->entry_.epoch_, epochs_per_era);
 }
 
+// The copy holds no claim, as the first one was made after it; the owner goes
+// on until its lease ends.
+TEST(placement_lease, added_daemon_claims_at_once_if_a_drill_lost_all_claims) {
+    auto simulation = lease_simulation{2};
+    simulation.nodes_[1]->paused_ = true;
+    simulation.run(seconds{2});
+    ASSERT_NE(simulation.owner(), nullptr);
+    // The owner does not reach the store again.
+    simulation.nodes_[0]->partitioned_ = true;
+    simulation.drill(seconds{4});
+    ASSERT_TRUE(simulation.log_.empty());
+    simulation.nodes_[1]->paused_ = false;
+    simulation.run(simulation.takeover_time());
+    EXPECT_EQ(simulation.owner(), simulation.nodes_[1].get());
+    EXPECT_EQ(simulation.owner_changes_, 1);
+}
+
+TEST(placement_lease, first_claim_waits_though_the_store_has_lost_nothing) {
+    auto random = seeded_random{1};
+    auto lease = placement_lease{placement_lease_settings{}, "d1", random};
+    ASSERT_TRUE(lease.on_answer(std::nullopt, first_era, start));
+    lease.on_read(0, start);
+    EXPECT_TRUE(lease.poll(start).has_value());
+    EXPECT_FALSE(lease.previous_owner_valid_until().has_value());
+}
+
 // A release that survived the drill does not show that nobody has claimed the
 // lease since: that claim may be lost.
 TEST(placement_lease, release_of_a_former_era_does_not_free_the_lease) {
@@ -461,7 +487,10 @@
 // Returns a lease that "d1" holds in era 4, at offset 0.
 auto lease_in_era_4(random_source& random) -> placement_lease {
     auto lease = placement_lease{placement_lease_settings{}, "d1", random};
-    EXPECT_TRUE(lease.on_answer(std::nullopt, 4, start));
+    const auto read_at = start - seconds{7};
+    EXPECT_TRUE(lease.on_answer(std::nullopt, 4, read_at));
+    lease.on_read(0, read_at);
+    EXPECT_FALSE(lease.poll(read_at).has_value());
     lease.on_read(0, start);
     EXPECT_TRUE(lease.poll(start).has_value());
     EXPECT_TRUE(lease.on_answer(4, 4, start));
