Count repetitions of a request as crashes of their own

Cause: counted all crashes less than 100 ms apart as one, also those of runs that began after the first crash.

Change: crashes coincide only if their runs were in flight side by side.

--- a/basilstream/coordination/quarantine/quarantine.cpp
+++ b/basilstream/coordination/quarantine/quarantine.cpp
@@ -147,6 +147,15 @@
     return result;
 }
 
+auto quarantine::coincide(const crash& earlier, const crash& later) const
+    -> bool {
+    // A run that began after the earlier crash may be its repetition.
+    const auto side_by_side =
+        later.run_started_at_ && *later.run_started_at_ < earlier.seen_at_;
+    return side_by_side &&
+           later.seen_at_ - earlier.seen_at_ < settings_.coincidence_;
+}
+
 auto quarantine::group_active_crashes(const record& entry, time_point now) const
     -> std::vector<std::vector<const crash*>> {
     auto active = std::vector<const crash*>{};
@@ -161,9 +170,7 @@
                      });
     auto groups = std::vector<std::vector<const crash*>>{};
     for (const auto* const observed : active) {
-        if (groups.empty() ||
-            observed->seen_at_ >=
-                groups.back().front()->seen_at_ + settings_.coincidence_) {
+        if (groups.empty() || !coincide(*groups.back().front(), *observed)) {
             groups.emplace_back();
         }
         groups.back().push_back(observed);
--- a/basilstream/coordination/quarantine/quarantine.hpp
+++ b/basilstream/coordination/quarantine/quarantine.hpp
@@ -41,9 +41,11 @@
 /// when its connections to three runner processes were lost, or four
 /// connections at all, and no run was complete.
 ///
-/// Crashes at nearly the same time count as one: a loss of power or network
-/// ends many runners at once, and a request that many callers send may be in
-/// flight on each of them.
+/// Crashes at nearly the same time count as one if their runs were in flight
+/// side by side: a loss of power or network ends many runners at once, and a
+/// request that many callers send may be in flight on each of them. A run that
+/// began after the first crash counts for itself, as it may repeat a request
+/// that crashes runners within some ms.
 #pragma once
 
 #include <cstdint>
@@ -249,7 +251,8 @@
     bool isolate_suspects_ = true;
     /// Whether a lost connection counts as a possible crash of the runner.
     bool count_lost_connections_ = false;
-    /// Crashes at a smaller distance count as one; zero counts each.
+    /// Crashes of runs side by side count as one at a smaller distance; zero
+    /// counts each.
     duration coincidence_{0};
     /// How long a run still counts as in flight after its connection was lost.
     /// A crash of its runner is detected later than the loss: when the runner's
@@ -447,8 +450,12 @@
     auto is_active(const crash& observed, time_point now) const -> bool;
     auto count_active_crashes(const record& entry, time_point now) const
         -> std::size_t;
-    // Returns the active crashes in the order of time, those at nearly the same
-    // time in one group.
+    // Returns whether two crashes ended runs that were in flight side by side,
+    // at nearly the same time.
+    [[nodiscard]] auto coincide(const crash& earlier, const crash& later) const
+        -> bool;
+    // Returns the active crashes in the order of time, those that coincide in
+    // one group.
     [[nodiscard]] auto group_active_crashes(const record& entry,
                                             time_point now) const
         -> std::vector<std::vector<const crash*>>;
--- a/basilstream/coordination/quarantine/quarantine_test.cpp
+++ b/basilstream/coordination/quarantine/quarantine_test.cpp
@@ -338,6 +338,20 @@
     EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::suspected);
 }
 
+// A request that crashes a runner within some ms is repeated at once, and was
+// sent on for ever.
+TEST_F(lost_connections_test, repetitions_in_quick_order_count_as_one_crash) {
+    for (const auto* const runner : {"r1", "r2", "r3"}) {
+        now_ += milliseconds{1};
+        EXPECT_TRUE(
+            quarantine_.on_dispatch({poison, runner, runner, "b"}, now_));
+        now_ += milliseconds{4};
+        quarantine_.on_connection_lost(runner, now_);
+        quarantine_.on_finish(runner, false, now_);
+    }
+    EXPECT_EQ(quarantine_.check(poison, now_), quarantine_verdict::quarantined);
+}
+
 // A request that crashes the runners that run it is sent on for ever if its
 // runs come in groups.
 TEST_F(lost_connections_test, group_of_crashes_counts_once) {
