Let others listen at the local ports of connections

Daemons on one host lose ports that way to connections of their neighbours, and to their own.

Cause: the kernel gives a connection a local port from a range in which the ports of daemons may lie as well, and keeps that port from listeners unless the connection's socket allows it to be shared.

Change: connections of streams, of the HTTP client and of the link to peers set SO_REUSEADDR and bind to a port before they connect. SO_REUSEADDR alone was tried first and is not enough on Linux 6.18 (arm64): a listener got EADDRINUSE while the connection was open, half closed and in TIME_WAIT; with a port bound before connect() it listened in all three.

Test: connection_of_a_daemon_keeps_another_from_listening failed on (the second daemon ended after 13 s) and with SO_REUSEADDR alone; it passes.

--- a/basilstream/transport/http_client/http_client.cpp
+++ b/basilstream/transport/http_client/http_client.cpp
@@ -12,6 +12,7 @@
 
 #include "basilstream/transport/head_syntax/head_syntax.hpp"
 #include "basilstream/transport/reactor/reactor.hpp"
+#include "basilstream/transport/tcp_stream/tcp_stream.hpp"
 
 namespace basilstream::transport {
 namespace {
@@ -110,6 +111,12 @@
     return size * count;
 }
 
+auto prepare_socket(void* /*context*/, curl_socket_t socket,
+                    curlsocktype /*purpose*/) -> int {
+    share_local_port(socket);
+    return CURL_SOCKOPT_OK;
+}
+
 auto refuse_socket(void* /*context*/, curlsocktype /*purpose*/,
                    curl_sockaddr* /*address*/) -> curl_socket_t {
     return CURL_SOCKET_BAD;
@@ -333,6 +340,7 @@
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &open);
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &open);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &prepare_socket);
         if (call.fresh_connection_) {
             curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -374,6 +374,7 @@
     auto refused = !valid;
     if (valid) {
         set_options(descriptor, options);
+        share_local_port(descriptor);
         refused = ::connect(descriptor, reinterpret_cast<sockaddr*>(&target),
                             sizeof target) != 0 &&
                   errno != EINPROGRESS;
@@ -422,6 +423,16 @@
     return handler_->established();
 }
 
+auto share_local_port(int descriptor) -> void {
+    set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    // Without a port that was bound before connect(), Linux 6.18 keeps
+    // listeners out all the same. If no port is free, connect() still finds one
+    // that other connections use to other peers.
+    auto any = sockaddr_in{};
+    any.sin_family = AF_INET;
+    (void)::bind(descriptor, reinterpret_cast<sockaddr*>(&any), sizeof any);
+}
+
 auto bound_buffers(int descriptor, std::size_t receive_bytes,
                    std::size_t send_bytes) -> void {
     if (receive_bytes > 0) {
--- a/basilstream/transport/tcp_stream/tcp_stream.hpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.hpp
@@ -106,6 +106,11 @@
     std::unique_ptr<handler> handler_;
 };
 
+/// Lets other processes listen at the local port that the connection of a new
+/// socket will have. Otherwise the port is closed to them while the connection
+/// is open, and for a minute after its end. Call before connect().
+auto share_local_port(int descriptor) -> void;
+
 /// Bounds the kernel's buffers of a connection, which then no longer grow by
 /// themselves; 0 leaves a buffer as it is. The kernel takes up to twice as
 /// much, for what it stores beside the bytes.
--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -16,6 +16,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -48,9 +49,27 @@
     }
     bound_socket(const bound_socket&) = delete;
     auto operator=(const bound_socket&) -> bound_socket& = delete;
-    ~bound_socket() { ::close(descriptor_); }
+    ~bound_socket() {
+        ::close(descriptor_);
+        if (accepted_ >= 0) {
+            ::close(accepted_);
+        }
+    }
 
     auto listen() const -> void { ::listen(descriptor_, 1); }
+    // Waits for a connection and returns its port at the other end; 0 if none
+    // comes. The connection stays open.
+    auto accept_from() -> int {
+        auto waiting = pollfd{descriptor_, POLLIN, 0};
+        if (::poll(&waiting, 1, max_wait / 1ms) <= 0) {
+            return 0;
+        }
+        auto peer = sockaddr_in{};
+        auto size = socklen_t{sizeof peer};
+        accepted_ = ::accept4(descriptor_, reinterpret_cast<sockaddr*>(&peer),
+                              &size, SOCK_CLOEXEC);
+        return ntohs(peer.sin_port);
+    }
     [[nodiscard]] auto port() const -> int { return ntohs(address_.sin_port); }
     [[nodiscard]] auto address() const -> std::string {
         return "127.0.0.1:" + std::to_string(port());
@@ -62,6 +81,7 @@
     }
 
     int descriptor_;
+    int accepted_ = -1;
     sockaddr_in address_{};
 };
 
@@ -135,6 +155,11 @@
     [[nodiscard]] auto settings(const std::string& readiness,
                                 const std::string& metrics = {},
                                 int peer_port = 0) const -> std::string {
+        return document(readiness, metrics, peer_port).dump();
+    }
+    [[nodiscard]] auto document(const std::string& readiness,
+                                const std::string& metrics = {},
+                                int peer_port = 0) const -> protocol::json {
         const auto any = std::string{"127.0.0.1:0"};
         return protocol::json{
             {"name", "d0"},
@@ -147,8 +172,7 @@
             {"peer", {{"ip", "127.0.0.1"}, {"ports", {peer_port, peer_port}}}},
             {"store", {{"address", "127.0.0.1:1"}}},
             {"stop", {{"grace_s", 4}}},
-            {"logging", {{"level", "info"}, {"format", "json"}}}}
-            .dump();
+            {"logging", {{"level", "info"}, {"format", "json"}}}};
     }
     auto write_settings(const std::string& text) const -> void {
         std::ofstream{settings_path()} << text;
@@ -336,6 +360,27 @@
     EXPECT_TRUE(stops_in_order(daemon));
 }
 
+// The local port of a connection was closed to listeners while the connection
+// was open, and for a minute after its end.
+TEST(daemon_starts, connection_of_a_daemon_keeps_another_from_listening) {
+    auto store = bound_socket{};
+    store.listen();
+    auto connected = started_daemon{};
+    auto settings = connected.document("127.0.0.1:0");
+    settings["store"]["address"] = store.address();
+    connected.write_settings(settings.dump());
+    connected.start();
+    const auto port = store.accept_from();
+    ASSERT_GT(port, 0);
+    const auto address = "127.0.0.1:" + std::to_string(port);
+    auto daemon = started_daemon{};
+    daemon.write_settings(daemon.settings(address));
+    daemon.start();
+    EXPECT_TRUE(daemon.wait_for_start());
+    EXPECT_TRUE(stops_in_order(daemon));
+    EXPECT_TRUE(stops_in_order(connected));
+}
+
 TEST(daemon_starts, stop_is_not_heeded_while_an_address_is_taken) {
     auto daemon = started_daemon{};
     const auto former = bound_socket{};
