Keep a relaying daemon up while an address is taken

Seen: a relaying daemon opened none of its addresses while one of them was taken, not even readiness or metrics, and ended with status 2 after 10 s, with two lines of plain text; with the directory's address taken it ended under callers that it was already serving. Ports for peers that were taken were replaced by any other one, outside of the range of the settings, without a line. Each start after it met the same.

Cause: five addresses were opened one after the other as one step that either succeeds or is repeated from the beginning, ten seconds long. Class: a passing state of the surroundings taken for a final one.

The daemon serves at the addresses that it has. It is ready only while it listens for callers. The link to peers, and the listener for forwarded requests, take only ports of the settings' range; the second takes any port if the range has one port only. A text that is no address is still final. The daemon now logs when it is first ready, and every 5 s why it is not.

--- a/basilstream/daemon/relay/internal/parts.hpp
+++ b/basilstream/daemon/relay/internal/parts.hpp
@@ -143,7 +143,9 @@
     /// Whether one more answer may go on beyond the bound: if unfinished
     /// answers fill it, none of them would end otherwise.
     [[nodiscard]] auto may_exceed_answer_memory() const -> bool;
-    /// Answers with `status`; adds a retry hint to status 503.
+    /// Sets what other daemons may send. Call once `forwarding_server_` exists.
+    auto set_forwarding_limits(const coordination::client_limits& limits)
+        -> void;
     /// Options of a server for requests at `address`.
     [[nodiscard]] auto make_server_options(const std::string& address)
         -> transport::http_session_options;
--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -310,6 +310,15 @@
     return options;
 }
 
+auto relay_state::set_forwarding_limits(
+    const coordination::client_limits& limits) -> void {
+    // Leaves room for the fields that daemons add.
+    forwarding_server_->set_limits(
+        {limits.header_bytes_ + internal::forwarding_header_bytes,
+         limits.body_bytes_},
+        limits.header_timeout_, limits.idle_timeout_);
+}
+
 auto relay_state::has_answer_memory() const -> bool {
     return buffered_answers_.used() + undelivered_answers_.used() <=
            settings_.memory_.answer_bytes_;
@@ -528,27 +537,24 @@
 relay::relay(const relay_context& context, relay_settings settings,
              const backend_dialect& dialect, model_provisioner& provisioner)
     : state_{std::make_unique<relay_state>(context, std::move(settings),
-                                           dialect, provisioner)} {}
-
-relay::~relay() = default;
-
-auto relay::open() -> result<void> {
+                                           dialect, provisioner)} {
     auto& state = *state_;
-    auto opened = transport::http_session_server::open(
-        state.context_.thread_, state.context_.clock_,
+    state.server_ = std::make_unique<transport::http_session_server>(
+        context.thread_, context.clock_,
         state.make_server_options(state.settings_.address_),
         [&state](transport::request_message request,
                  transport::http_session& session) {
             state.on_request(std::move(request), session);
         });
-    if (!opened) {
-        return tl::unexpected(opened.error());
-    }
-    state.server_ = std::move(*opened);
-    return {};
 }
 
-auto relay::open_forwarding(const std::string& address) -> result<void> {
+relay::~relay() = default;
+
+auto relay::open() -> result<void> {
+    return state_->server_->listen();
+}
+
+auto relay::open_forwarding(const std::string& address) -> result<std::string> {
     auto& state = *state_;
     auto options = state.make_server_options(address);
     options.max_sessions_ = std::min(
@@ -564,6 +570,9 @@
         return tl::unexpected(opened.error());
     }
     state.forwarding_server_ = std::move(*opened);
+    if (state.routes_.config()) {
+        state.set_forwarding_limits(state.routes_.config()->limits_);
+    }
     state.context_.forwarding_.set_listener(
         state.forwarding_server_->address(), [&state] {
             auto told = forwarding_state{};
@@ -575,7 +584,7 @@
             told.in_progress_ = state.exchanges_.size();
             return told;
         });
-    return {};
+    return state.forwarding_server_->address();
 }
 
 auto relay::set_config(std::shared_ptr<const coordination::relay_config> config)
@@ -595,11 +604,7 @@
     state.server_->set_limits({limits.header_bytes_, limits.body_bytes_},
                               limits.header_timeout_, limits.idle_timeout_);
     if (state.forwarding_server_) {
-        // Leaves room for the fields that daemons add.
-        state.forwarding_server_->set_limits(
-            {limits.header_bytes_ + internal::forwarding_header_bytes,
-             limits.body_bytes_},
-            limits.header_timeout_, limits.idle_timeout_);
+        state.set_forwarding_limits(limits);
     }
     state.context_.log_.info(
         "configuration activated",
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -130,16 +130,17 @@
     auto operator=(const relay&) -> relay& = delete;
     ~relay();
 
-    /// Starts to listen; fails if the address cannot be bound.
+    /// Starts to listen; fails if the address cannot be bound, and may be
+    /// called again then.
     [[nodiscard]] auto open() -> result<void>;
 
     /// Starts to listen on "IP:PORT" for requests that other daemons forward,
-    /// and offers that to them. Call after open().
+    /// and offers that to them.
+    /// Returns its "IP:PORT".
     [[nodiscard]] auto open_forwarding(const std::string& address)
-        -> result<void>;
+        -> result<std::string>;
 
-    /// Activates `config` if its version is newer than the active one. Call
-    /// open() first.
+    /// Activates `config` if its version is newer than the active one.
     auto set_config(std::shared_ptr<const coordination::relay_config> config)
         -> void;
     /// Adds or updates a backend server. A changed start time counts as a crash
@@ -215,7 +216,8 @@
 
     /// Enforces deadlines and silence time-outs; call about every 50 ms.
     auto sweep() -> void;
-    /// Returns "IP:PORT" with the port that is bound.
+    /// Returns "IP:PORT" with the port that is bound, or that of the settings
+    /// before open().
     [[nodiscard]] auto address() const -> std::string;
 
 private:
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -1,6 +1,7 @@
 #include "basilstream/daemon/relay_program/relay_program.hpp"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <utility>
@@ -8,6 +9,7 @@
 #include "basilstream/coordination/discovery/discovery.hpp"
 #include "basilstream/daemon/cluster/cluster.hpp"
 #include "basilstream/daemon/counted_store/counted_store.hpp"
+#include "basilstream/daemon/listeners/listeners.hpp"
 #include "basilstream/daemon/load_sharing/load_sharing.hpp"
 #include "basilstream/daemon/model_control/model_control.hpp"
 #include "basilstream/daemon/prompt_sharing/prompt_sharing.hpp"
@@ -36,7 +38,6 @@
 constexpr auto join_settling_time = milliseconds{1500};
 // Requests for readiness, endpoints and metrics have no body of note.
 constexpr auto max_control_body_bytes = std::size_t{16} * 1024;
-constexpr auto metrics_retry_delay = milliseconds{1000};
 constexpr auto join_retry_delay = milliseconds{1000};
 // Interval at which the list of daemons is read from the store again, to find
 // daemons that membership probes have lost.
@@ -49,6 +50,8 @@
 constexpr auto max_forwarded_bytes = std::size_t{250'000};
 // A daemon that has been silent for longer is left out of endpoint responses.
 constexpr auto max_peer_silence = milliseconds{2000};
+// Lines that say why the daemon is not ready come at this interval.
+constexpr auto not_ready_interval = seconds{5};
 // The daemon stops this long before the end of the grace period, after which
 // the process would be killed.
 constexpr auto grace_margin = milliseconds{400};
@@ -143,35 +146,33 @@
     }
 
     auto open() -> result<void> {
-        if (auto opened = relay_.open(); !opened) {
-            return opened;
-        }
-        if (auto opened = open_link(); !opened) {
-            return opened;
-        }
-        if (auto opened = open_forwarding(); !opened) {
-            return opened;
-        }
-        auto readiness = listen(settings_.readiness_address_,
-                                &running_relay::answer_readiness);
-        auto directory = listen(settings_.directory_address_,
-                                &running_relay::answer_directory);
-        if (!readiness || !directory) {
-            return tl::unexpected(readiness ? directory.error()
-                                            : readiness.error());
-        }
-        directory_address_ = (*directory)->address();
-        servers_.push_back(std::move(*readiness));
-        servers_.push_back(std::move(*directory));
-        if (!settings_.metrics_address_.empty()) {
-            open_metrics();
+        const auto openers = std::array{
+            opener_entry{listener_kind::callers, &running_relay::open_callers},
+            opener_entry{listener_kind::peers, &running_relay::open_link},
+            opener_entry{listener_kind::forwarding,
+                         &running_relay::open_forwarding},
+            opener_entry{listener_kind::readiness,
+                         &running_relay::open_readiness},
+            opener_entry{listener_kind::directory,
+                         &running_relay::open_directory},
+            opener_entry{listener_kind::metrics, &running_relay::open_metrics}};
+        for (const auto& entry : openers) {
+            if (entry.kind_ == listener_kind::metrics &&
+                settings_.metrics_address_.empty()) {
+                continue;
+            }
+            auto added =
+                listeners_.add(entry.kind_, [this, open = entry.open_] {
+                    return (this->*open)();
+                });
+            if (!added) {
+                return added;
+            }
         }
         status_.add_gauges(metrics_);
         thread_.every(sweep_interval, [this] { sweep(); });
         thread_.every(cluster_tick_interval, [this] { tick_cluster(); });
-        log_.info("started", {{"callers", relay_.address()},
-                              {"peers", link_address_},
-                              {"store", settings_.store_address_}});
+        report_start();
         thread_.start();
         return {};
     }
@@ -314,37 +315,24 @@
             });
     }
 
-    // Serves without metrics while their address is taken.
-    auto open_metrics() -> void {
-        auto metrics =
-            listen(settings_.metrics_address_, &running_relay::answer_operator);
-        if (!metrics) {
-            log_.failure(transport::log_level::warning,
-                         "no metrics: their address is not available",
-                         metrics.error());
-            thread_.after(metrics_retry_delay, [this] { open_metrics(); });
-            return;
-        }
-        operator_address_ = (*metrics)->address();
-        servers_.push_back(std::move(*metrics));
-    }
+    struct opener_entry {
+        listener_kind kind_;
+        result<std::string> (running_relay::*open_)();
+    };
 
-    // Opens the link to the other daemons on the first free port, or on any if
-    // none is free.
-    auto open_link() -> result<void> {
-        for (auto port = int{settings_.first_peer_port_};
-             port <= settings_.last_peer_port_; ++port) {
-            if (open_link_on(port)) {
-                return {};
-            }
+    auto open_callers() -> result<std::string> {
+        if (auto opened = relay_.open(); !opened) {
+            return tl::unexpected(opened.error());
         }
-        return open_link_on(0);
+        return relay_.address();
     }
 
-    auto open_link_on(int port) -> result<void> {
+    // Opens the link to the other daemons on the first free one of its ports.
+    auto open_link() -> result<std::string> {
         auto link = transport::peer_link::open(
             {.address_ = settings_.peer_ip_,
-             .port_ = static_cast<std::uint16_t>(port)},
+             .port_ = settings_.first_peer_port_,
+             .last_port_ = settings_.last_peer_port_},
             [this](std::string from, std::string bytes) {
                 // Messages are dropped if the thread's queue is full: the
                 // modules that need delivery send them again.
@@ -360,21 +348,103 @@
         }
         link_address_ = (*link)->address();
         link_ = std::move(*link);
-        return {};
+        return link_address_;
     }
 
-    // Listens for forwarded requests on the last free port for other daemons,
-    // or on any if none is free.
-    auto open_forwarding() -> result<void> {
-        for (auto port = int{settings_.last_peer_port_};
-             port >= std::max(int{settings_.first_peer_port_}, 1); --port) {
-            const auto address =
-                settings_.peer_ip_ + ":" + std::to_string(port);
-            if (auto opened = relay_.open_forwarding(address)) {
-                return opened;
-            }
+    // Listens for forwarded requests on the last free port for other daemons;
+    // on any if there is but one, which the link takes.
+    auto open_forwarding() -> result<std::string> {
+        const auto last = int{settings_.last_peer_port_};
+        const auto first = int{settings_.first_peer_port_};
+        if (last <= first) {
+            return open_forwarding_on(0);
         }
-        return relay_.open_forwarding(settings_.peer_ip_ + ":0");
+        auto opened = open_forwarding_on(last);
+        for (auto port = last - 1; !opened && port >= first; --port) {
+            opened = open_forwarding_on(port);
+        }
+        return opened;
+    }
+
+    auto open_forwarding_on(int port) -> result<std::string> {
+        const auto address = settings_.peer_ip_ + ":" + std::to_string(port);
+        return relay_.open_forwarding(address);
+    }
+
+    auto open_readiness() -> result<std::string> {
+        return open_control(settings_.readiness_address_,
+                            &running_relay::answer_readiness);
+    }
+
+    auto open_directory() -> result<std::string> {
+        auto opened = open_control(settings_.directory_address_,
+                                   &running_relay::answer_directory);
+        directory_address_ = opened.value_or(settings_.directory_address_);
+        return opened;
+    }
+
+    auto open_metrics() -> result<std::string> {
+        auto opened = open_control(settings_.metrics_address_,
+                                   &running_relay::answer_operator);
+        operator_address_ = opened.value_or(settings_.metrics_address_);
+        return opened;
+    }
+
+    auto open_control(const std::string& address, request_method method)
+        -> result<std::string> {
+        auto server = listen(address, method);
+        if (!server) {
+            return tl::unexpected(server.error());
+        }
+        servers_.push_back(std::move(*server));
+        return servers_.back()->address();
+    }
+
+    auto report_start() -> void {
+        if (!start_reported_ && listeners_.is_open(listener_kind::callers)) {
+            start_reported_ = true;
+            log_.info("started", {{"callers", relay_.address()},
+                                  {"peers", link_address_},
+                                  {"store", settings_.store_address_}});
+        }
+    }
+
+    // Logs when the daemon is first ready, and until then why it is not.
+    auto report_readiness() -> void {
+        const auto now = clock_.now();
+        if (ready_reported_ || stop_requested_at_) {
+            return;
+        }
+        const auto waited = std::to_string(
+            std::chrono::duration_cast<milliseconds>(now - created_at_)
+                .count());
+        const auto config = std::to_string(relay_.config_version());
+        if (status_.ready()) {
+            ready_reported_ = true;
+            log_.info("ready",
+                      {{"waited_ms", waited},
+                       {"config", config},
+                       {"servers",
+                        std::to_string(watch_.backends().servers().size())}});
+            return;
+        }
+        if (now < next_not_ready_line_) {
+            return;
+        }
+        next_not_ready_line_ = now + not_ready_interval;
+        const auto text = [](bool value) {
+            return value ? "yes" : "no";
+        };
+        log_.warning(
+            "not ready",
+            {{"waited_ms", waited},
+             {"config", config},
+             {"servers_listed", text(watch_.has_listed_backends())},
+             {"quarantine_read",
+              text(watch_.last_read(coordination::shared_topic::quarantine)
+                       .has_value())},
+             {"listens_for_callers",
+              text(listeners_.is_open(listener_kind::callers))}});
     }
 
     auto answer_readiness(const transport::request_message& request,
@@ -450,7 +520,10 @@
     }
 
     auto sweep() -> void {
+        listeners_.tick();
+        report_start();
         watch_.tick();
+        report_readiness();
         note_server_list_reads();
         permits_.tick();
         streams_.tick();
@@ -459,7 +532,7 @@
         for (const auto& server : servers_) {
             server->sweep();
         }
-        if (!cluster_ && status_.ready()) {
+        if (!cluster_ && link_ && status_.ready()) {
             join();
         }
         if (cluster_) {
@@ -717,6 +790,7 @@
     version_log version_log_;
     store_watch watch_;
     coordination::drain_controller drain_;
+    listeners listeners_{{clock_, log_, metrics_}};
     std::vector<std::unique_ptr<transport::http_session_server>> servers_;
     std::unique_ptr<transport::peer_link> link_;
     std::string link_address_;
@@ -724,14 +798,18 @@
     std::string directory_address_;
     std::optional<cluster> cluster_;
     std::optional<quarantine_gossip> quarantine_gossip_;
+    const time_point created_at_{clock_.now()};
+    bool start_reported_ = false;
+    bool ready_reported_ = false;
+    time_point next_not_ready_line_{created_at_ + not_ready_interval};
     std::optional<time_point> joined_at_;
     time_point daemons_listed_at_{};
     std::optional<time_point> stop_requested_at_;
     bool stop_notified_ = false;
-    relay_status status_{
-        settings_.name_,
-        settings_.zone_,
-        {clock_, log_, relay_, watch_, models_, drain_, cluster_, allowances_}};
+    relay_status status_{settings_.name_,
+                         settings_.zone_,
+                         {clock_, log_, relay_, watch_, models_, drain_,
+                          cluster_, allowances_, listeners_}};
 };
 
 } // namespace
--- a/basilstream/daemon/relay_program/relay_program.hpp
+++ b/basilstream/daemon/relay_program/relay_program.hpp
@@ -22,8 +22,9 @@
 class relay_program {
 public:
     /// Starts a daemon. `on_stopped` is called once, from another thread, when
-    /// a requested stop is complete. Returns an error if an address is already
-    /// in use. `deployment` must outlive the daemon.
+    /// a requested stop is complete. A listener whose address is not available
+    /// opens as soon as it is; returns an error if the settings hold a text
+    /// that is no address. `deployment` must outlive the daemon.
     [[nodiscard]] static auto start(const relay_daemon_settings& settings,
                                     const installation& deployment,
                                     std::function<void()> on_stopped)
@@ -40,10 +41,10 @@
     /// Applies the settings that can change at run time, which are the retry
     /// limits, and ignores the others. Thread-safe.
     virtual auto reload(const relay_daemon_settings& settings) -> void = 0;
-    /// Returns the "IP:PORT" that accepts requests of callers.
+    /// Returns the "IP:PORT" that accepts requests of callers; that of the
+    /// settings if it was not available at the start, as below.
     [[nodiscard]] virtual auto caller_address() const -> std::string = 0;
-    /// Returns the "IP:PORT" for metrics and basilctl; empty if the settings
-    /// name no metrics address.
+    /// Returns the "IP:PORT" for metrics and basilctl.
     [[nodiscard]] virtual auto operator_address() const -> std::string = 0;
     /// Returns the "IP:PORT" at which clients look up daemon endpoints.
     [[nodiscard]] virtual auto directory_address() const -> std::string = 0;
--- a/basilstream/daemon/relay_status/relay_status.cpp
+++ b/basilstream/daemon/relay_status/relay_status.cpp
@@ -168,7 +168,8 @@
 }
 
 auto relay_status::ready() const -> bool {
-    return parts_.relay_.configured() && parts_.watch_.has_listed_backends() &&
+    return parts_.listeners_.is_open(listener_kind::callers) &&
+           parts_.relay_.configured() && parts_.watch_.has_listed_backends() &&
            parts_.watch_.last_read(shared_topic::quarantine) &&
            parts_.drain_.phase() == coordination::drain_phase::serving;
 }
@@ -194,6 +195,13 @@
                               {"ambiguous", entry.ambiguous_},
                               {"failed_trials", entry.failed_trials_}});
     }
+    auto listeners = json::object();
+    for (const auto& entry : parts_.listeners_.status()) {
+        listeners[std::string{listener_kind_names.name_of(entry.kind_)}] = {
+            {"address", entry.address_},
+            {"attempts", entry.attempts_},
+            {"detail", entry.detail_}};
+    }
     auto answer =
         json{{"name", name_},
              {"zone", zone_},
@@ -208,6 +216,7 @@
                {"backends_age_s",
                 seconds_since(parts_.watch_.last_read(shared_topic::backends),
                               now)}}},
+             {"listeners", listeners},
              {"shards", shards},
              {"owner", parts_.models_.owner()},
              {"members", members()},
--- a/basilstream/daemon/relay_status/relay_status.hpp
+++ b/basilstream/daemon/relay_status/relay_status.hpp
@@ -16,6 +16,7 @@
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/coordination/discovery/discovery.hpp"
 #include "basilstream/daemon/cluster/cluster.hpp"
+#include "basilstream/daemon/listeners/listeners.hpp"
 #include "basilstream/daemon/model_control/model_control.hpp"
 #include "basilstream/daemon/relay/relay.hpp"
 #include "basilstream/daemon/store_watch/store_watch.hpp"
@@ -36,6 +37,7 @@
     /// Empty until the daemon has joined the cluster.
     const std::optional<cluster>& cluster_;
     const allowance_sharing& allowances_;
+    const listeners& listeners_;
 };
 
 class relay_status {
@@ -45,9 +47,9 @@
 
     /// Registers the gauges that complement the relay's counters.
     auto add_gauges(transport::metrics_registry& metrics) const -> void;
-    /// Returns whether the daemon can serve requests: it has read the
-    /// configuration, the backend servers and the quarantine, and is not
-    /// draining.
+    /// Returns whether the daemon can serve requests: it listens for callers,
+    /// has read the configuration, the backend servers and the quarantine, and
+    /// is not draining.
     [[nodiscard]] auto ready() const -> bool;
     [[nodiscard]] auto status() const -> protocol::json;
     /// Explains `name`, which is a model, the id of a backend server or the id
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -441,24 +441,29 @@
                                http_session_options options,
                                request_handler handler)
     -> result<std::unique_ptr<http_session_server>> {
-    const auto address = options.address_;
-    auto server = std::unique_ptr<http_session_server>{new http_session_server{
-        thread, time, std::move(options), std::move(handler)}};
+    auto server = std::make_unique<http_session_server>(
+        thread, time, std::move(options), std::move(handler));
+    if (auto opened = server->listen(); !opened) {
+        return tl::unexpected(opened.error());
+    }
+    return server;
+}
+
+auto http_session_server::listen() -> result<void> {
     auto listener = tcp_listener::open(
-        thread, address,
-        [&made = *server](int descriptor) {
-            made.sessions_.insert(
-                std::make_shared<http_session>(made, descriptor));
+        thread_, options_.address_,
+        [this](int descriptor) {
+            sessions_.insert(std::make_shared<http_session>(*this, descriptor));
         },
-        [&made = *server] { return made.make_room(); });
+        [this] { return make_room(); });
     if (!listener) {
         return tl::unexpected(listener.error());
     }
-    server->listener_ = std::move(*listener);
-    if (server->options_.receive_buffer_bytes_ > 0) {
-        server->listener_->bound_segments();
+    listener_ = std::move(*listener);
+    if (options_.receive_buffer_bytes_ > 0) {
+        listener_->bound_segments();
     }
-    return server;
+    return {};
 }
 
 auto http_session_server::set_limits(const request_limits& limits,
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -228,16 +228,26 @@
 /// Accepts connections and owns their sessions.
 class http_session_server {
 public:
-    /// Starts to listen; `unavailable` at step settings when the address is
-    /// taken. Call before the thread starts or on it.
+    /// Makes a server and calls listen().
     [[nodiscard]] static auto open(reactor_thread& thread, const clock& time,
                                    http_session_options options,
                                    request_handler handler)
         -> result<std::unique_ptr<http_session_server>>;
+    /// Makes a server that does not listen yet. `thread` and `time` must
+    /// outlive it.
+    http_session_server(reactor_thread& thread, const clock& time,
+                        http_session_options options, request_handler handler);
     http_session_server(const http_session_server&) = delete;
     auto operator=(const http_session_server&) -> http_session_server& = delete;
     ~http_session_server();
 
+    /// Starts to listen; fails as tcp_listener::open() does, and may be called
+    /// again then. Call before the thread starts or on it.
+    [[nodiscard]] auto listen() -> result<void>;
+    [[nodiscard]] auto listening() const -> bool {
+        return listener_ != nullptr;
+    }
+
     /// Changes the bounds for connections accepted from now on, and the
     /// time-outs of all.
     auto set_limits(const request_limits& limits, milliseconds header_timeout,
@@ -255,8 +265,9 @@
         return counts_;
     }
 
+    /// "IP:PORT" with the port in use, or that of the options before listen().
     [[nodiscard]] auto address() const -> std::string {
-        return listener_->address();
+        return listener_ ? listener_->address() : options_.address_;
     }
     [[nodiscard]] auto connections() const -> std::size_t {
         return sessions_.size();
@@ -270,8 +281,6 @@
 
 private:
     friend class http_session;
-    http_session_server(reactor_thread& thread, const clock& time,
-                        http_session_options options, request_handler handler);
 
     reactor_thread& thread_;
     const clock& clock_;
--- a/basilstream/transport/peer_link/peer_link.cpp
+++ b/basilstream/transport/peer_link/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "basilstream/transport/peer_link/peer_link.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <map>
@@ -60,15 +61,8 @@
         router_.set(zmq::sockopt::maxmsgsize,
                     static_cast<std::int64_t>(options_.max_message_bytes_));
         router_.set(zmq::sockopt::rcvhwm, options_.peer_queue_);
-        const auto wanted =
-            "tcp://" + options_.address_ + ":" +
-            (options_.port_ == 0 ? "*" : std::to_string(options_.port_));
-        try {
-            router_.bind(wanted);
-        } catch (const zmq::error_t& failure) {
-            return tl::unexpected(
-                error{error_code::unavailable, step::peer, wanted,
-                      std::string{"cannot bind: "} + failure.what()});
+        if (auto bound = bind_router(); !bound) {
+            return bound;
         }
         constexpr auto scheme = std::string_view{"tcp://"};
         address_ =
@@ -104,6 +98,24 @@
         time_point used_;
     };
 
+    // Binds the router to the first port that is free.
+    auto bind_router() -> result<void> {
+        const auto last = std::max(options_.port_, options_.last_port_);
+        auto refusal = error{};
+        for (auto port = int{options_.port_}; port <= last; ++port) {
+            const auto wanted = "tcp://" + options_.address_ + ":" +
+                                (port == 0 ? "*" : std::to_string(port));
+            try {
+                router_.bind(wanted);
+                return {};
+            } catch (const zmq::error_t& failure) {
+                refusal = error{error_code::unavailable, step::peer, wanted,
+                                std::string{"cannot bind: "} + failure.what()};
+            }
+        }
+        return tl::unexpected(refusal);
+    }
+
     auto set_options(zmq::socket_t& socket) const -> void {
         const auto timeout =
             static_cast<int>(options_.heartbeat_timeout_.count());
--- a/basilstream/transport/peer_link/peer_link.hpp
+++ b/basilstream/transport/peer_link/peer_link.hpp
@@ -29,6 +29,9 @@
     std::string address_ = "127.0.0.1";
     /// 0 picks an ephemeral port.
     std::uint16_t port_ = 0;
+    /// The link takes the first free port from `port_` to this one; only
+    /// `port_` if this one is lower.
+    std::uint16_t last_port_ = 0;
     /// Messages that may wait for one peer; further ones are dropped.
     int peer_queue_ = 256;
     /// Messages from other threads that may wait; further ones are dropped.
@@ -52,7 +55,7 @@
 /// The link. All members are safe to call from any thread.
 class peer_link {
 public:
-    /// Opens the link; `unavailable` at step peer when the address is taken.
+    /// Opens the link; `unavailable` at step peer when its ports are taken.
     [[nodiscard]] static auto open(const peer_link_options& options,
                                    peer_handler handler)
         -> result<std::unique_ptr<peer_link>>;
--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -552,8 +552,8 @@
     };
     auto local = sockaddr_in{};
     if (!parse_address(address, local)) {
-        errno = EINVAL;
-        return failed("not an address");
+        return tl::unexpected(error{error_code::invalid_argument,
+                                    step::settings, address, "not an address"});
     }
     const auto descriptor =
         ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/basilstream/transport/tcp_stream/tcp_stream.hpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.hpp
@@ -130,8 +130,9 @@
     using room_check = std::function<bool()>;
 
     /// Listens on `address`, "IP:PORT"; port 0 picks an ephemeral one.
-    /// `unavailable` at step settings when the address is taken. Call before
-    /// the thread starts or on it.
+    /// `unavailable` at step settings when the address is taken or not local,
+    /// `invalid_argument` if it is no address. Call before the thread starts or
+    /// on it.
     [[nodiscard]] static auto
     open(reactor_thread& thread, const std::string& address,
          accept_handler accepted, room_check has_room = {})
--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -249,6 +249,30 @@
                }) &&
                !ended();
     }
+    // Waits until the daemon says that a listener is open, and returns its
+    // address; empty if it does not.
+    auto wait_for_listener(const std::string& name) -> std::string {
+        auto address = std::string{};
+        wait_until([&] {
+            address = logged("listening", name, "address");
+            return !address.empty() || ended().has_value();
+        });
+        return address;
+    }
+    // Returns a field of the first line of an event about a listener.
+    [[nodiscard]] auto logged(const std::string& event,
+                              const std::string& listener,
+                              const std::string& field) const -> std::string {
+        auto log = std::ifstream{log_path()};
+        for (auto line = std::string{}; std::getline(log, line);) {
+            const auto entry = protocol::json::parse(line, nullptr, false);
+            if (entry.is_object() && entry.value("event", "") == event &&
+                entry.value("listener", "") == listener) {
+                return entry.value(field, "");
+            }
+        }
+        return {};
+    }
 
 private:
     template <class Condition>
@@ -360,6 +384,64 @@
     EXPECT_TRUE(stops_in_order(daemon));
 }
 
+// Each of the addresses ended the process after ten seconds, also under callers
+// that it was serving.
+TEST(daemon_starts, address_taken_for_eleven_seconds_ends_the_daemon) {
+    constexpr auto taken_time = 11s;
+    const auto names =
+        std::array<std::string, 3>{"callers", "readiness", "directory"};
+    auto daemons = std::list<started_daemon>{};
+    auto holders = std::list<bound_socket>{};
+    for (const auto& name : names) {
+        auto& daemon = daemons.emplace_back();
+        holders.emplace_back().listen();
+        auto settings = daemon.document("127.0.0.1:0");
+        settings["relay"][name] = holders.back().address();
+        daemon.write_settings(settings.dump());
+        daemon.start();
+    }
+    std::this_thread::sleep_for(taken_time);
+    for (auto index = std::size_t{0}; auto& daemon : daemons) {
+        const auto& name = names.at(index++);
+        EXPECT_FALSE(daemon.ended()) << name;
+        EXPECT_NE(daemon.logged("address is not available", name, "detail"), "")
+            << name;
+        // The other listeners are open.
+        for (const auto& other : names) {
+            EXPECT_EQ(daemon.logged("listening", other, "address").empty(),
+                      other == name)
+                << name << " " << other;
+        }
+    }
+    auto wanted = std::list<std::string>{};
+    for (const auto& holder : holders) {
+        wanted.push_back(holder.address());
+    }
+    holders.clear();
+    for (auto index = std::size_t{0}; auto& daemon : daemons) {
+        EXPECT_EQ(daemon.wait_for_listener(names.at(index++)), wanted.front());
+        wanted.pop_front();
+        EXPECT_TRUE(stops_in_order(daemon));
+    }
+}
+
+// Another port is one that firewalls do not know: the daemon had no neighbours.
+TEST(daemon_starts, taken_peer_port_is_silently_replaced_by_any) {
+    auto daemon = started_daemon{};
+    auto holder = std::optional<bound_socket>{std::in_place};
+    holder->listen();
+    const auto wanted = holder->address();
+    daemon.write_settings(daemon.settings("127.0.0.1:0", {}, holder->port()));
+    daemon.start();
+    EXPECT_TRUE(daemon.wait_for_start());
+    std::this_thread::sleep_for(500ms);
+    EXPECT_EQ(daemon.logged("listening", "peers", "address"), "");
+    EXPECT_NE(daemon.logged("address is not available", "peers", "detail"), "");
+    holder.reset();
+    EXPECT_EQ(daemon.wait_for_listener("peers"), wanted);
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
 // The local port of a connection was closed to listeners while the connection
 // was open, and for a minute after its end.
 TEST(daemon_starts, connection_of_a_daemon_keeps_another_from_listening) {
@@ -376,7 +458,7 @@
     auto daemon = started_daemon{};
     daemon.write_settings(daemon.settings(address));
     daemon.start();
-    EXPECT_TRUE(daemon.wait_for_start());
+    EXPECT_EQ(daemon.wait_for_listener("readiness"), address);
     EXPECT_TRUE(stops_in_order(daemon));
     EXPECT_TRUE(stops_in_order(connected));
 }
