Let connections wait for the first configuration of a daemon

Callers have one or two tries, and when all daemons start at once there is nobody else to ask.

Cause: the listener accepts before anything can be routed.

The first reads begin with the thread. Weighed: to listen only once configured (callers see a refused connection, which costs them the same try), and to keep requests in the daemon (memory and ends of sessions of requests that nobody has admitted).

--- a/basilstream/daemon/relay/relay.cpp
+++ b/basilstream/daemon/relay/relay.cpp
@@ -539,9 +539,10 @@
     : state_{std::make_unique<relay_state>(context, std::move(settings),
                                            dialect, provisioner)} {
     auto& state = *state_;
+    auto options = state.make_server_options(state.settings_.address_);
+    options.defers_accepting_ = state.settings_.defers_accepting_;
     state.server_ = std::make_unique<transport::http_session_server>(
-        context.thread_, context.clock_,
-        state.make_server_options(state.settings_.address_),
+        context.thread_, context.clock_, std::move(options),
         [&state](transport::request_message request,
                  transport::http_session& session) {
             state.on_request(std::move(request), session);
@@ -554,6 +555,10 @@
     return state_->server_->listen();
 }
 
+auto relay::begin_accepting() -> void {
+    state_->server_->begin_accepting();
+}
+
 auto relay::open_forwarding(const std::string& address) -> result<std::string> {
     auto& state = *state_;
     auto options = state.make_server_options(address);
--- a/basilstream/daemon/relay/relay.hpp
+++ b/basilstream/daemon/relay/relay.hpp
@@ -115,6 +115,8 @@
     bool least_cost_ = false;
     /// What clients may take of the memory.
     coordination::memory_shares memory_ = {};
+    /// Whether connections of clients wait until begin_accepting().
+    bool defers_accepting_ = false;
 };
 
 namespace internal {
@@ -133,6 +135,8 @@
     /// Starts to listen; fails if the address cannot be bound, and may be
     /// called again then.
     [[nodiscard]] auto open() -> result<void>;
+    /// Accepts connections of clients; see relay_settings::defers_accepting_.
+    auto begin_accepting() -> void;
 
     /// Starts to listen on "IP:PORT" for requests that other daemons forward,
     /// and offers that to them.
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -50,6 +50,11 @@
 constexpr auto max_forwarded_bytes = std::size_t{250'000};
 // A daemon that has been silent for longer is left out of endpoint responses.
 constexpr auto max_peer_silence = milliseconds{2000};
+// A process that has just started lets connections wait for so many sweeps
+// until it knows configuration and servers: a refusal would cost each caller
+// one of few tries, and the store mostly answers at once. Counted in sweeps, as
+// a process that is held up does not read the store either.
+constexpr auto max_sweeps_before_accepting = 5;
 // Lines that say why the daemon is not ready come at this interval.
 constexpr auto not_ready_interval = seconds{5};
 // The daemon stops this long before the end of the grace period, after which
@@ -173,6 +178,8 @@
         thread_.every(sweep_interval, [this] { sweep(); });
         thread_.every(cluster_tick_interval, [this] { tick_cluster(); });
         report_start();
+        // Reads of the store do not wait for the first sweep.
+        thread_.after(milliseconds{0}, [this] { watch_.tick(); });
         thread_.start();
         return {};
     }
@@ -185,6 +192,7 @@
                 stop_requested_at_ = clock_.now();
             }
             drain_.request_stop(clock_.now());
+            begin_accepting_if_due();
         });
     }
 
@@ -213,6 +221,7 @@
         -> void override {
         models_.set_config(config);
         relay_.set_config(std::move(config));
+        begin_accepting_if_due();
     }
     auto on_backend(const coordination::backend_server& server)
         -> void override {
@@ -277,8 +286,9 @@
                 .retry_allowance_delay_ = settings.limits_.retry_window_,
                 .speed_spread_ = settings.routing_.speed_spread_,
                 .least_cost_ = settings.least_cost_,
-                .memory_ = coordination::memory_shares_of(
-                    settings.limits_.memory_mb_)};
+                .memory_ =
+                    coordination::memory_shares_of(settings.limits_.memory_mb_),
+                .defers_accepting_ = true};
     }
 
     static auto allowance_settings_of(const relay_daemon_settings& settings)
@@ -324,6 +334,7 @@
         if (auto opened = relay_.open(); !opened) {
             return tl::unexpected(opened.error());
         }
+        sweeps_before_accepting_ = max_sweeps_before_accepting;
         return relay_.address();
     }
 
@@ -400,6 +411,16 @@
         return servers_.back()->address();
     }
 
+    // Accepts callers once their requests can be routed, or after a while, so
+    // that they get an answer.
+    auto begin_accepting_if_due() -> void {
+        const auto routable =
+            relay_.configured() && watch_.has_listed_backends();
+        if (routable || stop_requested_at_ || sweeps_before_accepting_ <= 0) {
+            relay_.begin_accepting();
+        }
+    }
+
     auto report_start() -> void {
         if (!start_reported_ && listeners_.is_open(listener_kind::callers)) {
             start_reported_ = true;
@@ -523,6 +544,8 @@
         listeners_.tick();
         report_start();
         watch_.tick();
+        sweeps_before_accepting_ -= sweeps_before_accepting_ > 0 ? 1 : 0;
+        begin_accepting_if_due();
         report_readiness();
         note_server_list_reads();
         permits_.tick();
@@ -799,6 +822,7 @@
     std::optional<cluster> cluster_;
     std::optional<quarantine_gossip> quarantine_gossip_;
     const time_point created_at_{clock_.now()};
+    int sweeps_before_accepting_ = max_sweeps_before_accepting;
     bool start_reported_ = false;
     bool ready_reported_ = false;
     time_point next_not_ready_line_{created_at_ + not_ready_interval};
--- a/basilstream/daemon/relay_program/relay_program_test.cpp
+++ b/basilstream/daemon/relay_program/relay_program_test.cpp
@@ -285,6 +285,22 @@
     EXPECT_EQ(runner_.served_count(), 0);
 }
 
+// A caller of a daemon that had just started lost a try: 503, while the
+// configuration was a store's answer away. Here it knows that there is no
+// route.
+TEST_F(relay_program_test, request_before_the_first_configuration_is_refused) {
+    deployment_.log_.set_listing_time(milliseconds{20});
+    auto& daemon = start("d1");
+    EXPECT_EQ(get(daemon.caller_address(), "/x", {{"Host", "other"}}).status_,
+              404);
+}
+
+TEST_F(relay_program_test, request_waits_for_a_store_that_is_away) {
+    deployment_.log_.set_available(false);
+    auto& daemon = start("d1");
+    EXPECT_EQ(get(daemon.caller_address(), "/x", {{"Host", "x"}}).status_, 503);
+}
+
 TEST_F(relay_program_test, stops_on_request) {
     start("d1");
     start("d2");
--- a/basilstream/daemon/relay_program/relay_program_test_world.hpp
+++ b/basilstream/daemon/relay_program/relay_program_test_world.hpp
@@ -64,6 +64,11 @@
     // is done.
     auto set_available(bool available) -> void { available_ = available; }
     [[nodiscard]] auto available() const -> bool { return available_; }
+    // How long listings take.
+    auto set_listing_time(milliseconds time) -> void { listing_time_ = time; }
+    [[nodiscard]] auto listing_time() const -> milliseconds {
+        return listing_time_;
+    }
     // Records appended to a topic that is not writable are lost.
     auto set_writable(shared_topic topic, bool writable) -> void {
         const auto guard = std::lock_guard{mutex_};
@@ -79,6 +84,7 @@
     std::map<shared_topic, std::vector<store_record>> logs_;
     std::set<shared_topic> discarded_topics_;
     std::atomic<bool> available_{true};
+    std::atomic<milliseconds> listing_time_{milliseconds{1}};
 };
 
 class memory_store final : public coordination::record_store {
@@ -87,9 +93,10 @@
         : log_{log}, thread_{thread} {}
     auto read_newest(shared_topic topic, handler<record_page> done)
         -> void override {
-        thread_.after(milliseconds{1}, [this, topic, done = std::move(done)] {
-            answer(done, [&] { return log_.newest(topic); });
-        });
+        thread_.after(log_.listing_time(),
+                      [this, topic, done = std::move(done)] {
+                          answer(done, [&] { return log_.newest(topic); });
+                      });
     }
     auto read_from(shared_topic topic, std::uint64_t offset, milliseconds wait,
                    handler<record_page> done) -> void override {
--- a/basilstream/transport/http_session/http_session.cpp
+++ b/basilstream/transport/http_session/http_session.cpp
@@ -460,12 +460,20 @@
         return tl::unexpected(listener.error());
     }
     listener_ = std::move(*listener);
+    listener_->set_accepting(!options_.defers_accepting_);
     if (options_.receive_buffer_bytes_ > 0) {
         listener_->bound_segments();
     }
     return {};
 }
 
+auto http_session_server::begin_accepting() -> void {
+    options_.defers_accepting_ = false;
+    if (listener_) {
+        listener_->set_accepting(true);
+    }
+}
+
 auto http_session_server::set_limits(const request_limits& limits,
                                      milliseconds header_timeout,
                                      milliseconds idle_timeout) -> void {
--- a/basilstream/transport/http_session/http_session.hpp
+++ b/basilstream/transport/http_session/http_session.hpp
@@ -214,6 +214,8 @@
     /// The kernel's buffers for all connections; 0 for its own choice.
     std::size_t receive_buffer_bytes_ = 0;
     std::size_t send_buffer_bytes_ = 0;
+    /// Whether connections wait in the kernel's queue until begin_accepting().
+    bool defers_accepting_ = false;
 };
 
 /// Counts what was done to clients that exceed bounds.
@@ -247,6 +249,9 @@
     [[nodiscard]] auto listening() const -> bool {
         return listener_ != nullptr;
     }
+    /// Accepts connections from now on; see
+    /// http_session_options::defers_accepting_.
+    auto begin_accepting() -> void;
 
     /// Changes the bounds for connections accepted from now on, and the
     /// time-outs of all.
--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -465,9 +465,7 @@
 
     ~handler() override {
         *alive_ = false;
-        thread_.reactor().remove_handler(descriptor_,
-                                         ACE_Event_Handler::ALL_EVENTS_MASK |
-                                             ACE_Event_Handler::DONT_CALL);
+        stop_watching();
         ::close(descriptor_);
     }
 
@@ -500,6 +498,17 @@
                std::to_string(ntohs(bound.sin_port));
     }
 
+    auto set_accepting(bool wanted) -> void {
+        if (std::exchange(accepting_, wanted) == wanted) {
+            return;
+        }
+        if (wanted) {
+            accept_from_now_on();
+        } else {
+            stop_watching();
+        }
+    }
+
 private:
     static auto lacks_resources() -> bool {
         return errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
@@ -507,6 +516,9 @@
     }
 
     auto accept_from_now_on() -> void {
+        if (!accepting_) {
+            return;
+        }
         const auto refused =
             thread_.reactor().register_handler(
                 descriptor_, this, ACE_Event_Handler::ACCEPT_MASK) != 0;
@@ -515,10 +527,14 @@
         }
     }
 
-    auto pause() -> void {
+    auto stop_watching() -> void {
         thread_.reactor().remove_handler(descriptor_,
                                          ACE_Event_Handler::ALL_EVENTS_MASK |
                                              ACE_Event_Handler::DONT_CALL);
+    }
+
+    auto pause() -> void {
+        stop_watching();
         accept_later();
     }
 
@@ -534,6 +550,7 @@
     int descriptor_;
     accept_handler accepted_;
     room_check has_room_;
+    bool accepting_ = true;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -573,6 +590,10 @@
             thread, descriptor, std::move(accepted), std::move(has_room))}};
 }
 
+auto tcp_listener::set_accepting(bool wanted) -> void {
+    handler_->set_accepting(wanted);
+}
+
 auto tcp_listener::bound_segments() -> void {
     handler_->bound_segments();
 }
--- a/basilstream/transport/tcp_stream/tcp_stream.hpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.hpp
@@ -144,6 +144,9 @@
 
     /// "IP:PORT" with the port in use.
     [[nodiscard]] auto address() const -> std::string;
+    /// Leaves new connections in the kernel's queue, or accepts them again.
+    /// Initially they are accepted.
+    auto set_accepting(bool wanted) -> void;
     /// Bounds the segments of connections accepted from now on to those of an
     /// Ethernet, for small buffers: a segment of a loopback interface, 64 KiB,
     /// does not fit into them, and its sender waits 200 ms for each window.
