Run timers by the steady clock

Cause: ACE's timer queue reads the time of day by default. After a step back no timer is due until the time of day has made up for it. Class: a default of a library taken for ours; all else here uses the steady clock.

Change: the timer heap has a time policy of its own, CLOCK_MONOTONIC.

--- a/basilstream/transport/reactor/reactor.cpp
+++ b/basilstream/transport/reactor/reactor.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdint>
+#include <ctime>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -25,19 +26,37 @@
 // ACE refuses to open a reactor for more than those.
 constexpr auto max_handles = rlim_t{8192};
 
+// Time of ACE's timers. By default they follow the time of day: after a step
+// back by an hour, no timer is due for an hour.
+class steady_time_policy {
+public:
+    auto operator()() const -> ACE_Time_Value {
+        auto now = timespec{};
+        ::clock_gettime(CLOCK_MONOTONIC, &now);
+        return ACE_Time_Value{now};
+    }
+    // Required by ACE; the source of time is fixed.
+    auto set_gettimeofday(ACE_Time_Value (* /*source*/)()) -> void {}
+};
+
+using steady_timer_heap =
+    ACE_Timer_Heap_T<ACE_Event_Handler*,
+                     ACE_Event_Handler_Handle_Timeout_Upcall,
+                     ACE_SYNCH_RECURSIVE_MUTEX, steady_time_policy>;
+
 // Rounds the wait for the next timer up to whole milliseconds. The reactor
 // hands its wait to epoll in whole milliseconds and would round it down, so
 // that it polls without a pause for the last part of each wait.
-class rounding_timer_heap final : public ACE_Timer_Heap {
+class rounding_timer_heap final : public steady_timer_heap {
 public:
     auto calculate_timeout(ACE_Time_Value* longest)
         -> ACE_Time_Value* override {
-        return round_up(ACE_Timer_Heap::calculate_timeout(longest));
+        return round_up(steady_timer_heap::calculate_timeout(longest));
     }
 
     auto calculate_timeout(ACE_Time_Value* longest, ACE_Time_Value* buffer)
         -> ACE_Time_Value* override {
-        return round_up(ACE_Timer_Heap::calculate_timeout(longest, buffer));
+        return round_up(steady_timer_heap::calculate_timeout(longest, buffer));
     }
 
 private:
--- a/basilstream/transport/reactor/reactor_test.cpp
+++ b/basilstream/transport/reactor/reactor_test.cpp
@@ -1,9 +1,30 @@
 #include "basilstream/transport/reactor/reactor.hpp"
 
+#include <atomic>
+#include <chrono>
+#include <ctime>
 #include <future>
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <sys/time.h>
+
+namespace {
+
+// Added to the time of day that libraries of this process read.
+std::atomic<std::time_t> step_seconds{0};
+
+} // namespace
+
+// Takes the place of the C library's function in this process, so that a test
+// can step the time of day. Tests of other names must not depend on it.
+extern "C" auto gettimeofday(timeval* result, void* /*zone*/) noexcept -> int {
+    auto now = timespec{};
+    ::clock_gettime(CLOCK_REALTIME, &now);
+    result->tv_sec = now.tv_sec + step_seconds.load();
+    result->tv_usec = now.tv_nsec / 1000;
+    return 0;
+}
 
 namespace basilstream::transport {
 namespace {
@@ -40,6 +61,30 @@
     EXPECT_GE(repeated, 3);
 }
 
+// Sweeps, reads of the store and the end of a stop waited until the time of day
+// had made up for the step.
+TEST(reactor, step_back_of_the_time_of_day_holds_up_timers) {
+    constexpr auto hour = std::time_t{3600};
+    auto thread = reactor_thread{"test", 16};
+    auto before = std::promise<void>{};
+    auto after = std::promise<void>{};
+    auto count = 0;
+    thread.every(milliseconds{1}, [&] {
+        if (++count == 3) {
+            before.set_value();
+        } else if (count == 6) {
+            after.set_value();
+        }
+    });
+    thread.start();
+    before.get_future().wait();
+    step_seconds = -hour;
+    const auto ended = after.get_future().wait_for(std::chrono::seconds{10});
+    step_seconds = 0;
+    EXPECT_EQ(ended, std::future_status::ready);
+    thread.stop();
+}
+
 TEST(reactor, stopped_thread_refuses_work) {
     auto thread = reactor_thread{"test", 16};
     thread.start();
