Log how a process ends and why it does not start

An exception of a thread and a fault left nothing in the log; a failed start left plain text on standard error.

Change: base/process_end writes a line before the end by an uncaught exception (thread, type, text) or by a signal of a fault, past the log's queue. The entry point logs each orderly end (status, run time, peak memory) and failed attempts to start.

--- a/basilstream/daemon/program/basilstreamd_main.cpp
+++ b/basilstream/daemon/program/basilstreamd_main.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
@@ -15,10 +16,15 @@
 #include <getopt.h>
 #include <malloc.h>
 #include <pthread.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
+#include "basilstream/base/clock/clock.hpp"
+#include "basilstream/base/process_end/process_end.hpp"
 #include "basilstream/daemon/program/program.hpp"
 #include "basilstream/daemon/relay_program/relay_program.hpp"
 #include "basilstream/daemon/relay_settings/relay_settings.hpp"
+#include "basilstream/transport/logging/logging.hpp"
 #include "platform/adapter/adapter.hpp"
 
 namespace {
@@ -42,7 +48,8 @@
     "cut off, also not by a second signal.\n"
     "\n"
     "exit status: 0 graceful shutdown or check passed, 2 bad settings, bad\n"
-    "command line, or a file or an address that is not there within 10 s\n";
+    "command line, settings that cannot be read within 10 s, or, without the\n"
+    "key relay, an address that is taken for 10 s\n";
 
 // Larger blocks, such as bodies of requests, return to the system when they are
 // freed. By default the C library keeps them once it has seen some.
@@ -133,6 +140,51 @@
               << "\n";
 }
 
+// Reports starts and ends of the process as lines of a daemon's log. What
+// happens before the settings are known, and after the daemon's own log is
+// gone, has no other place.
+class process_log {
+public:
+    // Sets the name of the daemon, which stands in later lines.
+    auto set_node(std::string name) -> void { node_ = std::move(name); }
+    auto on_failed_attempt(const error& failure, int attempt, bool is_final)
+        -> void {
+        make_logger().warning("start failed",
+                              {{"pid", std::to_string(::getpid())},
+                               {"address", failure.peer_},
+                               {"detail", failure.detail_},
+                               {"attempts", std::to_string(attempt)},
+                               {"waited_ms", waited()},
+                               {"final", is_final ? "yes" : "no"}});
+    }
+    auto on_end(int status) -> void {
+        auto usage = rusage{};
+        ::getrusage(RUSAGE_SELF, &usage);
+        make_logger().info("process ends", {{"pid", std::to_string(::getpid())},
+                                            {"status", std::to_string(status)},
+                                            {"ran_ms", waited()},
+                                            {"peak_memory_kb",
+                                             std::to_string(usage.ru_maxrss)}});
+    }
+
+private:
+    [[nodiscard]] auto make_logger() const -> transport::logger {
+        return {{.level_ = transport::log_level::info,
+                 .format_ = transport::log_format::json,
+                 .target_ = transport::log_target::standard_output},
+                node_};
+    }
+    [[nodiscard]] auto waited() const -> std::string {
+        return std::to_string(
+            std::chrono::duration_cast<milliseconds>(clock_.now() - started_at_)
+                .count());
+    }
+
+    steady_clock clock_;
+    const time_point started_at_ = clock_.now();
+    std::string node_;
+};
+
 // Interval at which the settings file is checked for changes.
 constexpr auto poll_interval = timespec{2, 0};
 
@@ -145,9 +197,11 @@
 }
 
 // A start that fails because of its surroundings is tried again: the settings
-// may be being written, and the process before may still hold an address.
+// may be being written, and the process before may still hold an address of a
+// daemon that does not wait for it.
 constexpr auto start_retry_interval = timespec{0, 100'000'000};
 constexpr auto max_start_attempts = 100;
+constexpr auto attempts_per_line = 10;
 
 auto may_start_later(const error& failure) -> bool {
     return failure.code_ == error_code::unavailable ||
@@ -171,11 +225,14 @@
 
 // Each of these runs a daemon until it has shut down. Fails if it could not
 // start.
-auto run_relay(const command_line& line, ACE_Sig_Set& signals) -> result<void> {
+auto run_relay(const command_line& line, ACE_Sig_Set& signals, process_log& log)
+    -> result<void> {
     const auto settings = daemon::load_relay_settings(line.config_);
     if (!settings || line.check_) {
         return settings ? result<void>{} : tl::unexpected(settings.error());
     }
+    log.set_node(settings->name_);
+    report_abnormal_end(settings->name_, STDOUT_FILENO);
     auto ended = end_notice{};
     const auto installation = platform::make_installation();
     auto daemon_instance = daemon::relay_program::start(
@@ -203,12 +260,14 @@
     return {};
 }
 
-auto run_product(const command_line& line, ACE_Sig_Set& signals)
-    -> result<void> {
+auto run_product(const command_line& line, ACE_Sig_Set& signals,
+                 process_log& log) -> result<void> {
     const auto settings = daemon::load_settings(line.config_);
     if (!settings || line.check_) {
         return settings ? result<void>{} : tl::unexpected(settings.error());
     }
+    log.set_node(settings->name_);
+    report_abnormal_end(settings->name_, STDERR_FILENO);
     auto ended = end_notice{};
     auto daemon_instance =
         daemon::program::start(*settings, [&ended] { ended.raise(); });
@@ -225,12 +284,13 @@
     return {};
 }
 
-auto run(const command_line& line, ACE_Sig_Set& signals) -> result<void> {
+auto run(const command_line& line, ACE_Sig_Set& signals, process_log& log)
+    -> result<void> {
     switch (daemon::settings_kind_of(line.config_)) {
     case daemon::settings_kind::relay:
-        return run_relay(line, signals);
+        return run_relay(line, signals, log);
     case daemon::settings_kind::product:
-        return run_product(line, signals);
+        return run_product(line, signals, log);
     case daemon::settings_kind::unreadable:
         break;
     }
@@ -244,29 +304,22 @@
     return number == SIGTERM || number == SIGINT;
 }
 
-} // namespace
-
-auto main(int argc, char** argv) -> int {
-    ::mallopt(M_MMAP_THRESHOLD, min_mapped_block_bytes);
-    auto signals = block_signals();
-    const auto line = parse(argc, argv);
-    if (line.exit_ >= 0) {
-        return line.exit_;
-    }
+// Runs a daemon until it has shut down, and tries again while it cannot start.
+// Returns the exit status.
+auto run_until_end(const command_line& line, ACE_Sig_Set& signals,
+                   process_log& log) -> int {
     for (auto attempt = 1;; ++attempt) {
-        const auto ran = run(line, signals);
+        const auto ran = run(line, signals, log);
         if (ran) {
-            if (line.check_) {
-                std::cout << line.config_ << ": settings are valid\n";
-            }
             return exit_ok;
         }
-        const auto is_final = line.check_ || !may_start_later(ran.error()) ||
-                              attempt == max_start_attempts;
-        if (is_final || attempt == 1) {
-            print_error(ran.error());
+        const auto is_final =
+            !may_start_later(ran.error()) || attempt == max_start_attempts;
+        if (is_final || attempt % attempts_per_line == 1) {
+            log.on_failed_attempt(ran.error(), attempt, is_final);
         }
         if (is_final) {
+            print_error(ran.error());
             return exit_settings;
         }
         if (stop_requested_meanwhile(signals)) {
@@ -274,3 +327,27 @@
         }
     }
 }
+
+} // namespace
+
+auto main(int argc, char** argv) -> int {
+    ::mallopt(M_MMAP_THRESHOLD, min_mapped_block_bytes);
+    auto signals = block_signals();
+    const auto line = parse(argc, argv);
+    if (line.exit_ >= 0) {
+        return line.exit_;
+    }
+    auto log = process_log{};
+    if (line.check_) {
+        const auto checked = run(line, signals, log);
+        if (!checked) {
+            print_error(checked.error());
+            return exit_settings;
+        }
+        std::cout << line.config_ << ": settings are valid\n";
+        return exit_ok;
+    }
+    const auto status = run_until_end(line, signals, log);
+    log.on_end(status);
+    return status;
+}
--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -259,7 +259,8 @@
         });
         return address;
     }
-    // Returns a field of the first line of an event about a listener.
+    // Returns a field of the first line of an event, about a listener unless
+    // that is empty.
     [[nodiscard]] auto logged(const std::string& event,
                               const std::string& listener,
                               const std::string& field) const -> std::string {
@@ -463,6 +464,33 @@
     EXPECT_TRUE(stops_in_order(connected));
 }
 
+// How a process ended, and why it did not start, could not be told from its
+// log.
+TEST(daemon_starts, end_of_a_process_leaves_no_line) {
+    auto stopped = started_daemon{};
+    stopped.write_settings(stopped.settings("127.0.0.1:0"));
+    stopped.start();
+    ASSERT_TRUE(stopped.wait_for_start());
+    EXPECT_TRUE(stops_in_order(stopped));
+    EXPECT_EQ(stopped.logged("process ends", "", "status"), "0");
+
+    auto faulty = started_daemon{};
+    faulty.write_settings(faulty.settings("127.0.0.1:0"));
+    faulty.start();
+    ASSERT_TRUE(faulty.wait_for_start());
+    faulty.signal(SIGSEGV);
+    EXPECT_TRUE(faulty.wait_for_end());
+    EXPECT_EQ(faulty.logged("process ends", "", "detail"), "SIGSEGV");
+    EXPECT_EQ(faulty.logged("process ends", "", "node"), "d0");
+
+    auto rejected = started_daemon{};
+    rejected.write_settings("{\"relay\": {}}");
+    rejected.start();
+    EXPECT_TRUE(rejected.wait_for_end());
+    EXPECT_EQ(rejected.logged("start failed", "", "final"), "yes");
+    EXPECT_EQ(rejected.logged("process ends", "", "status"), "2");
+}
+
 TEST(daemon_starts, stop_is_not_heeded_while_an_address_is_taken) {
     auto daemon = started_daemon{};
     const auto former = bound_socket{};
