--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -23,7 +23,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "basilstream/base/clock/clock.hpp"
 #include "basilstream/protocol/json/json.hpp"
+#include "basilstream/transport/reactor/reactor.hpp"
+#include "testing/fault_soak/stand_in_store.hpp"
 
 namespace basilstream::testing {
 namespace {
@@ -243,10 +246,11 @@
         return wait_until([this] { return ended().has_value(); }), ended();
     }
     // Returns whether the daemon listens, as its log says.
-    auto wait_for_start() -> bool {
-        return wait_until([this] {
-                   return has_logged("started") || ended().has_value();
-               }) &&
+    auto wait_for_start() -> bool { return wait_for_line("started"); }
+    // Returns whether the daemon runs and logs an event in time.
+    auto wait_for_line(const std::string& event) -> bool {
+        return wait_until(
+                   [&] { return has_logged(event) || ended().has_value(); }) &&
                !ended();
     }
     // Waits until the daemon says that a listener is open, and returns its
@@ -491,6 +495,28 @@
     EXPECT_EQ(rejected.logged("process ends", "", "status"), "2");
 }
 
+// The listing went round in circles at such a key: no configuration, ever.
+TEST(daemon_starts, configuration_behind_other_keys_is_not_found) {
+    auto world = transport::reactor_thread{"world", 1024};
+    const auto time = steady_clock{};
+    auto store = stand_in_store{world, time};
+    store.set_page_size(1);
+    store.put("keyed.op", "a02%17", "{}");
+    store.put("keyed.op", "a05+", "{}");
+    store.put("keyed.op", "config",
+              R"({"version": 7, "routes": [], "services": []})");
+    world.start();
+    auto daemon = started_daemon{};
+    auto settings = daemon.document("127.0.0.1:0");
+    settings["store"]["address"] = store.address();
+    daemon.write_settings(settings.dump());
+    daemon.start();
+    EXPECT_TRUE(daemon.wait_for_line("ready"));
+    EXPECT_EQ(daemon.logged("ready", "", "config"), "7");
+    EXPECT_TRUE(stops_in_order(daemon));
+    world.stop();
+}
+
 TEST(daemon_starts, stop_is_not_heeded_while_an_address_is_taken) {
     auto daemon = started_daemon{};
     const auto former = bound_socket{};
--- a/testing/fault_soak/stand_in_store.cpp
+++ b/testing/fault_soak/stand_in_store.cpp
@@ -1,6 +1,7 @@
 #include "testing/fault_soak/stand_in_store.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 #include "basilstream/protocol/json/json.hpp"
@@ -26,6 +27,27 @@
     return {};
 }
 
+// Undoes the encoding of a value in a query, in which a plus stands for a
+// blank.
+auto decoded(std::string_view text) -> std::string {
+    constexpr auto hexadecimal = 16;
+    auto value = std::string{};
+    while (!text.empty()) {
+        auto taken = std::size_t{1};
+        auto letter = text.front() == '+' ? ' ' : text.front();
+        if (letter == '%' && text.size() > 2 &&
+            std::isxdigit(static_cast<unsigned char>(text[1])) != 0 &&
+            std::isxdigit(static_cast<unsigned char>(text[2])) != 0) {
+            letter = static_cast<char>(std::stoi(std::string{text.substr(1, 2)},
+                                                 nullptr, hexadecimal));
+            taken = 3;
+        }
+        value.push_back(letter);
+        text.remove_prefix(taken);
+    }
+    return value;
+}
+
 auto number_or(const std::string& text, std::size_t fallback) -> std::size_t {
     return text.empty() ? fallback : std::stoul(text);
 }
@@ -147,7 +169,7 @@
              milliseconds{number_or(query_value(request.target_, "waitMs"), 0)},
              call, view);
     } else if (path == "/basilstream/log-newest") {
-        list(topic, call, view);
+        list(topic, decoded(query_value(request.target_, "after")), call, view);
     } else {
         respond(call, 404, "");
     }
@@ -206,15 +228,24 @@
     });
 }
 
-auto stand_in_store::list(const std::string& topic, const call_pointer& call,
-                          const record_view& view) -> void {
+auto stand_in_store::list(const std::string& topic, const std::string& after,
+                          const call_pointer& call, const record_view& view)
+    -> void {
     const auto& records = topics_[topic];
     auto newest = std::map<std::string, std::size_t>{};
     for (auto offset = std::size_t{0}; offset < records.size(); ++offset) {
         newest[std::string{split(records[offset]).first}] = offset;
     }
     auto items = json::array();
+    auto more = false;
     for (const auto& [key, offset] : newest) {
+        if (!after.empty() && key <= after) {
+            continue;
+        }
+        more = items.size() == page_size_;
+        if (more) {
+            break;
+        }
         auto value = std::string{split(records[offset]).second};
         if (view) {
             value = view(topic, std::move(value));
@@ -224,9 +255,9 @@
                 {{"key", key}, {"value", base64(value)}, {"offset", offset}});
         }
     }
-    respond(call, 200,
-            json{{"items", items}, {"more", false}, {"end", records.size()}}
-                .dump());
+    respond(
+        call, 200,
+        json{{"items", items}, {"more", more}, {"end", records.size()}}.dump());
 }
 
 auto stand_in_store::respond(const call_pointer& call, int status,
--- a/testing/fault_soak/stand_in_store.hpp
+++ b/testing/fault_soak/stand_in_store.hpp
@@ -51,6 +51,8 @@
     auto put(const std::string& topic, const std::string& key,
              const std::optional<std::string>& value) -> void;
     auto set_fault(store_fault fault) -> void { fault_ = fault; }
+    /// Records on each page of a listing.
+    auto set_page_size(std::size_t records) -> void { page_size_ = records; }
 
 private:
     // A call whose answer is due later.
@@ -65,8 +67,9 @@
     auto read(const std::string& topic, std::size_t from,
               milliseconds longest_wait, const call_pointer& call,
               const record_view& view) -> void;
-    auto list(const std::string& topic, const call_pointer& call,
-              const record_view& view) -> void;
+    // Lists the newest record of each key behind `after`.
+    auto list(const std::string& topic, const std::string& after,
+              const call_pointer& call, const record_view& view) -> void;
     auto respond(const call_pointer& call, int status, std::string body)
         -> void;
     auto add_record(const std::string& topic, std::string content) -> void;
@@ -87,6 +90,7 @@
     std::map<std::string, std::vector<std::string>> topics_;
     std::list<waiting_read> waiting_;
     store_fault fault_ = store_fault::none;
+    std::size_t page_size_ = 500;
 };
 
 } // namespace basilstream::testing
