Mend what the review of the starts found

It is written only if there is room. Test: process_end.full_pipe_keeps_the_process_from_ending. - connections of callers were let in before the quarantine was read, so that a request that crashes servers could be sent on.

--- a/basilstream/base/process_end/process_end.cpp
+++ b/basilstream/base/process_end/process_end.cpp
@@ -12,6 +12,7 @@
 #include <typeinfo>
 
 #include <cxxabi.h>
+#include <poll.h>
 #include <pthread.h>
 #include <unistd.h>
 
@@ -133,8 +134,13 @@
         0, max_line_bytes -
                std::min(max_line_bytes, line.text().size() + end.size())));
     line.raw(end);
-    [[maybe_unused]] const auto written =
-        ::write(output, line.text().data(), line.text().size());
+    // A pipe that nobody reads must not keep the process from ending. One that
+    // is ready takes at least PIPE_BUF bytes.
+    auto ready = pollfd{output, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) == 1) {
+        [[maybe_unused]] const auto written =
+            ::write(output, line.text().data(), line.text().size());
+    }
 }
 
 auto report_exception() -> void {
--- a/basilstream/base/process_end/process_end_test.cpp
+++ b/basilstream/base/process_end/process_end_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <thread>
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <pthread.h>
 #include <sys/wait.h>
@@ -83,6 +84,28 @@
     EXPECT_TRUE(result.output_.ends_with("x\"}\n"));
 }
 
+// The line waited for room in a pipe that nobody read.
+TEST(process_end, full_pipe_keeps_the_process_from_ending) {
+    auto ends = std::array<int, 2>{};
+    ASSERT_EQ(::pipe2(ends.data(), O_NONBLOCK), 0);
+    while (::write(ends[1], "x", 1) == 1) {
+    }
+    ::fcntl(ends[1], F_SETFL, 0);
+    const auto child = ::fork();
+    if (child == 0) {
+        ::alarm(10);
+        report_abnormal_end("entry-1", ends[1]);
+        std::raise(SIGSEGV);
+        ::_exit(0);
+    }
+    auto status = 0;
+    ::waitpid(child, &status, 0);
+    EXPECT_TRUE(WIFSIGNALED(status));
+    EXPECT_EQ(WTERMSIG(status), SIGSEGV);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 TEST(process_end, orderly_end_leaves_a_line) {
     EXPECT_EQ(run([] {}).output_, "");
 }
--- a/basilstream/daemon/relay_program/relay_program.cpp
+++ b/basilstream/daemon/relay_program/relay_program.cpp
@@ -334,7 +334,6 @@
         if (auto opened = relay_.open(); !opened) {
             return tl::unexpected(opened.error());
         }
-        sweeps_before_accepting_ = max_sweeps_before_accepting;
         return relay_.address();
     }
 
@@ -365,6 +364,12 @@
     // Listens for forwarded requests on the last free port for other daemons;
     // on any if there is but one, which the link takes.
     auto open_forwarding() -> result<std::string> {
+        if (!link_ && !cluster_) {
+            // The link goes first where few ports are free.
+            return tl::unexpected(error{error_code::unavailable, step::peer,
+                                        settings_.peer_ip_,
+                                        "waits for the listener for peers"});
+        }
         const auto last = int{settings_.last_peer_port_};
         const auto first = int{settings_.first_peer_port_};
         if (last <= first) {
@@ -411,12 +416,11 @@
         return servers_.back()->address();
     }
 
-    // Accepts callers once their requests can be routed, or after a while, so
-    // that they get an answer.
+    // Accepts callers once their requests can be routed, and those that crash
+    // servers are known, or after a while, so that they get an answer.
     auto begin_accepting_if_due() -> void {
-        const auto routable =
-            relay_.configured() && watch_.has_listed_backends();
-        if (routable || stop_requested_at_ || sweeps_before_accepting_ <= 0) {
+        if (status_.ready() || stop_requested_at_ ||
+            sweeps_before_accepting_ <= 0) {
             relay_.begin_accepting();
         }
     }
@@ -541,10 +545,16 @@
     }
 
     auto sweep() -> void {
-        listeners_.tick();
+        if (!stop_requested_at_) {
+            // A daemon that stops leaves free addresses to its successor.
+            listeners_.tick();
+        }
         report_start();
         watch_.tick();
-        sweeps_before_accepting_ -= sweeps_before_accepting_ > 0 ? 1 : 0;
+        if (listeners_.is_open(listener_kind::callers) &&
+            sweeps_before_accepting_ > 0) {
+            --sweeps_before_accepting_;
+        }
         begin_accepting_if_due();
         report_readiness();
         note_server_list_reads();
--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -426,8 +426,7 @@
 auto share_local_port(int descriptor) -> void {
     set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
     // Without a port that was bound before connect(), Linux 6.18 keeps
-    // listeners out all the same. If no port is free, connect() still finds one
-    // that other connections use to other peers.
+    // listeners out all the same. If no port is free, connect() looks for one.
     auto any = sockaddr_in{};
     any.sin_family = AF_INET;
     (void)::bind(descriptor, reinterpret_cast<sockaddr*>(&any), sizeof any);
--- a/testing/foreign_records/foreign_records_test.cpp
+++ b/testing/foreign_records/foreign_records_test.cpp
@@ -2,10 +2,13 @@
 // daemons. All of them read the same store, so that a record that ends one
 // ends all, and again at each start.
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
+#include <fstream>
 #include <future>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -157,6 +160,20 @@
     int version_ = 0;
 };
 
+// Whether a daemon has read records of each kind that it logs something about.
+auto has_read_records(const std::string& log_path) -> bool {
+    auto text = std::ostringstream{};
+    text << std::ifstream{log_path}.rdbuf();
+    const auto log = text.str();
+    const auto events =
+        std::array{"\"configuration activated\"",
+                   "\"undecodable backend server record ignored\"",
+                   "\"undecodable quarantine record ignored\""};
+    return std::all_of(events.begin(), events.end(), [&](const char* event) {
+        return log.find(event) != std::string::npos;
+    });
+}
+
 class foreign_records : public ::testing::TestWithParam<int> {};
 
 // No field is trusted: a daemon that such a record ends does not start again.
@@ -207,6 +224,10 @@
     for (const auto& daemon : daemons) {
         EXPECT_FALSE(daemon->ended()) << daemon->unexpected_end();
     }
+    for (const auto* name : {"d0", "d1"}) {
+        EXPECT_TRUE(has_read_records(directory / (std::string{name} + ".log")))
+            << name;
+    }
     daemons.clear();
     thread.stop();
     std::filesystem::remove_all(directory);
