Do not bind connections to ports of their own

All listeners at port 0 failed: the host had no port left.

Cause: bound each connection to a port before connect(). Such a port belongs to one connection, also for a minute after its end, whatever the peer; ports that connect() chooses serve connections to many peers.

Change: SO_REUSEADDR only.

--- a/basilstream/transport/peer_link/peer_link.cpp
+++ b/basilstream/transport/peer_link/peer_link.cpp
@@ -206,9 +206,7 @@
         socket.set(zmq::sockopt::sndhwm, options_.peer_queue_);
         socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
         try {
-            // A source address makes ZeroMQ set SO_REUSEADDR, without which the
-            // local port of this connection is closed to listeners.
-            socket.connect("tcp://" + options_.address_ + ":0;" + address);
+            socket.connect("tcp://" + address);
         } catch (const zmq::error_t&) {
             // A malformed address: what is sent to it is dropped.
             dropped_.fetch_add(1);
--- a/basilstream/transport/tcp_stream/tcp_stream.cpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.cpp
@@ -424,12 +424,9 @@
 }
 
 auto share_local_port(int descriptor) -> void {
+    // No bind() to a port: such a port is not used again for connections to
+    // other peers, so that a host runs out of ports.
     set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
-    // Without a port that was bound before connect(), Linux 6.18 keeps
-    // listeners out all the same. If no port is free, connect() looks for one.
-    auto any = sockaddr_in{};
-    any.sin_family = AF_INET;
-    (void)::bind(descriptor, reinterpret_cast<sockaddr*>(&any), sizeof any);
 }
 
 auto bound_buffers(int descriptor, std::size_t receive_bytes,
--- a/basilstream/transport/tcp_stream/tcp_stream.hpp
+++ b/basilstream/transport/tcp_stream/tcp_stream.hpp
@@ -107,8 +107,9 @@
 };
 
 /// Lets other processes listen at the local port that the connection of a new
-/// socket will have. Otherwise the port is closed to them while the connection
-/// is open, and for a minute after its end. Call before connect().
+/// socket will have, unless connections without this share the port. Otherwise
+/// the port is closed to them while the connection is open, and for a minute
+/// after its end. Call before connect().
 auto share_local_port(int descriptor) -> void;
 
 /// Bounds the kernel's buffers of a connection, which then no longer grow by
