Send a brittle server no more at once than it may reject

The ledger of slots limits how many requests are under way before a rejection would be known, but only after a first rejection, and only from half of the announced slots on. Servers that announce 32 slots and hold five, and new processes of such servers, got two requests within a millisecond, rejected both and fell. The rule now holds always, beyond what the server has held in the last 300 ms; what it held before that says nothing, as its queue may have become short since.

server_slots_load now plays 20 seeds of each case.

Two tests asked for 16 and 32 slots at one instant of a server that bears five rejections. They ask every 10 ms now; what they check of the limit is unchanged.

--- a/basilstream/coordination/server_slots/server_slots.cpp
+++ b/basilstream/coordination/server_slots/server_slots.cpp
@@ -9,9 +9,9 @@
 // Rejections are counted over a second, and a margin for the time that messages
 // take.
 constexpr auto rejection_window = milliseconds{1200};
-// A server whose last rejection is longer ago is taken to have the room that it
-// announces.
-constexpr auto distrust_time = seconds{10};
+// What a server held longer ago says nothing about its room, which may have
+// become smaller since.
+constexpr auto confirmation_lifetime = milliseconds{300};
 // Requests that were sent before slots were needed end within this time.
 constexpr auto settling_time = seconds{1};
 // A rejection is reported within this time after the request was let through.
@@ -126,6 +126,11 @@
            now - rejections.front() >= rejection_window) {
         rejections.pop_front();
     }
+    auto& confirmed = state.confirmed_;
+    while (!confirmed.empty() &&
+           now - confirmed.front().at_ >= confirmation_lifetime) {
+        confirmed.pop_front();
+    }
     std::erase_if(state.leases_, [now](const auto& entry) {
         return entry.second.expires_at_ <= now;
     });
@@ -156,7 +161,7 @@
     const auto in_use = static_cast<int>(state.leases_.size());
     state.rejections_.push_back(now);
     state.last_rejection_ = now;
-    state.confirmed_ = 0;
+    state.confirmed_.clear();
     state.starting_ = false;
     // Requests that were let through before the limit was reduced say nothing
     // about the new one, nor does a server that still holds others.
@@ -173,6 +178,15 @@
     state.limit_reached_ = false;
 }
 
+auto slot_ledger::confirm(server_state& state, int in_use, time_point now)
+    -> void {
+    auto& confirmed = state.confirmed_;
+    while (!confirmed.empty() && confirmed.back().in_use_ <= in_use) {
+        confirmed.pop_back();
+    }
+    confirmed.push_back({in_use, now});
+}
+
 auto slot_ledger::has_room(server_state& state, time_point now) -> bool {
     const auto in_use = static_cast<int>(state.leases_.size());
     if (in_use >= state.limit_) {
@@ -180,15 +194,11 @@
         return false;
     }
     const auto rejections = static_cast<double>(state.rejections_.size());
-    if (in_use < state.limit_ / 2) {
-        return true;
-    }
     if (rejections > 0 && rejections >= state.bearable_) {
-        return false;
+        return in_use < state.limit_ / 2;
     }
-    if (in_use < state.confirmed_ ||
-        state.last_rejection_ == time_point::min() ||
-        now - state.last_rejection_ >= distrust_time) {
+    if (!state.confirmed_.empty() &&
+        in_use < state.confirmed_.front().in_use_) {
         return true;
     }
     const auto unconfirmed = std::count_if(
@@ -268,7 +278,7 @@
     }
     if (outcome == slot_outcome::answered) {
         if (held->second.granted_at_ > state.last_rejection_) {
-            state.confirmed_ = std::max(state.confirmed_, held->second.in_use_);
+            confirm(state, held->second.in_use_, now);
         }
         const auto hold = now - held->second.granted_at_;
         state.mean_hold_ = state.mean_hold_ == duration{0}
--- a/basilstream/coordination/server_slots/server_slots_test.cpp
+++ b/basilstream/coordination/server_slots/server_slots_test.cpp
@@ -13,6 +13,9 @@
 namespace basilstream::coordination {
 namespace {
 
+// Long enough for no more requests to be under way than a server may reject.
+constexpr auto interval_of_requests = milliseconds{10};
+
 class server_slots : public ::testing::Test {
 protected:
     // Returns the decision about a request that is made now, if it is made.
@@ -100,10 +103,36 @@
     EXPECT_GE(waits.back() - waits.front(), milliseconds{1000});
 }
 
+// All of them may be rejected, if the server now has less room than before.
+TEST_F(server_slots, burst_is_larger_than_what_a_server_may_reject) {
+    ledger_.set_server("s", 1000, 32, false);
+    const auto granted_of = [this](std::uint64_t first) {
+        auto granted = 0;
+        for (auto id = first; id < first + 10; ++id) {
+            granted += is_granted(id) ? 1 : 0;
+        }
+        return granted;
+    };
+    EXPECT_EQ(granted_of(1), 5);
+    now_ += milliseconds{30};
+    EXPECT_EQ(granted_of(11), 5);
+    // Up to ten, as many as it has just held, are no risk.
+    now_ += milliseconds{30};
+    give_back(15, slot_outcome::answered);
+    for (auto id = std::uint64_t{1}; id <= 5; ++id) {
+        give_back(id, slot_outcome::answered);
+    }
+    EXPECT_EQ(granted_of(21), 6);
+    // It may have less room by now.
+    now_ += seconds{1};
+    EXPECT_EQ(granted_of(31), 5);
+}
+
 TEST_F(server_slots, rejections_reduce_the_slots_which_return) {
     ledger_.set_server("s", 1000, 32, false);
     for (auto id = std::uint64_t{1}; id <= 16; ++id) {
         EXPECT_TRUE(is_granted(id));
+        now_ += interval_of_requests;
     }
     now_ += seconds{1};
     give_back(16, slot_outcome::rejected);
@@ -145,12 +174,14 @@
     ledger_.set_server("s", 1000, 32, false);
     for (auto id = std::uint64_t{1}; id <= 32; ++id) {
         EXPECT_TRUE(is_granted(id));
+        now_ += interval_of_requests;
     }
     ledger_.set_server("s", 2000, 32, true);
     EXPECT_EQ(ledger_.in_use("s"), 0);
     auto granted = 0;
     for (auto id = std::uint64_t{33}; id <= 64; ++id) {
         granted += is_granted(id) ? 1 : 0;
+        now_ += interval_of_requests;
     }
     EXPECT_EQ(granted, 8);
     now_ += milliseconds{500};
@@ -180,10 +211,13 @@
 constexpr auto length = seconds{12};
 constexpr auto max_wait = milliseconds{400};
 
+constexpr auto first_seed = std::uint64_t{5};
+constexpr auto last_seed = std::uint64_t{24};
+
 class simulation {
 public:
-    explicit simulation(const load_case& options)
-        : options_{options}, servers_(server_count) {
+    simulation(const load_case& options, std::uint64_t seed)
+        : options_{options}, random_{seed}, servers_(server_count) {
         for (auto number = 0; number < server_count; ++number) {
             ledger_.set_server(name_of(number), 1000, options_.announced_slots_,
                                false);
@@ -356,7 +390,7 @@
     }
 
     const load_case options_;
-    seeded_random random_{5};
+    seeded_random random_;
     slot_ledger ledger_;
     std::vector<server_state> servers_;
     std::priority_queue<event> events_;
@@ -372,12 +406,14 @@
 
 TEST_P(server_slots_load, servers_bear_the_rejections) {
     const auto& options = GetParam();
-    auto world = simulation{options};
-    world.run();
-    std::cout << options.name_ << " falls " << world.falls_ << " goodput "
-              << world.goodput() << "\n";
-    EXPECT_LE(world.falls_, 2);
-    EXPECT_GE(world.goodput(), options.min_goodput_);
+    for (auto seed = first_seed; seed <= last_seed; ++seed) {
+        auto world = simulation{options, seed};
+        world.run();
+        std::cout << options.name_ << " seed " << seed << " falls "
+                  << world.falls_ << " goodput " << world.goodput() << "\n";
+        EXPECT_LE(world.falls_, 2) << seed;
+        EXPECT_GE(world.goodput(), options.min_goodput_) << seed;
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -395,6 +431,11 @@
                   .load_ = 0.6,
                   .announced_slots_ = 32,
                   .min_goodput_ = 0.8},
+        load_case{.name_ = "too_many_slots_announced_one_bearable_load_060",
+                  .load_ = 0.6,
+                  .bearable_ = 1,
+                  .announced_slots_ = 32,
+                  .min_goodput_ = 0.8},
         load_case{.name_ = "too_many_slots_announced_load_200",
                   .load_ = 2,
                   .announced_slots_ = 32,
