End the process although its output takes nothing

A daemon whose standard output is a pipe that nobody reads did not end: the writer thread of the log waited for room, and the thread that ends the process waited for the writer. The line "process ends" and errors about settings waited as well, the latter on the thread that heeds signals, so that SIGTERM was not heeded after a reload that failed.

All of them now write through base/bounded_write, which never blocks longer than it is told: lines of the log that are left at the end wait for 100 ms in total, lines of the process for 100 ms each.

--- a/basilstream/daemon/program/basilstreamd_main.cpp
+++ b/basilstream/daemon/program/basilstreamd_main.cpp
@@ -19,6 +19,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include "basilstream/base/bounded_write/bounded_write.hpp"
 #include "basilstream/base/clock/clock.hpp"
 #include "basilstream/base/process_end/process_end.hpp"
 #include "basilstream/daemon/program/program.hpp"
@@ -135,9 +136,17 @@
     std::atomic<bool> raised_{false};
 };
 
+// A line that finds no room in the output for this long is dropped: the process
+// must heed signals and end also if nobody reads what it writes.
+constexpr auto max_output_wait = milliseconds{100};
+
 auto print_error(const error& failure) -> void {
-    std::cerr << "basilstreamd: " << failure.peer_ << ": " << failure.detail_
-              << "\n";
+    const auto clock = steady_clock{};
+    const auto limit = clock.now() + max_output_wait;
+    write_while(STDERR_FILENO,
+                "basilstreamd: " + failure.peer_ + ": " + failure.detail_ +
+                    "\n",
+                [&] { return clock.now() < limit; });
 }
 
 // Reports starts and ends of the process as lines of a daemon's log. What
@@ -171,7 +180,8 @@
     [[nodiscard]] auto make_logger() const -> transport::logger {
         return {{.level_ = transport::log_level::info,
                  .format_ = transport::log_format::json,
-                 .target_ = transport::log_target::standard_output},
+                 .target_ = transport::log_target::standard_output,
+                 .max_wait_ = max_output_wait},
                 node_};
     }
     [[nodiscard]] auto waited() const -> std::string {
--- a/basilstream/transport/logging/logging.cpp
+++ b/basilstream/transport/logging/logging.cpp
@@ -1,12 +1,15 @@
 #include "basilstream/transport/logging/logging.hpp"
 
-#include <chrono>
+#include <algorithm>
+#include <atomic>
 #include <utility>
 
 #include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
+#include "basilstream/base/bounded_write/bounded_write.hpp"
 #include "basilstream/protocol/json/json.hpp"
 
 namespace basilstream::transport {
@@ -39,15 +42,47 @@
     return json(value).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-auto make_sink(log_target target) -> spdlog::sink_ptr {
-    if (target == log_target::standard_output) {
-        return std::make_shared<spdlog::sinks::stdout_sink_mt>();
-    }
-    return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+auto descriptor_of(log_target target) -> int {
+    return target == log_target::standard_output ? STDOUT_FILENO
+                                                 : STDERR_FILENO;
 }
 
+// Time for the lines that are left when a logger ends.
+constexpr auto max_wait_at_end = std::chrono::milliseconds{100};
+
 } // namespace
 
+// Writes lines to a descriptor. The sinks of spdlog block while the other end
+// of a pipe takes nothing, and with them the end of the process.
+class log_output final : public spdlog::sinks::base_sink<std::mutex> {
+public:
+    using clock = std::chrono::steady_clock;
+
+    log_output(int descriptor,
+               std::optional<std::chrono::milliseconds> max_wait)
+        : descriptor_{descriptor}, max_wait_{max_wait} {}
+
+    // Drops what could not be written by `limit`. Thread-safe.
+    auto end_by(clock::time_point limit) -> void { end_.store(limit); }
+
+protected:
+    auto sink_it_(const spdlog::details::log_msg& message) -> void override {
+        auto line = spdlog::memory_buf_t{};
+        formatter_->format(message, line);
+        const auto limit =
+            max_wait_ ? clock::now() + *max_wait_ : clock::time_point::max();
+        write_while(descriptor_, {line.data(), line.size()}, [this, limit] {
+            return clock::now() < std::min(limit, end_.load());
+        });
+    }
+    auto flush_() -> void override {}
+
+private:
+    int descriptor_;
+    std::optional<std::chrono::milliseconds> max_wait_;
+    std::atomic<clock::time_point> end_{clock::time_point::max()};
+};
+
 auto line_budget::allow(std::string_view event, std::int64_t second,
                         std::uint64_t& left_out) -> bool {
     left_out = 0;
@@ -74,16 +109,17 @@
 
 logger::logger(const logger_options& options, std::string node)
     : options_{options}, node_{std::move(node)},
-      budget_{options.lines_per_second_} {
-    const auto sink = make_sink(options_.target_);
+      budget_{options.lines_per_second_}, output_{std::make_shared<log_output>(
+                                              descriptor_of(options.target_),
+                                              options.max_wait_)} {
     if (options_.queued_lines_ > 0) {
         writer_ = std::make_shared<spdlog::details::thread_pool>(
             options_.queued_lines_, 1);
         sink_ = std::make_shared<spdlog::async_logger>(
-            "basilstream", sink, writer_,
+            "basilstream", output_, writer_,
             spdlog::async_overflow_policy::overrun_oldest);
     } else {
-        sink_ = std::make_shared<spdlog::logger>("basilstream", sink);
+        sink_ = std::make_shared<spdlog::logger>("basilstream", output_);
     }
     sink_->set_level(spdlog_level(options_.level_));
     sink_->set_pattern(
@@ -95,6 +131,9 @@
 }
 
 logger::~logger() {
+    if (writer_) {
+        output_->end_by(log_output::clock::now() + max_wait_at_end);
+    }
     flush();
 }
 
--- a/basilstream/transport/logging/logging.hpp
+++ b/basilstream/transport/logging/logging.hpp
@@ -6,12 +6,14 @@
 /// Safe to use from several threads.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -57,6 +59,10 @@
     /// never blocks; when it is full the oldest are dropped and counted. Zero
     /// writes on the caller's thread.
     std::size_t queued_lines_ = 0;
+    /// How long a line waits for room in the output before the rest of it is
+    /// dropped; for good if empty. Lines of the queue that are left when the
+    /// logger is destroyed wait for 100 ms in total.
+    std::optional<std::chrono::milliseconds> max_wait_;
 };
 
 using log_field = std::pair<std::string_view, std::string_view>;
@@ -83,6 +89,8 @@
     std::map<std::string, count, std::less<>> events_;
 };
 
+class log_output;
+
 /// Writes one line per event.
 class logger {
 public:
@@ -115,6 +123,7 @@
     line_budget budget_;
     // The queue's thread; null if lines are written at once.
     std::shared_ptr<spdlog::details::thread_pool> writer_;
+    std::shared_ptr<log_output> output_;
     std::shared_ptr<spdlog::logger> sink_;
 };
 
--- a/testing/daemon_starts/daemon_starts_test.cpp
+++ b/testing/daemon_starts/daemon_starts_test.cpp
@@ -95,6 +95,28 @@
     rlim_t value_;
 };
 
+// A pipe that nobody reads and that has no room left.
+class full_pipe {
+public:
+    full_pipe() {
+        static_cast<void>(::pipe2(ends_.data(), O_CLOEXEC | O_NONBLOCK));
+        const auto bytes = std::array<char, 4096>{};
+        while (::write(ends_[1], bytes.data(), bytes.size()) > 0) {
+        }
+        ::fcntl(ends_[1], F_SETFL, 0);
+    }
+    full_pipe(const full_pipe&) = delete;
+    auto operator=(const full_pipe&) -> full_pipe& = delete;
+    ~full_pipe() {
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+    [[nodiscard]] auto descriptor() const -> int { return ends_[1]; }
+
+private:
+    std::array<int, 2> ends_{-1, -1};
+};
+
 // A connection to a loopback port.
 class caller {
 public:
@@ -182,7 +204,9 @@
     auto write_settings(const std::string& text) const -> void {
         std::ofstream{settings_path()} << text;
     }
-    auto start(std::optional<resource_limit> limit = std::nullopt) -> void {
+    // Starts the daemon; its output goes to `output`, or to the log.
+    auto start(std::optional<resource_limit> limit = std::nullopt,
+               int output = -1) -> void {
         auto arguments = std::array<std::string, 3>{
             BASILSTREAMD_PATH, "--config", settings_path()};
         auto pointers =
@@ -191,8 +215,10 @@
         const auto log = log_path();
         pid_ = ::fork();
         if (pid_ == 0) {
-            const auto output =
-                ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            if (output < 0) {
+                output =
+                    ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            }
             ::dup2(output, STDOUT_FILENO);
             ::dup2(output, STDERR_FILENO);
             if (limit) {
@@ -255,6 +281,13 @@
                    [&] { return has_logged(event) || ended().has_value(); }) &&
                !ended();
     }
+    // Returns whether the daemon runs and answers a GET in time.
+    auto wait_for_answer(int port, const std::string& path) -> bool {
+        return wait_until([&] {
+                   return caller{port}.is_answered(path) || ended().has_value();
+               }) &&
+               !ended();
+    }
     // Waits until the daemon says that a listener is open, and returns its
     // address; empty if it does not.
     auto wait_for_listener(const std::string& name) -> std::string {
@@ -520,6 +553,33 @@
     EXPECT_EQ(rejected.logged("process ends", "", "status"), "2");
 }
 
+// The end waited for room in the output, until the process was killed.
+TEST(daemon_starts, output_that_takes_nothing_keeps_a_daemon_from_its_end) {
+    const auto output = full_pipe{};
+    const auto readiness = free_port();
+    auto daemon = started_daemon{};
+    daemon.write_settings(
+        daemon.settings("127.0.0.1:" + std::to_string(readiness)));
+    daemon.start(std::nullopt, output.descriptor());
+    ASSERT_TRUE(daemon.wait_for_answer(readiness, "/readyz"));
+    // Settings that cannot be read are reported as well.
+    daemon.write_settings("{");
+    daemon.signal(SIGHUP);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_TRUE(stops_in_order(daemon));
+}
+
+TEST(daemon_starts,
+     output_that_takes_nothing_keeps_a_failed_start_from_its_end) {
+    const auto output = full_pipe{};
+    auto daemon = started_daemon{};
+    daemon.write_settings("{\"relay\": {}}");
+    daemon.start(std::nullopt, output.descriptor());
+    const auto status = daemon.wait_for_end();
+    ASSERT_TRUE(status && WIFEXITED(*status));
+    EXPECT_EQ(WEXITSTATUS(*status), 2);
+}
+
 // The listing went round in circles at such a key: no configuration, ever.
 TEST(daemon_starts, configuration_behind_other_keys_is_not_found) {
     auto world = transport::reactor_thread{"world", 1024};
