Let listeners have the local ports of links to peers

A connection that the link to a peer opens got its local port from the range that listeners of daemons on one host use as well, and closed it to listeners for as long as it lasted: a daemon that was started then had, for example, no address for callers. ZeroMQ sets SO_REUSEADDR only together with a source address, which takes a port of its own for each connection.

The link now has one ROUTER socket for what it sends, in place of a DEALER for each peer, and a monitor of it, which names the descriptor of each connection that was made; the link sets SO_REUSEADDR there. A monitor for each DEALER would take two more descriptors for each peer; one for all takes two, and the DEALERs' are saved.

--- a/basilstream/transport/peer_link/peer_link.cpp
+++ b/basilstream/transport/peer_link/peer_link.cpp
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cstdint>
+#include <cstring>
 #include <map>
 #include <optional>
 #include <system_error>
 #include <thread>
 
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <zmq.hpp>
 
@@ -24,6 +27,8 @@
 constexpr auto admission_endpoint = "inproc://zeromq.zap.01";
 constexpr auto admission_domain = "peers";
 constexpr auto admission_frames = std::size_t{2};
+// Where ZeroMQ reports connections that were made.
+constexpr auto connected_endpoint = "inproc://connected";
 // After a wait that failed.
 constexpr auto retry_pause = milliseconds{10};
 
@@ -39,6 +44,8 @@
           ring_{options.ring_capacity_}, context_{1},
           admission_{context_, zmq::socket_type::rep},
           router_{context_, zmq::socket_type::router},
+          sender_{context_, zmq::socket_type::router},
+          connected_{context_, zmq::socket_type::pair},
           wake_{::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)} {}
 
     ~zeromq_link() override {
@@ -64,6 +71,17 @@
         if (auto bound = bind_router(); !bound) {
             return bound;
         }
+        set_options(sender_);
+        sender_.set(zmq::sockopt::sndhwm, options_.peer_queue_);
+        sender_.set(zmq::sockopt::reconnect_ivl_max, 1000);
+        // Messages to a peer whose queue is full are reported.
+        sender_.set(zmq::sockopt::router_mandatory, true);
+        connected_.set(zmq::sockopt::linger, 0);
+        if (::zmq_socket_monitor(sender_.handle(), connected_endpoint,
+                                 ZMQ_EVENT_CONNECTED) != 0) {
+            throw zmq::error_t{};
+        }
+        connected_.connect(connected_endpoint);
         constexpr auto scheme = std::string_view{"tcp://"};
         address_ =
             router_.get(zmq::sockopt::last_endpoint).substr(scheme.size());
@@ -94,7 +112,9 @@
 
 private:
     struct connection {
-        zmq::socket_t socket_;
+        // Differs from those of connections before: ZeroMQ ends the process if
+        // one is used again before its former connection is gone.
+        std::string routing_id_;
         time_point used_;
     };
 
@@ -139,20 +159,21 @@
             auto items = std::array{
                 zmq::pollitem_t{router_.handle(), 0, ZMQ_POLLIN, 0},
                 zmq::pollitem_t{admission_.handle(), 0, ZMQ_POLLIN, 0},
+                zmq::pollitem_t{connected_.handle(), 0, ZMQ_POLLIN, 0},
                 zmq::pollitem_t{nullptr, wake_, ZMQ_POLLIN, 0}};
             wait_for(items);
             clear_wake();
+            release_local_ports();
             send_waiting();
             admit();
             receive();
             close_idle();
         }
-        connections_.clear();
     }
 
     // An interrupted or refused wait is only shorter; nothing catches errors of
     // this thread.
-    static auto wait_for(std::array<zmq::pollitem_t, 3>& items) -> void {
+    static auto wait_for(std::array<zmq::pollitem_t, 4>& items) -> void {
         try {
             zmq::poll(items, poll_timeout);
         } catch (const zmq::error_t&) {
@@ -181,17 +202,19 @@
     auto transmit(const outgoing& message) -> void {
         auto& peer = connect(message.address_);
         peer.used_ = clock_.now();
-        // The first frame is the sender's address: a connection does not show
-        // under which address its other end listens.
-        const auto sent = peer.socket_.send(zmq::buffer(address_),
-                                            zmq::send_flags::sndmore |
-                                                zmq::send_flags::dontwait);
-        if (!sent) {
+        if (!sender_.send(zmq::buffer(peer.routing_id_),
+                          zmq::send_flags::sndmore |
+                              zmq::send_flags::dontwait)) {
             dropped_.fetch_add(1);
             return;
         }
-        static_cast<void>(peer.socket_.send(zmq::buffer(message.bytes_),
-                                            zmq::send_flags::dontwait));
+        // The first frame is the sender's address: a connection does not show
+        // under which address its other end listens.
+        static_cast<void>(
+            sender_.send(zmq::buffer(address_),
+                         zmq::send_flags::sndmore | zmq::send_flags::dontwait));
+        static_cast<void>(sender_.send(zmq::buffer(message.bytes_),
+                                       zmq::send_flags::dontwait));
         messages_sent_.fetch_add(1);
         bytes_sent_.fetch_add(address_.size() + message.bytes_.size());
     }
@@ -201,21 +224,58 @@
         if (found != connections_.end()) {
             return found->second;
         }
-        auto socket = zmq::socket_t{context_, zmq::socket_type::dealer};
-        set_options(socket);
-        socket.set(zmq::sockopt::sndhwm, options_.peer_queue_);
-        socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
+        auto routing_id = std::to_string(++last_routing_id_);
         try {
-            socket.connect("tcp://" + address);
+            sender_.set(zmq::sockopt::connect_routing_id, routing_id);
+            sender_.connect(endpoint_of(address));
         } catch (const zmq::error_t&) {
             // A malformed address: what is sent to it is dropped.
             dropped_.fetch_add(1);
         }
         return connections_
-            .emplace(address, connection{std::move(socket), clock_.now()})
+            .emplace(address, connection{std::move(routing_id), clock_.now()})
             .first->second;
     }
 
+    static auto endpoint_of(const std::string& address) -> std::string {
+        return "tcp://" + address;
+    }
+
+    // The local port of a connection is closed to listeners, of this process
+    // and of others, unless both say that it may be reused.
+    auto release_local_ports() -> void {
+        try {
+            for (auto received = true; received;) {
+                received = release_local_port();
+            }
+        } catch (const zmq::error_t&) {
+            // What waits is read in the next turn.
+        }
+    }
+
+    // Returns whether a connection was reported.
+    auto release_local_port() -> bool {
+        auto report = zmq::message_t{};
+        if (!connected_.recv(report, zmq::recv_flags::dontwait)) {
+            return false;
+        }
+        // Number of the event and descriptor; then the endpoint.
+        constexpr auto descriptor_offset = sizeof(std::uint16_t);
+        auto descriptor = std::int32_t{-1};
+        if (report.size() >= descriptor_offset + sizeof descriptor) {
+            std::memcpy(&descriptor,
+                        static_cast<const char*>(report.data()) +
+                            descriptor_offset,
+                        sizeof descriptor);
+        }
+        auto endpoint = zmq::message_t{};
+        static_cast<void>(connected_.recv(endpoint, zmq::recv_flags::dontwait));
+        const auto on = 1;
+        static_cast<void>(
+            ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on));
+        return true;
+    }
+
     // Admits every peer that speaks ZMTP 3.
     auto admit() -> void {
         try {
@@ -290,11 +350,23 @@
 
     auto close_idle() -> void {
         const auto oldest = clock_.now() - options_.idle_timeout_;
-        std::erase_if(connections_, [oldest](const auto& entry) {
-            return entry.second.used_ < oldest;
+        std::erase_if(connections_, [this, oldest](const auto& entry) {
+            const auto idle = entry.second.used_ < oldest;
+            if (idle) {
+                disconnect(entry.first);
+            }
+            return idle;
         });
     }
 
+    auto disconnect(const std::string& address) -> void {
+        try {
+            sender_.disconnect(endpoint_of(address));
+        } catch (const zmq::error_t&) {
+            // It was never connected: the address is malformed.
+        }
+    }
+
     peer_link_options options_;
     peer_handler handler_;
     bounded_ring<outgoing> ring_;
@@ -302,9 +374,12 @@
     zmq::context_t context_;
     zmq::socket_t admission_;
     zmq::socket_t router_;
+    zmq::socket_t sender_;
+    zmq::socket_t connected_;
     int wake_;
     std::string address_;
     std::map<std::string, connection> connections_;
+    std::uint64_t last_routing_id_ = 0;
     std::atomic<bool> signalled_{false};
     std::atomic<bool> stopping_{false};
     std::atomic<std::uint64_t> messages_sent_{0};
--- a/basilstream/transport/peer_link/peer_link.hpp
+++ b/basilstream/transport/peer_link/peer_link.hpp
@@ -1,7 +1,7 @@
-/// Messages between daemons over ZeroMQ: one ROUTER socket that receives, one
-/// DEALER per peer that sends, all on one thread. Delivery is best effort: a
-/// message to a peer that is slow or gone is dropped, as the modules above
-/// repeat what matters.
+/// Messages between daemons over ZeroMQ: one ROUTER socket that receives, and
+/// one that sends and has a connection to each peer, both on one thread.
+/// Delivery is best effort: a message to a peer that is slow or gone is
+/// dropped, as the modules above repeat what matters.
 ///
 ///     auto link = peer_link::open({.address_ = "127.0.0.1", .port_ = 0},
 ///         [](std::string from, std::string bytes) { ... });
