Test daemons that are killed and started at their addresses again and again

The daemons of a world get distinct ports below those that the kernel gives away; before, two daemons could be told the same one. A stand-in server that cannot listen says so instead of a segmentation fault.

--- a/testing/fault_soak/daemon_process.cpp
+++ b/testing/fault_soak/daemon_process.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -22,22 +23,45 @@
 
 constexpr auto any_address = "127.0.0.1:0";
 
-// Returns a port that was free a moment ago.
-auto free_port() -> int {
+// Returns whether a port of a loopback address is free.
+auto is_free(const std::string& ip, int port) -> bool {
     const auto descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     auto address = sockaddr_in{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    auto size = socklen_t{sizeof(address)};
-    auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    const auto bound = ::bind(descriptor, generic, size) == 0 &&
-                       ::getsockname(descriptor, generic, &size) == 0;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    const auto bound = ::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+                              sizeof(address)) == 0;
     ::close(descriptor);
-    return bound ? ntohs(address.sin_port) : 0;
+    return bound;
 }
 
-auto free_address() -> std::string {
-    return "127.0.0.1:" + std::to_string(free_port());
+// Returns the first of `count` ports in a row of a loopback address that were
+// free a moment ago and that no call has returned before. They are below those
+// that the kernel gives to connections and to listeners without a port.
+auto free_ports(const std::string& ip, int count) -> int {
+    constexpr auto first = 12'000;
+    constexpr auto last = 32'000;
+    static auto next = first + ::getpid() % (last - first);
+    for (auto attempt = 0; attempt < last - first; ++attempt) {
+        if (next + count > last) {
+            next = first;
+        }
+        const auto candidate = next++;
+        auto free = 0;
+        while (free < count && is_free(ip, candidate + free)) {
+            ++free;
+        }
+        if (free == count) {
+            next = candidate + count;
+            return candidate;
+        }
+    }
+    return 0;
+}
+
+auto free_address(const std::string& ip) -> std::string {
+    return ip + ":" + std::to_string(free_ports(ip, 1));
 }
 
 } // namespace
@@ -47,13 +71,17 @@
                                               options_.name_ + ".log"} {
     const auto pick = [this] {
         return options_.picks_ports_ ? std::string{any_address}
-                                     : free_address();
+                                     : free_address(options_.ip_);
     };
     caller_address_ = pick();
     readiness_address_ = pick();
     directory_address_ = pick();
     metrics_address_ = pick();
-    peer_port_ = options_.picks_ports_ ? 0 : free_port();
+    peer_port_ = options_.picks_ports_ ? 0 : free_ports(options_.ip_, 2);
+    start();
+}
+
+auto daemon_process::start() -> void {
     auto ignored = std::error_code{};
     const auto size = std::filesystem::file_size(log_path_, ignored);
     log_begin_ = ignored ? 0 : static_cast<std::streamoff>(size);
@@ -75,13 +103,28 @@
 }
 
 daemon_process::~daemon_process() {
+    kill();
+}
+
+auto daemon_process::kill() -> void {
     if (!ended()) {
         signal(SIGKILL);
-        ::waitpid(pid_, nullptr, 0);
+        ::waitpid(pid_, &status_, 0);
+        ended_ = true;
     }
 }
 
+auto daemon_process::start_anew() -> void {
+    kill();
+    ended_ = false;
+    killed_ = false;
+    stop_requested_ = false;
+    start();
+}
+
 auto daemon_process::write_settings(const std::string& path) const -> void {
+    // The second one is for forwarded requests.
+    const auto last_peer_port = peer_port_ == 0 ? 0 : peer_port_ + 1;
     auto settings = protocol::json{
         {"name", options_.name_},
         {"zone", "a"},
@@ -90,7 +133,8 @@
           {"readiness", readiness_address_},
           {"directory", directory_address_},
           {"metrics", metrics_address_}}},
-        {"peer", {{"ip", "127.0.0.1"}, {"ports", {peer_port_, peer_port_}}}},
+        {"peer",
+         {{"ip", options_.ip_}, {"ports", {peer_port_, last_peer_port}}}},
         {"store", {{"address", options_.store_address_}}},
         {"limits",
          {{"retry_ratio", options_.retry_ratio_},
@@ -172,6 +216,17 @@
     return 0;
 }
 
+auto daemon_process::log_lines(const std::string& text) const -> std::string {
+    auto found = std::string{};
+    auto log = std::ifstream{log_path_};
+    for (auto line = std::string{}; std::getline(log, line);) {
+        if (line.find(text) != std::string::npos) {
+            found += line + "\n";
+        }
+    }
+    return found;
+}
+
 auto daemon_process::open_descriptors() const -> std::size_t {
     const auto path = "/proc/" + std::to_string(pid_) + "/fd";
     auto ignored = std::error_code{};
--- a/testing/fault_soak/daemon_process.hpp
+++ b/testing/fault_soak/daemon_process.hpp
@@ -19,6 +19,8 @@
     /// Directory for settings and log.
     std::string directory_;
     std::string store_address_;
+    /// Loopback address of its listeners, unless it picks its ports itself.
+    std::string ip_ = "127.0.0.1";
     int grace_seconds_ = 4;
     double retry_ratio_ = 0.2;
     double retry_allowance_ = 50;
@@ -39,6 +41,11 @@
     ~daemon_process();
 
     auto signal(int number) -> void;
+    /// Ends the process at once, unless it has ended.
+    auto kill() -> void;
+    /// Starts the process again, on the ports that it had unless it picks them
+    /// itself. Kills it first if it still runs.
+    auto start_anew() -> void;
     /// Changes the settings file; the process reads it after a SIGHUP.
     auto change_retry_limits(double ratio, double allowance) -> void;
     /// Returns whether the process has ended.
@@ -64,10 +71,14 @@
     [[nodiscard]] auto peer_address() const -> std::string {
         return "127.0.0.1:" + std::to_string(peer_port_);
     }
+    /// Returns the lines of its log that contain a text, also of former
+    /// processes.
+    [[nodiscard]] auto log_lines(const std::string& text) const -> std::string;
     /// Returns the number of descriptors that the process has open.
     [[nodiscard]] auto open_descriptors() const -> std::size_t;
 
 private:
+    auto start() -> void;
     auto write_settings(const std::string& path) const -> void;
     // Reads the address for callers from the log.
     auto read_caller_address() -> void;
--- a/testing/raw_deployment/raw_deployment.cpp
+++ b/testing/raw_deployment/raw_deployment.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <future>
+#include <stdexcept>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -248,6 +249,10 @@
                 connections_.back()->pause_reading(read_delay_);
             }
         });
+    if (!opened) {
+        throw std::runtime_error{"a server cannot listen: " +
+                                 opened.error().detail_};
+    }
     listener_ = std::move(*opened);
 }
 
@@ -441,6 +446,13 @@
                config_text(options_, ++config_version_, timeout));
 }
 
+auto raw_deployment::add_route(raw_route route) -> void {
+    options_.routes_.push_back(std::move(route));
+    store_.put(
+        "keyed.op", "config",
+        config_text(options_, ++config_version_, options_.route_timeout_));
+}
+
 auto raw_deployment::restart_daemon(int index) -> void {
     daemons_[index].reset();
     start_daemon(index);
@@ -466,6 +478,7 @@
         daemon_options{.name_ = "d" + std::to_string(index),
                        .directory_ = directory_,
                        .store_address_ = store_address(index),
+                       .ip_ = options_.daemon_ip_,
                        .grace_seconds_ = options_.grace_seconds_,
                        .retry_ratio_ = options_.retry_ratio_,
                        .retry_allowance_ = options_.retry_allowance_,
--- a/testing/raw_deployment/raw_deployment.hpp
+++ b/testing/raw_deployment/raw_deployment.hpp
@@ -171,6 +171,9 @@
     int memory_mb_ = 0;
     /// Whether the addresses of all listeners are known from the start.
     bool has_known_addresses_ = false;
+    /// Loopback address of the daemons' listeners, if their addresses are
+    /// known.
+    std::string daemon_ip_ = "127.0.0.1";
 };
 
 class raw_deployment {
@@ -207,6 +210,8 @@
     [[nodiscard]] auto connections_made(int daemon) const -> int;
     /// Stores a config in which routes have this time-out.
     auto change_route_timeout(milliseconds timeout) -> void;
+    /// Stores a config with one more route.
+    auto add_route(raw_route route) -> void;
     [[nodiscard]] auto process(int index) -> daemon_process& {
         return *daemons_[index];
     }
@@ -233,7 +238,7 @@
     // Returns an announcement with the address of the daemon's proxy.
     auto view_server(int daemon, std::string value) -> std::string;
 
-    const raw_deployment_options options_;
+    raw_deployment_options options_;
     steady_clock clock_;
     transport::reactor_thread thread_;
     stand_in_store store_;
