Let short requests use all slots of a brittle server

Requests that are answered sooner never had company: with one bearable rejection, requests of 5 ms used one slot of four.

A request that was answered confirms as many as there were at its grant; beyond that, as many more may be under way as the server may reject. A confirmation counts from the moment at which a rejection would have been known, not from the answer, so that long requests do not confirm what their server held seconds ago.

--- a/basilstream/coordination/server_slots/server_slots.cpp
+++ b/basilstream/coordination/server_slots/server_slots.cpp
@@ -126,11 +126,9 @@
            now - rejections.front() >= rejection_window) {
         rejections.pop_front();
     }
-    auto& confirmed = state.confirmed_;
-    while (!confirmed.empty() &&
-           now - confirmed.front().at_ >= confirmation_lifetime) {
-        confirmed.pop_front();
-    }
+    std::erase_if(state.confirmed_, [now](const auto& entry) {
+        return now - entry.second >= confirmation_lifetime;
+    });
     std::erase_if(state.leases_, [now](const auto& entry) {
         return entry.second.expires_at_ <= now;
     });
@@ -178,13 +176,13 @@
     state.limit_reached_ = false;
 }
 
-auto slot_ledger::confirm(server_state& state, int in_use, time_point now)
-    -> void {
-    auto& confirmed = state.confirmed_;
-    while (!confirmed.empty() && confirmed.back().in_use_ <= in_use) {
-        confirmed.pop_back();
-    }
-    confirmed.push_back({in_use, now});
+auto slot_ledger::confirm(server_state& state, const lease& answered,
+                          time_point now) -> void {
+    // It was held once its rejection would have been known.
+    const auto held_at =
+        std::min(answered.granted_at_ + confirmation_time, now);
+    auto& latest = state.confirmed_[answered.in_use_];
+    latest = std::max(latest, held_at);
 }
 
 auto slot_ledger::has_room(server_state& state, time_point now) -> bool {
@@ -197,16 +195,18 @@
     if (rejections > 0 && rejections >= state.bearable_) {
         return in_use < state.limit_ / 2;
     }
-    if (!state.confirmed_.empty() &&
-        in_use < state.confirmed_.front().in_use_) {
+    const auto allowed = static_cast<int>(
+        std::max(1.0, std::floor(state.bearable_) - rejections));
+    const auto confirmed =
+        state.confirmed_.empty() ? 0 : state.confirmed_.rbegin()->first;
+    if (in_use < confirmed + allowed) {
         return true;
     }
     const auto unconfirmed = std::count_if(
         state.leases_.begin(), state.leases_.end(), [now](const auto& entry) {
             return now - entry.second.granted_at_ < confirmation_time;
         });
-    return static_cast<double>(unconfirmed) <
-           std::max(1.0, std::floor(state.bearable_) - rejections);
+    return unconfirmed < allowed;
 }
 
 auto slot_ledger::expected_wait(const server_state& state) -> duration {
@@ -278,7 +278,7 @@
     }
     if (outcome == slot_outcome::answered) {
         if (held->second.granted_at_ > state.last_rejection_) {
-            confirm(state, held->second.in_use_, now);
+            confirm(state, held->second, now);
         }
         const auto hold = now - held->second.granted_at_;
         state.mean_hold_ = state.mean_hold_ == duration{0}
--- a/basilstream/coordination/server_slots/server_slots.hpp
+++ b/basilstream/coordination/server_slots/server_slots.hpp
@@ -17,7 +17,7 @@
 /// additively while it is fully used and nothing is rejected (AIMD; Chiu and
 /// Jain, 1989). What a server announces may be more than it holds, and what it
 /// holds may become less. Of the requests beyond what it has held of late, no
-/// more are under way before their rejection would be known than it bears.
+/// more are under way than it bears, until their rejection would be known.
 ///
 /// Load pattern: tens of daemons that send a server a few requests per second
 /// each. None of them sees from its own requests that the server is full.
@@ -131,10 +131,6 @@
         slot_request request_;
         time_point expires_at_{};
     };
-    struct confirmation {
-        int in_use_ = 0;
-        time_point at_{};
-    };
     struct server_state {
         int slots_ = 1;
         int limit_ = 1;
@@ -150,8 +146,8 @@
         std::deque<time_point> rejections_;
         time_point last_rejection_ = time_point::min();
         // Numbers of requests that the server has held since then, not long
-        // ago: the largest one, the largest one after it, and so on.
-        std::deque<confirmation> confirmed_;
+        // ago, and when it last did.
+        std::map<int, time_point> confirmed_;
         // Until then the server may hold requests that took no slot.
         time_point settled_at_{};
         double bearable_ = 0;
@@ -168,9 +164,10 @@
     static auto grow(server_state& state, time_point now) -> void;
     static auto reduce(server_state& state, const lease& rejected,
                        time_point now) -> void;
-    // Notes that the server has held so many requests.
-    static auto confirm(server_state& state, int in_use, time_point now)
-        -> void;
+    // Notes that the server has held as many requests as there were at the
+    // grant of an answered one.
+    static auto confirm(server_state& state, const lease& answered,
+                        time_point now) -> void;
     // Returns whether another request may be sent.
     static auto has_room(server_state& state, time_point now) -> bool;
     // Returns the expected time until a request that is queued now gets a
