--- a/basilstream/base/bounded_write/bounded_write.hpp
+++ b/basilstream/base/bounded_write/bounded_write.hpp
@@ -13,7 +13,8 @@
 /// every 20 ms and gives up once it returns false. Returns whether all of the
 /// text was written; it may have been written in part.
 ///
-/// A pipe or a file never blocks longer; other kinds of descriptors may.
+/// A file, or a pipe to which no other process writes, never blocks longer;
+/// other kinds of descriptors may.
 auto write_while(int descriptor, std::string_view text,
                  const std::function<bool()>& may_wait) -> bool;
 
