--- a/review/clients-3.cc
+++ b/review/clients-3.cc
@@ -1,4 +1,4 @@
-// Cases 11 and 12: clients that we do not control send ordinary requests, each
+// Cases 13 and 14: clients that we do not control send ordinary requests, each
 // within `limits.headerBytes`, with long names in them. The platform's stand-in
 // ends a process that exceeds `memoryMb` and starts it again.
 //
