--- a/review/answers-3.cc
+++ b/review/answers-3.cc
@@ -1,11 +1,10 @@
-// Cases with runners whose answers the pages allow and the daemon mistakes.
+// Case 11: runners run submissions and answer some of them 503 without
+// `Basilstream-Not-Executed`.
 //
-//     answers-3 PROGRAM DIRECTORY (submissions|streams) TROUBLE
+//     answers-3 PROGRAM DIRECTORY TROUBLE
 //
-// submissions: a runner runs a submission and answers 503 without
-// `Basilstream-Not-Executed`. streams: the ids of events increase from 0.
-// Exits with 1 if the rule was broken, with 0 if it held, with 2 if the
-// deployment did not come up.
+// Exits with 1 if a client was told that a submission has not run which has,
+// with 0 if not, with 2 if the deployment did not come up.
 #include "world-3.h"
 
 using namespace review3;
@@ -17,10 +16,8 @@
 constexpr int requests = 120;
 // Share of the requests that a runner fails, as `srv_grey` does.
 constexpr double failed_share = 0.45;
-constexpr int events = 10;
 
 store the_store;
-string mode;
 bool trouble = true;
 std::mutex notes_mutex;
 std::map<string, int> runs;           // by request id
@@ -44,20 +41,6 @@
                "." + status.substr(0, 3) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-void answer_stream(const string& id, conn& c) {
-    c.send_all("HTTP/1.1 200 OK\r\nBasilstream-Request-Id: " + id + "\r\nBasilstream-Response-Signature: " + id +
-               ".200\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for (int piece = 0; piece < events; ++piece) {
-        const string event = "id: " + std::to_string(piece + (trouble ? 0 : 1)) + "\ndata: piece " + std::to_string(piece) + "\n\n";
-        char size[20];
-        snprintf(size, sizeof size, "%zx\r\n", event.size());
-        c.send_all(size + event + "\r\n");
-        sleep_ms(20);
-    }
-    c.send_all("0\r\n\r\n");
-    record("runner has sent %d pieces to %s", events, id.c_str());
-}
-
 void run_requests(const string& name, std::shared_ptr<conn> c) {
     while (true) {
         message request;
@@ -67,10 +50,8 @@
             c->send_all("HTTP/1.1 200 OK\r\nBasilstream-Instance-Id: " + name + "\r\nContent-Length: 0\r\n\r\n");
         } else if (request.get("Basilstream-Expect-Instance") != name) {
             c->send_all("HTTP/1.1 421 X\r\nBasilstream-Request-Id: " + id + "\r\nBasilstream-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-        } else if (mode == "submissions") {
-            answer_submission(request, id, *c);
         } else {
-            answer_stream(id, *c);
+            answer_submission(request, id, *c);
         }
     }
 }
@@ -110,36 +91,18 @@
     return refused_and_run;
 }
 
-int read_streams(const std::vector<string>& addresses) {
-    int incomplete = 0;
-    for (int number = 0; number < requests / 6; ++number) {
-        const auto answer = ask(addresses[(size_t)number % addresses.size()], "s" + std::to_string(number), "");
-        int missing = 0;
-        for (int piece = 0; piece < events; ++piece)
-            missing += answer.body.find("data: piece " + std::to_string(piece) + "\n") == string::npos ? 1 : 0;
-        record("client gets %d, whole by its framing %d, pieces missing %d of %d", answer.status(), (int)answer.complete, missing, events);
-        incomplete += answer.status() == 200 && answer.complete && missing > 0 ? 1 : 0;
-    }
-    record("streams that are complete and lack a piece: %d", incomplete);
-    printf("streams that lack a piece %d\n", incomplete);
-    return incomplete;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
-    if (argc != 5) return 2;
+    if (argc != 4) return 2;
     const string program = argv[1], directory = argv[2];
-    mode = argv[3];
-    trouble = string(argv[4]) != "0";
+    trouble = string(argv[3]) != "0";
     signal(SIGPIPE, SIG_IGN);
     record_file = fopen((directory + "/record.txt").c_str(), "w");
     const string network = "127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".";
     if (!the_store.start(network + "1")) return 2;
-    const bool streaming = mode == "streams";
     the_store.put("keyed.op", "config",
-                  string("{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"x\",\"pathPrefix\":\"/r/\",\"kind\":\"") +
-                      (streaming ? "streaming" : "non_idempotent") +
+                  "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"x\",\"pathPrefix\":\"/r/\",\"kind\":\"non_idempotent"
                       "\",\"timeoutMs\":2500,\"targetLatencyMs\":150,\"priority\":1,\"service\":\"app\",\"attempts\":1}],"
                       "\"services\":[{\"name\":\"app\",\"healthPath\":\"/health\",\"connectionLimit\":100}],"
                       "\"limits\":{\"headerBytes\":16384,\"bodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
@@ -172,7 +135,7 @@
         sleep_ms(50);
     }
     sleep_ms(3500);
-    const int broken = !up ? 0 : streaming ? read_streams(addresses) : send_submissions(addresses);
+    const int broken = !up ? 0 : send_submissions(addresses);
     for (auto& d : daemons) {
         d->sig(SIGKILL);
         d->wait_end(2000);
