--- a/review/readers-3.cc
+++ b/review/readers-3.cc
@@ -14,6 +14,7 @@
 
 constexpr int machines = 2;
 constexpr int memory_mb = 120;
+constexpr rlim_t descriptors = 3075;
 constexpr int slow_readers = 700;
 constexpr size_t answer_bytes = 20000;
 constexpr int ordinary_clients = 10;
@@ -142,6 +143,11 @@
     const string program = argv[1], directory = argv[2];
     const bool trouble = string(argv[3]) != "0";
     signal(SIGPIPE, SIG_IGN);
+    // Descriptors as on the machines of the sheet, for daemons and clients.
+    rlimit files{};
+    getrlimit(RLIMIT_NOFILE, &files);
+    files.rlim_cur = std::min<rlim_t>(files.rlim_max, descriptors);
+    setrlimit(RLIMIT_NOFILE, &files);
     record_file = fopen((directory + "/record.txt").c_str(), "w");
     const string network = "127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".";
     server runner;
