review: case 13, short header fields take processes over their memory

Cause: a node is allocated for each field of a head; headerBytes bounds the text, not the number of fields, and 16 KiB a connection are reckoned with.

--- a/review/clients-3.cc
+++ b/review/clients-3.cc
@@ -1,8 +1,9 @@
-// Cases 13 and 14: clients that we do not control send ordinary requests, each
-// within `limits.headerBytes`, with long names in them. The platform's stand-in
-// ends a process that exceeds `memoryMb` and starts it again.
+// Cases 13 and 14: clients that we do not control send requests within
+// `limits.headerBytes`. heads: many connections with a part of a head, of very
+// short fields. models, ids: whole requests with long names in them. The
+// platform's stand-in ends a process that exceeds `memoryMb` and starts it again.
 //
-//     clients-3 PROGRAM DIRECTORY (models|ids) TROUBLE
+//     clients-3 PROGRAM DIRECTORY (heads|models|ids) TROUBLE
 //
 // Exits with 1 if processes on two machines ended three times, else with 0; 2
 // if the deployment did not come up.
@@ -17,6 +18,10 @@
 constexpr int requests_per_s = 250;
 constexpr int ordinary_per_s = 20;
 constexpr size_t long_name = 14000;
+constexpr int open_heads = 500;
+constexpr size_t head_bytes_sent = 16000;
+// Less than `headerTimeoutMs`.
+constexpr int head_pause_ms = 2500;
 constexpr double longest_s = 80;
 
 store the_store;
@@ -95,6 +100,30 @@
     record("requests at %s: %ld, largest head %d bytes, statuses%s", daemons[machine]->name.c_str(), number, largest, text.c_str());
 }
 
+// Opens connections, sends a part of a head on each, closes them and begins
+// again. Without trouble the same bytes are one field.
+void send_heads(bool trouble, size_t machine) {
+    string head = "GET /e/1 HTTP/1.1\r\nHost: x\r\n";
+    if (trouble)
+        while (head.size() < head_bytes_sent) head += "a:\r\n";
+    else
+        head += "a: " + string(head_bytes_sent - head.size(), 'x') + "\r\n";
+    long sent = 0;
+    while (!over) {
+        std::vector<std::unique_ptr<conn>> open;
+        for (int i = 0; i < open_heads && !over; ++i) {
+            auto c = std::make_unique<conn>(dial(daemons[machine]->callers(), 300));
+            if (c->fd < 0) break;
+            sent += c->send_all(head) ? 1 : 0;
+            open.push_back(std::move(c));
+        }
+        for (int waited = 0; waited < head_pause_ms && !over; waited += 100) sleep_ms(100);
+        open.clear();
+        sleep_ms(500);
+    }
+    record("parts of heads sent to %s: %ld of %zu bytes", daemons[machine]->name.c_str(), sent, head.size());
+}
+
 // Ordinary clients of the same deployment, on all machines in turn.
 void send_ordinary() {
     std::map<int, long> statuses;
@@ -117,6 +146,11 @@
     const string program = argv[1], directory = argv[2], mode = argv[3];
     const bool trouble = string(argv[4]) != "0";
     signal(SIGPIPE, SIG_IGN);
+    // Descriptors as on the machines of the sheet, for daemons and clients.
+    rlimit files{};
+    getrlimit(RLIMIT_NOFILE, &files);
+    files.rlim_cur = std::min<rlim_t>(files.rlim_max, 3075);
+    setrlimit(RLIMIT_NOFILE, &files);
     record_file = fopen((directory + "/record.txt").c_str(), "w");
     const string network = "127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".";
     server runner;
@@ -154,7 +188,12 @@
     int machines_thrice = 0;
     if (served) {
         std::vector<std::thread> clients;
-        for (size_t i = 0; i < machines; ++i) clients.emplace_back(send_many, mode, trouble, i);
+        for (size_t i = 0; i < machines; ++i) {
+            if (mode == "heads")
+                clients.emplace_back(send_heads, trouble, i);
+            else
+                clients.emplace_back(send_many, mode, trouble, i);
+        }
         clients.emplace_back(send_ordinary);
         const double until = now_s() + longest_s;
         double next_line = now_s();
