--- a/review/clients-3.cc
+++ b/review/clients-3.cc
@@ -14,15 +14,17 @@
 namespace {
 
 constexpr int machines = 3;
-constexpr int memory_mb = 120;
-constexpr int requests_per_s = 250;
+// A machine of angebotswerk-muc.
+constexpr int memory_mb = 260;
+constexpr rlim_t descriptors = 4100;
+constexpr int requests_per_s = 750;
 constexpr int ordinary_per_s = 20;
-constexpr size_t long_name = 14000;
-constexpr int open_heads = 500;
+constexpr size_t long_name = 15500;
+constexpr int open_heads = 1000;
 constexpr size_t head_bytes_sent = 16000;
 // Less than `headerTimeoutMs`.
 constexpr int head_pause_ms = 2500;
-constexpr double longest_s = 80;
+constexpr double longest_s = 95;
 
 store the_store;
 std::vector<std::unique_ptr<daemon_proc>> daemons;
@@ -146,10 +148,10 @@
     const string program = argv[1], directory = argv[2], mode = argv[3];
     const bool trouble = string(argv[4]) != "0";
     signal(SIGPIPE, SIG_IGN);
-    // Descriptors as on the machines of the sheet, for daemons and clients.
+    // Descriptors of a machine, for daemons and clients.
     rlimit files{};
     getrlimit(RLIMIT_NOFILE, &files);
-    files.rlim_cur = std::min<rlim_t>(files.rlim_max, 3075);
+    files.rlim_cur = std::min<rlim_t>(files.rlim_max, descriptors);
     setrlimit(RLIMIT_NOFILE, &files);
     record_file = fopen((directory + "/record.txt").c_str(), "w");
     const string network = "127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".";
--- a/review/readers-3.cc
+++ b/review/readers-3.cc
@@ -13,13 +13,13 @@
 namespace {
 
 constexpr int machines = 2;
-constexpr int memory_mb = 120;
-constexpr rlim_t descriptors = 3075;
-constexpr int slow_readers = 700;
+// A machine of angebotswerk-muc.
+constexpr int memory_mb = 260;
+constexpr rlim_t descriptors = 4100;
+constexpr int slow_readers = 1500;
 constexpr size_t answer_bytes = 20000;
 constexpr int ordinary_clients = 10;
-// Of the sheet of zlp-parking.
-constexpr double stable_window_s = 4;
+constexpr double stable_window_s = 3;
 constexpr double length_s = 20;
 constexpr double pause_s = 10;
 
@@ -143,7 +143,7 @@
     const string program = argv[1], directory = argv[2];
     const bool trouble = string(argv[3]) != "0";
     signal(SIGPIPE, SIG_IGN);
-    // Descriptors as on the machines of the sheet, for daemons and clients.
+    // Descriptors of a machine, for daemons and clients.
     rlimit files{};
     getrlimit(RLIMIT_NOFILE, &files);
     files.rlim_cur = std::min<rlim_t>(files.rlim_max, descriptors);
