--- a/review/readers-3.cc
+++ b/review/readers-3.cc
@@ -3,9 +3,9 @@
 //
 //     readers-3 PROGRAM DIRECTORY TROUBLE
 //
-// Exits with 1 if the machine said that it is ready and answered nobody on a
-// new connection for `stableWindowMs`, while seven clients or more tried; else
-// with 0, or with 2 if the deployment did not come up.
+// Exits with 1 if the machine said that it is ready and took no new connection
+// for `stableWindowMs`, while seven clients or more tried; else with 0, or with
+// 2 if the deployment did not come up.
 #include "world-3.h"
 
 using namespace review3;
@@ -16,7 +16,7 @@
 // A machine of angebotswerk-muc.
 constexpr int memory_mb = 260;
 constexpr rlim_t descriptors = 4100;
-constexpr int slow_readers = 1500;
+constexpr int slow_readers = 2600;
 constexpr size_t answer_bytes = 30000;
 constexpr int ordinary_clients = 10;
 constexpr double stable_window_s = 3;
@@ -48,12 +48,16 @@
            "\r\nBasilstream-Deadline-Milliseconds: " + std::to_string(deadline) + "\r\n\r\n";
 }
 
-// Tries one request on a new connection; 0 if it is not answered in a second.
+constexpr int not_connected = -1;
+
+// Tries one request on a new connection: `not_connected` if this is not
+// established in a second, 0 if the request is not answered in a second.
 int try_once(const string& address, const string& id) {
-    const double until = now_s() + 1;
     conn c(dial(address, 1000));
+    if (c.fd < 0) return not_connected;
+    const double until = now_s() + 1;
     message answer;
-    if (c.fd < 0 || !c.send_all(get("/i/lookup", id, 2500)) || !c.read(answer, until, true)) return 0;
+    if (!c.send_all(get("/i/lookup", id, 2500)) || !c.read(answer, until, true)) return 0;
     return answer.status();
 }
 
@@ -65,7 +69,9 @@
             std::lock_guard<std::mutex> hold(notes_mutex);
             attempts.push_back({client, at, status});
         }
-        record("client %d, new connection: %d after %.2f s", client, status, now_s() - at);
+        record("client %d, new connection: %s after %.2f s", client,
+               status == not_connected ? "not established" : status == 0 ? "established, no answer" : std::to_string(status).c_str(),
+               now_s() - at);
         sleep_ms(400);
     }
 }
@@ -94,13 +100,9 @@
         whole += c.read(answer, now_s() + 2, true) && answer.body.size() == answer_bytes ? 1 : 0;
     };
     for (int i = 0; i < slow_readers && !over; ++i) {
-        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const int window = 2048, segment = 1448;
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
-        const auto target = sock(daemons[0]->callers());
-        auto c = std::make_unique<conn>(fd);
-        if (::connect(fd, (const sockaddr*)&target, sizeof target) != 0) continue;
+        // The last one is that whose connection is not established in a second.
+        auto c = std::make_unique<conn>(dial(daemons[0]->callers(), 1000, 2048));
+        if (c->fd < 0) break;
         c->send_all(get("/i/report", "s" + std::to_string(i), 15000));
         if (!trouble) take(*c);
         readers.push_back(std::move(c));
@@ -117,14 +119,14 @@
     record("whole reports: %d", whole.load());
 }
 
-// Returns the longest span without an answer on a new connection in which the
-// machine was ready throughout and seven clients or more tried.
+// Returns the longest span without a new connection in which the machine was
+// ready throughout and seven clients or more tried.
 double longest_refusal() {
     std::sort(attempts.begin(), attempts.end(), [](const attempt& a, const attempt& b) { return a.at < b.at; });
     double longest = 0;
     for (size_t first = 0; first < attempts.size(); ++first) {
         std::set<int> clients;
-        for (size_t last = first; last < attempts.size() && attempts[last].status == 0; ++last) {
+        for (size_t last = first; last < attempts.size() && attempts[last].status == not_connected; ++last) {
             clients.insert(attempts[last].client);
             const double from = attempts[first].at, until = attempts[last].at + 1;
             const bool ready = std::all_of(readiness.begin(), readiness.end(), [&](const auto& row) {
@@ -198,7 +200,7 @@
         d->wait_end(2000);
     }
     const bool broken = longest >= stable_window_s;
-    record("longest time ready without an answer on a new connection: %.1f s; memory limit %d MB; process ended %d", longest, memory_mb, (int)ended);
+    record("longest time ready without a new connection: %.1f s; memory limit %d MB; process ended %d", longest, memory_mb, (int)ended);
     record("%s", !up ? "the case could not run" : broken ? "RECOVER: broken" : "RECOVER: kept");
     printf("longest %.1f s: %s\n", longest, !up ? "could not run" : broken ? "broken" : "kept");
     fflush(stdout);
